--- /dev/null
+++ b/crates/targets/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder until its modules land.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The `reedford` program.
+
+fn main() {}
