Decision core: table, lease, permits, loads, eviction, broker, placement, claims

Cause: the path needs decisions that run without I/O so that tests and the model can drive them. Change: one state machine per concern, time passed in. Ruled out: one lease per instance in the key-value service (a call per instance and TTL, and no proof when the zone is cut); a zone leader that schedules all workers (its death stops the whole zone).

--- /dev/null
+++ b/crates/core/src/messages.rs
@@ -0,0 +1,194 @@
+//! Messages between entry instances.
+
+use crate::ids::{
+    AdapterVersion, Epoch, GroupName, Incarnation, InstanceId, PermitId, WorkerId, ZoneId,
+};
+use reedford_rules::Class;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Asks the owner of a worker for leave to send one request to it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PermitRequest {
+    /// Chosen by the asker.
+    pub id: PermitId,
+    /// The worker.
+    pub worker: WorkerId,
+    /// The adapter version to run.
+    pub target: AdapterVersion,
+    /// Class of the request.
+    pub class: Class,
+    /// Time left until the caller's deadline, counted from sending.
+    pub remaining: Duration,
+    /// Refuse at once when the wait would be longer than this.
+    pub patience: Duration,
+}
+
+/// Answer to a [`PermitRequest`].
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum PermitAnswer {
+    /// The request may be sent within the dispatch time.
+    Granted {
+        /// Time that it waited for an adapter load.
+        load_stall: Duration,
+    },
+    /// It may not. Nothing ran, and nothing of it will start later.
+    Refused(PermitRefusal),
+}
+
+/// Why a permit was refused.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PermitRefusal {
+    /// The reason.
+    pub reason: PermitReason,
+    /// When asking again is worth while.
+    pub retry_after: Duration,
+}
+
+/// Reasons of a [`PermitRefusal`].
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub enum PermitReason {
+    /// The wait would be longer than the asker's patience.
+    Busy,
+    /// The answer could not end before the deadline.
+    DeadlineUnreachable,
+    /// The adapter could not be loaded.
+    LoadFailed,
+    /// The instance does not own the worker, or may not act as its owner.
+    NotOwner,
+    /// The worker is leaving.
+    WorkerLeaving,
+    /// The worker does not answer.
+    WorkerDown,
+}
+
+impl PermitReason {
+    /// Short name, for logs and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Busy => "busy",
+            Self::DeadlineUnreachable => "deadline_unreachable",
+            Self::LoadFailed => "load_failed",
+            Self::NotOwner => "not_owner",
+            Self::WorkerDown => "worker_down",
+            Self::WorkerLeaving => "worker_leaving",
+        }
+    }
+}
+
+/// Gives a permit back, or withdraws a request for one.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Release {
+    /// The permit.
+    pub id: PermitId,
+    /// Its worker.
+    pub worker: WorkerId,
+    /// Whether the target has surely ended the request.
+    pub ended: bool,
+}
+
+/// What an entry instance tells the others at intervals. It describes, and
+/// never decides: an owner refuses a permit that an old summary led to.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Summary {
+    /// The sender.
+    pub instance: InstanceId,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Where peers reach it.
+    pub peers: SocketAddr,
+    /// Counts up with each summary of the run.
+    pub serial: u64,
+    /// Sequence of the zone's table that the sender last read.
+    pub table: u64,
+    /// Rules revision in force at the sender.
+    pub revision: u64,
+    /// Whether the sender is stopping.
+    pub stopping: bool,
+    /// Workers that the sender owns.
+    pub workers: Vec<WorkerSummary>,
+    /// Loads that wait in the sender's zone, when the sender orders them.
+    pub loads_waiting: Option<u32>,
+}
+
+/// One worker, as its owner sees it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WorkerSummary {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Its group.
+    pub group: GroupName,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Number of the ownership.
+    pub epoch: Epoch,
+    /// Whether it takes new work.
+    pub open: bool,
+    /// Most requests that run at once.
+    pub batch_limit: u32,
+    /// Permits out.
+    pub running: u32,
+    /// Requests waiting for a permit.
+    pub waiting: u32,
+    /// Slots that are free, or whose adapter could be evicted.
+    pub open_slots: u32,
+    /// Adapter versions resident or being loaded.
+    pub residents: BTreeSet<AdapterVersion>,
+}
+
+/// Answer to a [`Summary`].
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SummaryAnswer {
+    /// Run of the answering instance.
+    pub incarnation: Incarnation,
+    /// Whether it promises, for the lease time, to take over no worker of the
+    /// sender.
+    pub promise: bool,
+    /// Members named in a table that they had read, to whom the answering
+    /// instance promises nothing any more.
+    pub released: BTreeSet<InstanceId>,
+}
+
+/// What an old owner hands to the next one.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Handover {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Epoch under which the old owner held it.
+    pub epoch: Epoch,
+    /// Boot id of the engine that the rest is about.
+    pub boot_id: Box<str>,
+    /// Adapter versions that may be in use without a permit below.
+    pub uncertain: BTreeSet<AdapterVersion>,
+    /// Permits out.
+    pub permits: Vec<HandedPermit>,
+}
+
+/// A permit handed over.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HandedPermit {
+    /// The permit.
+    pub id: PermitId,
+    /// What it pins.
+    pub target: AdapterVersion,
+    /// Class of the request.
+    pub class: Class,
+    /// Time until it ends by itself.
+    pub remaining: Duration,
+}
+
+/// Asks the zone's broker for the turn to load.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct TurnRequest {
+    /// The worker that would load.
+    pub worker: WorkerId,
+    /// What it would load.
+    pub target: AdapterVersion,
+    /// Value of the load; the highest goes first.
+    pub value: f64,
+}
--- /dev/null
+++ b/crates/core/src/scheduler/loads.rs
@@ -0,0 +1,256 @@
+//! Which adapter versions the worker asks to load, and what it evicts.
+
+use super::admission::{LOAD_TIME, refuse};
+use super::state::{Backoff, OrderKind, Resident, Scheduler, Waiting};
+use super::{Action, Cx};
+use crate::ids::{AdapterVersion, Now, PermitId};
+use crate::lease::LeaseState;
+use crate::messages::PermitReason;
+use reedford_rules::{Class, Eviction, LoadOrdering, Objective};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// First pause after a failed load; doubles with each further one.
+const BACKOFF_FIRST: Duration = Duration::from_millis(500);
+/// Longest pause after failed loads.
+const BACKOFF_MOST: Duration = Duration::from_secs(30);
+/// The broker is told of a new value once it has grown by this factor.
+const REVALUE_FACTOR: f64 = 1.25;
+/// Weight of a waiting lookup in the value of a load.
+const LOOKUP_WEIGHT: f64 = 4.0;
+/// Weight of an ordinary waiting request.
+const STANDARD_WEIGHT: f64 = 2.0;
+/// Weight of long writing.
+const WRITING_WEIGHT: f64 = 1.0;
+
+/// Why a load did not happen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LoadFault {
+    /// The engine or the weight store failed, or the answer was lost.
+    Failed,
+    /// The engine has no free slot; what is known of its slots is wrong.
+    NoSlot,
+    /// The engine has seen a higher fencing number.
+    OldFence,
+}
+
+impl Scheduler {
+    /// The broker gave the turn to load `target`.
+    pub fn on_turn(&mut self, target: &AdapterVersion, cx: &Cx<'_>) {
+        let wanted = self.asked.remove(target).is_some() && self.is_wanted(target);
+        let victim = self.victim(cx);
+        let room = self.free_slots() > 0 || victim.is_some();
+        let may = wanted && room && cx.lease == LeaseState::Held && self.is_open(cx.now);
+        if !may {
+            self.actions.push(Action::TurnEnded {
+                target: target.clone(),
+            });
+            return;
+        }
+        let evict = if self.free_slots() > 0 { None } else { victim };
+        if let Some(victim) = &evict {
+            self.orders.insert(victim.clone(), OrderKind::Evict);
+        }
+        self.orders.insert(target.clone(), OrderKind::Load);
+        self.orders_changed = cx.now;
+        self.actions.push(Action::Order {
+            evict,
+            load: target.clone(),
+        });
+    }
+
+    /// The ask for the turn to load `target` was lost; it is asked again.
+    pub fn on_turn_lost(&mut self, target: &AdapterVersion) {
+        self.asked.remove(target);
+    }
+
+    /// The eviction of `target` has ended, with or without effect.
+    pub fn on_evicted(&mut self, target: &AdapterVersion, gone: bool, cx: &Cx<'_>) {
+        self.orders.remove(target);
+        self.orders_changed = cx.now;
+        if gone {
+            self.residents.remove(target);
+        } else if let Some(resident) = self.residents.get_mut(target) {
+            resident.uncertain = resident.uncertain.max(Some(cx.now));
+        }
+    }
+
+    /// The load of `target` has ended.
+    pub fn on_loaded(
+        &mut self,
+        target: &AdapterVersion,
+        outcome: Result<(), LoadFault>,
+        cx: &Cx<'_>,
+    ) {
+        self.orders.remove(target);
+        self.orders_changed = cx.now;
+        self.actions.push(Action::TurnEnded {
+            target: target.clone(),
+        });
+        match outcome {
+            Ok(()) => self.note_loaded(target, cx.now),
+            Err(LoadFault::NoSlot) => {}
+            Err(LoadFault::Failed) => self.note_failed(target, cx.now),
+            Err(LoadFault::OldFence) => self.refuse_all(PermitReason::NotOwner),
+        }
+        self.pump(cx);
+    }
+
+    /// Slots that are free, or whose adapter could be evicted.
+    #[must_use]
+    pub fn open_slots(&self) -> u32 {
+        let evictable = self
+            .residents
+            .iter()
+            .filter(|(t, r)| self.evictable(t, r))
+            .count();
+        self.free_slots() + evictable as u32
+    }
+
+    pub(super) fn ask_loads(&mut self, cx: &Cx<'_>) {
+        let mut room = (self.open_slots() as usize).saturating_sub(self.asked.len());
+        for (target, value) in self.wanted_loads(cx) {
+            match self.asked.get(&target) {
+                Some(known) if value < known * REVALUE_FACTOR => continue,
+                Some(_) => {}
+                None if room == 0 => continue,
+                None => room -= 1,
+            }
+            self.asked.insert(target.clone(), value);
+            self.actions.push(Action::AskTurn { target, value });
+        }
+    }
+
+    pub(super) fn withdraw_unwanted(&mut self) {
+        let unwanted: Vec<AdapterVersion> = self
+            .asked
+            .keys()
+            .filter(|target| !self.is_wanted(target))
+            .cloned()
+            .collect();
+        for target in unwanted {
+            self.asked.remove(&target);
+            self.actions.push(Action::WithdrawTurn { target });
+        }
+    }
+
+    fn is_wanted(&self, target: &AdapterVersion) -> bool {
+        !self.is_resident(target) && self.waiting.values().any(|w| w.target == *target)
+    }
+
+    fn note_loaded(&mut self, target: &AdapterVersion, now: Now) {
+        self.backoff.remove(target);
+        self.residents.insert(
+            target.clone(),
+            Resident {
+                last_used: now,
+                uncertain: None,
+            },
+        );
+        for waiting in self.waiting.values_mut().filter(|w| w.target == *target) {
+            waiting.load_stall = Some(now.saturating_sub(waiting.since));
+        }
+    }
+
+    /// Pauses the adapter and refuses those who wait for it, so that they can
+    /// try another worker.
+    fn note_failed(&mut self, target: &AdapterVersion, now: Now) {
+        let failures = self.backoff.get(target).map_or(0, |b| b.failures) + 1;
+        let factor = 2_u32.saturating_pow(failures - 1);
+        let pause = BACKOFF_FIRST.saturating_mul(factor).min(BACKOFF_MOST);
+        self.backoff.insert(
+            target.clone(),
+            Backoff {
+                failures,
+                until: now + pause,
+            },
+        );
+        let ids: Vec<PermitId> = self
+            .waiting
+            .iter()
+            .filter(|(_, w)| w.target == *target)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in ids {
+            self.waiting.remove(&id);
+            self.refuse(id, refuse(PermitReason::LoadFailed, pause));
+        }
+    }
+
+    fn free_slots(&self) -> u32 {
+        let Some(engine) = &self.engine else {
+            return 0;
+        };
+        let loading = self
+            .orders
+            .values()
+            .filter(|kind| **kind == OrderKind::Load)
+            .count();
+        let taken = self.residents.len() + loading;
+        engine.slots.saturating_sub(taken as u32)
+    }
+
+    /// Adapter versions that requests wait for and nothing loads yet, with the
+    /// value of loading them, highest first.
+    fn wanted_loads(&self, cx: &Cx<'_>) -> Vec<(AdapterVersion, f64)> {
+        let mut values: BTreeMap<&AdapterVersion, f64> = BTreeMap::new();
+        for waiting in self.waiting.values() {
+            let target = &waiting.target;
+            if self.residents.contains_key(target) || self.orders.contains_key(target) {
+                continue;
+            }
+            *values.entry(target).or_default() += self.value(waiting, cx.now);
+        }
+        let mut wanted: Vec<(AdapterVersion, f64)> = values
+            .into_iter()
+            .map(|(target, value)| (target.clone(), value))
+            .collect();
+        wanted.sort_by(|a, b| b.1.total_cmp(&a.1));
+        wanted
+    }
+
+    fn value(&self, waiting: &Waiting, now: Now) -> f64 {
+        if self.policy.load_ordering == LoadOrdering::Fifo {
+            return 0.0;
+        }
+        let weight = match waiting.class {
+            Class::Lookup => LOOKUP_WEIGHT,
+            Class::Standard => STANDARD_WEIGHT,
+            Class::Writing => WRITING_WEIGHT,
+        };
+        let waited = now.saturating_sub(waiting.since).as_secs_f64();
+        match self.policy.objective {
+            Objective::LoadStalls => weight * (1.0 + waited / LOAD_TIME.as_secs_f64()),
+            Objective::BatchEfficiency => weight * (1.0 + waited),
+        }
+    }
+
+    fn victim(&self, cx: &Cx<'_>) -> Option<AdapterVersion> {
+        let open = self.residents.iter().filter(|(t, r)| self.evictable(t, r));
+        let worth = |target: &AdapterVersion, resident: &Resident| match self.policy.eviction {
+            Eviction::Frequency => cx.frequency.score(&target.adapter, cx.now),
+            Eviction::Lru => resident.last_used.as_secs_f64(),
+        };
+        let least = open.min_by(|a, b| worth(a.0, a.1).total_cmp(&worth(b.0, b.1)));
+        least.map(|(target, _)| target.clone())
+    }
+
+    /// Whether an adapter version may be evicted: nothing pins it, nothing
+    /// waits for it, no order concerns it, and it is not uncertain.
+    fn evictable(&self, target: &AdapterVersion, resident: &Resident) -> bool {
+        let pinned = self.permits.values().any(|p| p.target == *target);
+        let wanted = self.waiting.values().any(|w| w.target == *target);
+        let ordered = self.orders.contains_key(target);
+        !pinned && !wanted && !ordered && resident.uncertain.is_none()
+    }
+
+    /// Adapter versions that a load order of ours may still bring.
+    #[must_use]
+    pub fn loading(&self) -> BTreeSet<AdapterVersion> {
+        let loads = self
+            .orders
+            .iter()
+            .filter(|(_, kind)| **kind == OrderKind::Load);
+        loads.map(|(target, _)| target.clone()).collect()
+    }
+}
--- /dev/null
+++ b/crates/core/src/scheduler/takeover.rs
@@ -0,0 +1,68 @@
+//! What passes from one owner of a worker to the next.
+
+use super::state::{Permit, Scheduler};
+use crate::ids::{AdapterVersion, Now, WorkerId};
+use crate::messages::{HandedPermit, Handover};
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+impl Scheduler {
+    /// What the next owner has to know. The caller must have stopped granting
+    /// and ordering under this ownership: nothing may change afterwards.
+    #[must_use]
+    pub fn hand_over(&self, worker: &WorkerId, now: Now) -> Option<Handover> {
+        let engine = self.engine.as_ref()?;
+        if !self.orders.is_empty() {
+            return None;
+        }
+        let uncertain = self.residents.iter().filter(|(_, r)| r.uncertain.is_some());
+        let permits = self.permits.iter().map(|(id, permit)| HandedPermit {
+            id: id.clone(),
+            target: permit.target.clone(),
+            class: permit.class,
+            remaining: permit.until.saturating_sub(now),
+        });
+        Some(Handover {
+            worker: worker.clone(),
+            epoch: self.epoch,
+            boot_id: engine.boot_id.clone(),
+            uncertain: uncertain.map(|(target, _)| target.clone()).collect(),
+            permits: permits.collect(),
+        })
+    }
+
+    /// Takes over what the old owner handed over: there is nothing to wait for.
+    ///
+    /// The handed pins stand for all requests of the old owner, so adapters
+    /// outside `uncertain` need no listing of their own; those inside do.
+    pub fn take_over(&mut self, handover: Handover, now: Now) {
+        self.open_from = self.open_from.min(now);
+        self.evict_from = self.evict_from.min(now);
+        for handed in handover.permits {
+            let permit = Permit {
+                target: handed.target,
+                class: handed.class,
+                granted: now,
+                until: now + handed.remaining,
+            };
+            self.permits.insert(handed.id, permit);
+        }
+        for resident in self.residents.values_mut() {
+            resident.uncertain = resident.uncertain.map(|_| now);
+        }
+    }
+
+    /// Never grants on `targets` here: an eviction that an old owner may still
+    /// order could hit them at any time until `until`.
+    pub fn bar(&mut self, targets: BTreeSet<AdapterVersion>, until: Now) {
+        for target in targets {
+            self.barred.insert(target, until);
+        }
+    }
+
+    /// Time from which the worker grants.
+    #[must_use]
+    pub fn opens_at(&self) -> Duration {
+        self.open_from
+    }
+}
