Rules file: parser, canonical form, differences, adoption of revisions

The entry instances need typed rules, and operators need every fault of a file with its place before anything is applied.

A text is read line by line: words with their columns, then the fields of one rule, then what rules need of each other. Faults are collected in full; a rule with faults of its own still counts as present, so that a bad group line is reported once and not at each of its adapters. A parser-generator grammar was ruled out: it stops at the first fault, and the language is words and key=value.

Differences are taken by what a rule is about, so order and spacing make none; a changed comment does count, since it says who asked.

--- /dev/null
+++ b/crates/rules/tests/revisions.rs
@@ -0,0 +1,97 @@
+//! Differences between texts, and which revision is kept.
+
+use reedford_rules::{Adoption, DiffError, RulesDocument, adopt, diff, text_diff};
+
+const OLD: &str = "\
+group g kind=engine base=b  # asked by Ada
+adapter a group=g versions=1 repeatable=no  # asked by Ada
+adapter c group=g versions=1 repeatable=no  # asked by Ada
+";
+
+/// A new text and the shown difference from [`OLD`].
+struct Case {
+    new: &'static str,
+    shown: &'static str,
+}
+
+const CASES: &[Case] = &[
+    Case {
+        new: OLD,
+        shown: "0 added, 0 changed, 0 removed",
+    },
+    Case {
+        new: "# prose\n\
+              adapter c versions=1  repeatable=no group=g # asked by Ada\n\n\
+              adapter a group=g versions=1 repeatable=no  # asked by Ada\n\
+              group g kind=engine base=b eviction=frequency #   asked by Ada\n",
+        shown: "0 added, 0 changed, 0 removed",
+    },
+    Case {
+        new: "group g kind=engine base=b  # asked by Ada\n\
+              adapter a group=g versions=1,2 repeatable=no  # asked by Ada\n\
+              loads rate=1/s in-flight=2  # asked by Bo\n",
+        shown: "\
+- adapter a group=g versions=1 repeatable=no  # asked by Ada
++ adapter a group=g versions=1,2 repeatable=no  # asked by Ada
+- adapter c group=g versions=1 repeatable=no  # asked by Ada
++ loads rate=1/s in-flight=2  # asked by Bo
+1 added, 1 changed, 1 removed",
+    },
+    Case {
+        new: "group g kind=engine base=b  # asked by Bo\n\
+              adapter a group=g versions=1 repeatable=no  # asked by Ada\n\
+              adapter c group=g versions=1 repeatable=no  # asked by Ada\n",
+        shown: "\
+- group g kind=engine base=b objective=load-stalls eviction=frequency load-ordering=value placement=home admission=on  # asked by Ada
++ group g kind=engine base=b objective=load-stalls eviction=frequency load-ordering=value placement=home admission=on  # asked by Bo
+0 added, 1 changed, 0 removed",
+    },
+];
+
+#[test]
+fn the_difference_is_one_of_rules() {
+    for case in CASES {
+        let found = diff(OLD, case.new).expect("good texts");
+        assert_eq!(found.to_string(), case.shown);
+        assert_eq!(found.is_empty(), found.changes.is_empty());
+    }
+}
+
+#[test]
+fn a_faulty_side_is_named() {
+    assert!(matches!(diff("x", OLD), Err(DiffError::Old(_))));
+    assert!(matches!(diff(OLD, "x"), Err(DiffError::New(_))));
+}
+
+#[test]
+fn the_difference_of_texts_is_unified() {
+    let shown = text_diff("a\nb\n", "a\nc\n", "edited", "in force");
+    assert_eq!(
+        shown,
+        "--- edited\n+++ in force\n@@ -1,2 +1,2 @@\n a\n-b\n+c\n"
+    );
+    assert_eq!(text_diff("a\n", "a\n", "edited", "in force"), "");
+}
+
+fn document(revision: u64) -> RulesDocument {
+    RulesDocument::read(revision, OLD).expect("good text")
+}
+
+#[test]
+fn a_revision_only_rises() {
+    let cases = [
+        (None, 1, Adoption::Adopted),
+        (Some(4), 5, Adoption::Adopted),
+        (Some(4), 4, Adoption::Same),
+        (Some(4), 3, Adoption::Older),
+    ];
+    for (current, offered, expected) in cases {
+        let current = current.map(document);
+        assert_eq!(adopt(current.as_ref(), &document(offered)), expected);
+    }
+}
+
+#[test]
+fn a_faulty_text_is_no_document() {
+    assert!(RulesDocument::read(1, "x").is_err());
+}
