--- /dev/null
+++ b/crates/platform/src/instances.rs
@@ -0,0 +1,28 @@
+//! The platform's lagging list of instances.
+
+use crate::http::Endpoint;
+use crate::kv::KvError;
+use reedford_wire::instances::InstanceList;
+use std::sync::Arc;
+
+/// Reads the list of instances.
+#[derive(Clone, Debug)]
+pub struct InstanceDirectory {
+    endpoint: Arc<Endpoint>,
+}
+
+impl InstanceDirectory {
+    /// Makes a client over an endpoint.
+    #[must_use]
+    pub fn new(endpoint: Arc<Endpoint>) -> Self {
+        Self { endpoint }
+    }
+
+    /// Reads the list, which tells how things were some time ago.
+    ///
+    /// # Errors
+    /// Any [`KvError`].
+    pub async fn read(&self) -> Result<InstanceList, KvError> {
+        self.endpoint.get("/instances").await
+    }
+}
