Stand-in of the platform, and the client's tests against it

Cause: the client's promises about failures need a service that fails on demand.

Key-value service with leases, history and streamed watches, a lagging list of instances, a weight store with a limited rate of starts, one address for each availability zone, and faults: down, slow, lost answers, late writes, zones cut off, hanging zones, connections gone silent for good.

Tests before: none.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,2 @@
 //! Placeholder until its modules land.
+pub mod platform;
--- /dev/null
+++ b/crates/standins/src/platform.rs
@@ -0,0 +1,96 @@
+//! Stand-in of the platform: key-value service, lagging list of instances and
+//! weight store, with faults to be set.
+//!
+//! | call | answer |
+//! |---|---|
+//! | `POST /v3/...` | see [`reedford_wire::kv`] |
+//! | `GET /instances` | the list as it was `lag_ms` ago |
+//! | `POST /weights/{base}/{adapter}/{version}` | 200 after the load time, 502 when the load fails |
+//! | `POST /control/instances` with [`SetInstances`] | sets the true list and the lag |
+//! | `PUT /control/instances/{id}` with an instance | adds or replaces one |
+//! | `DELETE /control/instances/{id}` | removes one |
+//! | `POST /control/faults` with [`Faults`] | replaces the faults |
+//! | `GET /control/stats` | [`Stats`] |
+//!
+//! Every path is served at every address. Faults spare the control paths,
+//! except that a zone that is cut off or hangs does so for all paths.
+
+mod config;
+mod connection;
+mod directory;
+mod routes;
+mod state;
+mod store;
+mod watch;
+mod weights;
+
+pub use config::{Faults, PlatformConfig, SetInstances, Stats};
+
+use crate::platform::state::Shared;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::net::TcpListener;
+
+/// A running stand-in of the platform.
+#[derive(Debug)]
+pub struct PlatformStandin {
+    control: SocketAddr,
+    zones: BTreeMap<Box<str>, SocketAddr>,
+    shared: Arc<Shared>,
+}
+
+impl PlatformStandin {
+    /// Binds all addresses and starts to serve.
+    ///
+    /// # Errors
+    /// When an address can't be bound.
+    pub async fn start(cfg: PlatformConfig) -> io::Result<Self> {
+        let control = TcpListener::bind(cfg.control).await?;
+        let mut zones = BTreeMap::new();
+        let mut listeners = Vec::new();
+        for (zone, address) in &cfg.zones {
+            let listener = TcpListener::bind(address).await?;
+            zones.insert(zone.clone(), listener.local_addr()?);
+            listeners.push((Some(zone.clone()), listener));
+        }
+        let control_address = control.local_addr()?;
+        listeners.push((None, control));
+
+        let shared = Arc::new(Shared::new(cfg));
+        for (zone, listener) in listeners {
+            let server = connection::Server {
+                shared: Arc::clone(&shared),
+                zone,
+            };
+            shared.tasks.spawn(server.accept(listener));
+        }
+        let leases = state::expire_leases(Arc::clone(&shared));
+        shared.tasks.spawn(leases);
+        Ok(Self {
+            control: control_address,
+            zones,
+            shared,
+        })
+    }
+
+    /// The address that no fault of a zone concerns.
+    #[must_use]
+    pub fn control(&self) -> SocketAddr {
+        self.control
+    }
+
+    /// The address of each zone.
+    #[must_use]
+    pub fn zones(&self) -> &BTreeMap<Box<str>, SocketAddr> {
+        &self.zones
+    }
+
+    /// Closes all connections and joins all tasks.
+    pub async fn shutdown(self) {
+        self.shared.stop.cancel();
+        self.shared.tasks.close();
+        self.shared.tasks.wait().await;
+    }
+}
--- /dev/null
+++ b/crates/standins/src/platform/connection.rs
@@ -0,0 +1,96 @@
+//! Accepts connections and applies the faults that concern a whole zone.
+
+use crate::platform::routes;
+use crate::platform::state::{FaultState, Shared};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Serves one address.
+#[derive(Debug)]
+pub(crate) struct Server {
+    pub(crate) shared: Arc<Shared>,
+    /// The zone; `None` for the address that no fault of a zone concerns.
+    pub(crate) zone: Option<Box<str>>,
+}
+
+/// One connection.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    pub(crate) shared: Arc<Shared>,
+    zone: Option<Box<str>>,
+    number: u64,
+    /// Set once a call came while the zone hung.
+    hung: AtomicBool,
+}
+
+impl Server {
+    /// Accepts connections until it is told to stop.
+    pub(crate) async fn accept(self, listener: TcpListener) {
+        let accept = || self.shared.stop.run_until_cancelled(listener.accept());
+        while let Some(accepted) = accept().await {
+            // A connection that failed before it was accepted is no concern.
+            if let Ok((stream, _)) = accepted {
+                self.shared.tasks.spawn(self.serve(stream));
+            }
+        }
+    }
+
+    fn serve(&self, stream: TcpStream) -> impl Future<Output = ()> + use<> {
+        let connection = Arc::new(Connection {
+            shared: Arc::clone(&self.shared),
+            zone: self.zone.clone(),
+            number: self.shared.number_connection(),
+            hung: AtomicBool::new(false),
+        });
+        let stop = self.shared.stop.clone();
+        async move {
+            let cut = connection.cut();
+            let service = service_fn(|req| routes::answer(Arc::clone(&connection), req));
+            let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            tokio::select! {
+                biased;
+                () = stop.cancelled() => {}
+                () = cut => {}
+                // Its error is the caller's, who sees the connection closed.
+                _ = serving => {}
+            }
+        }
+    }
+}
+
+impl Connection {
+    /// Ends once the zone is cut off.
+    fn cut(&self) -> impl Future<Output = ()> + use<> {
+        let mut rx = self.shared.faults.subscribe();
+        let zone = self.zone.clone();
+        async move {
+            let is_cut = |state: &FaultState| match &zone {
+                Some(zone) => state.faults.cut_zones.contains(zone),
+                None => false,
+            };
+            if rx.wait_for(is_cut).await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
+    /// Whether this connection must stay silent from now on.
+    pub(crate) fn silent(&self) -> bool {
+        let Some(zone) = &self.zone else {
+            return false;
+        };
+        let state = self.shared.faults.borrow();
+        if state.faults.hang_zones.contains(zone) {
+            self.hung.store(true, Ordering::Relaxed);
+        }
+        let silenced = state
+            .silent_below
+            .get(zone)
+            .is_some_and(|n| self.number < *n);
+        silenced || self.hung.load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/crates/standins/src/platform/watch.rs
@@ -0,0 +1,89 @@
+//! Streams the changes of a range of keys, one JSON message a line.
+
+use crate::platform::connection::Connection;
+use crate::platform::store::{KeyRange, StoreError};
+use bytes::Bytes;
+use http_body_util::StreamBody;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::body::Frame;
+use reedford_wire::kv::{WatchCreate, WatchResponse, WatchResult};
+use std::convert::Infallible;
+use std::sync::Arc;
+use tokio::time::timeout;
+
+struct Watcher {
+    connection: Arc<Connection>,
+    range: KeyRange,
+    /// Revision of the first change not yet told.
+    next: i64,
+    created: bool,
+    rx: tokio::sync::watch::Receiver<i64>,
+}
+
+/// Starts a watch.
+pub(crate) fn start(
+    connection: Arc<Connection>,
+    create: &WatchCreate,
+) -> Result<UnsyncBoxBody<Bytes, Infallible>, StoreError> {
+    let range = KeyRange::read(&create.key, create.range_end.as_deref())?;
+    let rx = connection.shared.revision.subscribe();
+    let next = {
+        let store = connection.shared.store();
+        let next = match create.start_revision {
+            0 => store.revision() + 1,
+            revision => revision,
+        };
+        store.changes(&range, next)?;
+        next
+    };
+    let watcher = Watcher {
+        connection,
+        range,
+        next,
+        created: false,
+        rx,
+    };
+    let lines = futures::stream::unfold(watcher, |mut watcher| async move {
+        let line = watcher.next_line().await?;
+        Some((Ok(Frame::data(line)), watcher))
+    });
+    Ok(UnsyncBoxBody::new(StreamBody::new(lines)))
+}
+
+impl Watcher {
+    /// The next line: at once the first and any with changes, else after the
+    /// progress interval an empty one.
+    async fn next_line(&mut self) -> Option<Bytes> {
+        if self.created && self.current() < self.next {
+            let next = self.next;
+            let changed = self.rx.wait_for(|revision| *revision >= next);
+            // Both a change and the end of the interval give a line.
+            let _ = timeout(self.connection.shared.watch_progress, changed).await;
+        }
+        if self.connection.silent() {
+            std::future::pending::<()>().await;
+        }
+        if self.connection.shared.faults.borrow().faults.down {
+            return None;
+        }
+        let result = self.read().ok()?;
+        self.next = result.header.revision + 1;
+        self.created = true;
+        let mut line = serde_json::to_vec(&WatchResponse { result }).ok()?;
+        line.push(b'\n');
+        Some(line.into())
+    }
+
+    fn current(&self) -> i64 {
+        *self.rx.borrow()
+    }
+
+    fn read(&self) -> Result<WatchResult, StoreError> {
+        let store = self.connection.shared.store();
+        Ok(WatchResult {
+            header: store.header(),
+            created: !self.created,
+            events: store.changes(&self.range, self.next)?,
+        })
+    }
+}
