Targets: HTTP client that tells not sent, refused, lost and mismatched apart

Everything above has to know whether a request may have run. The legacy client of hyper-util was ruled out: its pool resends on a connection that closed under it, and does not say whether bytes left. The client keeps its own connections instead; the connection library hands a request back only when it never reached the encoder, and just then it is reported as not sent (or tried on a new connection). Refusals count only with the attempt id of the request, so a crossed refusal is no proof. A connection goes back to the pool only after its answer was read to the end and accepted; dropping it closes it. A silent connection also drops the unused ones to that target.

Streams are checked event by event: attempt, model, consecutive numbers, finish on the last token, then the end mark.

A whole answer may begin as late as the deadline, since an engine sends nothing before the last token; without a deadline the first-byte timeout holds.

--- /dev/null
+++ b/crates/targets/src/sse.rs
@@ -0,0 +1,101 @@
+//! Incremental reader of server-sent events, bounded in size.
+
+use bytes::{Buf as _, Bytes, BytesMut};
+
+/// Longest event in bytes.
+const EVENT_MAX_BYTES: usize = 256 << 10;
+
+/// One event.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Event {
+    /// The `data:` lines, joined by line feeds.
+    pub(crate) data: String,
+    /// The `id:` line.
+    pub(crate) id: Option<String>,
+    /// The bytes of the event with the blank line that ends it.
+    pub(crate) raw: Bytes,
+}
+
+/// The input is not a stream of events.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Unreadable;
+
+/// Collects bytes and yields events.
+#[derive(Debug, Default)]
+pub(crate) struct EventReader {
+    buf: BytesMut,
+    /// Bytes of `buf` known to hold no end of an event.
+    scanned: usize,
+}
+
+impl EventReader {
+    /// Adds bytes that came.
+    pub(crate) fn push(&mut self, bytes: &[u8]) {
+        self.buf.extend_from_slice(bytes);
+    }
+
+    /// Takes the next complete event, skipping comments.
+    ///
+    /// # Errors
+    /// When an event is too long or not UTF-8.
+    pub(crate) fn next_event(&mut self) -> Result<Option<Event>, Unreadable> {
+        loop {
+            let Some(len) = self.event_len()? else {
+                return Ok(None);
+            };
+            let raw = self.buf.split_to(len).freeze();
+            self.scanned = 0;
+            if let Some(event) = parse(raw)? {
+                return Ok(Some(event));
+            }
+        }
+    }
+
+    /// Length of the first event with the blank line that ends it.
+    fn event_len(&mut self) -> Result<Option<usize>, Unreadable> {
+        self.skip_blank_lines();
+        while let Some(offset) = self.buf[self.scanned..].iter().position(|b| *b == b'\n') {
+            let line_end = self.scanned + offset;
+            let line = &self.buf[self.scanned..line_end];
+            self.scanned = line_end + 1;
+            if line.is_empty() || line == b"\r" {
+                return within_limit(self.scanned).map(Some);
+            }
+        }
+        within_limit(self.buf.len())?;
+        Ok(None)
+    }
+
+    fn skip_blank_lines(&mut self) {
+        while self.scanned == 0 && self.buf.first().is_some_and(|b| matches!(b, b'\n' | b'\r')) {
+            self.buf.advance(1);
+        }
+    }
+}
+
+fn within_limit(len: usize) -> Result<usize, Unreadable> {
+    if len > EVENT_MAX_BYTES {
+        return Err(Unreadable);
+    }
+    Ok(len)
+}
+
+fn parse(raw: Bytes) -> Result<Option<Event>, Unreadable> {
+    let text = std::str::from_utf8(&raw).map_err(|_invalid| Unreadable)?;
+    let mut data: Option<String> = None;
+    let mut id = None;
+    for line in text.lines() {
+        let (field, value) = line.split_once(':').unwrap_or((line, ""));
+        let value = value.strip_prefix(' ').unwrap_or(value);
+        match (field, &mut data) {
+            ("data", Some(data)) => {
+                data.push('\n');
+                data.push_str(value);
+            }
+            ("data", None) => data = Some(value.to_owned()),
+            ("id", _) => id = Some(value.to_owned()),
+            _ => {}
+        }
+    }
+    Ok(data.map(|data| Event { data, id, raw }))
+}
--- /dev/null
+++ b/crates/targets/src/stream.rs
@@ -0,0 +1,204 @@
+//! A streamed answer, checked event by event.
+
+use crate::error::{Mismatch, StreamError};
+use crate::exchange::Exchange;
+use crate::pool::{Connection, Pool};
+use crate::sse::{Event, EventReader};
+use crate::{AttemptId, ModelName};
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use hyper::body::Incoming;
+use reedford_wire::chat::{ChatChunk, STREAM_END};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, timeout, timeout_at};
+
+/// Time to wait for the end of a body whose last event has come.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// One event of a streamed answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TokenEvent {
+    /// Number of the token, counted from 0.
+    pub index: u64,
+    /// The bytes of the whole server-sent event, to be passed on.
+    pub raw: Bytes,
+    /// Why generation ended, on the last token.
+    pub finish: Option<Box<str>>,
+}
+
+/// What a stream must carry and how long it may take.
+#[derive(Clone, Debug)]
+pub(crate) struct Expected {
+    pub(crate) attempt: AttemptId,
+    pub(crate) deadline: Option<Instant>,
+    pub(crate) from: u64,
+    pub(crate) model: ModelName,
+    pub(crate) progress: Duration,
+}
+
+/// A streamed answer. Dropping it closes its connection; the engine keeps
+/// the run, which can be resumed or cancelled.
+#[derive(Debug)]
+pub struct TokenStream {
+    attempt: AttemptId,
+    deadline: Option<Instant>,
+    finished: bool,
+    model: ModelName,
+    next: u64,
+    pool: Arc<Pool>,
+    progress: Duration,
+    reader: EventReader,
+    source: Option<Source>,
+}
+
+#[derive(Debug)]
+struct Source {
+    body: Incoming,
+    conn: Connection,
+}
+
+impl TokenStream {
+    pub(crate) fn new(pool: Arc<Pool>, exchange: Exchange, expected: Expected) -> Self {
+        Self {
+            attempt: expected.attempt,
+            deadline: expected.deadline,
+            finished: false,
+            model: expected.model,
+            next: expected.from,
+            pool,
+            progress: expected.progress,
+            reader: EventReader::default(),
+            source: Some(Source {
+                body: exchange.body,
+                conn: exchange.conn,
+            }),
+        }
+    }
+
+    /// Number of the next token, which is where a resumed stream goes on.
+    #[must_use]
+    pub const fn received(&self) -> u64 {
+        self.next
+    }
+
+    /// The next token; `None` after the end mark.
+    ///
+    /// # Errors
+    /// See [`StreamError`]. After an error the connection is closed and every
+    /// further call reports [`StreamError::Cut`].
+    pub async fn next(&mut self) -> Result<Option<TokenEvent>, StreamError> {
+        let result = self.advance().await;
+        if result.is_err() {
+            self.source = None;
+        }
+        result
+    }
+
+    async fn advance(&mut self) -> Result<Option<TokenEvent>, StreamError> {
+        loop {
+            let received = self.next;
+            if self.source.is_none() {
+                return self.after_end();
+            }
+            let event = self
+                .reader
+                .next_event()
+                .map_err(|_unreadable| StreamError::Unreadable { received })?;
+            match event {
+                Some(event) if event.data == STREAM_END => return self.end(),
+                Some(event) => return self.accept(event).map(Some),
+                None => self.read().await?,
+            }
+        }
+    }
+
+    fn after_end(&self) -> Result<Option<TokenEvent>, StreamError> {
+        if self.finished {
+            return Ok(None);
+        }
+        Err(StreamError::Cut {
+            received: self.next,
+        })
+    }
+
+    /// Takes the end mark, which is due only after the last token.
+    fn end(&mut self) -> Result<Option<TokenEvent>, StreamError> {
+        if !self.finished {
+            return Err(self.unreadable());
+        }
+        if let Some(source) = self.source.take() {
+            let pool = Arc::clone(&self.pool);
+            self.pool.spawn(drain(pool, source));
+        }
+        Ok(None)
+    }
+
+    fn accept(&mut self, event: Event) -> Result<TokenEvent, StreamError> {
+        let index = event.id.as_deref().and_then(|id| id.parse::<u64>().ok());
+        let chunk: ChatChunk =
+            serde_json::from_str(&event.data).map_err(|_invalid| self.unreadable())?;
+        self.check_identity(&chunk)?;
+        if self.finished || index != Some(self.next) {
+            return Err(self.unreadable());
+        }
+        let finish = chunk.choices.into_iter().find_map(|c| c.finish_reason);
+        let token = TokenEvent {
+            index: self.next,
+            raw: event.raw,
+            finish,
+        };
+        self.next += 1;
+        self.finished = token.finish.is_some();
+        Ok(token)
+    }
+
+    fn check_identity(&self, chunk: &ChatChunk) -> Result<(), StreamError> {
+        Mismatch::check(&self.attempt, &chunk.id)
+            .and_then(|()| Mismatch::check(&self.model, &chunk.model))
+            .map_err(|mismatch| StreamError::Mismatch {
+                received: self.next,
+                mismatch,
+            })
+    }
+
+    const fn unreadable(&self) -> StreamError {
+        StreamError::Unreadable {
+            received: self.next,
+        }
+    }
+
+    /// Waits for more bytes.
+    async fn read(&mut self) -> Result<(), StreamError> {
+        let received = self.next;
+        let Some(source) = self.source.as_mut() else {
+            return Err(StreamError::Cut { received });
+        };
+        let silence = Instant::now() + self.progress;
+        let limit = self.deadline.map_or(silence, |d| d.min(silence));
+        let Ok(frame) = timeout_at(limit, source.body.frame()).await else {
+            self.pool.purge(source.conn.addr);
+            return Err(if limit == silence {
+                StreamError::Silent { received }
+            } else {
+                StreamError::Deadline { received }
+            });
+        };
+        let Some(Ok(frame)) = frame else {
+            return Err(StreamError::Cut { received });
+        };
+        if let Ok(data) = frame.into_data() {
+            self.reader.push(&data);
+        }
+        Ok(())
+    }
+}
+
+/// Reads what follows the end mark, and keeps the connection if that is nothing.
+async fn drain(pool: Arc<Pool>, source: Source) {
+    let Source { mut body, conn } = source;
+    let rest = timeout(DRAIN_TIMEOUT, body.frame()).await;
+    if matches!(rest, Ok(None)) {
+        pool.put(conn);
+    }
+}
--- /dev/null
+++ b/crates/targets/tests/calls.rs
@@ -0,0 +1,148 @@
+//! How orders, calls to plain services and calls about streams end.
+
+mod support;
+
+use bytes::Bytes;
+use reedford_targets::{
+    CallError, Cancellation, DispatchError, LostReason, OrderError, PlainCall, ResumeError,
+};
+use reedford_wire::engine::{LoadOrder, RefusalCode};
+use std::time::Duration;
+use support::fake::{Fake, Step};
+use support::{ATTEMPT, MODEL, answer, client, patient, refusal};
+use test_case::test_case;
+
+#[derive(Debug, Eq, PartialEq)]
+enum Outcome {
+    Done,
+    Lost(LostReason),
+    Mismatch,
+    NotSent,
+    Refused(RefusalCode),
+    Status(u16),
+}
+
+struct Case {
+    step: Step,
+    expect: Outcome,
+}
+
+fn sends(text: String, expect: Outcome) -> Case {
+    Case {
+        step: Step::Send(text),
+        expect,
+    }
+}
+
+fn order() -> LoadOrder {
+    LoadOrder {
+        adapter: "price".into(),
+        version: "v1".into(),
+        fence: 7,
+    }
+}
+
+const DONE: &str = r#"{"boot_id":"b"}"#;
+
+#[test_case(sends(answer("200 OK", "", DONE), Outcome::Done); "done")]
+#[test_case(sends(refusal("409 x", "no_slot", ""), Outcome::Refused(RefusalCode::NoSlot));
+    "no slot")]
+#[test_case(sends(refusal("412 x", "old_fence", ""), Outcome::Refused(RefusalCode::OldFence));
+    "old fence")]
+#[test_case(sends(refusal("502 x", "load_failed", ""), Outcome::Refused(RefusalCode::LoadFailed));
+    "load failed")]
+#[test_case(sends(answer("502 x", "", "proxy"), Outcome::Lost(LostReason::Status(502)));
+    "other 502")]
+#[test_case(sends(answer("200 OK", "", "?"), Outcome::Lost(LostReason::Unreadable)); "garbage")]
+#[test_case(Case { step: Step::Close, expect: Outcome::Lost(LostReason::Closed) }; "closed")]
+#[tokio::test]
+async fn order_ends_as(case: Case) {
+    let fake = Fake::start(vec![case.step.clone(), case.step]).await;
+    let client = patient();
+    let limit = Duration::from_secs(20);
+    for result in [
+        client.load(fake.addr, &order(), limit).await,
+        client.unload(fake.addr, &order()).await,
+    ] {
+        let outcome = match result {
+            Ok(done) if &*done.boot_id == "b" => Outcome::Done,
+            Ok(done) => panic!("{done:?}"),
+            Err(OrderError::NotSent(_)) => Outcome::NotSent,
+            Err(OrderError::Refused(r)) => Outcome::Refused(r.code),
+            Err(OrderError::Unknown(reason)) => Outcome::Lost(reason),
+        };
+        assert_eq!(outcome, case.expect);
+    }
+    client.close().await;
+}
+
+fn echoing(status: &str, attempt: &str, body: &str) -> String {
+    answer(status, &format!("x-attempt-id: {attempt}\r\n"), body)
+}
+
+#[test_case(sends(echoing("200 OK", ATTEMPT, "ok"), Outcome::Done); "done")]
+#[test_case(sends(echoing("500 x", ATTEMPT, "oops"), Outcome::Status(500)); "its own error")]
+#[test_case(sends(echoing("200 OK", "a-2", "ok"), Outcome::Mismatch); "another call's answer")]
+#[test_case(sends(answer("200 OK", "", "ok"), Outcome::Lost(LostReason::NoAttemptId));
+    "nobody's answer")]
+#[test_case(sends(refusal("503 x", "leaving", ATTEMPT), Outcome::Refused(RefusalCode::Leaving));
+    "leaving")]
+#[test_case(sends(refusal("503 x", "leaving", "a-2"), Outcome::Mismatch);
+    "refusal of another call")]
+#[test_case(Case { step: Step::Close, expect: Outcome::Lost(LostReason::Closed) }; "closed")]
+#[tokio::test]
+async fn plain_call_ends_as(case: Case) {
+    let fake = Fake::start(vec![case.step]).await;
+    let client = patient();
+    let call = PlainCall {
+        path_and_query: "/book?day=1".into(),
+        content_type: Some("text/plain".into()),
+        body: Bytes::from_static(b"tanker"),
+        attempt: ATTEMPT.into(),
+        key: Some("k".into()),
+        traceparent: None,
+        deadline: None,
+    };
+    let outcome = match client.plain(fake.addr, call).await {
+        Ok(reply) if reply.status == 200 => Outcome::Done,
+        Ok(reply) => Outcome::Status(reply.status),
+        Err(DispatchError::Lost(reason)) => Outcome::Lost(reason),
+        Err(DispatchError::Mismatch(_)) => Outcome::Mismatch,
+        Err(DispatchError::NotSent(_)) => Outcome::NotSent,
+        Err(DispatchError::Refused(r)) => Outcome::Refused(r.code),
+    };
+    assert_eq!(outcome, case.expect);
+    let head = &fake.seen()[0].head;
+    assert!(head.starts_with("POST /book?day=1 HTTP/1.1"), "{head}");
+    assert!(head.contains("idempotency-key: k"), "{head}");
+    client.close().await;
+}
+
+#[test_case("200 OK", Ok(Cancellation::Cancelled); "cancelled")]
+#[test_case("404 x", Ok(Cancellation::UnknownStream); "unknown")]
+#[test_case("500 x", Err(CallError::Lost(LostReason::Status(500))); "error")]
+#[tokio::test]
+async fn cancel_ends_as(status: &str, expect: Result<Cancellation, CallError>) {
+    let fake = Fake::start(vec![Step::Send(answer(status, "", "{}"))]).await;
+    let client = patient();
+    assert_eq!(client.cancel(fake.addr, ATTEMPT).await, expect);
+    client.close().await;
+}
+
+#[test_case(Step::Send(answer("404 x", "", "{}")), ResumeError::UnknownStream; "unknown")]
+#[test_case(Step::Send(answer("200 OK", "", "{}")), ResumeError::Lost(LostReason::Unreadable);
+    "no stream")]
+#[test_case(Step::Hang, ResumeError::Lost(LostReason::FirstByteTimeout); "silent")]
+#[tokio::test]
+async fn resume_fails_as(step: Step, expect: ResumeError) {
+    let fake = Fake::start(vec![step]).await;
+    let client = client(Duration::from_millis(300));
+    let result = client.resume(fake.addr, ATTEMPT, MODEL, 4).await;
+    assert_eq!(result.unwrap_err(), expect);
+    assert!(
+        fake.seen()[0]
+            .head
+            .starts_with("GET /v1/streams/a-1?from=4 ")
+    );
+    client.close().await;
+}
--- /dev/null
+++ b/crates/targets/tests/stream.rs
@@ -0,0 +1,128 @@
+//! What a streamed answer must look like to count as whole.
+
+mod support;
+
+use reedford_targets::{Mismatch, Reply, StreamError, TokenStream};
+use std::time::Duration;
+use support::fake::{Fake, Step};
+use support::{
+    ATTEMPT, DONE, LAST_CHUNK, MODEL, chat, chunk, client, event, options, patient, stream_head,
+};
+use test_case::test_case;
+
+fn token(index: u64) -> String {
+    event(index, ATTEMPT, MODEL, None)
+}
+
+fn last(index: u64) -> String {
+    event(index, ATTEMPT, MODEL, Some("stop"))
+}
+
+/// Reads to the end; the number of tokens and how it ended.
+async fn read(mut stream: TokenStream) -> (u64, Result<(), StreamError>) {
+    let mut tokens = 0;
+    loop {
+        match stream.next().await {
+            Ok(Some(token)) => {
+                assert_eq!(token.index, tokens);
+                tokens += 1;
+            }
+            Ok(None) => return (tokens, Ok(())),
+            Err(e) => return (tokens, Err(e)),
+        }
+    }
+}
+
+async fn open(fake: &Fake, client: &reedford_targets::TargetClient) -> TokenStream {
+    match client.dispatch(fake.addr, &chat(true), options()).await {
+        Ok(Reply::Stream(stream)) => stream,
+        other => panic!("expected a stream, got {other:?}"),
+    }
+}
+
+struct Case {
+    /// Parts of the body, each in a chunk of its own.
+    body: Vec<String>,
+    tokens: u64,
+    end: Result<(), StreamError>,
+}
+
+fn whole(body: Vec<String>, tokens: u64) -> Case {
+    Case {
+        body,
+        tokens,
+        end: Ok(()),
+    }
+}
+
+fn fails(body: Vec<String>, end: StreamError) -> Case {
+    Case {
+        body,
+        tokens: end.received(),
+        end: Err(end),
+    }
+}
+
+fn mismatch(received: u64, expected: &str, got: &str) -> StreamError {
+    let mismatch = Mismatch {
+        expected: expected.into(),
+        got: got.into(),
+    };
+    StreamError::Mismatch { received, mismatch }
+}
+
+const CUT_AT_1: StreamError = StreamError::Cut { received: 1 };
+const UNREADABLE_AT_1: StreamError = StreamError::Unreadable { received: 1 };
+
+#[test_case(whole(vec![token(0), last(1), DONE.into()], 2); "two tokens")]
+#[test_case(whole(vec![token(0) + &last(1) + DONE], 2); "all in one chunk")]
+#[test_case(whole(vec![token(0)[..9].into(), token(0)[9..].into(), last(1) + DONE], 2);
+    "event in two chunks")]
+#[test_case(whole(vec![": hello\n\n".into(), token(0).replace('\n', "\r\n"), last(1) + DONE], 2);
+    "comment and carriage returns")]
+#[test_case(fails(vec![token(0)], CUT_AT_1); "body ends early")]
+#[test_case(fails(vec![last(0)], CUT_AT_1); "no end mark")]
+#[test_case(fails(vec![token(0), DONE.into()], UNREADABLE_AT_1); "end mark too early")]
+#[test_case(fails(vec![last(0), last(1)], UNREADABLE_AT_1); "token after the last")]
+#[test_case(fails(vec![token(0), token(2)], UNREADABLE_AT_1); "token left out")]
+#[test_case(fails(vec![token(0), token(0)], UNREADABLE_AT_1); "token twice")]
+#[test_case(fails(vec![token(0), "data: {}\n\n".into()], UNREADABLE_AT_1); "no chunk")]
+#[test_case(fails(vec![token(0), "x".repeat(300 << 10)], UNREADABLE_AT_1); "endless event")]
+#[test_case(fails(vec![token(0), event(1, "a-2", MODEL, None)], mismatch(1, ATTEMPT, "a-2"));
+    "another attempt's token")]
+#[test_case(fails(vec![event(0, ATTEMPT, "price@v2", None)], mismatch(0, MODEL, "price@v2"));
+    "another version's token")]
+#[tokio::test]
+async fn reads(case: Case) {
+    let chunks: String = case.body.iter().map(|b| chunk(b)).collect();
+    let fake = Fake::start(vec![Step::Send(stream_head() + &chunks + LAST_CHUNK)]).await;
+    let client = patient();
+    let stream = open(&fake, &client).await;
+    assert_eq!(read(stream).await, (case.tokens, case.end));
+    client.close().await;
+}
+
+#[test_case(Step::SendClose, 20_000, CUT_AT_1; "connection closed")]
+#[test_case(Step::SendHang, 50, StreamError::Silent { received: 1 }; "connection silent")]
+#[tokio::test]
+async fn breaks_off(step: fn(String) -> Step, silence_ms: u64, expect: StreamError) {
+    let fake = Fake::start(vec![step(stream_head() + &chunk(&token(0)))]).await;
+    let client = client(Duration::from_millis(silence_ms));
+    let stream = open(&fake, &client).await;
+    assert_eq!(read(stream).await, (1, Err(expect)));
+    client.close().await;
+}
+
+#[tokio::test]
+async fn raw_events_are_the_bytes_that_came() {
+    let body = chunk(&token(0)) + &chunk(&(last(1) + DONE)) + LAST_CHUNK;
+    let fake = Fake::start(vec![Step::Send(stream_head() + &body)]).await;
+    let client = patient();
+    let mut stream = open(&fake, &client).await;
+    let first = stream.next().await.unwrap().unwrap();
+    let second = stream.next().await.unwrap().unwrap();
+    assert_eq!(first.raw, token(0));
+    assert_eq!(second.raw, last(1));
+    assert_eq!(second.finish.as_deref(), Some("stop"));
+    client.close().await;
+}
