--- /dev/null
+++ b/crates/standins/src/bin/reedford-engine-standin.rs
@@ -0,0 +1,26 @@
+//! Runs the stand-in of a model engine until it is told to stop.
+
+use reedford_standins::engine::EngineStandin;
+use reedford_standins::target_program::{init_log, read_config, terminated};
+use std::path::PathBuf;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Longest time that a stop waits for running requests.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(10);
+
+#[tokio::main]
+async fn main() -> eyre::Result<()> {
+    let flags = xflags::parse_or_exit! {
+        /// Configuration file, YAML
+        required --config file: PathBuf
+    };
+    init_log()?;
+    let engine = EngineStandin::start(read_config(&flags.config)?).await?;
+    tracing::info!(event = "listening", addr = %engine.addr());
+    terminated().await?;
+    let drained = timeout(DRAIN_TIMEOUT, engine.drain()).await.is_ok();
+    engine.shutdown().await;
+    tracing::info!(event = "stopped", drained);
+    Ok(())
+}
--- /dev/null
+++ b/crates/standins/src/bin/reedford-plain-standin.rs
@@ -0,0 +1,20 @@
+//! Runs the stand-in of a plain service until it is told to stop.
+
+use reedford_standins::plain::PlainStandin;
+use reedford_standins::target_program::{init_log, read_config, terminated};
+use std::path::PathBuf;
+
+#[tokio::main]
+async fn main() -> eyre::Result<()> {
+    let flags = xflags::parse_or_exit! {
+        /// Configuration file, YAML
+        required --config file: PathBuf
+    };
+    init_log()?;
+    let service = PlainStandin::start(read_config(&flags.config)?).await?;
+    tracing::info!(event = "listening", addr = %service.addr());
+    terminated().await?;
+    service.shutdown().await;
+    tracing::info!(event = "stopped");
+    Ok(())
+}
--- /dev/null
+++ b/crates/standins/src/engine.rs
@@ -0,0 +1,246 @@
+//! Stand-in of a model engine, with the calls of [`reedford_wire::engine`].
+//!
+//! It batches continuously: up to `batch_limit` requests run at once and get
+//! one token each per step, others wait by priority. Every token names the
+//! adapter that ran and the attempt, so that crossed answers show. Requests
+//! go on when their caller's connection closes, until cancelled, and ended
+//! streams can be resumed for 30 s. A restart empties it and forgets the
+//! highest fencing number.
+//!
+//! | call | |
+//! |---|---|
+//! | `POST /control/faults` with [`FaultOrder`] | switches faults on or off |
+//! | `POST /control/restart` | restarts empty, cutting what runs |
+//! | `GET /control/record` | [`EngineRecord`] |
+//! | `GET /control/stats` | [`EngineStats`] |
+
+mod batch;
+mod config;
+mod core;
+mod loads;
+mod record;
+mod reports;
+mod routes;
+mod run;
+mod slots;
+mod streams;
+
+pub use config::{EngineConfig, FaultOrder, UnloadRunning};
+pub use record::{
+    EngineRecord, EngineStats, OrderKind, OrderOutcome, OrderRecord, RunRecord, Violation,
+};
+
+use self::core::Core;
+use crate::target_http::{self, ConnectionNumber, Silence};
+use crate::target_program::{register, register_patiently};
+use eyre::WrapErr as _;
+use reedford_wire::instances::{Instance, InstanceKind, InstanceState};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::{MissedTickBehavior, interval};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// A running engine stand-in.
+#[derive(Debug)]
+pub struct EngineStandin {
+    engine: Arc<Engine>,
+}
+
+impl EngineStandin {
+    /// Binds the address, registers with the platform where one is set, and
+    /// serves.
+    ///
+    /// # Errors
+    /// When the address can't be bound or the platform does not answer.
+    pub async fn start(cfg: EngineConfig) -> eyre::Result<Self> {
+        let listener = TcpListener::bind(cfg.listen).await.wrap_err("bind")?;
+        let addr = listener.local_addr()?;
+        let engine = Arc::new(Engine::new(cfg, addr));
+        engine.spawn(step(Arc::clone(&engine)));
+        let stop = engine.stop.clone();
+        let silence = Arc::clone(&engine.silence);
+        let handler = {
+            let engine = Arc::clone(&engine);
+            move |req| routes::route(Arc::clone(&engine), req)
+        };
+        // Not through `spawn`: the server ends its connections by itself.
+        engine
+            .tasks
+            .spawn(target_http::serve(listener, stop, silence, handler));
+        let standin = Self { engine };
+        if let Some(platform) = standin.engine.cfg.register {
+            let instance = standin.engine.instance(InstanceState::Live);
+            let registered = register_patiently(platform, &instance).await;
+            if registered.is_err() {
+                standin.shutdown().await;
+                registered?;
+                eyre::bail!("not registered");
+            }
+        }
+        Ok(standin)
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.engine.addr
+    }
+
+    /// What was noted for checks.
+    #[must_use]
+    pub fn record(&self) -> EngineRecord {
+        self.engine.core().record.clone()
+    }
+
+    /// The counts.
+    #[must_use]
+    pub fn stats(&self) -> EngineStats {
+        self.engine.core().stats()
+    }
+
+    /// Switches faults on or off.
+    pub async fn set_faults(&self, order: &FaultOrder) {
+        self.engine.set_faults(order, None).await;
+    }
+
+    /// Restarts it empty, cutting what runs.
+    pub fn restart(&self) {
+        self.engine.restart();
+    }
+
+    /// Refuses new requests and waits until none runs or waits.
+    pub async fn drain(&self) {
+        let leaving = FaultOrder {
+            leaving: Some(true),
+            ..FaultOrder::default()
+        };
+        self.engine.set_faults(&leaving, None).await;
+        self.engine
+            .wait_for(|core| {
+                let listing = core.listing();
+                (listing.running + listing.queued == 0).then_some(())
+            })
+            .await;
+    }
+
+    /// Closes all connections and joins all tasks.
+    pub async fn shutdown(self) {
+        self.engine.stop.cancel();
+        self.engine.tasks.close();
+        self.engine.tasks.wait().await;
+    }
+}
+
+/// What the calls and the steps share.
+#[derive(Debug)]
+struct Engine {
+    addr: SocketAddr,
+    cfg: EngineConfig,
+    changed: watch::Sender<()>,
+    core: Mutex<Core>,
+    silence: Arc<Silence>,
+    stop: CancellationToken,
+    tasks: TaskTracker,
+}
+
+impl Engine {
+    fn new(cfg: EngineConfig, addr: SocketAddr) -> Self {
+        Self {
+            addr,
+            changed: watch::Sender::new(()),
+            core: Mutex::new(Core::new(&cfg, Instant::now())),
+            cfg,
+            silence: Arc::default(),
+            stop: CancellationToken::new(),
+            tasks: TaskTracker::new(),
+        }
+    }
+
+    fn core(&self) -> MutexGuard<'_, Core> {
+        self.core.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Wakes all that wait for a change.
+    fn notify(&self) {
+        self.changed.send_replace(());
+    }
+
+    /// Waits until the state yields a value.
+    async fn wait_for<T, F>(&self, mut query: F) -> T
+    where
+        F: FnMut(&Core) -> Option<T>,
+    {
+        let mut changed = self.changed.subscribe();
+        loop {
+            changed.mark_unchanged();
+            if let Some(value) = query(&self.core()) {
+                return value;
+            }
+            if changed.changed().await.is_err() {
+                // The sender lives as long as `self`.
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
+    /// Runs a task until it ends or the stand-in stops.
+    fn spawn<F>(&self, task: F)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let stop = self.stop.clone();
+        self.tasks.spawn(async move {
+            stop.run_until_cancelled_owned(task).await;
+        });
+    }
+
+    async fn set_faults(&self, order: &FaultOrder, from: Option<ConnectionNumber>) {
+        self.core().set_faults(order);
+        if order.silent_connections == Some(true) {
+            self.silence.silence_open(from);
+        }
+        self.notify();
+        let (Some(platform), Some(leaving)) = (self.cfg.register, order.leaving) else {
+            return;
+        };
+        let state = if leaving {
+            InstanceState::Leaving
+        } else {
+            InstanceState::Live
+        };
+        if let Err(e) = register(platform, &self.instance(state)).await {
+            tracing::warn!(event = "register_failed", id = %self.cfg.id, error = %e);
+        }
+    }
+
+    fn restart(&self) {
+        self.core().restart(Instant::now());
+        self.notify();
+    }
+
+    fn instance(&self, state: InstanceState) -> Instance {
+        Instance {
+            id: self.cfg.id.clone(),
+            group: self.cfg.group.clone(),
+            kind: InstanceKind::Engine,
+            zone: self.cfg.zone.clone(),
+            address: self.addr,
+            state,
+            checks_fence: self.cfg.checks_fence,
+        }
+    }
+}
+
+async fn step(engine: Arc<Engine>) {
+    let mut ticks = interval(Duration::from_millis(engine.cfg.step_ms.max(1)));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    loop {
+        ticks.tick().await;
+        engine.core().step(Instant::now());
+        engine.notify();
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine/batch.rs
@@ -0,0 +1,179 @@
+//! Continuous batching: the requests that run, wait, or have ended lately.
+
+use super::config::EngineConfig;
+use super::run::{Phase, Run};
+use super::slots::SlotKey;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::{Duration, Instant};
+
+/// Time for which ended streams are kept to be resumed.
+const ENDED_KEPT: Duration = Duration::from_secs(30);
+
+/// What one step generated.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub(crate) struct Generated {
+    /// Positions in the record of the requests that finished.
+    pub(crate) finished: Vec<usize>,
+    /// Number of tokens.
+    pub(crate) tokens: u64,
+}
+
+/// Order in which waiting requests start.
+type QueueKey = (Reverse<i32>, u64);
+
+/// The requests that an engine knows.
+#[derive(Debug)]
+pub(crate) struct Batch {
+    batch_limit: u32,
+    ended: VecDeque<(Instant, Box<str>)>,
+    prefill: Duration,
+    queue: BTreeMap<QueueKey, Box<str>>,
+    queue_limit: u32,
+    running: BTreeSet<Box<str>>,
+    runs: BTreeMap<Box<str>, Run>,
+}
+
+impl Batch {
+    /// Without requests.
+    pub(crate) fn new(cfg: &EngineConfig) -> Self {
+        Self {
+            batch_limit: cfg.batch_limit,
+            ended: VecDeque::new(),
+            prefill: Duration::from_millis(cfg.prefill_ms),
+            queue: BTreeMap::new(),
+            queue_limit: cfg.queue_limit,
+            running: BTreeSet::new(),
+            runs: BTreeMap::new(),
+        }
+    }
+
+    /// Forgets all requests.
+    pub(crate) fn clear(&mut self) {
+        self.ended.clear();
+        self.queue.clear();
+        self.running.clear();
+        self.runs.clear();
+    }
+
+    /// Adds a waiting request.
+    pub(crate) fn push(&mut self, run: Run) {
+        let attempt = run.attempt.clone();
+        self.queue.insert(queue_key(&run), attempt.clone());
+        self.runs.insert(attempt, run);
+    }
+
+    /// Starts waiting requests while there are places; those started.
+    pub(crate) fn start_waiting(&mut self, now: Instant) -> Vec<Run> {
+        let mut started = Vec::new();
+        while self.running() < self.batch_limit {
+            let Some((_, attempt)) = self.queue.pop_first() else {
+                break;
+            };
+            if let Some(run) = self.runs.get_mut(&attempt) {
+                run.phase = Phase::Running(now + self.prefill);
+                started.push(run.clone());
+            }
+            self.running.insert(attempt);
+        }
+        started
+    }
+
+    /// Notes where the record keeps a run.
+    pub(crate) fn set_recorded(&mut self, attempt: &str, position: usize) {
+        if let Some(run) = self.runs.get_mut(attempt) {
+            run.recorded = Some(position);
+        }
+    }
+
+    /// Generates one token for each running request whose time has come.
+    pub(crate) fn generate(&mut self, now: Instant) -> Generated {
+        let mut generated = Generated::default();
+        let mut ended = Vec::new();
+        for attempt in &self.running {
+            let Some(run) = self.runs.get_mut(attempt) else {
+                continue;
+            };
+            generated.tokens += u64::from(run.generate(now));
+            if run.phase == Phase::Finished {
+                generated.finished.extend(run.recorded);
+                ended.push(attempt.clone());
+            }
+        }
+        for attempt in ended {
+            self.running.remove(&attempt);
+            self.ended.push_back((now, attempt));
+        }
+        generated
+    }
+
+    /// Ends a request before its time.
+    pub(crate) fn stop(&mut self, attempt: &str, now: Instant) {
+        let Some(run) = self.runs.get_mut(attempt).filter(|r| r.is_active()) else {
+            return;
+        };
+        run.phase = Phase::Stopped;
+        self.queue.remove(&queue_key(run));
+        self.running.remove(attempt);
+        self.ended.push_back((now, attempt.into()));
+    }
+
+    /// Forgets requests that ended long ago.
+    pub(crate) fn forget_old(&mut self, now: Instant) {
+        while let Some((at, _)) = self.ended.front() {
+            if now.duration_since(*at) < ENDED_KEPT {
+                return;
+            }
+            if let Some((_, attempt)) = self.ended.pop_front() {
+                self.runs.remove(&attempt);
+            }
+        }
+    }
+
+    /// A request by its attempt id.
+    pub(crate) fn get(&self, attempt: &str) -> Option<&Run> {
+        self.runs.get(attempt)
+    }
+
+    /// The request accepted just before or after another one; the relation is
+    /// mutual.
+    pub(crate) fn neighbour(&self, run: &Run) -> Option<&Run> {
+        let mut numbers: Vec<u64> = self.runs.values().map(|r| r.number).collect();
+        numbers.sort_unstable();
+        let position = numbers.iter().position(|n| *n == run.number)?;
+        let neighbour = *numbers.get(position ^ 1)?;
+        self.runs.values().find(|r| r.number == neighbour)
+    }
+
+    /// Attempt ids of the running and waiting requests of an adapter version.
+    pub(crate) fn active_of(&self, key: &SlotKey) -> Vec<Box<str>> {
+        let active = self.running.iter().chain(self.queue.values());
+        active
+            .filter(|attempt| self.runs.get(*attempt).is_some_and(|r| r.key == *key))
+            .cloned()
+            .collect()
+    }
+
+    /// Whether no further request is accepted.
+    pub(crate) fn is_full(&self) -> bool {
+        self.running() + self.waiting() >= self.batch_limit + self.queue_limit
+    }
+
+    /// Number of running requests.
+    pub(crate) fn running(&self) -> u32 {
+        count(self.running.len())
+    }
+
+    /// Number of waiting requests.
+    pub(crate) fn waiting(&self) -> u32 {
+        count(self.queue.len())
+    }
+}
+
+fn queue_key(run: &Run) -> QueueKey {
+    (Reverse(run.priority), run.number)
+}
+
+fn count(len: usize) -> u32 {
+    u32::try_from(len).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/standins/src/engine/core.rs
@@ -0,0 +1,365 @@
+//! State of the engine: accepted requests, the running batch, reports.
+
+use super::batch::Batch;
+use super::config::{EngineConfig, FaultOrder, Faults, UnloadRunning};
+use super::record::{EngineRecord, EngineStats, OrderKind, OrderOutcome, OrderRecord, Violation};
+use super::reports::Reports;
+use super::run::{Phase, Run};
+use super::slots::{LoadNumber, LoadStart, SlotKey, Slots};
+use crate::target_http::refusal;
+use rand::rngs::StdRng;
+use rand::{RngExt as _, SeedableRng as _};
+use reedford_wire::chat::{ChatChunk, ChatRequest, ChatResponse};
+use reedford_wire::engine::{Listing, LoadOrder, Refusal, RefusalCode, SlotReport};
+use std::time::{Duration, Instant};
+
+/// A model that no caller asks for.
+const WRONG_MODEL: &str = "wrong@0";
+
+/// Why a request is not accepted.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum Rejection {
+    /// It is refused.
+    Refused(Refusal),
+    /// Its attempt id has come before, so no answer would be true.
+    Duplicate,
+}
+
+/// What a reader of a stream gets next.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum StreamPart {
+    Chunk(ChatChunk),
+    Cut,
+    End,
+}
+
+/// How a load that was begun ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum LoadEnd {
+    Cut,
+    Failed,
+    Loaded,
+}
+
+/// Position of an order in the record.
+pub(crate) type OrderNumber = usize;
+
+/// State of the engine.
+#[derive(Debug)]
+pub(crate) struct Core {
+    pub(crate) boot_id: Box<str>,
+    pub(crate) faults: Faults,
+    pub(crate) record: EngineRecord,
+    pub(crate) slots: Slots,
+    batch: Batch,
+    reports: Reports,
+    rng: StdRng,
+    seq: u64,
+    slot_limit: u32,
+    stats: EngineStats,
+    unload_running: UnloadRunning,
+}
+
+impl Core {
+    /// An engine just started.
+    pub(crate) fn new(cfg: &EngineConfig, now: Instant) -> Self {
+        let mut core = Self {
+            batch: Batch::new(cfg),
+            boot_id: new_boot_id(),
+            faults: Faults::default(),
+            record: EngineRecord::default(),
+            reports: Reports::new(Duration::from_millis(cfg.report_lag_ms)),
+            rng: StdRng::seed_from_u64(cfg.seed),
+            seq: 0,
+            slot_limit: cfg.slots,
+            slots: Slots::new(cfg.slots, cfg.checks_fence),
+            stats: EngineStats {
+                batch_limit: cfg.batch_limit,
+                ..EngineStats::default()
+            },
+            unload_running: cfg.unload_running,
+        };
+        core.keep_report(now);
+        core
+    }
+
+    /// Accepts a request, to run as soon as there is a place.
+    pub(crate) fn accept(
+        &mut self,
+        attempt: &str,
+        priority: i32,
+        chat: &ChatRequest,
+    ) -> Result<(), Rejection> {
+        if self.batch.get(attempt).is_some() {
+            let attempt = attempt.into();
+            self.record
+                .violations
+                .push(Violation::DuplicateAttempt { attempt });
+            return Err(Rejection::Duplicate);
+        }
+        let key = self.admit(&chat.model).map_err(Rejection::Refused)?;
+        self.seq += 1;
+        let run = Run::new(attempt.into(), key, self.seq, priority, chat);
+        self.batch.push(run);
+        Ok(())
+    }
+
+    /// Takes one step: starts what has a place, one token for each that runs.
+    pub(crate) fn step(&mut self, now: Instant) {
+        self.batch.forget_old(now);
+        for run in self.batch.start_waiting(now) {
+            self.seq += 1;
+            let position = self.record.runs.len();
+            self.record.runs.push(run.record(self.seq));
+            self.batch.set_recorded(&run.attempt, position);
+        }
+        let running = self.batch.running();
+        let generated = self.batch.generate(now);
+        for position in generated.finished {
+            self.record.runs[position].finished = true;
+        }
+        self.stats.steps += 1;
+        self.stats.busy_steps += u64::from(running > 0);
+        self.stats.tokens += generated.tokens;
+        self.stats.max_running = self.stats.max_running.max(running);
+        self.keep_report(now);
+    }
+
+    /// Stops a run; whether there was one that can still be read.
+    pub(crate) fn cancel(&mut self, attempt: &str, now: Instant) -> bool {
+        let known = self.is_readable(attempt);
+        self.batch.stop(attempt, now);
+        known
+    }
+
+    /// Whether the stream of an attempt can be read.
+    pub(crate) fn is_readable(&self, attempt: &str) -> bool {
+        let run = self.batch.get(attempt);
+        run.is_some_and(|r| r.phase != Phase::Stopped)
+    }
+
+    /// What comes at a position of a stream; `None` when it is not there yet.
+    pub(crate) fn stream_part(&self, attempt: &str, index: u32) -> Option<StreamPart> {
+        let Some(run) = self.batch.get(attempt) else {
+            return Some(StreamPart::Cut);
+        };
+        if index < run.tokens {
+            let mut chunk = self.shown(run).chunk(index);
+            chunk.model = self.shown_model(&chunk.model);
+            return Some(StreamPart::Chunk(chunk));
+        }
+        match run.phase {
+            Phase::Finished => Some(StreamPart::End),
+            Phase::Stopped => Some(StreamPart::Cut),
+            Phase::Running(_) | Phase::Waiting => None,
+        }
+    }
+
+    /// The whole answer, or that it was cut; `None` when it is not there yet.
+    pub(crate) fn whole(&self, attempt: &str) -> Option<Option<ChatResponse>> {
+        let Some(run) = self.batch.get(attempt) else {
+            return Some(None);
+        };
+        match run.phase {
+            Phase::Finished => {
+                let mut response = self.shown(run).response();
+                response.model = self.shown_model(&response.model);
+                Some(Some(response))
+            }
+            Phase::Stopped => Some(None),
+            Phase::Running(_) | Phase::Waiting => None,
+        }
+    }
+
+    /// Attempt id and model as the head of an answer shows them.
+    pub(crate) fn shown_identity(&self, attempt: &str) -> Option<(Box<str>, Box<str>)> {
+        let run = self.shown(self.batch.get(attempt)?);
+        Some((run.attempt.clone(), self.shown_model(&run.model)))
+    }
+
+    /// Notes an order.
+    pub(crate) fn note_order(&mut self, kind: OrderKind, order: &LoadOrder) -> OrderNumber {
+        self.seq += 1;
+        self.record.orders.push(OrderRecord {
+            kind,
+            adapter: order.adapter.clone(),
+            version: order.version.clone(),
+            fence: order.fence,
+            seq: self.seq,
+            outcome: OrderOutcome::Pending,
+        });
+        self.record.orders.len() - 1
+    }
+
+    /// Notes how an order ended.
+    pub(crate) fn end_order(&mut self, number: OrderNumber, outcome: OrderOutcome) {
+        self.record.orders[number].outcome = outcome;
+    }
+
+    /// Begins a load.
+    pub(crate) fn begin_load(&mut self, order: &LoadOrder) -> Result<LoadStart, Refusal> {
+        self.slots.check_fence(order.fence)?;
+        self.refuse_leaving()?;
+        self.slots.begin_load(SlotKey::of(order))
+    }
+
+    /// Decides whether a load fails by a fault that is set.
+    pub(crate) fn draw_load_fault(&mut self) -> bool {
+        if self.faults.fail_loads > 0 {
+            self.faults.fail_loads -= 1;
+            return true;
+        }
+        self.rng.random_range(0..100) < self.faults.fail_load_percent
+    }
+
+    /// Ends a load.
+    pub(crate) fn end_load(&mut self, key: &SlotKey, load: LoadNumber, loaded: bool) {
+        if !self.slots.end_load(key, load, loaded) {
+            return;
+        }
+        if loaded {
+            self.stats.loads += 1;
+        } else {
+            self.stats.failed_loads += 1;
+        }
+    }
+
+    /// How a load ended; `None` when it is under way.
+    pub(crate) fn load_end(
+        &self,
+        boot_id: &str,
+        key: &SlotKey,
+        load: LoadNumber,
+    ) -> Option<LoadEnd> {
+        if *self.boot_id != *boot_id {
+            return Some(LoadEnd::Cut);
+        }
+        match self.slots.get(key) {
+            Some(slot) if slot.load == load && slot.loading => None,
+            Some(slot) if slot.load == load => Some(LoadEnd::Loaded),
+            Some(_) | None => Some(LoadEnd::Failed),
+        }
+    }
+
+    /// Drops an adapter version.
+    pub(crate) fn unload(&mut self, order: &LoadOrder, now: Instant) -> Result<(), Refusal> {
+        self.slots.check_fence(order.fence)?;
+        let key = SlotKey::of(order);
+        let attempts = self.batch.active_of(&key);
+        if !attempts.is_empty() && self.unload_running == UnloadRunning::Refuse {
+            return Err(refusal(RefusalCode::Full, "requests use the adapter"));
+        }
+        if !self.slots.free(&key) {
+            return Err(refusal(RefusalCode::AdapterNotLoaded, "not loaded"));
+        }
+        self.stats.unloads += 1;
+        self.cut_evicted(order, attempts, now);
+        Ok(())
+    }
+
+    /// Takes over faults.
+    pub(crate) fn set_faults(&mut self, order: &FaultOrder) {
+        self.faults.apply(order);
+    }
+
+    /// Starts again with empty slots and without requests.
+    pub(crate) fn restart(&mut self, now: Instant) {
+        self.boot_id = new_boot_id();
+        self.slots.clear();
+        self.batch.clear();
+        self.reports.clear();
+        self.keep_report(now);
+    }
+
+    /// What the engine holds and runs now.
+    pub(crate) fn listing(&self) -> Listing {
+        let adapters = self.slots.iter().map(|(key, slot)| SlotReport {
+            adapter: key.adapter.clone(),
+            version: key.version.clone(),
+            loading: slot.loading,
+            running: u32::try_from(self.batch.active_of(key).len()).unwrap_or(u32::MAX),
+        });
+        Listing {
+            boot_id: self.boot_id.clone(),
+            slots: self.slot_limit,
+            batch_limit: self.stats.batch_limit,
+            running: self.batch.running(),
+            queued: self.batch.waiting(),
+            leaving: self.faults.leaving,
+            adapters: adapters.collect(),
+        }
+    }
+
+    /// What the engine held and ran some time ago.
+    pub(crate) fn report(&self, now: Instant) -> Listing {
+        let due = self.reports.due(now).filter(|_| self.reports.lags());
+        due.cloned().unwrap_or_else(|| self.listing())
+    }
+
+    /// The counts.
+    pub(crate) const fn stats(&self) -> EngineStats {
+        self.stats
+    }
+
+    fn admit(&self, model: &str) -> Result<SlotKey, Refusal> {
+        self.refuse_leaving()?;
+        let key = SlotKey::parse(model)
+            .ok_or_else(|| refusal(RefusalCode::BadRequest, "model is not adapter@version"))?;
+        let resident = self.slots.get(&key).is_some_and(|slot| !slot.loading);
+        if !resident {
+            return Err(refusal(RefusalCode::AdapterNotLoaded, "not loaded"));
+        }
+        if self.batch.is_full() {
+            return Err(refusal(RefusalCode::Full, "batch and queue are full"));
+        }
+        Ok(key)
+    }
+
+    fn refuse_leaving(&self) -> Result<(), Refusal> {
+        if self.faults.leaving {
+            return Err(refusal(RefusalCode::Leaving, "the engine is leaving"));
+        }
+        Ok(())
+    }
+
+    fn cut_evicted(&mut self, order: &LoadOrder, attempts: Vec<Box<str>>, now: Instant) {
+        if attempts.is_empty() {
+            return;
+        }
+        for attempt in &attempts {
+            self.batch.stop(attempt, now);
+        }
+        self.record.violations.push(Violation::EvictedInUse {
+            adapter: order.adapter.clone(),
+            version: order.version.clone(),
+            fence: order.fence,
+            attempts,
+        });
+    }
+
+    /// The run whose answer a caller gets: its own, or when answers are
+    /// crossed that of the request accepted next to it.
+    fn shown<'a>(&'a self, run: &'a Run) -> &'a Run {
+        let crossed = self.faults.cross_answers.then(|| self.batch.neighbour(run));
+        crossed.flatten().unwrap_or(run)
+    }
+
+    fn shown_model(&self, model: &str) -> Box<str> {
+        if self.faults.wrong_model {
+            WRONG_MODEL.into()
+        } else {
+            model.into()
+        }
+    }
+
+    fn keep_report(&mut self, now: Instant) {
+        if self.reports.lags() {
+            let listing = self.listing();
+            self.reports.keep(now, listing);
+        }
+    }
+}
+
+fn new_boot_id() -> Box<str> {
+    format!("{:016x}", rand::random::<u64>()).into()
+}
--- /dev/null
+++ b/crates/standins/src/engine/loads.rs
@@ -0,0 +1,89 @@
+//! Orders to load and unload adapters.
+
+use super::Engine;
+use super::core::LoadEnd;
+use super::record::{OrderKind, OrderOutcome};
+use super::slots::{LoadNumber, LoadStart, SlotKey};
+use crate::target_http::{self, Cut, refusal};
+use bytes::Bytes;
+use hyper::{Method, StatusCode};
+use reedford_wire::engine::{LoadOrder, OrderDone, Refusal, RefusalCode};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Carries out an order.
+///
+/// # Errors
+/// [`Cut`] when the engine restarted meanwhile.
+pub(super) async fn carry_out(
+    engine: &Arc<Engine>,
+    kind: OrderKind,
+    order: LoadOrder,
+) -> Result<Result<OrderDone, Refusal>, Cut> {
+    let (number, boot_id) = {
+        let mut core = engine.core();
+        (core.note_order(kind, &order), core.boot_id.clone())
+    };
+    let result = match kind {
+        OrderKind::Load => load(engine, &boot_id, &order).await,
+        OrderKind::Unload => Ok(unload(engine, &order)),
+    };
+    let outcome = match &result {
+        Ok(Ok(())) => OrderOutcome::Done,
+        Ok(Err(refusal)) => OrderOutcome::Refused(refusal.code),
+        Err(Cut) => OrderOutcome::Cut,
+    };
+    engine.core().end_order(number, outcome);
+    Ok(result?.map(|()| OrderDone { boot_id }))
+}
+
+fn unload(engine: &Engine, order: &LoadOrder) -> Result<(), Refusal> {
+    let result = engine.core().unload(order, Instant::now());
+    engine.notify();
+    result
+}
+
+async fn load(
+    engine: &Arc<Engine>,
+    boot_id: &str,
+    order: &LoadOrder,
+) -> Result<Result<(), Refusal>, Cut> {
+    let key = SlotKey::of(order);
+    let started = engine.core().begin_load(order);
+    let load = match started {
+        Err(refusal) => return Ok(Err(refusal)),
+        Ok(LoadStart::Resident) => return Ok(Ok(())),
+        Ok(LoadStart::Join(load)) => load,
+        Ok(LoadStart::Fetch(load)) => {
+            // The load goes on when the one who ordered it goes away.
+            engine.spawn(fetch(Arc::clone(engine), key.clone(), load));
+            load
+        }
+    };
+    let end = engine
+        .wait_for(|core| core.load_end(boot_id, &key, load))
+        .await;
+    match end {
+        LoadEnd::Cut => Err(Cut),
+        LoadEnd::Failed => Ok(Err(refusal(RefusalCode::LoadFailed, "the load failed"))),
+        LoadEnd::Loaded => Ok(Ok(())),
+    }
+}
+
+async fn fetch(engine: Arc<Engine>, key: SlotKey, load: LoadNumber) {
+    let fails = engine.core().draw_load_fault();
+    let fetched = fetch_weights(&engine, &key).await;
+    engine.core().end_load(&key, load, fetched && !fails);
+    engine.notify();
+}
+
+async fn fetch_weights(engine: &Engine, key: &SlotKey) -> bool {
+    let Some(store) = engine.cfg.weights else {
+        tokio::time::sleep(Duration::from_millis(engine.cfg.load_ms)).await;
+        return true;
+    };
+    let base = &engine.cfg.base;
+    let path = format!("/weights/{base}/{}/{}", key.adapter, key.version);
+    let answer = target_http::call(store, Method::POST, &path, Bytes::new()).await;
+    matches!(answer, Ok(StatusCode::OK))
+}
--- /dev/null
+++ b/crates/standins/src/engine/run.rs
@@ -0,0 +1,157 @@
+//! One accepted request and the tokens of its answer.
+
+use super::record::RunRecord;
+use super::slots::SlotKey;
+use reedford_wire::chat::{
+    ChatChunk, ChatRequest, ChatResponse, Choice, ChunkChoice, Delta, Message, Usage,
+};
+use std::time::Instant;
+
+/// Most tokens of an answer.
+const TOKENS_MAX: u32 = 4_096;
+/// Most tokens of an answer when the request names no limit.
+const TOKENS_DERIVED_MAX: u32 = 64;
+
+/// Where a request stands.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Phase {
+    /// Waits for a place in the batch.
+    Waiting,
+    /// Runs; the first token comes at the first step from this time on.
+    Running(Instant),
+    /// All tokens are generated.
+    Finished,
+    /// Ended before its time.
+    Stopped,
+}
+
+/// An accepted request.
+#[derive(Clone, Debug)]
+pub(crate) struct Run {
+    pub(crate) attempt: Box<str>,
+    pub(crate) key: SlotKey,
+    pub(crate) model: Box<str>,
+    pub(crate) phase: Phase,
+    /// Number in the order of acceptance.
+    pub(crate) number: u64,
+    pub(crate) priority: i32,
+    /// Position in the record once it has started.
+    pub(crate) recorded: Option<usize>,
+    /// Tokens generated.
+    pub(crate) tokens: u32,
+    prompt_tokens: u32,
+    /// Tokens that the whole answer has.
+    total: u32,
+    finish: &'static str,
+}
+
+impl Run {
+    /// A request that waits.
+    pub(crate) fn new(
+        attempt: Box<str>,
+        key: SlotKey,
+        number: u64,
+        priority: i32,
+        chat: &ChatRequest,
+    ) -> Self {
+        let words: usize = chat
+            .messages
+            .iter()
+            .map(|m| m.content.split_whitespace().count())
+            .sum();
+        let prompt_tokens = u32::try_from(words).unwrap_or(u32::MAX);
+        let derived = prompt_tokens.clamp(1, TOKENS_DERIVED_MAX);
+        let limit = chat.max_tokens.map(|m| m.clamp(1, TOKENS_MAX));
+        Self {
+            attempt,
+            key,
+            model: chat.model.clone(),
+            phase: Phase::Waiting,
+            number,
+            priority,
+            recorded: None,
+            tokens: 0,
+            prompt_tokens,
+            total: limit.unwrap_or(derived),
+            finish: if limit.is_some() { "length" } else { "stop" },
+        }
+    }
+
+    /// Whether it runs or waits.
+    pub(crate) const fn is_active(&self) -> bool {
+        matches!(self.phase, Phase::Running(_) | Phase::Waiting)
+    }
+
+    /// The entry in the record when it starts.
+    pub(crate) fn record(&self, started_seq: u64) -> RunRecord {
+        RunRecord {
+            attempt: self.attempt.clone(),
+            adapter: self.key.adapter.clone(),
+            version: self.key.version.clone(),
+            started_seq,
+            finished: false,
+        }
+    }
+
+    /// Generates a token if it is time; whether one came.
+    pub(crate) fn generate(&mut self, now: Instant) -> bool {
+        let Phase::Running(first) = self.phase else {
+            return false;
+        };
+        if now < first {
+            return false;
+        }
+        self.tokens += 1;
+        if self.tokens == self.total {
+            self.phase = Phase::Finished;
+        }
+        true
+    }
+
+    /// The streamed event of a token.
+    pub(crate) fn chunk(&self, index: u32) -> ChatChunk {
+        let last = index + 1 == self.total;
+        ChatChunk {
+            id: self.attempt.clone(),
+            object: "chat.completion.chunk".into(),
+            model: self.model.clone(),
+            choices: vec![ChunkChoice {
+                index: 0,
+                delta: Delta {
+                    content: Some(self.token(index).into()),
+                },
+                finish_reason: last.then(|| self.finish.into()),
+            }],
+        }
+    }
+
+    /// The whole answer.
+    pub(crate) fn response(&self) -> ChatResponse {
+        let content: String = (0..self.total).map(|i| self.token(i)).collect();
+        ChatResponse {
+            id: self.attempt.clone(),
+            object: "chat.completion".into(),
+            model: self.model.clone(),
+            choices: vec![Choice {
+                index: 0,
+                message: Message {
+                    role: "assistant".into(),
+                    content: content.into(),
+                },
+                finish_reason: self.finish.into(),
+            }],
+            usage: Usage {
+                prompt_tokens: self.prompt_tokens,
+                completion_tokens: self.total,
+                total_tokens: self.prompt_tokens.saturating_add(self.total),
+            },
+        }
+    }
+
+    /// Text of a token. It names the adapter that ran and the attempt, so
+    /// that a token in the wrong answer shows.
+    fn token(&self, index: u32) -> String {
+        let SlotKey { adapter, version } = &self.key;
+        format!("{adapter}@{version}/{}#{index} ", self.attempt)
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine/streams.rs
@@ -0,0 +1,101 @@
+//! Answers: whole, or as server-sent events.
+
+use super::Engine;
+use super::core::StreamPart;
+use crate::target_http::{Body, Cut, full};
+use bytes::Bytes;
+use futures::stream;
+use http_body_util::{BodyExt as _, StreamBody};
+use hyper::body::Frame;
+use hyper::{Response, StatusCode, header};
+use reedford_wire::chat::STREAM_END;
+use reedford_wire::headers;
+use std::io;
+use std::sync::Arc;
+
+/// Waits for the whole answer of an accepted request.
+///
+/// # Errors
+/// [`Cut`] when the request was cancelled or cut.
+pub(super) async fn whole(engine: &Arc<Engine>, attempt: &str) -> Result<Response<Body>, Cut> {
+    let response = engine
+        .wait_for(|core| core.whole(attempt))
+        .await
+        .ok_or(Cut)?;
+    let body = serde_json::to_vec(&response).map_err(|_invalid| Cut)?;
+    respond(engine, attempt, "application/json", full(body.into()))
+}
+
+/// The tokens of an accepted request from a number on, as they come.
+///
+/// # Errors
+/// [`Cut`] when the request is not known any more.
+pub(super) fn streamed(
+    engine: &Arc<Engine>,
+    attempt: &str,
+    from: u32,
+) -> Result<Response<Body>, Cut> {
+    let reader = Reader {
+        attempt: attempt.into(),
+        engine: Arc::clone(engine),
+        next: Some(from),
+    };
+    let frames = stream::unfold(reader, |mut reader| async move {
+        let frame = reader.next_frame().await?;
+        Some((frame, reader))
+    });
+    let body = StreamBody::new(frames).boxed_unsync();
+    respond(engine, attempt, "text/event-stream", body)
+}
+
+/// Position of one reader in a stream.
+#[derive(Debug)]
+struct Reader {
+    attempt: Box<str>,
+    engine: Arc<Engine>,
+    /// The next token; `None` after the end.
+    next: Option<u32>,
+}
+
+impl Reader {
+    async fn next_frame(&mut self) -> Option<io::Result<Frame<Bytes>>> {
+        let index = self.next?;
+        let part = self
+            .engine
+            .wait_for(|core| core.stream_part(&self.attempt, index))
+            .await;
+        let text = match part {
+            StreamPart::Chunk(chunk) => {
+                self.next = Some(index + 1);
+                let data = serde_json::to_string(&chunk).ok()?;
+                format!("id: {index}\ndata: {data}\n\n")
+            }
+            StreamPart::End => {
+                self.next = None;
+                format!("data: {STREAM_END}\n\n")
+            }
+            StreamPart::Cut => {
+                self.next = None;
+                return Some(Err(io::ErrorKind::ConnectionAborted.into()));
+            }
+        };
+        Some(Ok(Frame::data(text.into())))
+    }
+}
+
+fn respond(
+    engine: &Engine,
+    attempt: &str,
+    content_type: &str,
+    body: Body,
+) -> Result<Response<Body>, Cut> {
+    let (attempt, model) = engine.core().shown_identity(attempt).ok_or(Cut)?;
+    Response::builder()
+        .status(StatusCode::OK)
+        .header(header::CONTENT_TYPE, content_type)
+        .header(headers::ATTEMPT_ID, &*attempt)
+        .header(headers::MODEL, &*model)
+        .header(headers::TARGET, &*engine.cfg.id)
+        .body(body)
+        .map_err(|_invalid| Cut)
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,2 +1,7 @@
-//! Placeholder until its modules land.
+//! Stand-ins of the platform and the targets, and the load tool.
+
+pub mod engine;
+pub mod plain;
 pub mod platform;
+mod target_http;
+pub mod target_program;
--- /dev/null
+++ b/crates/standins/src/plain.rs
@@ -0,0 +1,288 @@
+//! Stand-in of a plain service: takes any `POST` path, answers with a
+//! [`Receipt`] under the attempt id, and records every run.
+//!
+//! | call | |
+//! |---|---|
+//! | `POST /control/faults` with [`PlainFaults`] | switches faults on or off |
+//! | `GET /control/record` | list of [`Receipt`] |
+
+use crate::target_http::{
+    self, Body, ConnectionNumber, Cut, Silence, field, json, read_body, read_json, refusal, refuse,
+};
+use crate::target_program::{register, register_patiently};
+use eyre::WrapErr as _;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use reedford_wire::engine::RefusalCode;
+use reedford_wire::headers;
+use reedford_wire::instances::{Instance, InstanceKind, InstanceState};
+use reedford_wire::plain::Receipt;
+use serde::{Deserialize, Serialize};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// Settings of a plain service stand-in.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PlainConfig {
+    /// Name of the instance, unique in the fleet.
+    pub id: Box<str>,
+    /// Group of the instance.
+    pub group: Box<str>,
+    /// Availability zone of the instance.
+    pub zone: Box<str>,
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Time that each call takes in milliseconds.
+    pub delay_ms: u64,
+    /// The platform to register with.
+    pub register: Option<SocketAddr>,
+}
+
+impl Default for PlainConfig {
+    fn default() -> Self {
+        Self {
+            id: "plain".into(),
+            group: "services".into(),
+            zone: "zone".into(),
+            listen: (Ipv4Addr::LOCALHOST, 0).into(),
+            delay_ms: 0,
+            register: None,
+        }
+    }
+}
+
+/// Faults to switch on or off; absent fields stay as they are.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PlainFaults {
+    /// Time that each call takes, in milliseconds.
+    pub delay_ms: Option<u64>,
+    /// Whether the service is leaving.
+    pub leaving: Option<bool>,
+    /// Number of calls from now on that run and get no answer.
+    pub lose_answers: Option<u32>,
+    /// `true` makes all connections open now silent for good.
+    pub silent_connections: Option<bool>,
+}
+
+/// A running plain service stand-in.
+#[derive(Debug)]
+pub struct PlainStandin {
+    service: Arc<Service>,
+}
+
+impl PlainStandin {
+    /// Binds the address, registers with the platform where one is set, and
+    /// serves.
+    ///
+    /// # Errors
+    /// When the address can't be bound or the platform does not answer.
+    pub async fn start(cfg: PlainConfig) -> eyre::Result<Self> {
+        let listener = TcpListener::bind(cfg.listen).await.wrap_err("bind")?;
+        let addr = listener.local_addr()?;
+        let service = Arc::new(Service::new(cfg, addr));
+        let stop = service.stop.clone();
+        let silence = Arc::clone(&service.silence);
+        let handler = {
+            let service = Arc::clone(&service);
+            move |req| route(Arc::clone(&service), req)
+        };
+        service
+            .tasks
+            .spawn(target_http::serve(listener, stop, silence, handler));
+        let standin = Self { service };
+        if let Some(platform) = standin.service.cfg.register {
+            let instance = standin.service.instance(InstanceState::Live);
+            let registered = register_patiently(platform, &instance).await;
+            if registered.is_err() {
+                standin.shutdown().await;
+                registered?;
+                eyre::bail!("not registered");
+            }
+        }
+        Ok(standin)
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.service.addr
+    }
+
+    /// The calls that ran.
+    #[must_use]
+    pub fn record(&self) -> Vec<Receipt> {
+        self.service.state().record.clone()
+    }
+
+    /// Switches faults on or off.
+    pub async fn set_faults(&self, faults: &PlainFaults) {
+        self.service.set_faults(faults, None).await;
+    }
+
+    /// Closes all connections and joins all tasks.
+    pub async fn shutdown(self) {
+        self.service.stop.cancel();
+        self.service.tasks.close();
+        self.service.tasks.wait().await;
+    }
+}
+
+#[derive(Debug)]
+struct Service {
+    addr: SocketAddr,
+    cfg: PlainConfig,
+    silence: Arc<Silence>,
+    state: Mutex<State>,
+    stop: CancellationToken,
+    tasks: TaskTracker,
+}
+
+#[derive(Debug)]
+struct State {
+    delay: Duration,
+    leaving: bool,
+    lose_answers: u32,
+    record: Vec<Receipt>,
+}
+
+impl Service {
+    fn new(cfg: PlainConfig, addr: SocketAddr) -> Self {
+        let state = State {
+            delay: Duration::from_millis(cfg.delay_ms),
+            leaving: false,
+            lose_answers: 0,
+            record: Vec::new(),
+        };
+        Self {
+            addr,
+            cfg,
+            silence: Arc::default(),
+            state: Mutex::new(state),
+            stop: CancellationToken::new(),
+            tasks: TaskTracker::new(),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn set_faults(&self, faults: &PlainFaults, from: Option<ConnectionNumber>) {
+        self.state().apply(faults);
+        if faults.silent_connections == Some(true) {
+            self.silence.silence_open(from);
+        }
+        let (Some(platform), Some(leaving)) = (self.cfg.register, faults.leaving) else {
+            return;
+        };
+        let state = if leaving {
+            InstanceState::Leaving
+        } else {
+            InstanceState::Live
+        };
+        if let Err(e) = register(platform, &self.instance(state)).await {
+            tracing::warn!(event = "register_failed", id = %self.cfg.id, error = %e);
+        }
+    }
+
+    fn instance(&self, state: InstanceState) -> Instance {
+        Instance {
+            id: self.cfg.id.clone(),
+            group: self.cfg.group.clone(),
+            kind: InstanceKind::Plain,
+            zone: self.cfg.zone.clone(),
+            address: self.addr,
+            state,
+            checks_fence: false,
+        }
+    }
+}
+
+impl State {
+    fn apply(&mut self, faults: &PlainFaults) {
+        self.delay = faults.delay_ms.map_or(self.delay, Duration::from_millis);
+        self.leaving = faults.leaving.unwrap_or(self.leaving);
+        self.lose_answers = faults.lose_answers.unwrap_or(self.lose_answers);
+    }
+
+    /// Takes one of the answers to lose; whether there was one.
+    fn take_lost_answer(&mut self) -> bool {
+        let lost = self.lose_answers > 0;
+        self.lose_answers = self.lose_answers.saturating_sub(1);
+        lost
+    }
+}
+
+async fn route(service: Arc<Service>, req: Request<Incoming>) -> Result<Response<Body>, Cut> {
+    match (req.method(), req.uri().path()) {
+        (&Method::GET, "/control/record") => json(StatusCode::OK, &service.state().record),
+        (&Method::POST, "/control/faults") => faults(&service, req).await,
+        (&Method::POST, _) => run(&service, req).await,
+        _ => json(StatusCode::NOT_FOUND, &serde_json::json!({})),
+    }
+}
+
+async fn faults(service: &Service, req: Request<Incoming>) -> Result<Response<Body>, Cut> {
+    let from = ConnectionNumber::of(&req);
+    let faults: PlainFaults = match read_json(req.into_body()).await? {
+        Ok(faults) => faults,
+        Err(unreadable) => return refuse(&unreadable, None),
+    };
+    service.set_faults(&faults, from).await;
+    json(StatusCode::OK, &faults)
+}
+
+async fn run(service: &Service, req: Request<Incoming>) -> Result<Response<Body>, Cut> {
+    let Some(attempt) = field(&req, headers::ATTEMPT_ID).map(Box::<str>::from) else {
+        let missing = refusal(RefusalCode::BadRequest, "no attempt id");
+        return refuse(&missing, None);
+    };
+    let receipt = receipt(attempt, req).await?;
+    if service.state().leaving {
+        let leaving = refusal(RefusalCode::Leaving, "the service is leaving");
+        return refuse(&leaving, Some(&receipt.attempt));
+    }
+    let delay = {
+        let mut state = service.state();
+        state.record.push(receipt.clone());
+        state.delay
+    };
+    if !delay.is_zero() {
+        tokio::time::sleep(delay).await;
+    }
+    if service.state().take_lost_answer() {
+        return Err(Cut);
+    }
+    answer(service, &receipt)
+}
+
+async fn receipt(attempt: Box<str>, req: Request<Incoming>) -> Result<Receipt, Cut> {
+    let path = req.uri().path().into();
+    let key = field(&req, headers::IDEMPOTENCY_KEY).map(Box::from);
+    let bytes = read_body(req.into_body()).await?;
+    Ok(Receipt {
+        attempt,
+        path,
+        key,
+        body: String::from_utf8_lossy(&bytes).into(),
+    })
+}
+
+fn answer(service: &Service, receipt: &Receipt) -> Result<Response<Body>, Cut> {
+    let mut res = json(StatusCode::OK, receipt)?;
+    let fields = [
+        (headers::ATTEMPT_ID, &receipt.attempt),
+        (headers::TARGET, &service.cfg.id),
+    ];
+    for (name, value) in fields {
+        let value = value.parse().map_err(|_invalid| Cut)?;
+        res.headers_mut().insert(name, value);
+    }
+    Ok(res)
+}
--- /dev/null
+++ b/crates/standins/src/target_http.rs
@@ -0,0 +1,258 @@
+//! HTTP serving for the stand-in targets, and their own few calls.
+//!
+//! A [`Silence`] can make every open connection go silent for good while new
+//! ones work, as happens when something between the two ends loses track.
+
+use bytes::Bytes;
+use eyre::WrapErr as _;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt as _, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode, header};
+use hyper_util::rt::TokioIo;
+use reedford_targets::refusal_status;
+use reedford_wire::engine::{Refusal, RefusalCode};
+use reedford_wire::headers;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+/// Longest request body in bytes.
+const BODY_MAX_BYTES: usize = 8 << 20;
+
+/// Body of an answer; an error cuts the connection.
+pub(crate) type Body = UnsyncBoxBody<Bytes, io::Error>;
+
+/// A handler's decision to close the connection without an answer.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+#[error("connection cut")]
+pub(crate) struct Cut;
+
+/// Serves connections until stopped, then closes and joins all of them.
+pub(crate) async fn serve<H, F>(
+    listener: TcpListener,
+    stop: CancellationToken,
+    silence: Arc<Silence>,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Result<Response<Body>, Cut>> + Send + 'static,
+{
+    let mut connections = JoinSet::new();
+    while let Some(accepted) = stop.run_until_cancelled(listener.accept()).await {
+        while connections.try_join_next().is_some() {}
+        let Ok((stream, _)) = accepted else { continue };
+        if stream.set_nodelay(true).is_err() {
+            continue;
+        }
+        let stream = Silence::wrap(&silence, stream);
+        let number = stream.number;
+        let handler = handler.clone();
+        let service = service_fn(move |mut req: Request<Incoming>| {
+            req.extensions_mut().insert(number);
+            handler(req)
+        });
+        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        connections.spawn(async move {
+            // Callers close connections as they like, and handlers cut them.
+            let _ended = connection.await;
+        });
+    }
+    connections.shutdown().await;
+}
+
+/// Number of a connection in the order of opening, an extension of each request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct ConnectionNumber(u64);
+
+impl ConnectionNumber {
+    /// The connection that a request came on.
+    pub(crate) fn of<B>(req: &Request<B>) -> Option<Self> {
+        req.extensions().get().copied()
+    }
+}
+
+/// Decides which connections are silent.
+#[derive(Debug, Default)]
+pub(crate) struct Silence {
+    opened: AtomicU64,
+    silent_below: AtomicU64,
+    /// One more than the number of the connection that is spared; 0 for none.
+    spared: AtomicU64,
+}
+
+impl Silence {
+    /// Makes all connections that are open now silent for good, except the
+    /// one that the order to do so came on.
+    pub(crate) fn silence_open(&self, except: Option<ConnectionNumber>) {
+        let spared = except.map_or(0, |n| n.0 + 1);
+        self.spared.store(spared, Ordering::SeqCst);
+        let opened = self.opened.load(Ordering::SeqCst);
+        self.silent_below.store(opened, Ordering::SeqCst);
+    }
+
+    fn is_silent(&self, number: ConnectionNumber) -> bool {
+        let spared = number.0 + 1 == self.spared.load(Ordering::SeqCst);
+        !spared && number.0 < self.silent_below.load(Ordering::SeqCst)
+    }
+
+    fn wrap(this: &Arc<Self>, stream: TcpStream) -> SilentStream {
+        SilentStream {
+            number: ConnectionNumber(this.opened.fetch_add(1, Ordering::SeqCst)),
+            silence: Arc::clone(this),
+            stream,
+        }
+    }
+}
+
+/// A connection that may go silent: bytes then pass in neither direction.
+#[derive(Debug)]
+struct SilentStream {
+    number: ConnectionNumber,
+    silence: Arc<Silence>,
+    stream: TcpStream,
+}
+
+impl SilentStream {
+    fn is_silent(&self) -> bool {
+        self.silence.is_silent(self.number)
+    }
+}
+
+// A silent connection is never woken: its task ends when the server stops.
+impl AsyncRead for SilentStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.is_silent() {
+            return Poll::Pending;
+        }
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for SilentStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        if self.is_silent() {
+            return Poll::Pending;
+        }
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.is_silent() {
+            return Poll::Pending;
+        }
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+/// A body of known bytes.
+pub(crate) fn full(bytes: Bytes) -> Body {
+    Full::new(bytes)
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+/// A JSON answer.
+pub(crate) fn json<T>(status: StatusCode, value: &T) -> Result<Response<Body>, Cut>
+where
+    T: Serialize,
+{
+    let body = serde_json::to_vec(value).map_err(|_invalid| Cut)?;
+    Response::builder()
+        .status(status)
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(full(body.into()))
+        .map_err(|_invalid| Cut)
+}
+
+/// A refusal, under the attempt id of the request where it has one.
+pub(crate) fn refuse(refusal: &Refusal, attempt: Option<&str>) -> Result<Response<Body>, Cut> {
+    let mut res = json(refusal_status(refusal.code), refusal)?;
+    if let Some(attempt) = attempt {
+        let value = attempt.parse().map_err(|_invalid| Cut)?;
+        res.headers_mut().insert(headers::ATTEMPT_ID, value);
+    }
+    Ok(res)
+}
+
+/// Makes a refusal.
+pub(crate) fn refusal(code: RefusalCode, message: &str) -> Refusal {
+    Refusal {
+        code,
+        message: message.into(),
+    }
+}
+
+/// Value of a request header, when it is text.
+pub(crate) fn field<'a, B>(req: &'a Request<B>, name: &str) -> Option<&'a str> {
+    req.headers().get(name)?.to_str().ok()
+}
+
+/// Reads the body of a request.
+pub(crate) async fn read_body(body: Incoming) -> Result<Bytes, Cut> {
+    let limited = http_body_util::Limited::new(body, BODY_MAX_BYTES);
+    let collected = limited.collect().await.map_err(|_broken| Cut)?;
+    Ok(collected.to_bytes())
+}
+
+/// Reads a JSON body.
+pub(crate) async fn read_json<T>(body: Incoming) -> Result<Result<T, Refusal>, Cut>
+where
+    T: DeserializeOwned,
+{
+    let bytes = read_body(body).await?;
+    let value = serde_json::from_slice(&bytes);
+    Ok(value.map_err(|e| refusal(RefusalCode::BadRequest, &e.to_string())))
+}
+
+/// Makes one call on a connection of its own.
+///
+/// # Errors
+/// When no answer comes.
+pub(crate) async fn call(
+    addr: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Bytes,
+) -> eyre::Result<StatusCode> {
+    let stream = TcpStream::connect(addr).await.wrap_err("connect")?;
+    let io = TokioIo::new(stream);
+    let (mut sender, driver) = hyper::client::conn::http1::handshake(io).await?;
+    let req = Request::builder()
+        .method(method)
+        .uri(path)
+        .header(header::HOST, addr.to_string())
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Full::new(body))?;
+    let exchange = async move {
+        let res = sender.send_request(req).await?;
+        let status = res.status();
+        res.into_body().collect().await?;
+        Ok::<_, hyper::Error>(status)
+    };
+    let (status, _ended) = tokio::join!(exchange, driver);
+    Ok(status?)
+}
--- /dev/null
+++ b/crates/standins/src/target_program.rs
@@ -0,0 +1,87 @@
+//! What the programs of the stand-in targets share: configuration files, logs,
+//! registration with the platform, and the signal to stop.
+
+use crate::target_http::call;
+use eyre::WrapErr as _;
+use hyper::Method;
+use reedford_wire::instances::Instance;
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::timeout;
+use tracing_subscriber::EnvFilter;
+use tracing_subscriber::layer::SubscriberExt as _;
+use tracing_subscriber::util::SubscriberInitExt as _;
+
+/// Times that a registration is tried; the platform may start later.
+const REGISTER_ATTEMPTS: u32 = 40;
+/// Time between two tries.
+const REGISTER_INTERVAL: Duration = Duration::from_millis(250);
+/// Time for one try.
+const REGISTER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Reads a YAML configuration file.
+///
+/// # Errors
+/// When the file can't be read or does not fit `T`.
+pub fn read_config<T>(path: &Path) -> eyre::Result<T>
+where
+    T: DeserializeOwned,
+{
+    let text =
+        std::fs::read_to_string(path).wrap_err_with(|| format!("read {}", path.display()))?;
+    serde_saphyr::from_str(&text).wrap_err_with(|| format!("parse {}", path.display()))
+}
+
+/// Writes logs to standard output, one key=value line an event.
+///
+/// # Errors
+/// When a subscriber is already set.
+pub fn init_log() -> eyre::Result<()> {
+    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_unset| "info".into());
+    tracing_subscriber::registry()
+        .with(filter)
+        .with(tracing_logfmt::layer())
+        .try_init()
+        .wrap_err("set up logs")
+}
+
+/// Waits for SIGTERM or SIGINT.
+///
+/// # Errors
+/// When signals can't be received.
+pub async fn terminated() -> eyre::Result<()> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+    Ok(())
+}
+
+/// Puts an instance into the platform's list.
+pub(crate) async fn register(platform: SocketAddr, instance: &Instance) -> eyre::Result<()> {
+    let path = format!("/control/instances/{}", instance.id);
+    let body = serde_json::to_vec(instance)?;
+    let put = call(platform, Method::PUT, &path, body.into());
+    let status = timeout(REGISTER_TIMEOUT, put).await??;
+    eyre::ensure!(status.is_success(), "registration answered {status}");
+    Ok(())
+}
+
+/// Registers, waiting for the platform to come up.
+pub(crate) async fn register_patiently(
+    platform: SocketAddr,
+    instance: &Instance,
+) -> eyre::Result<()> {
+    for _ in 1..REGISTER_ATTEMPTS {
+        if register(platform, instance).await.is_ok() {
+            return Ok(());
+        }
+        tokio::time::sleep(REGISTER_INTERVAL).await;
+    }
+    register(platform, instance).await.wrap_err("register")
+}
