Add the load tool: seeded arrivals, the floor, the sender and reports

Cause: the decisions have to be measured under skewed, shifting popularity with open-loop arrivals, beside a floor that the load limits alone force.

Arrivals and floor are pure functions; a seed stands for a workload. Churn is modelled as exchanges of ranks of uniformly drawn pairs. Ruled out: drawing only among active adapters, which would need a bound between active and idle that nobody has stated.

The sender isn't covered yet.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder until its modules land.
+//! Stand-ins of the platform and the targets, and the load tool.
+
+pub mod load;
--- /dev/null
+++ b/crates/standins/src/load/answer/whole.rs
@@ -0,0 +1,53 @@
+//! Answers and refusals that come in one piece.
+
+use super::{Expected, Failure, Outcome, Refused, RefusedOutcome, Violation};
+use reedford_wire::chat::ChatResponse;
+use serde::Deserialize;
+use std::time::Duration;
+
+/// The body of a refusal.
+#[derive(Deserialize)]
+struct ErrorBody {
+    error: ErrorDetail,
+}
+
+#[derive(Deserialize)]
+struct ErrorDetail {
+    outcome: RefusedOutcome,
+    code: Box<str>,
+    #[serde(default)]
+    retry_after_ms: Option<u64>,
+}
+
+/// Reads a refusal. The time in the body is finer than the header's, and goes
+/// before it.
+#[must_use]
+pub fn read_refusal(body: &[u8], retry_after: Option<Duration>) -> Outcome {
+    match serde_json::from_slice::<ErrorBody>(body) {
+        Ok(ErrorBody { error }) => {
+            let fine = error.retry_after_ms.map(Duration::from_millis);
+            Outcome::Refused(Refused {
+                outcome: error.outcome,
+                code: error.code,
+                retry_after: fine.or(retry_after),
+            })
+        }
+        Err(_) => Outcome::Failed(Failure::BadAnswer),
+    }
+}
+
+/// Reads a whole model answer and checks it.
+#[must_use]
+pub fn read_whole(expected: &Expected, body: &[u8]) -> (Outcome, Vec<Violation>) {
+    let Ok(answer) = serde_json::from_slice::<ChatResponse>(body) else {
+        return (Outcome::Failed(Failure::BadAnswer), Vec::new());
+    };
+    let Some(choice) = answer.choices.first() else {
+        return (Outcome::Failed(Failure::BadAnswer), Vec::new());
+    };
+    let text = &choice.message.content;
+    (
+        Outcome::Done,
+        expected.check(&answer.model, &answer.id, text),
+    )
+}
--- /dev/null
+++ b/crates/standins/src/load/balancer.rs
@@ -0,0 +1,69 @@
+//! Which entry instances a request tries, like the platform's balancer.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// How requests are spread over the entry instances.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Spread {
+    /// Over all instances in turn.
+    #[default]
+    RoundRobin,
+    /// Over the zones in turn, inside a zone over its instances in turn; the
+    /// other zones are tried when none of the zone can be reached.
+    Zone,
+}
+
+/// An entry instance.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Entry {
+    /// Where callers connect.
+    pub address: SocketAddr,
+    /// Availability zone.
+    #[serde(default)]
+    pub zone: Box<str>,
+}
+
+/// Spreads requests over entry instances.
+#[derive(Clone, Debug)]
+pub struct Balancer {
+    /// The instances of each zone; one zone holds all for a round robin.
+    zones: Vec<Vec<SocketAddr>>,
+}
+
+impl Balancer {
+    /// A balancer over `entries`.
+    #[must_use]
+    pub fn new(entries: &[Entry], spread: Spread) -> Self {
+        let mut zones: BTreeMap<&str, Vec<SocketAddr>> = BTreeMap::new();
+        for entry in entries {
+            let zone = match spread {
+                Spread::RoundRobin => "",
+                Spread::Zone => &entry.zone,
+            };
+            zones.entry(zone).or_default().push(entry.address);
+        }
+        Self {
+            zones: zones.into_values().collect(),
+        }
+    }
+
+    /// The instances to try for request number `seq`, best first; each is
+    /// named once.
+    #[must_use]
+    pub fn order(&self, seq: usize) -> Vec<SocketAddr> {
+        let zones = self.zones.len();
+        let in_turn = (0..zones).map(|step| &self.zones[(seq + step) % zones]);
+        in_turn
+            .flat_map(|zone| rotated(zone, seq / zones))
+            .collect()
+    }
+}
+
+fn rotated(zone: &[SocketAddr], by: usize) -> impl Iterator<Item = SocketAddr> {
+    let len = zone.len();
+    (0..len).map(move |step| zone[(by + step) % len])
+}
--- /dev/null
+++ b/crates/standins/src/load/experiment.rs
@@ -0,0 +1,159 @@
+//! The experiment file: what is sent, to which instances, under which limits.
+
+mod names;
+
+pub use names::{Model, Names, NamesError};
+
+use crate::load::balancer::{Entry, Spread};
+use crate::load::floor::LoadLimits;
+use crate::load::workload::{Workload, WorkloadError};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// An experiment, read from YAML.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Experiment {
+    /// Name in reports.
+    pub name: Box<str>,
+    /// Seed of the arrivals.
+    pub seed: u64,
+    /// Names of the adapters.
+    pub names: Names,
+    /// Entry instances.
+    pub entries: Vec<Entry>,
+    /// How requests are spread over the entry instances.
+    #[serde(default)]
+    pub spread: Spread,
+    /// Model engines, whose counters are read.
+    #[serde(default)]
+    pub engines: Vec<SocketAddr>,
+    /// Limits on loads, for the floor.
+    pub limits: LoadLimits,
+    /// Whether refused callers come back once, at the time that they are told.
+    #[serde(default)]
+    pub come_back: bool,
+    /// Lag of sending, 99th percentile in milliseconds, above which the
+    /// machine was the limit.
+    #[serde(default = "default_send_lag_limit_ms")]
+    pub send_lag_limit_ms: u64,
+    /// What is sent.
+    pub workload: Workload,
+}
+
+/// Changes of an experiment from the command line.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Overrides {
+    /// Another seed.
+    pub seed: Option<u64>,
+    /// Another rate, in arrivals per second.
+    pub rate: Option<f64>,
+    /// Another duration, in seconds.
+    pub duration_s: Option<f64>,
+    /// Another warm-up, in seconds.
+    pub warmup_s: Option<f64>,
+}
+
+/// Why an experiment can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum ExperimentError {
+    /// The file can't be read.
+    #[error("{path}: {error}")]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        #[source]
+        error: std::io::Error,
+    },
+    /// The file isn't an experiment.
+    #[error("{path}: {message}")]
+    Format {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong, with its place.
+        message: Box<str>,
+    },
+    /// The workload can't be used.
+    #[error(transparent)]
+    Workload(#[from] WorkloadError),
+    /// A value can't be used.
+    #[error("{field}: {reason}")]
+    Value {
+        /// Path of the field.
+        field: &'static str,
+        /// What is wrong with it.
+        reason: &'static str,
+    },
+}
+
+impl Experiment {
+    /// Reads an experiment file and checks it.
+    ///
+    /// # Errors
+    /// When the file can't be read, isn't an experiment, or has a value that
+    /// can't be used.
+    pub fn read(path: &Path, overrides: Overrides) -> Result<Self, ExperimentError> {
+        let text = std::fs::read_to_string(path).map_err(|error| ExperimentError::Read {
+            path: path.into(),
+            error,
+        })?;
+        let mut experiment = Self::parse(&text).map_err(|message| ExperimentError::Format {
+            path: path.into(),
+            message,
+        })?;
+        experiment.apply(overrides);
+        experiment.check()?;
+        Ok(experiment)
+    }
+
+    /// Reads an experiment from text, without checking its values.
+    ///
+    /// # Errors
+    /// What is wrong with the text, with its place.
+    pub fn parse(text: &str) -> Result<Self, Box<str>> {
+        serde_saphyr::from_str(text).map_err(|error| error.to_string().into())
+    }
+
+    /// Checks the values.
+    ///
+    /// # Errors
+    /// The first value that can't be used.
+    pub fn check(&self) -> Result<(), ExperimentError> {
+        self.workload.check()?;
+        require(!self.entries.is_empty(), "entries", "must not be empty")?;
+        require(self.limits.slots > 0, "limits.slots", "must be above 0")?;
+        let rate = self.limits.per_s.is_finite() && self.limits.per_s > 0.0;
+        require(rate, "limits.per_s", "must be above 0")?;
+        let in_flight = self.limits.in_flight > 0;
+        require(in_flight, "limits.in_flight", "must be above 0")
+    }
+
+    /// Changes values as the command line asks.
+    pub fn apply(&mut self, overrides: Overrides) {
+        self.seed = overrides.seed.unwrap_or(self.seed);
+        let workload = &mut self.workload;
+        workload.rate = overrides.rate.unwrap_or(workload.rate);
+        workload.duration_s = overrides.duration_s.unwrap_or(workload.duration_s);
+        workload.warmup_s = overrides.warmup_s.unwrap_or(workload.warmup_s);
+    }
+
+    /// Bound on the lag of sending.
+    #[must_use]
+    pub const fn send_lag_limit(&self) -> Duration {
+        Duration::from_millis(self.send_lag_limit_ms)
+    }
+}
+
+const fn default_send_lag_limit_ms() -> u64 {
+    20
+}
+
+fn require(holds: bool, field: &'static str, reason: &'static str) -> Result<(), ExperimentError> {
+    match holds {
+        true => Ok(()),
+        false => Err(ExperimentError::Value { field, reason }),
+    }
+}
--- /dev/null
+++ b/crates/standins/src/load/floor.rs
@@ -0,0 +1,252 @@
+//! Load stalls that the load limits alone force on given arrivals.
+//!
+//! One cache holds the adapters of all workers together. Loads start in the
+//! order of the requests that need them, no closer than the weight store
+//! allows. Simplifications, all in the favour of the floor but the last two:
+//!
+//! - A slot anywhere serves every request; workers and zones don't matter.
+//! - Requests take no time to run, so no adapter is ever pinned, and batches
+//!   are never full.
+//! - No load fails.
+//! - Loads happen on demand only. A system that guessed right and loaded
+//!   ahead of the first request could come below the floor.
+//! - Loads are first come, first served. An order that serves the adapter with
+//!   the most waiting requests first could come below the floor.
+//!
+//! A request whose load would end after its deadline is refused and causes no
+//! load. This bounds a comparison; it does not simulate a cluster.
+
+use crate::load::report::StallSummary;
+use crate::load::workload::{AdapterIndex, Arrival, Workload};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+/// The limits on loads.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct LoadLimits {
+    /// Adapter slots of all workers together.
+    pub slots: usize,
+    /// Loads that may start in a second.
+    pub per_s: f64,
+    /// Milliseconds that one load takes.
+    pub load_ms: u64,
+    /// Most loads under way at once.
+    pub in_flight: usize,
+}
+
+/// How the cache chooses what to evict.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FloorEviction {
+    /// The adapter whose next request is furthest in the future.
+    FurthestNextUse,
+    /// The adapter whose last request is furthest in the past.
+    Lru,
+}
+
+/// What the limits force.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Floor {
+    /// Model requests that were served in time.
+    pub served: u64,
+    /// Model requests whose load would have ended too late.
+    pub refused: u64,
+    /// Loads.
+    pub loads: u64,
+    /// Evictions.
+    pub evictions: u64,
+    /// Load stalls of the requests served.
+    pub stall: StallSummary,
+}
+
+/// Replays the model requests of `arrivals` against the limits. Arrivals
+/// before the end of the warm-up take part but are not counted.
+///
+/// # Panics
+/// When `limits` has no slot, allows no load at once, or has a rate that is
+/// not above 0.
+#[must_use]
+pub fn floor(
+    workload: &Workload,
+    arrivals: &[Arrival],
+    limits: LoadLimits,
+    eviction: FloorEviction,
+) -> Floor {
+    let is_model = |arrival: &&Arrival| workload.classes[arrival.class].plain.is_none();
+    let uses: Vec<_> = arrivals.iter().filter(is_model).copied().collect();
+    let mut replay = Replay::new(&uses, limits, eviction, workload.warmup());
+    let mut stalls = Vec::with_capacity(uses.len());
+    for (position, arrival) in uses.iter().enumerate() {
+        let deadline = workload.classes[arrival.class].deadline();
+        let stall = replay.request(position, *arrival, deadline);
+        if arrival.at >= workload.warmup() {
+            stalls.push(stall);
+        }
+    }
+    replay.start_loads(Duration::MAX);
+    let counted = stalls.len() as u64;
+    let stalls: Vec<_> = stalls.into_iter().flatten().collect();
+    let served = stalls.len() as u64;
+    Floor {
+        served,
+        refused: counted - served,
+        loads: replay.loads,
+        evictions: replay.evictions,
+        stall: StallSummary::of(&stalls),
+    }
+}
+
+/// Position in the list of model requests.
+type Position = usize;
+
+struct Replay {
+    limits: LoadLimits,
+    eviction: FloorEviction,
+    /// Positions of the requests of each adapter that are yet to come.
+    coming: BTreeMap<AdapterIndex, VecDeque<Position>>,
+    last_use: BTreeMap<AdapterIndex, Position>,
+    /// When each adapter that holds a slot is ready.
+    ready: BTreeMap<AdapterIndex, Duration>,
+    /// The adapters that hold a slot; the last one is evicted first.
+    order: BTreeSet<(Position, AdapterIndex)>,
+    /// Loads that wait for their start.
+    queue: VecDeque<(Duration, AdapterIndex)>,
+    /// Starts of the latest loads, as many as may be under way at once.
+    starts: VecDeque<Duration>,
+    /// Loads and evictions from this time on are counted.
+    counted_from: Duration,
+    loads: u64,
+    evictions: u64,
+}
+
+impl Replay {
+    fn new(
+        uses: &[Arrival],
+        limits: LoadLimits,
+        eviction: FloorEviction,
+        counted_from: Duration,
+    ) -> Self {
+        assert!(limits.slots > 0, "a cache needs a slot");
+        assert!(limits.in_flight > 0, "a load must be allowed");
+        assert!(limits.per_s > 0.0, "the rate of loads must be above 0");
+        let mut coming: BTreeMap<_, VecDeque<_>> = BTreeMap::new();
+        for (position, arrival) in uses.iter().enumerate() {
+            coming
+                .entry(arrival.adapter)
+                .or_default()
+                .push_back(position);
+        }
+        Self {
+            limits,
+            eviction,
+            coming,
+            last_use: BTreeMap::new(),
+            ready: BTreeMap::new(),
+            order: BTreeSet::new(),
+            queue: VecDeque::new(),
+            starts: VecDeque::new(),
+            counted_from,
+            loads: 0,
+            evictions: 0,
+        }
+    }
+
+    /// The stall of a request, or nothing when it is refused.
+    fn request(
+        &mut self,
+        position: Position,
+        arrival: Arrival,
+        deadline: Duration,
+    ) -> Option<Duration> {
+        self.start_loads(arrival.at);
+        self.touch(position, arrival.adapter);
+        if let Some(ready) = self.ready.get(&arrival.adapter) {
+            return Some(ready.saturating_sub(arrival.at));
+        }
+        let queued = self.queue.iter().find(|load| load.1 == arrival.adapter);
+        let start = queued.map_or_else(|| self.next_start(arrival.at), |load| load.0);
+        let stall = (start + self.load_time()).saturating_sub(arrival.at);
+        if stall > deadline {
+            return None;
+        }
+        if queued.is_none() {
+            self.enqueue(start, arrival.adapter);
+            self.start_loads(arrival.at);
+        }
+        Some(stall)
+    }
+
+    /// Records a use, which changes the adapter's place in the order.
+    fn touch(&mut self, position: Position, adapter: AdapterIndex) {
+        let was = self.rank(adapter);
+        self.last_use.insert(adapter, position);
+        if let Some(coming) = self.coming.get_mut(&adapter) {
+            coming.pop_front();
+        }
+        if self.order.remove(&(was, adapter)) {
+            self.order.insert((self.rank(adapter), adapter));
+        }
+    }
+
+    fn rank(&self, adapter: AdapterIndex) -> Position {
+        match self.eviction {
+            FloorEviction::FurthestNextUse => {
+                let next = self.coming.get(&adapter).and_then(VecDeque::front);
+                next.copied().unwrap_or(Position::MAX)
+            }
+            FloorEviction::Lru => {
+                let last = self.last_use.get(&adapter).copied();
+                Position::MAX - last.unwrap_or(0)
+            }
+        }
+    }
+
+    fn load_time(&self) -> Duration {
+        Duration::from_millis(self.limits.load_ms)
+    }
+
+    /// A load holds a slot from its start, so there are never more under way
+    /// than slots.
+    fn in_flight(&self) -> usize {
+        self.limits.in_flight.min(self.limits.slots)
+    }
+
+    fn next_start(&self, now: Duration) -> Duration {
+        let gap = Duration::from_secs_f64(1.0 / self.limits.per_s);
+        let by_rate = self.starts.back().map_or(now, |last| *last + gap);
+        let full = self.starts.len() == self.in_flight();
+        let first = self.starts.front().filter(|_start| full);
+        let by_count = first.map_or(now, |first| *first + self.load_time());
+        now.max(by_rate).max(by_count)
+    }
+
+    fn enqueue(&mut self, start: Duration, adapter: AdapterIndex) {
+        if self.starts.len() == self.in_flight() {
+            self.starts.pop_front();
+        }
+        self.starts.push_back(start);
+        self.queue.push_back((start, adapter));
+    }
+
+    fn start_loads(&mut self, now: Duration) {
+        while let Some((start, adapter)) = self.queue.pop_front_if(|load| load.0 <= now) {
+            self.make_room(start);
+            self.ready.insert(adapter, start + self.load_time());
+            self.order.insert((self.rank(adapter), adapter));
+            self.loads += u64::from(start >= self.counted_from);
+        }
+    }
+
+    fn make_room(&mut self, now: Duration) {
+        if self.ready.len() < self.limits.slots {
+            return;
+        }
+        let is_loaded = |entry: &&(Position, AdapterIndex)| self.ready[&entry.1] <= now;
+        let victim = self.order.iter().rev().find(is_loaded).copied();
+        let victim = victim.expect("fewer loads are under way than there are slots");
+        self.order.remove(&victim);
+        self.ready.remove(&victim.1);
+        self.evictions += u64::from(now >= self.counted_from);
+    }
+}
--- /dev/null
+++ b/crates/standins/src/load/probe.rs
@@ -0,0 +1,214 @@
+//! Counters of the targets and entry instances, read before and after a run.
+
+mod metrics;
+
+pub use metrics::{Counters, parse_counters};
+
+use crate::load::report::share;
+use bytes::Bytes;
+use futures::future::join_all;
+use http_body_util::{BodyExt as _, Empty};
+use hyper::Uri;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Time for one read.
+const READ_TIMEOUT: Duration = Duration::from_secs(2);
+/// Part of the names of counters that count retries.
+const RETRIES: &str = "retries";
+
+/// Counters of an engine since its start, `GET /control/stats`.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct EngineStats {
+    /// Steps of the batch loop.
+    pub steps: u64,
+    /// Steps in which a request ran.
+    pub busy_steps: u64,
+    /// Tokens generated.
+    pub tokens: u64,
+    /// Most requests that run at once.
+    pub batch_limit: u64,
+    /// Loads done.
+    pub loads: u64,
+    /// Unloads done.
+    pub unloads: u64,
+    /// Most requests that have run at once.
+    pub max_running: u64,
+}
+
+/// What the engine's record says of broken promises, `GET /control/record`.
+#[derive(Clone, Debug, Default, Deserialize)]
+struct RecordPage {
+    #[serde(default)]
+    violations: Vec<serde_json::Value>,
+}
+
+/// Changes of all engines' counters.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct EngineReport {
+    /// Steps in which a request ran.
+    pub busy_steps: u64,
+    /// Tokens generated.
+    pub tokens: u64,
+    /// Tokens that full batches would have generated in the busy steps.
+    pub token_room: u64,
+    /// Share of that room used, from 0 to 1; 0 without busy steps.
+    pub batch_efficiency: f64,
+    /// Loads done.
+    pub loads: u64,
+    /// Evictions done.
+    pub evictions: u64,
+    /// Most requests that have run at once in one engine, since its start.
+    pub max_running: u64,
+    /// Broken promises on the engines' records, since their start.
+    pub violations: u64,
+    /// Engines whose counters could not be read.
+    pub unread: Vec<SocketAddr>,
+}
+
+/// Changes of all entry instances' counters.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct EntryReport {
+    /// Sum of the counters whose name speaks of retries.
+    pub retries: f64,
+    /// Every counter, summed over labels and instances.
+    pub counters: Counters,
+    /// Entry instances whose counters could not be read.
+    pub unread: Vec<SocketAddr>,
+}
+
+/// All counters at one moment.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Sample {
+    engines: BTreeMap<SocketAddr, EngineStats>,
+    violations: u64,
+    entries: BTreeMap<SocketAddr, Counters>,
+}
+
+/// Reads counters over HTTP.
+#[derive(Clone, Debug)]
+pub struct Probe {
+    client: Client<HttpConnector, Empty<Bytes>>,
+    engines: Vec<SocketAddr>,
+    entries: Vec<SocketAddr>,
+}
+
+impl Probe {
+    /// A probe of these engines and entry instances.
+    #[must_use]
+    pub fn new(engines: Vec<SocketAddr>, entries: Vec<SocketAddr>) -> Self {
+        Self {
+            client: Client::builder(TokioExecutor::new()).build_http(),
+            engines,
+            entries,
+        }
+    }
+
+    /// Reads all counters. What can't be read is left out.
+    pub async fn sample(&self) -> Sample {
+        let engines = join_all(self.engines.iter().map(|address| self.stats(*address)));
+        let records = join_all(self.engines.iter().map(|address| self.violations(*address)));
+        let entries = join_all(self.entries.iter().map(|address| self.counters(*address)));
+        let (engines, records, entries) = tokio::join!(engines, records, entries);
+        Sample {
+            engines: engines.into_iter().flatten().collect(),
+            violations: records.into_iter().flatten().sum(),
+            entries: entries.into_iter().flatten().collect(),
+        }
+    }
+
+    /// What changed from one sample to a later one.
+    #[must_use]
+    pub fn changes(&self, before: &Sample, after: &Sample) -> (EngineReport, EntryReport) {
+        (
+            engine_report(&self.engines, before, after),
+            entry_report(&self.entries, before, after),
+        )
+    }
+
+    async fn stats(&self, address: SocketAddr) -> Option<(SocketAddr, EngineStats)> {
+        let body = self.get(address, "/control/stats").await?;
+        Some((address, serde_json::from_slice(&body).ok()?))
+    }
+
+    async fn violations(&self, address: SocketAddr) -> Option<u64> {
+        let body = self.get(address, "/control/record").await?;
+        let page: RecordPage = serde_json::from_slice(&body).ok()?;
+        Some(page.violations.len() as u64)
+    }
+
+    async fn counters(&self, address: SocketAddr) -> Option<(SocketAddr, Counters)> {
+        let body = self.get(address, "/metrics").await?;
+        let text = std::str::from_utf8(&body).ok()?;
+        Some((address, parse_counters(text)))
+    }
+
+    async fn get(&self, address: SocketAddr, path: &str) -> Option<Bytes> {
+        let uri: Uri = format!("http://{address}{path}").parse().ok()?;
+        let read = async {
+            let answer = self.client.get(uri).await.ok()?;
+            let is_ok = answer.status().is_success();
+            let body = answer.into_body().collect().await.ok()?.to_bytes();
+            is_ok.then_some(body)
+        };
+        tokio::time::timeout(READ_TIMEOUT, read).await.ok()?
+    }
+}
+
+fn engine_report(engines: &[SocketAddr], before: &Sample, after: &Sample) -> EngineReport {
+    let mut report = EngineReport {
+        violations: after.violations,
+        ..EngineReport::default()
+    };
+    for address in engines {
+        let Some(now) = after.engines.get(address) else {
+            report.unread.push(*address);
+            continue;
+        };
+        let was = before.engines.get(address).copied();
+        add_engine(&mut report, was.unwrap_or_default(), *now);
+    }
+    report.batch_efficiency = share(report.tokens, report.token_room);
+    report
+}
+
+fn add_engine(report: &mut EngineReport, was: EngineStats, now: EngineStats) {
+    let busy_steps = change(was.busy_steps, now.busy_steps);
+    report.busy_steps += busy_steps;
+    report.tokens += change(was.tokens, now.tokens);
+    report.token_room += busy_steps * now.batch_limit;
+    report.loads += change(was.loads, now.loads);
+    report.evictions += change(was.unloads, now.unloads);
+    report.max_running = report.max_running.max(now.max_running);
+}
+
+/// A counter that went down started again from 0.
+const fn change(was: u64, now: u64) -> u64 {
+    if now >= was { now - was } else { now }
+}
+
+fn entry_report(entries: &[SocketAddr], before: &Sample, after: &Sample) -> EntryReport {
+    let mut report = EntryReport::default();
+    for address in entries {
+        let Some(now) = after.entries.get(address) else {
+            report.unread.push(*address);
+            continue;
+        };
+        for (name, value) in now {
+            let was = before.entries.get(address).and_then(|was| was.get(name));
+            let was = was.copied().filter(|was| was <= value).unwrap_or(0.0);
+            *report.counters.entry(name.clone()).or_default() += value - was;
+        }
+    }
+    let retries = report
+        .counters
+        .iter()
+        .filter(|(name, _)| name.contains(RETRIES));
+    report.retries = retries.map(|(_, value)| value).sum();
+    report
+}
--- /dev/null
+++ b/crates/standins/src/load/report.rs
@@ -0,0 +1,169 @@
+//! Figures of a run, as they go into the JSON file.
+
+mod tally;
+
+pub use tally::summarize;
+
+use crate::load::floor::Floor;
+use crate::load::machine::MachineReport;
+use crate::load::probe::{EngineReport, EntryReport};
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const MICROS_PER_MS: f64 = 1_000.0;
+const HISTOGRAM_DIGITS: u8 = 3;
+
+/// All figures of one run.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Report {
+    /// Name of the experiment.
+    pub experiment: Box<str>,
+    /// Seed of the arrivals.
+    pub seed: u64,
+    /// Mean arrivals per second.
+    pub rate: f64,
+    /// Seconds that are counted, after the warm-up.
+    pub counted_s: f64,
+    /// Seconds of the warm-up.
+    pub warmup_s: f64,
+    /// Exponent of the popularity of adapters.
+    pub zipf_exponent: f64,
+    /// Figures of each class.
+    pub classes: BTreeMap<Box<str>, ClassReport>,
+    /// Figures of all classes together.
+    pub total: ClassReport,
+    /// Changes of the engines' counters, warm-up included.
+    pub engines: EngineReport,
+    /// Changes of the entry instances' counters, warm-up included.
+    pub entries: EntryReport,
+    /// Whether the machine was the limit.
+    pub machine: MachineReport,
+    /// The same arrivals with future knowledge.
+    pub floor: Floor,
+    /// The same arrivals with eviction of the least recently used.
+    pub lru_floor: Floor,
+}
+
+/// Figures of one class of requests.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct ClassReport {
+    /// Requests sent.
+    pub sent: u64,
+    /// Whole answers.
+    pub done: u64,
+    /// Whole answers that came after the deadline.
+    pub done_late: u64,
+    /// Refusals that say that nothing ran, by code.
+    pub not_run: BTreeMap<Box<str>, u64>,
+    /// Refusals that leave open whether the request ran, by code.
+    pub unknown: BTreeMap<Box<str>, u64>,
+    /// Refusals of requests that the entry found wrong, by code.
+    pub bad_request: BTreeMap<Box<str>, u64>,
+    /// Requests without a proper final answer, by kind of failure.
+    pub errors: BTreeMap<Box<str>, u64>,
+    /// Answers that broke a promise, by kind; any is a fault of the system.
+    pub violations: BTreeMap<Box<str>, u64>,
+    /// Load stalls of the model requests done whose answers state one.
+    pub stall: StallSummary,
+    /// From the intended arrival to the first token, streamed answers only.
+    pub first_token: Quantiles,
+    /// Between one token and the next.
+    pub token_gap: Quantiles,
+    /// From the intended arrival to the end of requests done.
+    pub latency: Quantiles,
+    /// From the intended arrival to a refusal.
+    pub refusal_after: Quantiles,
+    /// From a refusal to the deadline; the maximum is the earliest refusal.
+    pub refusal_left: Quantiles,
+    /// Refused callers that came back at the time they were told.
+    pub came_back: u64,
+    /// Those of them that were then served.
+    pub served_on_return: u64,
+    /// Requests done within their deadline, per second.
+    pub goodput_per_s: f64,
+}
+
+/// Quantiles of a time, in milliseconds; all 0 without values.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Quantiles {
+    /// Number of values.
+    pub count: u64,
+    /// Median.
+    pub p50_ms: f64,
+    /// 95th percentile.
+    pub p95_ms: f64,
+    /// 99th percentile.
+    pub p99_ms: f64,
+    /// Largest value.
+    pub max_ms: f64,
+}
+
+/// Load stalls, over all requests served, also those that did not stall.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct StallSummary {
+    /// Quantiles of the stall.
+    pub time: Quantiles,
+    /// Share of the requests that stalled, from 0 to 1.
+    pub share_stalled: f64,
+}
+
+impl Quantiles {
+    /// The quantiles of `values`, exact to three digits.
+    #[must_use]
+    pub fn of(values: &[Duration]) -> Self {
+        let mut histogram = empty_histogram();
+        for value in values {
+            let micros = u64::try_from(value.as_micros()).unwrap_or(u64::MAX);
+            histogram
+                .record(micros)
+                .expect("the histogram grows by itself");
+        }
+        Self::of_histogram(&histogram)
+    }
+
+    fn of_histogram(histogram: &Histogram<u64>) -> Self {
+        let ms = |quantile| histogram.value_at_quantile(quantile) as f64 / MICROS_PER_MS;
+        Self {
+            count: histogram.len(),
+            p50_ms: ms(0.50),
+            p95_ms: ms(0.95),
+            p99_ms: ms(0.99),
+            max_ms: histogram.max() as f64 / MICROS_PER_MS,
+        }
+    }
+}
+
+impl StallSummary {
+    /// Summarizes one stall for each request served, zero for none.
+    #[must_use]
+    pub fn of(stalls: &[Duration]) -> Self {
+        let stalled = stalls.iter().filter(|stall| !stall.is_zero()).count();
+        Self {
+            time: Quantiles::of(stalls),
+            share_stalled: share(stalled as u64, stalls.len() as u64),
+        }
+    }
+}
+
+impl ClassReport {
+    /// Refusals that say that nothing ran, of all codes.
+    #[must_use]
+    pub fn not_run_total(&self) -> u64 {
+        self.not_run.values().sum()
+    }
+}
+
+/// A part of a whole, from 0 to 1; 0 of an empty whole.
+#[must_use]
+pub fn share(part: u64, whole: u64) -> f64 {
+    match whole {
+        0 => 0.0,
+        _ => part as f64 / whole as f64,
+    }
+}
+
+fn empty_histogram() -> Histogram<u64> {
+    Histogram::new(HISTOGRAM_DIGITS).expect("three digits are allowed")
+}
--- /dev/null
+++ b/crates/standins/src/load/sender/request.rs
@@ -0,0 +1,81 @@
+//! Builds the requests.
+
+use crate::load::workload::ClassMix;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::header::CONTENT_TYPE;
+use reedford_rules::Class;
+use reedford_wire::chat::{ChatRequest, Message};
+use reedford_wire::headers;
+use std::net::SocketAddr;
+
+/// One request, before an entry instance is chosen.
+pub(super) struct Call<'a> {
+    pub(super) mix: &'a ClassMix,
+    pub(super) model: &'a str,
+    pub(super) tokens: u32,
+    /// Names the request; sent as its key when it isn't idempotent.
+    pub(super) key: Box<str>,
+}
+
+impl Call<'_> {
+    /// The request for the entry instance at `address`.
+    ///
+    /// # Panics
+    /// When the experiment's service or path don't make a URL.
+    pub(super) fn request(&self, address: SocketAddr) -> Request<Full<Bytes>> {
+        let mut builder = Request::post(format!("http://{address}{}", self.path()))
+            .header(CONTENT_TYPE, "application/json")
+            .header(headers::DEADLINE_MS, self.mix.deadline_ms)
+            .header(headers::CLASS, class_name(self.mix.class))
+            .header(headers::REPEATABLE, self.mix.repeatable.to_string());
+        if !self.mix.repeatable {
+            builder = builder.header(headers::IDEMPOTENCY_KEY, &*self.key);
+        }
+        let req = builder.body(Full::from(self.body()));
+        req.expect("the experiment's names make a URL and headers")
+    }
+
+    /// The body of a plain call.
+    pub(super) fn plain_body(&self) -> String {
+        format!(r#"{{"order":"{}"}}"#, self.key)
+    }
+
+    fn path(&self) -> String {
+        match &self.mix.plain {
+            Some(plain) => format!("/services/{}/{}", plain.service, plain.path),
+            None => "/v1/chat/completions".to_owned(),
+        }
+    }
+
+    fn body(&self) -> String {
+        match self.mix.plain {
+            Some(_) => self.plain_body(),
+            None => self.chat_body(),
+        }
+    }
+
+    fn chat_body(&self) -> String {
+        let message = Message {
+            role: "user".into(),
+            content: self.key.clone(),
+        };
+        let chat = ChatRequest {
+            model: self.model.into(),
+            messages: vec![message],
+            stream: self.mix.stream,
+            max_tokens: Some(self.tokens),
+            rest: serde_json::Map::new(),
+        };
+        serde_json::to_string(&chat).expect("the request has text keys only")
+    }
+}
+
+const fn class_name(class: Class) -> &'static str {
+    match class {
+        Class::Lookup => "lookup",
+        Class::Standard => "standard",
+        Class::Writing => "writing",
+    }
+}
--- /dev/null
+++ b/crates/standins/src/load/table/rows.rs
@@ -0,0 +1,121 @@
+//! The rows of each kind of column.
+
+use super::Cell;
+use crate::load::floor::Floor;
+use crate::load::report::{ClassReport, Quantiles, Report, StallSummary, share};
+use std::collections::BTreeMap;
+
+const PERCENT: f64 = 100.0;
+
+/// Rows of a class.
+pub(super) fn class_rows(class: &ClassReport) -> Vec<Cell> {
+    let mut rows = vec![
+        count("sent", class.sent),
+        count("done", class.done),
+        count("done late", class.done_late),
+        count("not run", class.not_run_total()),
+    ];
+    rows.extend(counts("not run", &class.not_run));
+    rows.push(count("unknown", class.unknown.values().sum()));
+    rows.extend(counts("unknown", &class.unknown));
+    rows.extend(counts("bad request", &class.bad_request));
+    rows.push(count("errors", class.errors.values().sum()));
+    rows.extend(counts("errors", &class.errors));
+    rows.push(count("violations", class.violations.values().sum()));
+    rows.extend(counts("violations", &class.violations));
+    rows.extend(stall_rows(&class.stall));
+    rows.extend(quantiles("first token", class.first_token));
+    rows.extend(quantiles("token gap", class.token_gap));
+    rows.extend(quantiles("latency", class.latency));
+    rows.push(number("refused after p50 ms", class.refusal_after.p50_ms));
+    rows.push(number("refused after max ms", class.refusal_after.max_ms));
+    rows.push(number(
+        "refused before deadline max ms",
+        class.refusal_left.max_ms,
+    ));
+    rows.push(count("came back", class.came_back));
+    rows.push(percent(
+        "served on return %",
+        share(class.served_on_return, class.came_back),
+    ));
+    rows.push(number("goodput/s", class.goodput_per_s));
+    rows
+}
+
+/// Rows of a floor, named as those of a class where they mean the same.
+pub(super) fn floor_rows(floor: &Floor) -> Vec<Cell> {
+    let mut rows = vec![count("done", floor.served), count("not run", floor.refused)];
+    rows.extend(stall_rows(&floor.stall));
+    rows.push(count("loads", floor.loads));
+    rows.push(count("evictions", floor.evictions));
+    rows
+}
+
+/// Rows of a run that belong to no class.
+pub(super) fn run_rows(report: &Report) -> Vec<Cell> {
+    let engines = &report.engines;
+    let machine = &report.machine;
+    let unread = engines.unread.len() + report.entries.unread.len();
+    vec![
+        count("seed", report.seed),
+        number("rate/s", report.rate),
+        number("counted s", report.counted_s),
+        percent("batch efficiency %", engines.batch_efficiency),
+        count("loads", engines.loads),
+        count("evictions", engines.evictions),
+        count("most running", engines.max_running),
+        count("engine violations", engines.violations),
+        number("retries", report.entries.retries),
+        count("targets and entries unread", unread as u64),
+        number("send lag p99 ms", machine.send_lag_p99_ms),
+        number("own processors", machine.own_cpus.unwrap_or(f64::NAN)),
+        percent("machine busy %", machine.machine_busy.unwrap_or(f64::NAN)),
+        cell("machine was the limit", yes_no(machine.was_limit)),
+    ]
+}
+
+fn stall_rows(stall: &StallSummary) -> Vec<Cell> {
+    let mut rows = vec![count("stalls stated", stall.time.count)];
+    rows.extend(quantiles("load stall", stall.time));
+    rows.push(percent("stalled %", stall.share_stalled));
+    rows
+}
+
+fn quantiles(name: &str, of: Quantiles) -> Vec<Cell> {
+    vec![
+        number(&format!("{name} p50 ms"), of.p50_ms),
+        number(&format!("{name} p95 ms"), of.p95_ms),
+        number(&format!("{name} p99 ms"), of.p99_ms),
+    ]
+}
+
+fn counts(name: &str, by: &BTreeMap<Box<str>, u64>) -> Vec<Cell> {
+    let rows = by.iter().map(|(code, value)| {
+        let row = format!("  {name}: {code}");
+        count(&row, *value)
+    });
+    rows.collect()
+}
+
+fn percent(name: &str, part: f64) -> Cell {
+    cell(name, format!("{:.2}", part * PERCENT))
+}
+
+fn number(name: &str, value: f64) -> Cell {
+    cell(name, format!("{value:.1}"))
+}
+
+fn count(name: &str, value: u64) -> Cell {
+    cell(name, value.to_string())
+}
+
+fn cell(name: &str, text: String) -> Cell {
+    Cell {
+        row: name.into(),
+        text: text.into(),
+    }
+}
+
+fn yes_no(value: bool) -> String {
+    if value { "yes" } else { "no" }.to_owned()
+}
