--- a/crates/standins/src/load/answer.rs
+++ b/crates/standins/src/load/answer.rs
@@ -109,6 +109,8 @@
     Text,
     /// A token came twice, or one is missing.
     Sequence,
+    /// An answer said to be whole has another number of tokens than asked for.
+    Length,
 }
 
 impl Violation {
@@ -120,6 +122,7 @@
             Self::Attempt => "attempt",
             Self::Text => "text",
             Self::Sequence => "sequence",
+            Self::Length => "length",
         }
     }
 }
@@ -131,6 +134,8 @@
     pub model: Box<str>,
     /// The attempt that the answer's header names, when it names one.
     pub attempt: Option<Box<str>>,
+    /// Tokens asked for.
+    pub tokens: u32,
 }
 
 impl Expected {
@@ -144,18 +149,21 @@
         if self.attempt.as_deref().is_some_and(|id| id != attempt) {
             violations.push(Violation::Attempt);
         }
-        if !text
-            .split_whitespace()
-            .all(|word| self.is_own(word, attempt))
-        {
+        let prefix = self.prefix(attempt);
+        let mut words = text.split_whitespace();
+        if !words.all(|word| word.starts_with(&prefix)) {
             violations.push(Violation::Text);
         }
         violations
     }
 
-    /// Each word of the engine stand-in names the adapter, version and attempt.
-    fn is_own(&self, word: &str, attempt: &str) -> bool {
-        word.contains(&*self.model) && word.contains(attempt)
+    /// The engine stand-in's tokens are `adapter@version/attempt#number`.
+    fn prefix(&self, attempt: &str) -> String {
+        format!("{}/{attempt}#", self.model)
+    }
+
+    fn check_length(&self, tokens: u64) -> Option<Violation> {
+        (tokens != u64::from(self.tokens)).then_some(Violation::Length)
     }
 }
 
@@ -208,7 +216,7 @@
         } else if event.name.as_deref() == Some(ERROR_EVENT) {
             self.outcome = Some(read_refusal(event.data.as_bytes(), None));
         } else if &*event.data == STREAM_END {
-            self.outcome = Some(self.end_outcome());
+            self.on_end();
         } else {
             self.on_chunk(now, event);
         }
@@ -225,10 +233,14 @@
         }
     }
 
-    fn end_outcome(&self) -> Outcome {
-        match self.finished {
-            true => Outcome::Done,
-            false => Outcome::Failed(Failure::BadAnswer),
+    fn on_end(&mut self) {
+        if !self.finished {
+            self.outcome = Some(Outcome::Failed(Failure::BadAnswer));
+            return;
+        }
+        self.outcome = Some(Outcome::Done);
+        if let Some(violation) = self.expected.check_length(self.next) {
+            self.broke(violation);
         }
     }
 
--- a/crates/standins/src/load/answer/whole.rs
+++ b/crates/standins/src/load/answer/whole.rs
@@ -46,8 +46,16 @@
         return (Outcome::Failed(Failure::BadAnswer), Vec::new());
     };
     let text = &choice.message.content;
-    (
-        Outcome::Done,
-        expected.check(&answer.model, &answer.id, text),
-    )
+    let mut violations = expected.check(&answer.model, &answer.id, text);
+    if !is_in_sequence(text) {
+        violations.push(Violation::Sequence);
+    }
+    let tokens = text.split_whitespace().count() as u64;
+    violations.extend(expected.check_length(tokens));
+    (Outcome::Done, violations)
+}
+
+fn is_in_sequence(text: &str) -> bool {
+    let mut words = text.split_whitespace().enumerate();
+    words.all(|(number, word)| word.ends_with(&format!("#{number}")))
 }
--- a/crates/standins/src/load/probe.rs
+++ b/crates/standins/src/load/probe.rs
@@ -35,6 +35,9 @@
     pub batch_limit: u64,
     /// Loads done.
     pub loads: u64,
+    /// Loads that failed.
+    #[serde(default)]
+    pub failed_loads: u64,
     /// Unloads done.
     pub unloads: u64,
     /// Most requests that have run at once.
@@ -61,6 +64,8 @@
     pub batch_efficiency: f64,
     /// Loads done.
     pub loads: u64,
+    /// Loads that failed.
+    pub failed_loads: u64,
     /// Evictions done.
     pub evictions: u64,
     /// Most requests that have run at once in one engine, since its start.
@@ -183,6 +188,7 @@
     report.tokens += change(was.tokens, now.tokens);
     report.token_room += busy_steps * now.batch_limit;
     report.loads += change(was.loads, now.loads);
+    report.failed_loads += change(was.failed_loads, now.failed_loads);
     report.evictions += change(was.unloads, now.unloads);
     report.max_running = report.max_running.max(now.max_running);
 }
--- a/crates/standins/src/load/sender.rs
+++ b/crates/standins/src/load/sender.rs
@@ -243,6 +243,7 @@
     Expected {
         model: call.model.into(),
         attempt: text(headers, headers::ATTEMPT_ID).map(Box::from),
+        tokens: call.tokens,
     }
 }
 
--- a/crates/standins/src/load/table/rows.rs
+++ b/crates/standins/src/load/table/rows.rs
@@ -62,6 +62,7 @@
         number("counted s", report.counted_s),
         percent("batch efficiency %", engines.batch_efficiency),
         count("loads", engines.loads),
+        count("failed loads", engines.failed_loads),
         count("evictions", engines.evictions),
         count("most running", engines.max_running),
         count("engine violations", engines.violations),
--- /dev/null
+++ b/crates/standins/tests/load_answer.rs
@@ -0,0 +1,167 @@
+//! How the load tool reads and checks answers.
+
+use reedford_standins::load::answer::{
+    Expected, Failure, Outcome, Refused, RefusedOutcome, StreamReader, Violation, read_refusal,
+    read_whole,
+};
+use reedford_standins::load::balancer::{Balancer, Entry, Spread};
+use reedford_standins::load::probe::parse_counters;
+use reedford_standins::load::sse::{Event, EventReader};
+use std::time::Duration;
+use test_case::test_case;
+
+const MODEL: &str = "tint@2";
+const ATTEMPT: &str = "a-1";
+
+fn expected(tokens: u32) -> Expected {
+    Expected {
+        model: MODEL.into(),
+        attempt: Some(ATTEMPT.into()),
+        tokens,
+    }
+}
+
+fn chunk(seq: u64, model: &str, attempt: &str, text: &str, finish: &str) -> String {
+    let finish = if finish.is_empty() {
+        "null".to_owned()
+    } else {
+        format!("\"{finish}\"")
+    };
+    format!(
+        "id: {seq}\ndata: {{\"id\":\"{attempt}\",\"object\":\"chat.completion.chunk\",\
+         \"model\":\"{model}\",\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"{text}\"}},\
+         \"finish_reason\":{finish}}}]}}\n\n"
+    )
+}
+
+fn good(seq: u64, finish: &str) -> String {
+    chunk(seq, MODEL, ATTEMPT, "tint@2/a-1#0 ", finish)
+}
+
+const DONE: &str = "data: [DONE]\n\n";
+const NOT_RUN: &str =
+    r#"{"error":{"outcome":"not_run","code":"queue_full","message":"m","retry_after_ms":250}}"#;
+const LOST: &str = r#"{"error":{"outcome":"unknown","code":"target_lost","message":"m"}}"#;
+
+fn refused(outcome: RefusedOutcome, code: &str, retry_after_ms: Option<u64>) -> Outcome {
+    Outcome::Refused(Refused {
+        outcome,
+        code: code.into(),
+        retry_after: retry_after_ms.map(Duration::from_millis),
+    })
+}
+
+struct StreamCase {
+    body: String,
+    outcome: Outcome,
+    tokens: usize,
+    /// Tokens asked for.
+    asked: u32,
+    violations: &'static [Violation],
+}
+
+#[test_case(StreamCase { body: good(0, "") + &good(1, "stop") + DONE, outcome: Outcome::Done, tokens: 2, asked: 2, violations: &[] }; "whole")]
+#[test_case(StreamCase { body: good(0, "") + &good(1, ""), outcome: Outcome::Failed(Failure::Cut), tokens: 2, asked: 2, violations: &[] }; "cut")]
+#[test_case(StreamCase { body: good(0, "") + DONE, outcome: Outcome::Failed(Failure::BadAnswer), tokens: 1, asked: 1, violations: &[] }; "end without finish reason")]
+#[test_case(StreamCase { body: good(0, "") + &good(2, "stop") + DONE, outcome: Outcome::Done, tokens: 2, asked: 3, violations: &[Violation::Sequence] }; "token missing")]
+#[test_case(StreamCase { body: good(0, "") + &good(0, "stop") + DONE, outcome: Outcome::Done, tokens: 2, asked: 1, violations: &[Violation::Sequence] }; "token twice")]
+#[test_case(StreamCase { body: good(0, "stop") + DONE, outcome: Outcome::Done, tokens: 1, asked: 2, violations: &[Violation::Length] }; "too short")]
+#[test_case(StreamCase { body: good(0, "stop") + DONE + &good(1, ""), outcome: Outcome::Done, tokens: 1, asked: 1, violations: &[Violation::Sequence] }; "token after the end")]
+#[test_case(StreamCase { body: chunk(0, "tint@3", ATTEMPT, "tint@3/a-1#0 ", "stop") + DONE, outcome: Outcome::Done, tokens: 1, asked: 1, violations: &[Violation::Model, Violation::Text] }; "another version")]
+#[test_case(StreamCase { body: chunk(0, MODEL, ATTEMPT, "rust@1/a-1#0 ", "stop") + DONE, outcome: Outcome::Done, tokens: 1, asked: 1, violations: &[Violation::Text] }; "text of another adapter")]
+#[test_case(StreamCase { body: chunk(0, MODEL, "a-2", "tint@2/a-2#0 ", "stop") + DONE, outcome: Outcome::Done, tokens: 1, asked: 1, violations: &[Violation::Attempt] }; "another attempt")]
+#[test_case(StreamCase { body: good(0, "") + "event: error\ndata: " + LOST + "\n\n", outcome: refused(RefusedOutcome::Unknown, "target_lost", None), tokens: 1, asked: 1, violations: &[] }; "error event")]
+#[test_case(StreamCase { body: "data: {}\n\n".to_owned(), outcome: Outcome::Failed(Failure::BadAnswer), tokens: 0, asked: 0, violations: &[] }; "garbage")]
+fn streams(case: StreamCase) {
+    // Pieces of every size give the same events.
+    for size in [1, 7, case.body.len()] {
+        let mut events = EventReader::default();
+        let mut stream = StreamReader::new(expected(case.asked));
+        let mut now = Duration::ZERO;
+        for piece in case.body.as_bytes().chunks(size) {
+            for event in events.push(piece) {
+                now += Duration::from_millis(10);
+                stream.on_event(now, &event);
+            }
+        }
+        let streamed = stream.finish();
+        assert_eq!(streamed.outcome, case.outcome);
+        assert_eq!(streamed.violations, case.violations);
+        let first = (case.tokens > 0).then_some(Duration::from_millis(10));
+        assert_eq!(streamed.first_token, first);
+        let gaps = vec![Duration::from_millis(10); case.tokens.saturating_sub(1)];
+        assert_eq!(streamed.token_gaps, gaps);
+    }
+}
+
+#[test]
+fn events_join_their_data_lines_and_skip_comments() {
+    let mut reader = EventReader::default();
+    let events = reader.push(b": hello\r\nevent: error\r\ndata: a\r\ndata:b\r\n\r\n\n");
+    let event = Event {
+        name: Some("error".into()),
+        id: None,
+        data: "a\nb".into(),
+    };
+    assert_eq!(events, [event]);
+}
+
+#[test_case(MODEL, ATTEMPT, "tint@2/a-1#0 tint@2/a-1#1", &[]; "whole")]
+#[test_case("tint@1", ATTEMPT, "tint@2/a-1#0 tint@2/a-1#1", &[Violation::Model]; "another version")]
+#[test_case(MODEL, "a-2", "tint@2/a-2#0 tint@2/a-2#1", &[Violation::Attempt]; "another attempt")]
+#[test_case(MODEL, ATTEMPT, "tint@2/a-1#0 tint@2/a-10#1", &[Violation::Text]; "crossed text")]
+#[test_case(MODEL, ATTEMPT, "tint@2/a-1#1 tint@2/a-1#0", &[Violation::Sequence]; "out of order")]
+#[test_case(MODEL, ATTEMPT, "tint@2/a-1#0", &[Violation::Length]; "too short")]
+fn whole_answers(model: &str, attempt: &str, text: &str, violations: &[Violation]) {
+    let body = format!(
+        r#"{{"id":"{attempt}","object":"chat.completion","model":"{model}",
+        "choices":[{{"index":0,"message":{{"role":"assistant","content":"{text}"}},
+        "finish_reason":"stop"}}],
+        "usage":{{"prompt_tokens":1,"completion_tokens":2,"total_tokens":3}}}}"#
+    );
+    let (outcome, found) = read_whole(&expected(2), body.as_bytes());
+    assert_eq!(outcome, Outcome::Done);
+    assert_eq!(found, violations);
+}
+
+#[test_case(NOT_RUN, Some(9), refused(RefusedOutcome::NotRun, "queue_full", Some(250)); "finer time of the body")]
+#[test_case(LOST, Some(9), refused(RefusedOutcome::Unknown, "target_lost", Some(9_000)); "time of the header")]
+#[test_case(LOST, None, refused(RefusedOutcome::Unknown, "target_lost", None); "no time")]
+#[test_case("<html>", Some(9), Outcome::Failed(Failure::BadAnswer); "garbage")]
+fn refusals(body: &str, header_s: Option<u64>, outcome: Outcome) {
+    let header = header_s.map(Duration::from_secs);
+    assert_eq!(read_refusal(body.as_bytes(), header), outcome);
+}
+
+#[test]
+fn counters_are_summed_over_labels() {
+    let page = "# HELP reedford_retries_total x\n# TYPE reedford_retries_total counter\n\
+                reedford_retries_total{class=\"lookup\"} 2\n\
+                reedford_retries_total{class=\"a b\"} 3\n\
+                # TYPE queue gauge\nqueue 7\nnonsense\n# TYPE loads counter\nloads 1.5\n";
+    let counters = parse_counters(page);
+    let counters: Vec<_> = counters
+        .iter()
+        .map(|(name, value)| (&**name, *value))
+        .collect();
+    assert_eq!(counters, [("loads", 1.5), ("reedford_retries_total", 5.0)]);
+}
+
+fn entry(port: u16, zone: &str) -> Entry {
+    Entry {
+        address: ([127, 0, 0, 1], port).into(),
+        zone: zone.into(),
+    }
+}
+
+#[test_case(Spread::RoundRobin, 0, &[1, 2, 3]; "in turn")]
+#[test_case(Spread::RoundRobin, 4, &[2, 3, 1]; "in turn, later")]
+#[test_case(Spread::Zone, 0, &[1, 2, 3]; "first zone first")]
+#[test_case(Spread::Zone, 1, &[3, 1, 2]; "second zone first")]
+#[test_case(Spread::Zone, 2, &[2, 1, 3]; "in turn inside a zone")]
+fn balancing(spread: Spread, seq: usize, ports: &[u16]) {
+    let entries = [entry(1, "a"), entry(2, "a"), entry(3, "b")];
+    let order = Balancer::new(&entries, spread).order(seq);
+    let order: Vec<_> = order.iter().map(std::net::SocketAddr::port).collect();
+    assert_eq!(order, ports);
+}
