--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins of the platform and the targets, and the load tool.
 
 pub mod engine;
+pub mod load;
 pub mod plain;
 pub mod platform;
 mod target_http;
