--- /dev/null
+++ b/src/commands.rs
@@ -0,0 +1,36 @@
+//! The commands, one module each.
+
+mod adapters;
+mod rules;
+mod serve;
+mod status;
+
+use crate::flags::ReedfordCmd;
+use crate::outcome::Outcome;
+use eyre::WrapErr as _;
+
+/// Runs a command.
+///
+/// # Errors
+/// Whatever kept it from being done.
+pub(crate) fn run(command: ReedfordCmd) -> eyre::Result<Outcome> {
+    match command {
+        ReedfordCmd::Adapters(flags) => block_on(adapters::run(flags)),
+        ReedfordCmd::Rules(flags) => rules::run(flags.subcommand),
+        ReedfordCmd::Serve(flags) => serve::run(&flags),
+        ReedfordCmd::Status(flags) => block_on(status::run(flags)),
+    }
+}
+
+/// Runs the operators' commands, which wait for others and compute little, on
+/// this thread.
+fn block_on<F>(future: F) -> eyre::Result<Outcome>
+where
+    F: Future<Output = eyre::Result<Outcome>>,
+{
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .wrap_err("no runtime")?
+        .block_on(future)
+}
--- /dev/null
+++ b/src/commands/serve.rs
@@ -0,0 +1,37 @@
+//! `reedford serve`: runs an entry instance, or only checks its settings.
+
+use crate::flags::Serve;
+use crate::outcome::Outcome;
+use reedford_settings::{Settings, SettingsError};
+
+pub(crate) fn run(flags: &Serve) -> eyre::Result<Outcome> {
+    let settings = match Settings::load(&flags.config) {
+        Ok(settings) => settings,
+        Err(error) => {
+            print_faults(flags, &error);
+            return Ok(Outcome::Failed);
+        }
+    };
+    if flags.check {
+        println!(
+            "{}: instance {} is good",
+            flags.config.display(),
+            settings.instance
+        );
+        return Ok(Outcome::Done);
+    }
+    eyre::bail!("this build can only check settings")
+}
+
+fn print_faults(flags: &Serve, error: &SettingsError) {
+    let path = flags.config.display();
+    match error {
+        SettingsError::Faults(faults) => {
+            for fault in faults {
+                eprintln!("{path}: {fault}");
+            }
+        }
+        SettingsError::File { source, .. } => eprintln!("{path}: {source}"),
+        error => eprintln!("{path}: {error}"),
+    }
+}
--- /dev/null
+++ b/src/input.rs
@@ -0,0 +1,53 @@
+//! Files that commands read.
+
+use eyre::WrapErr as _;
+use reedford_rules::{Faults, Rules, parse, text_of};
+use std::path::Path;
+
+/// A rules file that was read.
+pub(crate) enum RulesFile {
+    /// It has no faults.
+    Good {
+        /// The text.
+        text: String,
+        /// What it says.
+        rules: Rules,
+    },
+    /// Its faults.
+    Faulty(Faults),
+}
+
+/// Reads and parses a rules file.
+///
+/// # Errors
+/// When the file can't be read.
+pub(crate) fn read_rules(path: &Path) -> eyre::Result<RulesFile> {
+    let bytes = std::fs::read(path).wrap_err_with(|| path.display().to_string())?;
+    let text = match text_of(&bytes) {
+        Ok(text) => text,
+        Err(faults) => return Ok(RulesFile::Faulty(faults)),
+    };
+    Ok(match parse(text) {
+        Ok(rules) => RulesFile::Good {
+            text: text.to_owned(),
+            rules,
+        },
+        Err(faults) => RulesFile::Faulty(faults),
+    })
+}
+
+/// Prints each fault as `FILE:LINE:COLUMN: MESSAGE`.
+pub(crate) fn print_faults(path: &Path, faults: &Faults) {
+    for fault in faults.as_slice() {
+        eprintln!("{}:{fault}", path.display());
+    }
+}
+
+/// Reads the operators' token; space around it is left out.
+///
+/// # Errors
+/// When the file can't be read.
+pub(crate) fn read_token(path: &Path) -> eyre::Result<String> {
+    let text = std::fs::read_to_string(path).wrap_err_with(|| path.display().to_string())?;
+    Ok(text.trim().to_owned())
+}
--- /dev/null
+++ b/src/platform.rs
@@ -0,0 +1,77 @@
+//! The rules as the platform's service holds them.
+
+use crate::flags::Addresses;
+use reedford_platform::{
+    ApplyOutcome, Document, DocumentError, DocumentStore, Endpoint, EndpointConfig, HttpKeyValue,
+};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// Where the rules are kept.
+const RULES_PREFIX: &str = "reedford/rules";
+/// Time to connect to an address of the platform.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for one call to the platform.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Pause between two tries to settle a write whose outcome is unknown.
+const SETTLE_PAUSE: Duration = Duration::from_millis(500);
+
+/// The rules as the platform's service holds them.
+pub(crate) struct RulesStore {
+    endpoint: Arc<Endpoint>,
+    documents: DocumentStore<HttpKeyValue>,
+}
+
+impl RulesStore {
+    /// Makes a client; connections are opened when they are needed.
+    pub(crate) fn new(addresses: Addresses) -> Self {
+        let endpoint = Arc::new(Endpoint::new(EndpointConfig {
+            addresses: addresses.0,
+            connect_timeout: CONNECT_TIMEOUT,
+            call_timeout: CALL_TIMEOUT,
+            watch_timeout: CALL_TIMEOUT,
+        }));
+        let kv = Arc::new(HttpKeyValue::new(Arc::clone(&endpoint)));
+        Self {
+            endpoint,
+            documents: DocumentStore::new(kv, RULES_PREFIX),
+        }
+    }
+
+    /// The rules in force; `None` before the first ones.
+    ///
+    /// # Errors
+    /// Those of the store.
+    pub(crate) async fn load(&self) -> Result<Option<Document>, DocumentError> {
+        self.documents.load().await
+    }
+
+    /// Replaces the text of revision `from`. While the outcome is unknown, the
+    /// same write is handed in again, which is safe, until `deadline`.
+    ///
+    /// # Errors
+    /// Those of the store; the text was then not accepted.
+    pub(crate) async fn apply(
+        &self,
+        from: u64,
+        text: &str,
+        deadline: Instant,
+    ) -> Result<ApplyOutcome, DocumentError> {
+        let token = format!("{:032x}", rand::random::<u128>());
+        let mut outcome = self.documents.apply(from, text, &token).await?;
+        while outcome == ApplyOutcome::StillUnknown && Instant::now() < deadline {
+            sleep(SETTLE_PAUSE).await;
+            // An error of a later try says nothing about the earlier ones.
+            if let Ok(later) = self.documents.apply(from, text, &token).await {
+                outcome = later;
+            }
+        }
+        Ok(outcome)
+    }
+
+    /// Closes all connections.
+    pub(crate) async fn close(self) {
+        self.endpoint.close().await;
+    }
+}
