--- a/crates/standins/src/bin/reedford-load.rs
+++ b/crates/standins/src/bin/reedford-load.rs
@@ -23,6 +23,8 @@
                 optional --seed seed: u64
                 /// Mean arrivals per second.
                 optional --rate rate: f64
+                /// Exponent of the popularity of adapters.
+                optional --zipf exponent: f64
                 /// Seconds during which requests arrive.
                 optional --duration seconds: f64
                 /// Seconds at the start that are not counted.
@@ -38,6 +40,8 @@
                 optional --seed seed: u64
                 /// Mean arrivals per second.
                 optional --rate rate: f64
+                /// Exponent of the popularity of adapters.
+                optional --zipf exponent: f64
                 /// Seconds during which requests arrive.
                 optional --duration seconds: f64
                 /// Seconds at the start that are not counted.
@@ -64,6 +68,7 @@
     let overrides = Overrides {
         seed: flags.seed,
         rate: flags.rate,
+        zipf_exponent: flags.zipf,
         duration_s: flags.duration,
         warmup_s: flags.warmup,
     };
@@ -86,6 +91,7 @@
     let overrides = Overrides {
         seed: flags.seed,
         rate: flags.rate,
+        zipf_exponent: flags.zipf,
         duration_s: flags.duration,
         warmup_s: flags.warmup,
     };
--- a/crates/standins/src/load/experiment.rs
+++ b/crates/standins/src/load/experiment.rs
@@ -50,6 +50,8 @@
     pub seed: Option<u64>,
     /// Another rate, in arrivals per second.
     pub rate: Option<f64>,
+    /// Another exponent of the popularity of adapters.
+    pub zipf_exponent: Option<f64>,
     /// Another duration, in seconds.
     pub duration_s: Option<f64>,
     /// Another warm-up, in seconds.
@@ -104,6 +106,8 @@
             path: path.into(),
             message,
         })?;
+        let dir = path.parent().unwrap_or(Path::new(""));
+        experiment.names.resolve(dir);
         experiment.apply(overrides);
         experiment.check()?;
         Ok(experiment)
@@ -136,6 +140,8 @@
         self.seed = overrides.seed.unwrap_or(self.seed);
         let workload = &mut self.workload;
         workload.rate = overrides.rate.unwrap_or(workload.rate);
+        let exponent = overrides.zipf_exponent;
+        workload.zipf_exponent = exponent.unwrap_or(workload.zipf_exponent);
         workload.duration_s = overrides.duration_s.unwrap_or(workload.duration_s);
         workload.warmup_s = overrides.warmup_s.unwrap_or(workload.warmup_s);
     }
--- a/crates/standins/src/load/experiment/names.rs
+++ b/crates/standins/src/load/experiment/names.rs
@@ -1,6 +1,8 @@
 //! Names of the adapters that callers ask for.
 
+use reedford_rules::{Faults, Rules};
 use serde::{Deserialize, Serialize};
+use std::path::{Path, PathBuf};
 
 /// An adapter and version as requests name it, `adapter@version`.
 pub type Model = Box<str>;
@@ -15,6 +17,9 @@
     /// `adapter@version`, in which `{}` stands for the number of the adapter,
     /// from 0 and with four digits.
     Pattern(Box<str>),
+    /// The adapters of a rules file, each in its first version. The path
+    /// counts from the experiment file.
+    Rules(PathBuf),
 }
 
 /// Why the names can't be had.
@@ -26,9 +31,45 @@
     /// The pattern names no version.
     #[error("names.pattern: {0:?} is not of the form adapter@version")]
     NoVersion(Box<str>),
+    /// The rules file can't be read.
+    #[error("names.rules: {path}: {error}")]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        #[source]
+        error: std::io::Error,
+    },
+    /// The rules file has faults.
+    #[error("names.rules: {path}: {faults}")]
+    Faults {
+        /// The file.
+        path: PathBuf,
+        /// All its faults.
+        #[source]
+        faults: Faults,
+    },
+    /// The rules file has too few adapters.
+    #[error("workload.adapters: {wanted} are wanted, but {path} has {found}")]
+    TooFew {
+        /// The file.
+        path: PathBuf,
+        /// Adapters wanted.
+        wanted: usize,
+        /// Adapters in the file.
+        found: usize,
+    },
 }
 
 impl Names {
+    /// Lets a path that counts from the experiment file count from `dir`, the
+    /// directory of that file.
+    pub fn resolve(&mut self, dir: &Path) {
+        if let Self::Rules(path) = self {
+            *path = dir.join(&*path);
+        }
+    }
+
     /// The first `count` names.
     ///
     /// # Errors
@@ -36,10 +77,39 @@
     pub fn models(&self, count: usize) -> Result<Vec<Model>, NamesError> {
         match self {
             Self::Pattern(pattern) => models_of_pattern(pattern, count),
+            Self::Rules(path) => models_of_rules(path, count),
         }
     }
 }
 
+fn models_of_rules(path: &Path, count: usize) -> Result<Vec<Model>, NamesError> {
+    let bytes = std::fs::read(path).map_err(|error| NamesError::Read {
+        path: path.into(),
+        error,
+    })?;
+    let rules = reedford_rules::parse_bytes(&bytes).map_err(|faults| NamesError::Faults {
+        path: path.into(),
+        faults,
+    })?;
+    let models = first_versions(&rules, count);
+    if models.len() < count {
+        return Err(NamesError::TooFew {
+            path: path.into(),
+            wanted: count,
+            found: models.len(),
+        });
+    }
+    Ok(models)
+}
+
+fn first_versions(rules: &Rules, count: usize) -> Vec<Model> {
+    let models = rules.adapters.iter().filter_map(|(name, adapter)| {
+        let version = adapter.versions.first()?;
+        Some(format!("{name}@{version}").into())
+    });
+    models.take(count).collect()
+}
+
 fn models_of_pattern(pattern: &str, count: usize) -> Result<Vec<Model>, NamesError> {
     if !pattern.contains(PLACEHOLDER) {
         return Err(NamesError::NoPlaceholder(pattern.into()));
--- a/crates/standins/src/load/probe.rs
+++ b/crates/standins/src/load/probe.rs
@@ -45,9 +45,8 @@
 }
 
 /// What the engine's record says of broken promises, `GET /control/record`.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Deserialize)]
 struct RecordPage {
-    #[serde(default)]
     violations: Vec<serde_json::Value>,
 }
 
@@ -90,11 +89,17 @@
 /// All counters at one moment.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Sample {
-    engines: BTreeMap<SocketAddr, EngineStats>,
-    violations: u64,
+    engines: BTreeMap<SocketAddr, EngineSample>,
     entries: BTreeMap<SocketAddr, Counters>,
 }
 
+/// What an engine shows at one moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct EngineSample {
+    stats: EngineStats,
+    violations: u64,
+}
+
 /// Reads counters over HTTP.
 #[derive(Clone, Debug)]
 pub struct Probe {
@@ -116,13 +121,11 @@
 
     /// Reads all counters. What can't be read is left out.
     pub async fn sample(&self) -> Sample {
-        let engines = join_all(self.engines.iter().map(|address| self.stats(*address)));
-        let records = join_all(self.engines.iter().map(|address| self.violations(*address)));
+        let engines = join_all(self.engines.iter().map(|address| self.engine(*address)));
         let entries = join_all(self.entries.iter().map(|address| self.counters(*address)));
-        let (engines, records, entries) = tokio::join!(engines, records, entries);
+        let (engines, entries) = tokio::join!(engines, entries);
         Sample {
             engines: engines.into_iter().flatten().collect(),
-            violations: records.into_iter().flatten().sum(),
             entries: entries.into_iter().flatten().collect(),
         }
     }
@@ -136,15 +139,15 @@
         )
     }
 
-    async fn stats(&self, address: SocketAddr) -> Option<(SocketAddr, EngineStats)> {
-        let body = self.get(address, "/control/stats").await?;
-        Some((address, serde_json::from_slice(&body).ok()?))
-    }
-
-    async fn violations(&self, address: SocketAddr) -> Option<u64> {
-        let body = self.get(address, "/control/record").await?;
-        let page: RecordPage = serde_json::from_slice(&body).ok()?;
-        Some(page.violations.len() as u64)
+    async fn engine(&self, address: SocketAddr) -> Option<(SocketAddr, EngineSample)> {
+        let stats = self.get(address, "/control/stats").await?;
+        let record = self.get(address, "/control/record").await?;
+        let record: RecordPage = serde_json::from_slice(&record).ok()?;
+        let sample = EngineSample {
+            stats: serde_json::from_slice(&stats).ok()?,
+            violations: record.violations.len() as u64,
+        };
+        Some((address, sample))
     }
 
     async fn counters(&self, address: SocketAddr) -> Option<(SocketAddr, Counters)> {
@@ -166,17 +169,15 @@
 }
 
 fn engine_report(engines: &[SocketAddr], before: &Sample, after: &Sample) -> EngineReport {
-    let mut report = EngineReport {
-        violations: after.violations,
-        ..EngineReport::default()
-    };
+    let mut report = EngineReport::default();
     for address in engines {
         let Some(now) = after.engines.get(address) else {
             report.unread.push(*address);
             continue;
         };
         let was = before.engines.get(address).copied();
-        add_engine(&mut report, was.unwrap_or_default(), *now);
+        add_engine(&mut report, was.unwrap_or_default().stats, now.stats);
+        report.violations += now.violations;
     }
     report.batch_efficiency = share(report.tokens, report.token_room);
     report
--- a/crates/standins/tests/load_workload.rs
+++ b/crates/standins/tests/load_workload.rs
@@ -1,9 +1,10 @@
 //! Arrivals of the load tool.
 
 use reedford_rules::Class;
-use reedford_standins::load::experiment::Names;
+use reedford_standins::load::experiment::{Names, NamesError};
 use reedford_standins::load::workload::{Arrival, ClassMix, PlainCall, Swap, Tokens, Workload};
 use std::collections::{BTreeMap, BTreeSet};
+use std::path::Path;
 use test_case::test_case;
 
 const SEED: u64 = 7;
@@ -199,6 +200,35 @@
     assert!(Names::Pattern("rezept-{}".into()).models(1).is_err());
 }
 
+const RULES: &str = "\
+group g kind=engine base=b # asked by Ada
+adapter tint group=g versions=4,2 repeatable=yes # asked by Ada
+adapter rust group=g versions=1 repeatable=yes # asked by Ada
+";
+
+#[test]
+fn names_come_from_a_rules_file() {
+    let dir = Path::new(env!("CARGO_TARGET_TMPDIR"));
+    std::fs::write(dir.join("load-names.txt"), RULES).unwrap();
+    std::fs::write(dir.join("load-faults.txt"), "nonsense").unwrap();
+    let names = |file: &str| {
+        let mut names = Names::Rules(file.into());
+        names.resolve(dir);
+        names
+    };
+    let models = names("load-names.txt").models(2).unwrap();
+    assert_eq!(models, ["rust@1", "tint@2"].map(Box::from));
+    let error = names("load-names.txt").models(3).unwrap_err();
+    assert!(
+        matches!(error, NamesError::TooFew { found: 2, .. }),
+        "{error}"
+    );
+    let error = names("load-faults.txt").models(1).unwrap_err();
+    assert!(matches!(error, NamesError::Faults { .. }), "{error}");
+    let error = names("load-absent.txt").models(1).unwrap_err();
+    assert!(matches!(error, NamesError::Read { .. }), "{error}");
+}
+
 #[test]
 fn plain_calls_keep_their_path() {
     let mut mix = class("orders", 1.0);
