--- a/crates/standins/src/bin/reedford-load.rs
+++ b/crates/standins/src/bin/reedford-load.rs
@@ -76,11 +76,9 @@
     experiment.come_back |= flags.come_back;
     let runtime = tokio::runtime::Runtime::new().wrap_err("starting the runtime")?;
     let report = runtime.block_on(run(&experiment))?;
-    print!(
-        "{}\n{}",
-        Table::of_run(&report),
-        Table::of_run_wide(&report)
-    );
+    println!("{}", Table::of_run(&report));
+    println!("{}", Table::of_timeline(&report));
+    print!("{}", Table::of_run_wide(&report));
     match &flags.json {
         Some(path) => write_json(path, &report),
         None => Ok(()),
--- a/crates/standins/src/load/report.rs
+++ b/crates/standins/src/load/report.rs
@@ -1,8 +1,10 @@
 //! Figures of a run, as they go into the JSON file.
 
 mod tally;
+mod timeline;
 
 pub use tally::summarize;
+pub use timeline::{Window, timeline};
 
 use crate::load::floor::Floor;
 use crate::load::machine::MachineReport;
@@ -34,6 +36,8 @@
     pub classes: BTreeMap<Box<str>, ClassReport>,
     /// Figures of all classes together.
     pub total: ClassReport,
+    /// Figures over time, warm-up included.
+    pub timeline: Vec<Window>,
     /// Changes of the engines' counters, warm-up included.
     pub engines: EngineReport,
     /// Changes of the entry instances' counters, warm-up included.
--- /dev/null
+++ b/crates/standins/src/load/report/timeline.rs
@@ -0,0 +1,67 @@
+//! Figures over time, to see how long a change or failure is felt.
+
+use super::StallSummary;
+use crate::load::answer::{Outcome, Record, RefusedOutcome};
+use crate::load::workload::Workload;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Figures of the requests whose intended arrival lies in one window of time.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Window {
+    /// Start of the window, in seconds after the start of the run.
+    pub from_s: f64,
+    /// Requests sent.
+    pub sent: u64,
+    /// Whole answers within the deadline.
+    pub in_time: u64,
+    /// Refusals that say that nothing ran.
+    pub not_run: u64,
+    /// Load stalls of the model requests done whose answers state one.
+    pub stall: StallSummary,
+}
+
+/// The windows of `length` of a run.
+///
+/// # Panics
+/// When `length` is zero.
+#[must_use]
+pub fn timeline(workload: &Workload, records: &[Record], length: Duration) -> Vec<Window> {
+    assert!(!length.is_zero(), "a window has a length");
+    let count = (workload.duration_s / length.as_secs_f64()).ceil() as u32;
+    let windows = (0..count).map(|number| {
+        let from = length * number;
+        let span = from..from + length;
+        let in_window = records.iter().filter(|record| span.contains(&record.at));
+        window(workload, from, in_window)
+    });
+    windows.collect()
+}
+
+fn window<'a, I>(workload: &Workload, from: Duration, records: I) -> Window
+where
+    I: Iterator<Item = &'a Record>,
+{
+    let mut window = Window {
+        from_s: from.as_secs_f64(),
+        ..Window::default()
+    };
+    let mut stalls = Vec::new();
+    for record in records {
+        let is_done = record.outcome == Outcome::Done;
+        let deadline = workload.classes[record.class].deadline();
+        window.sent += 1;
+        window.in_time += u64::from(is_done && record.end <= deadline);
+        window.not_run += u64::from(is_not_run(&record.outcome));
+        stalls.extend(record.stall.filter(|_stall| is_done));
+    }
+    window.stall = StallSummary::of(&stalls);
+    window
+}
+
+fn is_not_run(outcome: &Outcome) -> bool {
+    match outcome {
+        Outcome::Refused(refused) => refused.outcome == RefusedOutcome::NotRun,
+        Outcome::Done | Outcome::Failed(_) => false,
+    }
+}
--- a/crates/standins/src/load/runner.rs
+++ b/crates/standins/src/load/runner.rs
@@ -6,7 +6,7 @@
 use crate::load::floor::{Floor, FloorEviction, floor};
 use crate::load::machine::{CpuSample, MachineReport};
 use crate::load::probe::{Probe, Sample};
-use crate::load::report::{Report, summarize};
+use crate::load::report::{Report, summarize, timeline};
 use crate::load::sender::Sender;
 use crate::load::workload::{Arrival, WorkloadError};
 use std::sync::Arc;
@@ -16,6 +16,8 @@
 
 /// Time from reading the counters to the start of what they count.
 const PROBE_LEAD: Duration = Duration::from_millis(500);
+/// Length of the windows of the timeline.
+const WINDOW: Duration = Duration::from_secs(10);
 const SEND_LAG_QUANTILE: f64 = 0.99;
 
 /// Why a run gave no report.
@@ -123,6 +125,7 @@
         zipf_exponent: experiment.workload.zipf_exponent,
         classes,
         total,
+        timeline: timeline(&experiment.workload, records, WINDOW),
         engines,
         entries,
         machine: machine(experiment, records, before, after),
--- a/crates/standins/src/load/table.rs
+++ b/crates/standins/src/load/table.rs
@@ -4,7 +4,7 @@
 
 use crate::load::floor::Floor;
 use crate::load::report::Report;
-use rows::{class_rows, floor_rows, run_rows};
+use rows::{class_rows, floor_rows, run_rows, timeline_columns};
 use std::fmt::{Display, Formatter, Result};
 
 /// Rows of text, in aligned columns.
@@ -42,6 +42,16 @@
         table
     }
 
+    /// The figures of a run over time.
+    #[must_use]
+    pub fn of_timeline(report: &Report) -> Self {
+        let mut table = Self::default();
+        for (name, cells) in timeline_columns(&report.timeline) {
+            table.add_column(name, cells);
+        }
+        table
+    }
+
     /// The totals of several runs side by side.
     #[must_use]
     pub fn of_runs(reports: &[(Box<str>, Report)]) -> Self {
--- a/crates/standins/src/load/table/rows.rs
+++ b/crates/standins/src/load/table/rows.rs
@@ -2,7 +2,7 @@
 
 use super::Cell;
 use crate::load::floor::Floor;
-use crate::load::report::{ClassReport, Quantiles, Report, StallSummary, share};
+use crate::load::report::{ClassReport, Quantiles, Report, StallSummary, Window, share};
 use std::collections::BTreeMap;
 
 const PERCENT: f64 = 100.0;
@@ -56,7 +56,7 @@
     let engines = &report.engines;
     let machine = &report.machine;
     let unread = engines.unread.len() + report.entries.unread.len();
-    vec![
+    let mut rows = vec![
         count("seed", report.seed),
         number("rate/s", report.rate),
         number("counted s", report.counted_s),
@@ -72,6 +72,37 @@
         number("own processors", machine.own_cpus.unwrap_or(f64::NAN)),
         percent("machine busy %", machine.machine_busy.unwrap_or(f64::NAN)),
         cell("machine was the limit", yes_no(machine.was_limit)),
+    ];
+    let counters = report.entries.counters.iter();
+    rows.extend(counters.map(|(name, value)| number(name, *value)));
+    rows
+}
+
+/// Named columns over the windows of a run.
+pub(super) fn timeline_columns(windows: &[Window]) -> [(&'static str, Vec<Cell>); 6] {
+    let column = |figure: fn(&str, &Window) -> Cell| {
+        let cells = windows.iter().map(|window| {
+            let row = format!("from {:.0} s", window.from_s);
+            figure(&row, window)
+        });
+        cells.collect()
+    };
+    [
+        ("sent", column(|row, w| count(row, w.sent))),
+        ("in time", column(|row, w| count(row, w.in_time))),
+        ("not run", column(|row, w| count(row, w.not_run))),
+        (
+            "stall p50 ms",
+            column(|row, w| number(row, w.stall.time.p50_ms)),
+        ),
+        (
+            "stall p95 ms",
+            column(|row, w| number(row, w.stall.time.p95_ms)),
+        ),
+        (
+            "stalled %",
+            column(|row, w| percent(row, w.stall.share_stalled)),
+        ),
     ]
 }
 
--- a/crates/standins/tests/load_report.rs
+++ b/crates/standins/tests/load_report.rs
@@ -7,7 +7,7 @@
 use reedford_standins::load::floor::Floor;
 use reedford_standins::load::machine::MachineReport;
 use reedford_standins::load::probe::{EngineReport, EntryReport};
-use reedford_standins::load::report::{ClassReport, Quantiles, Report, summarize};
+use reedford_standins::load::report::{ClassReport, Quantiles, Report, summarize, timeline};
 use reedford_standins::load::table::Table;
 use reedford_standins::load::workload::{ClassMix, Tokens, Workload};
 use std::collections::BTreeMap;
@@ -146,6 +146,7 @@
         zipf_exponent: 1.0,
         classes,
         total,
+        timeline: timeline(&workload(), &records(), ms(5_000)),
         engines: EngineReport {
             batch_efficiency: 0.25,
             ..EngineReport::default()
@@ -188,6 +189,27 @@
     );
 }
 
+#[test]
+fn the_timeline_has_each_window() {
+    let mut records = records();
+    records.push(Record {
+        at: ms(10_000),
+        ..done(1, 1_000, 80)
+    });
+    let windows = timeline(&workload(), &records, ms(5_000));
+    let starts: Vec<_> = windows.iter().map(|window| window.from_s).collect();
+    assert_eq!(starts, [0.0, 5.0, 10.0]);
+    let sent: Vec<_> = windows.iter().map(|window| window.sent).collect();
+    assert_eq!(sent, [8, 0, 1]);
+    assert_eq!((windows[0].in_time, windows[0].not_run), (3, 3));
+    assert_eq!(windows[0].stall.share_stalled, 0.5);
+    assert_near(windows[2].stall.time.p95_ms, 80.0);
+    let table = Table::of_timeline(&report()).to_string();
+    // Quantiles are the upper ends of the histogram's three-digit steps.
+    let cells = ["8", "3", "3", "0.0", "500.2", "50.00"];
+    assert_eq!(row(&table, "from 0 s"), cells);
+}
+
 #[test]
 fn runs_stand_side_by_side() {
     let empty = Report {
