--- a/crates/standins/src/bin/reedford-load.rs
+++ b/crates/standins/src/bin/reedford-load.rs
@@ -23,6 +23,8 @@
                 optional --seed seed: u64
                 /// Mean arrivals per second.
                 optional --rate rate: f64
+                /// Exponent of the popularity of adapters.
+                optional --zipf exponent: f64
                 /// Seconds during which requests arrive.
                 optional --duration seconds: f64
                 /// Seconds at the start that are not counted.
@@ -38,6 +40,8 @@
                 optional --seed seed: u64
                 /// Mean arrivals per second.
                 optional --rate rate: f64
+                /// Exponent of the popularity of adapters.
+                optional --zipf exponent: f64
                 /// Seconds during which requests arrive.
                 optional --duration seconds: f64
                 /// Seconds at the start that are not counted.
@@ -64,6 +68,7 @@
     let overrides = Overrides {
         seed: flags.seed,
         rate: flags.rate,
+        zipf_exponent: flags.zipf,
         duration_s: flags.duration,
         warmup_s: flags.warmup,
     };
@@ -71,11 +76,9 @@
     experiment.come_back |= flags.come_back;
     let runtime = tokio::runtime::Runtime::new().wrap_err("starting the runtime")?;
     let report = runtime.block_on(run(&experiment))?;
-    print!(
-        "{}\n{}",
-        Table::of_run(&report),
-        Table::of_run_wide(&report)
-    );
+    println!("{}", Table::of_run(&report));
+    println!("{}", Table::of_timeline(&report));
+    print!("{}", Table::of_run_wide(&report));
     match &flags.json {
         Some(path) => write_json(path, &report),
         None => Ok(()),
@@ -86,6 +89,7 @@
     let overrides = Overrides {
         seed: flags.seed,
         rate: flags.rate,
+        zipf_exponent: flags.zipf,
         duration_s: flags.duration,
         warmup_s: flags.warmup,
     };
