The caller-facing HTTP edge

Cause: an entry instance needs one place that reads callers' requests and writes their answers, apart from the decisions.

Bad input is refused before the handler sees it, with a typed error. A stream ends well only after the handler's end mark; a fault, or a sender that goes away, becomes an error event and a connection closed without the final chunk. The error event needs one pending poll before the failure, because hyper writes nothing out when a body fails. A refusal of an over-long body goes out at once and some of the body is read after it, since closing with unread bytes resets the connection under a caller that still sends.

Two equal Content-Length headers, and a length beside chunks, are accepted by hyper: it drops the second length, or the length, and closes in the second case. Both are read in one way only, which a test shows. Different lengths get 400.

Tests before: none. Each of these made a test fail, as it should: no pending poll before the cut, no look at the end mark, a final chunk after the cut, no reading after an early refusal, the graceful stop before the first read of a connection, and no accepting of what waits at the stop.

--- /dev/null
+++ b/crates/front/src/body.rs
@@ -0,0 +1,73 @@
+//! Reads the body of a request, up to a limit.
+
+use crate::handler::BodyDigest;
+use crate::options;
+use crate::refused::{Refused, RefusedCode};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::HeaderMap;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_LENGTH;
+use hyper::http::request::Parts;
+use sha2::{Digest, Sha256};
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Reads a body of at most `limit` bytes within `time`. What is left unread of
+/// a refused body stays in `body`.
+pub(crate) async fn read(
+    headers: &HeaderMap,
+    body: &mut Incoming,
+    limit: usize,
+    time: Duration,
+) -> Result<Bytes, Refused> {
+    let length = options::single(headers, CONTENT_LENGTH.as_str())?;
+    if let Some(length) = length.and_then(|length| length.parse::<usize>().ok())
+        && length > limit
+    {
+        return Err(too_large(limit));
+    }
+    match timeout(time, read_frames(body, limit)).await {
+        Ok(outcome) => outcome,
+        Err(_) => Err(bad("the body did not come in time")),
+    }
+}
+
+async fn read_frames(body: &mut Incoming, limit: usize) -> Result<Bytes, Refused> {
+    let mut buf = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            return Err(bad("the body can't be read to its end"));
+        };
+        let Some(data) = frame.data_ref() else {
+            continue;
+        };
+        if buf.len() + data.len() > limit {
+            return Err(too_large(limit));
+        }
+        buf.extend_from_slice(data);
+    }
+    Ok(buf.freeze())
+}
+
+/// The digest of a request.
+pub(crate) fn digest(head: &Parts, body: &[u8]) -> BodyDigest {
+    let path = head.uri.path_and_query().map_or("", |path| path.as_str());
+    let mut hasher = Sha256::new();
+    // Neither a method nor a path holds a line feed.
+    hasher.update(head.method.as_str());
+    hasher.update(b"\n");
+    hasher.update(path);
+    hasher.update(b"\n");
+    hasher.update(body);
+    hasher.finalize().into()
+}
+
+fn too_large(limit: usize) -> Refused {
+    let message = format!("the body is over {limit} bytes");
+    Refused::bad_request(RefusedCode::BodyTooLarge, &message)
+}
+
+fn bad(message: &str) -> Refused {
+    Refused::bad_request(RefusedCode::BadBody, message)
+}
--- /dev/null
+++ b/crates/front/src/lib.rs
@@ -0,0 +1,31 @@
+//! The caller-facing HTTP edge of an entry instance.
+//!
+//! [`serve`] accepts connections, reads and checks requests, and hands them to
+//! a [`Handler`], which decides everything. It turns the handler's [`Answer`]
+//! into HTTP. What can't be read is refused here, before the handler sees it.
+//!
+//! | path | handler |
+//! |---|---|
+//! | `POST /v1/chat/completions` | [`Handler::chat`] |
+//! | `POST /services/{service}/{path...}` | [`Handler::plain`] |
+//! | `GET /healthz` | none: answers while the process runs |
+//! | `GET /readyz` | [`Handler::ready`] |
+//! | `GET /metrics` | [`Handler::metrics`] |
+
+mod answer;
+mod body;
+mod chat;
+mod handler;
+mod linger;
+mod options;
+mod refused;
+mod respond;
+mod routes;
+mod serve;
+mod stream;
+
+pub use answer::{Answer, AnswerMeta, AnswerStream, StreamFault};
+pub use handler::{BodyDigest, CallOptions, ChatCall, Handler, PlainCall, Readiness};
+pub use options::TENANT;
+pub use refused::{ErrorBody, ErrorDetail, Outcome, Refused, RefusedCode};
+pub use serve::{Bounds, Stop, serve};
--- /dev/null
+++ b/crates/front/src/serve.rs
@@ -0,0 +1,158 @@
+//! Accepts connections and ends them.
+
+use crate::handler::Handler;
+use crate::routes;
+use futures::FutureExt;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::task::{JoinError, JoinSet};
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+/// Largest head of a request in bytes.
+const HEAD_BYTES: usize = 64 << 10;
+/// Pause after a connection could not be accepted, for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Limits on what callers may do.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Bounds {
+    /// Largest request body in bytes.
+    pub body_bytes: usize,
+    /// Most connections at once; more wait to be accepted.
+    pub connections: usize,
+    /// Longest deadline that a caller may ask for.
+    pub deadline_max: Duration,
+    /// Time for the head of a request, and for the next one on a connection.
+    pub head_timeout: Duration,
+    /// Time for the body of a request.
+    pub body_timeout: Duration,
+}
+
+/// Tells [`serve`] to stop.
+#[derive(Clone, Debug, Default)]
+pub struct Stop {
+    /// No more connections are accepted, and those open end after the request
+    /// that they are on.
+    pub graceful: CancellationToken,
+    /// All connections are closed at once.
+    pub abort: CancellationToken,
+}
+
+/// Serves callers until `stop` says otherwise, and returns once all
+/// connections have ended. A request that came before the graceful stop is
+/// answered, whatever time that takes; the caller of `serve` sets the limit by
+/// aborting.
+///
+/// # Panics
+/// When the handler panics.
+pub async fn serve<H>(listener: TcpListener, handler: H, bounds: Bounds, stop: Stop)
+where
+    H: Handler,
+{
+    let permits = Arc::new(Semaphore::new(bounds.connections));
+    let server = Arc::new(Server {
+        handler,
+        bounds,
+        stop,
+    });
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            biased;
+            () = server.stop.abort.cancelled() => break,
+            () = server.stop.graceful.cancelled() => break,
+            Some(ended) = connections.join_next() => check(ended),
+            accepted = accept(&listener, &permits) => server.start(&mut connections, accepted).await,
+        }
+    }
+    // Connections that wait to be accepted may have sent their request.
+    while let Some(accepted) = accept(&listener, &permits).now_or_never() {
+        server.start(&mut connections, accepted).await;
+    }
+    drop(listener);
+    while let Some(ended) = connections.join_next().await {
+        check(ended);
+    }
+}
+
+struct Server<H> {
+    handler: H,
+    bounds: Bounds,
+    stop: Stop,
+}
+
+/// A connection that was accepted, with its permit.
+type Accepted = (io::Result<(TcpStream, SocketAddr)>, OwnedSemaphorePermit);
+
+async fn accept(listener: &TcpListener, permits: &Arc<Semaphore>) -> Accepted {
+    let permit = Arc::clone(permits).acquire_owned().await;
+    let permit = permit.expect("the semaphore is never closed");
+    (listener.accept().await, permit)
+}
+
+impl<H> Server<H>
+where
+    H: Handler,
+{
+    async fn start(self: &Arc<Self>, connections: &mut JoinSet<()>, accepted: Accepted) {
+        match accepted {
+            (Ok((stream, _)), permit) => {
+                let server = Arc::clone(self);
+                connections.spawn(async move {
+                    server.connection(stream).await;
+                    drop(permit);
+                });
+            }
+            (Err(error), _) => {
+                tracing::warn!(event = "accept_failed", %error);
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+
+    async fn connection(&self, stream: TcpStream) {
+        let service = service_fn(async |req| {
+            Ok::<_, Infallible>(routes::answer(&self.handler, &self.bounds, req).await)
+        });
+        // Only saves time: small writes go out at once.
+        let _ = stream.set_nodelay(true);
+        let serving = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(self.bounds.head_timeout)
+            .max_buf_size(HEAD_BYTES)
+            .serve_connection(TokioIo::new(stream), service);
+        let mut serving = pin!(serving);
+        tokio::select! {
+            biased;
+            () = self.stop.abort.cancelled() => return,
+            // Its errors are the caller's: it went away or sent garbage. Goes
+            // before the graceful stop, which closes a connection that has
+            // read nothing yet, though its request may have come.
+            _ = serving.as_mut() => return,
+            () = self.stop.graceful.cancelled() => serving.as_mut().graceful_shutdown(),
+        }
+        tokio::select! {
+            biased;
+            () = self.stop.abort.cancelled() => {}
+            _ = serving => {}
+        }
+    }
+}
+
+fn check(ended: Result<(), JoinError>) {
+    if let Err(error) = ended
+        && let Ok(panic) = error.try_into_panic()
+    {
+        std::panic::resume_unwind(panic);
+    }
+}
