Platform tests: tables as test cases

Cause: two tables of cases took many lines for their fields. Each case is a test of its own now, with the same inputs and assertions; the slow ones run side by side.

--- a/crates/standins/tests/platform/faults.rs
+++ b/crates/standins/tests/platform/faults.rs
@@ -6,8 +6,11 @@
 use reedford_standins::platform::{Faults, PlatformConfig, PlatformStandin};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
+use test_case::test_case;
 use tokio::net::TcpSocket;
 
+use Outcome::{Answered, NotSent, Rejected, Unknown};
+
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Outcome {
     Answered,
@@ -18,113 +21,58 @@
 
 fn outcome<T>(result: &Result<T, KvError>) -> Outcome {
     match result {
-        Ok(_) => Outcome::Answered,
-        Err(KvError::NotSent { .. }) => Outcome::NotSent,
-        Err(KvError::Unknown { .. }) => Outcome::Unknown,
-        Err(KvError::Rejected { .. }) => Outcome::Rejected,
+        Ok(_) => Answered,
+        Err(KvError::NotSent { .. }) => NotSent,
+        Err(KvError::Unknown { .. }) => Unknown,
+        Err(KvError::Rejected { .. }) => Rejected,
     }
 }
 
-struct Case {
-    name: &'static str,
-    faults: Faults,
-    read: Outcome,
-    write: Outcome,
-    takes_effect: bool,
+fn hang(zone: &str) -> Faults {
+    Faults {
+        hang_zones: [zone.into()].into(),
+        ..Faults::default()
+    }
 }
 
-#[tokio::test]
-async fn each_fault_is_told_apart_and_ends() {
-    let zone = || [ZONE.into()].into();
-    let cases = [
-        Case {
-            name: "down",
-            faults: Faults {
-                down: true,
-                ..Faults::default()
-            },
-            read: Outcome::Rejected,
-            // To the writer, a server error proves nothing.
-            write: Outcome::Unknown,
-            takes_effect: false,
-        },
-        Case {
-            name: "slow",
-            faults: Faults {
-                slow_ms: 20,
-                ..Faults::default()
-            },
-            read: Outcome::Answered,
-            write: Outcome::Answered,
-            takes_effect: true,
-        },
-        Case {
-            name: "too slow",
-            faults: Faults {
-                slow_ms: 60_000,
-                ..Faults::default()
-            },
-            read: Outcome::Unknown,
-            write: Outcome::Unknown,
-            takes_effect: false,
-        },
-        Case {
-            name: "lost answer",
-            faults: Faults {
-                lose_next_answers: 1,
-                ..Faults::default()
-            },
-            read: Outcome::Answered,
-            write: Outcome::Unknown,
-            takes_effect: true,
-        },
-        Case {
-            name: "cut off",
-            faults: Faults {
-                cut_zones: zone(),
-                ..Faults::default()
-            },
-            read: Outcome::Unknown,
-            write: Outcome::Unknown,
-            takes_effect: false,
-        },
-        Case {
-            name: "hangs",
-            faults: Faults {
-                hang_zones: zone(),
-                ..Faults::default()
-            },
-            read: Outcome::Unknown,
-            write: Outcome::Unknown,
-            takes_effect: false,
-        },
-        Case {
-            name: "another zone is cut off",
-            faults: Faults {
-                cut_zones: [OTHER_ZONE.into()].into(),
-                ..Faults::default()
-            },
-            read: Outcome::Answered,
-            write: Outcome::Answered,
-            takes_effect: true,
-        },
-    ];
-    futures::future::join_all(cases.into_iter().map(check)).await;
+fn cut(zone: &str) -> Faults {
+    Faults {
+        cut_zones: [zone.into()].into(),
+        ..Faults::default()
+    }
 }
 
-async fn check(case: Case) {
+fn slow(slow_ms: u64) -> Faults {
+    Faults {
+        slow_ms,
+        ..Faults::default()
+    }
+}
+
+// To the writer, a server error proves nothing.
+#[test_case(Faults { down: true, ..Faults::default() }, Rejected, Unknown, "before"; "down")]
+#[test_case(slow(20), Answered, Answered, "after"; "slow")]
+#[test_case(slow(60_000), Unknown, Unknown, "before"; "too slow")]
+#[test_case(Faults { lose_next_answers: 1, ..Faults::default() }, Answered, Unknown, "after"; "lost answer")]
+#[test_case(cut(ZONE), Unknown, Unknown, "before"; "cut off")]
+#[test_case(cut(OTHER_ZONE), Answered, Answered, "after"; "another zone is cut off")]
+#[test_case(hang(ZONE), Unknown, Unknown, "before"; "hangs")]
+#[tokio::test]
+async fn each_fault_is_told_apart_and_ends(
+    faults: Faults,
+    for_read: Outcome,
+    for_write: Outcome,
+    value_after: &str,
+) {
     let bench = Bench::start_impatient().await;
     let before = put(&bench.kv, "k", 0, "before").await;
-    bench.set_faults(&case.faults).await;
-    let value = bench.kv.get("k").await;
-    assert_eq!(outcome(&value), case.read, "{}", case.name);
+    bench.set_faults(&faults).await;
+    assert_eq!(outcome(&bench.kv.get("k").await), for_read);
     let write = bench.kv.swap("k", before, b"after".to_vec()).await;
-    assert_eq!(outcome(&write), case.write, "{}", case.name);
+    assert_eq!(outcome(&write), for_write);
 
     bench.set_faults(&Faults::default()).await;
-    let value = read(&bench.kv, "k").await;
-    let expected = if case.takes_effect { "after" } else { "before" };
-    assert_eq!(value.as_deref(), Some(expected), "{}", case.name);
+    assert_eq!(read(&bench.kv, "k").await.as_deref(), Some(value_after));
     bench.stop().await;
 }
 
@@ -141,7 +89,7 @@
             ..Faults::default()
         })
         .await;
-    assert_eq!(outcome(&bench.kv.get("k0").await), Outcome::Unknown);
+    assert_eq!(outcome(&bench.kv.get("k0").await), Unknown);
     assert!(reads().await.iter().all(Result::is_ok));
     bench.stop().await;
 }
@@ -176,76 +124,42 @@
     let (_socket, address) = refusing();
     let endpoint = endpoint(vec![address], LONG);
     let kv = HttpKeyValue::new(Arc::clone(&endpoint));
-    assert_eq!(outcome(&kv.get("k").await), Outcome::NotSent);
-    assert_eq!(
-        outcome(&kv.swap("k", 0, Vec::new()).await),
-        Outcome::NotSent
-    );
+    assert_eq!(outcome(&kv.get("k").await), NotSent);
+    assert_eq!(outcome(&kv.swap("k", 0, Vec::new()).await), NotSent);
     endpoint.close().await;
 }
 
+// A write that may have been taken is not sent again, but the next one goes
+// elsewhere.
+#[test_case(true, Answered; "the first refuses")]
+#[test_case(false, Unknown; "the first closes")]
 #[tokio::test]
-async fn the_next_address_is_tried() {
-    struct Case {
-        name: &'static str,
-        first_refuses: bool,
-        read: Outcome,
-        first_write: Outcome,
-        second_write: Outcome,
-    }
-    let cases = [
-        Case {
-            name: "the first refuses",
-            first_refuses: true,
-            read: Outcome::Answered,
-            first_write: Outcome::Answered,
-            second_write: Outcome::Answered,
-        },
-        Case {
-            // A write that may have been taken is not sent again, but the
-            // next one goes elsewhere.
-            name: "the first closes",
-            first_refuses: false,
-            read: Outcome::Answered,
-            first_write: Outcome::Unknown,
-            second_write: Outcome::Answered,
-        },
-    ];
-    for case in cases {
-        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-        let cfg = PlatformConfig {
-            zones: [(ZONE.into(), any), (OTHER_ZONE.into(), any)].into(),
-            faults: Faults {
-                cut_zones: [ZONE.into()].into(),
-                ..Faults::default()
-            },
-            ..PlatformConfig::default()
-        };
-        let standin = PlatformStandin::start(cfg).await.expect("starts");
-        let (_socket, refuses) = refusing();
-        let first = if case.first_refuses {
-            refuses
-        } else {
-            standin.zones()[ZONE]
-        };
-        let addresses = vec![first, standin.zones()[OTHER_ZONE]];
-        let writer = endpoint(addresses.clone(), LONG);
-        let kv = HttpKeyValue::new(Arc::clone(&writer));
-        let write = kv.swap("a", 0, Vec::new()).await;
-        assert_eq!(
-            outcome(&write),
-            case.first_write,
-            "{}: {write:?}",
-            case.name
-        );
-        let write = kv.swap("b", 0, Vec::new()).await;
-        assert_eq!(outcome(&write), case.second_write, "{}", case.name);
+async fn the_next_address_is_tried(first_refuses: bool, first_write: Outcome) {
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let cfg = PlatformConfig {
+        zones: [(ZONE.into(), any), (OTHER_ZONE.into(), any)].into(),
+        faults: cut(ZONE),
+        ..PlatformConfig::default()
+    };
+    let standin = PlatformStandin::start(cfg).await.expect("starts");
+    let (_socket, refuses) = refusing();
+    let first = if first_refuses {
+        refuses
+    } else {
+        standin.zones()[ZONE]
+    };
+    let addresses = vec![first, standin.zones()[OTHER_ZONE]];
+    let writer = endpoint(addresses.clone(), LONG);
+    let kv = HttpKeyValue::new(Arc::clone(&writer));
+    let write = kv.swap("a", 0, Vec::new()).await;
+    assert_eq!(outcome(&write), first_write);
+    let write = kv.swap("b", 0, Vec::new()).await;
+    assert_eq!(outcome(&write), Answered);
 
-        let reader = endpoint(addresses, LONG);
-        let kv = HttpKeyValue::new(Arc::clone(&reader));
-        assert_eq!(outcome(&kv.get("a").await), case.read, "{}", case.name);
-        reader.close().await;
-        writer.close().await;
-        standin.shutdown().await;
-    }
+    let reader = endpoint(addresses, LONG);
+    let kv = HttpKeyValue::new(Arc::clone(&reader));
+    assert_eq!(outcome(&kv.get("a").await), Answered);
+    reader.close().await;
+    writer.close().await;
+    standin.shutdown().await;
 }
--- a/crates/standins/tests/platform/key_value.rs
+++ b/crates/standins/tests/platform/key_value.rs
@@ -6,86 +6,44 @@
     ChangeKind, Delete, Entry, Expect, KeyValue, KvError, Put, Swapped, Transaction, Watch,
 };
 use std::time::Duration;
+use test_case::test_case;
 
+#[test_case(None, 0 => true; "create")]
+#[test_case(None, 7 => false; "create at a revision")]
+#[test_case(Some("before"), 0 => true; "replace")]
+#[test_case(Some("before"), -1 => false; "old revision")]
+#[test_case(Some("before"), 1 => false; "later revision")]
 #[tokio::test]
-async fn a_swap_takes_effect_only_at_the_expected_revision() {
-    struct Case {
-        name: &'static str,
-        /// Added to the true revision.
-        expected_off_by: i64,
-        absent_before: bool,
-        wins: bool,
-    }
-    let cases = [
-        Case {
-            name: "create",
-            expected_off_by: 0,
-            absent_before: true,
-            wins: true,
-        },
-        Case {
-            name: "create twice",
-            expected_off_by: 7,
-            absent_before: true,
-            wins: false,
-        },
-        Case {
-            name: "replace",
-            expected_off_by: 0,
-            absent_before: false,
-            wins: true,
-        },
-        Case {
-            name: "old revision",
-            expected_off_by: -1,
-            absent_before: false,
-            wins: false,
-        },
-        Case {
-            name: "later revision",
-            expected_off_by: 1,
-            absent_before: false,
-            wins: false,
-        },
-    ];
+async fn a_swap_wins_only_at_the_expected_revision(before: Option<&str>, off_by: i64) -> bool {
     let bench = Bench::start().await;
-    for case in cases {
-        let key = format!("swap/{}", case.name);
-        let before = if case.absent_before {
-            0
-        } else {
-            put(&bench.kv, &key, 0, "before").await
-        };
-        let swapped = bench
-            .kv
-            .swap(&key, before + case.expected_off_by, b"after".to_vec())
-            .await
-            .expect("answers");
-        let after = bench.kv.get(&key).await.expect("answers");
-        match swapped {
-            Swapped::Done { revision } => {
-                assert!(case.wins, "{}", case.name);
-                let value = b"after".to_vec();
-                let key = key.into();
-                assert_eq!(
-                    after,
-                    Some(Entry {
-                        key,
-                        value,
-                        revision
-                    }),
-                    "{}",
-                    case.name
-                );
-            }
-            Swapped::Lost { current } => {
-                assert!(!case.wins, "{}", case.name);
-                assert_eq!(after, current, "{}", case.name);
-                assert_eq!(after.is_none(), case.absent_before, "{}", case.name);
-            }
+    let revision = match before {
+        Some(value) => put(&bench.kv, "k", 0, value).await,
+        None => 0,
+    };
+    let swap = bench.kv.swap("k", revision + off_by, b"after".to_vec());
+    let swapped = swap.await.expect("answers");
+    let after = bench.kv.get("k").await.expect("answers");
+    bench.stop().await;
+    match swapped {
+        Swapped::Done { revision } => {
+            let value = b"after".to_vec();
+            let key = "k".into();
+            assert_eq!(
+                after,
+                Some(Entry {
+                    key,
+                    value,
+                    revision
+                })
+            );
+            true
+        }
+        Swapped::Lost { current } => {
+            assert_eq!(after, current);
+            assert_eq!(after.map(|entry| entry.value), before.map(Into::into));
+            false
         }
     }
-    bench.stop().await;
 }
 
 #[tokio::test]
