Lease: say from when a holder counts its time

Cause: the comment named the answer as the start. The service may have counted for as long as the call took, so that a holder would trust a lease that has ended. Comment only; no code uses the time yet, and no test changes.

--- a/crates/platform/src/kv.rs
+++ b/crates/platform/src/kv.rs
@@ -116,7 +116,8 @@
 pub struct Lease {
     /// Its id.
     pub id: LeaseId,
-    /// Time to live, counted from the service's answer.
+    /// Time to live. The service counts it from some time between call and
+    /// answer, so that a holder counts it from before its call.
     pub ttl: Duration,
 }
 
