--- a/src/commands/rules/show.rs
+++ b/src/commands/rules/show.rs
@@ -3,6 +3,7 @@
 use crate::flags::Show;
 use crate::outcome::Outcome;
 use crate::platform::RulesStore;
+use std::io::Write as _;
 
 pub(crate) async fn run(flags: Show) -> eyre::Result<Outcome> {
     let store = RulesStore::new(flags.platform);
@@ -11,7 +12,8 @@
     match loaded? {
         Some(document) => {
             eprintln!("revision {}", document.revision);
-            print!("{}", document.text);
+            // The reader of a pipe may close it early, which print! panics at.
+            std::io::stdout().write_all(document.text.as_bytes())?;
         }
         None => eprintln!("revision 0: no rules were applied yet"),
     }
--- /dev/null
+++ b/tests/docs.rs
@@ -0,0 +1,38 @@
+//! The pages under `docs/` hang together.
+
+use std::path::{Path, PathBuf};
+
+fn pages(dir: &Path, found: &mut Vec<PathBuf>) {
+    for entry in std::fs::read_dir(dir).expect("a directory") {
+        let path = entry.expect("readable").path();
+        if path.is_dir() {
+            pages(&path, found);
+        } else if path.extension().is_some_and(|extension| extension == "md") {
+            found.push(path);
+        }
+    }
+}
+
+/// Targets of the links of a page to other pages.
+fn links(text: &str) -> impl Iterator<Item = &str> {
+    text.split("](")
+        .skip(1)
+        .filter_map(|rest| rest.split([')', '#']).next())
+        .filter(|target| !target.is_empty() && !target.contains("://"))
+}
+
+#[test]
+fn every_link_between_pages_leads_somewhere() {
+    let docs = Path::new(env!("CARGO_MANIFEST_DIR")).join("docs");
+    let mut found = Vec::new();
+    pages(&docs, &mut found);
+    assert!(found.len() >= 7, "pages: {found:?}");
+    for page in found {
+        let text = std::fs::read_to_string(&page).expect("readable");
+        let dir = page.parent().expect("in a directory");
+        for target in links(&text) {
+            let shown = page.display();
+            assert!(dir.join(target).exists(), "{shown} links to {target}");
+        }
+    }
+}
