--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -47,6 +47,8 @@
     pub model: Box<str>,
     /// The target that ran it.
     pub target: Box<str>,
+    /// The attempt that ran.
+    pub attempt: Box<str>,
 }
 
 /// What to do with a key, given its record.
--- a/crates/core/src/scheduler/state.rs
+++ b/crates/core/src/scheduler/state.rs
@@ -334,6 +334,16 @@
         targets
     }
 
+    /// How many requests wait for each adapter version.
+    #[must_use]
+    pub fn waiting_by_target(&self) -> BTreeMap<AdapterVersion, u32> {
+        let mut counts = BTreeMap::new();
+        for waiting in self.waiting.values() {
+            *counts.entry(waiting.target.clone()).or_default() += 1;
+        }
+        counts
+    }
+
     /// Permits that pin `target`.
     #[must_use]
     pub fn pins(&self, target: &AdapterVersion) -> usize {
--- /dev/null
+++ b/crates/serve/src/control/exchange.rs
@@ -0,0 +1,144 @@
+//! Summaries between peers, and the handovers sent to them.
+
+use super::command::{Event, Peer};
+use super::state::{Control, Heard, answer};
+use reedford_core::messages::{Handover, Summary, SummaryAnswer};
+use reedford_core::{InstanceId, Now};
+use reedford_settings::ms;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use tokio::sync::oneshot;
+
+impl Control {
+    /// Sends a summary to every peer, at intervals.
+    pub(super) fn exchange_summaries(&mut self) {
+        let now = self.clock.now();
+        if now < self.timers.exchange {
+            return;
+        }
+        self.timers.exchange = now + ms(self.cfg.timeouts.exchange_ms);
+        let summary = self.summary();
+        for peer in self.peers().into_values() {
+            if self.timers.exchanging.insert(peer.instance.clone()) {
+                self.send_summary(peer, summary.clone());
+            }
+        }
+    }
+
+    pub(super) fn on_exchanged(&mut self, peer: &Peer, sent: Now, answer: Option<SummaryAnswer>) {
+        self.timers.exchanging.remove(&peer.instance);
+        let Some(answer) = answer else {
+            self.membership.released.remove(&peer.instance);
+            return;
+        };
+        self.membership
+            .released
+            .insert(peer.instance.clone(), answer.released);
+        if answer.promise {
+            self.membership
+                .lease
+                .on_promise(&peer.instance, answer.incarnation, sent);
+        }
+    }
+
+    pub(super) fn on_summary(&mut self, summary: Summary, reply: oneshot::Sender<SummaryAnswer>) {
+        let now = self.clock.now();
+        let same_zone = summary.zone == self.me.zone;
+        let times = self.membership.times;
+        let promise = same_zone
+            && self
+                .membership
+                .promises
+                .give(&summary.instance, now, &times);
+        let released = self.released_members(now);
+        let said = SummaryAnswer {
+            incarnation: self.me.incarnation,
+            promise,
+            released,
+        };
+        answer(reply, said);
+        self.take_summary(summary, now);
+    }
+
+    pub(super) fn send_handover(&mut self, to: &InstanceId, handover: Handover) {
+        let Some(peer) = self.peers().remove(to) else {
+            return;
+        };
+        self.handovers.remove(&handover.worker);
+        let clients = Arc::clone(&self.clients);
+        let limit = ms(self.cfg.timeouts.platform_ms);
+        self.tasks.spawn(async move {
+            let sending = |client: crate::peer::PeerClient, cx| async move {
+                client.hand_over(cx, handover).await
+            };
+            if let Err(error) = clients.peers.call(peer.address, limit, sending).await {
+                tracing::warn!(event = "handover_failed", to = %peer.instance, %error);
+            }
+            Event::Done
+        });
+    }
+
+    /// Peers of all zones, by the tables last read and by what was heard.
+    pub(super) fn peers(&self) -> BTreeMap<InstanceId, Peer> {
+        let own = self.membership.table.members.iter();
+        let foreign = self
+            .membership
+            .foreign
+            .values()
+            .flat_map(|t| t.members.iter());
+        let members = own
+            .chain(foreign)
+            .filter(|(id, _)| **id != self.me.instance);
+        let peers = members.map(|(id, m)| {
+            (
+                id.clone(),
+                Peer {
+                    instance: id.clone(),
+                    address: m.peers,
+                },
+            )
+        });
+        peers.collect()
+    }
+
+    fn send_summary(&mut self, peer: Peer, summary: Summary) {
+        let clients = Arc::clone(&self.clients);
+        let sent = self.clock.now();
+        let limit = ms(self.cfg.timeouts.peer_failed_ms);
+        self.metrics.peer_call("exchange");
+        self.tasks.spawn(async move {
+            let sending = |client: crate::peer::PeerClient, cx| async move {
+                client.exchange(cx, summary).await
+            };
+            let answer = clients.peers.call(peer.address, limit, sending).await.ok();
+            Event::Exchanged { peer, sent, answer }
+        });
+    }
+
+    fn take_summary(&mut self, summary: Summary, now: Now) {
+        let newest = self
+            .membership
+            .heard
+            .get(&summary.instance)
+            .is_none_or(|known| {
+                let known = (known.summary.incarnation, known.summary.serial);
+                known < (summary.incarnation, summary.serial)
+            });
+        if !newest {
+            return;
+        }
+        if let Some(waiting) = summary
+            .loads_waiting
+            .filter(|_| summary.zone != self.me.zone)
+        {
+            self.broker.heard(&summary.zone, waiting, now);
+        }
+        if summary.revision > self.revision() {
+            self.fetch_rules(summary.peers);
+        }
+        let heard = Heard { at: now, summary };
+        self.membership
+            .heard
+            .insert(heard.summary.instance.clone(), heard);
+    }
+}
--- /dev/null
+++ b/crates/serve/src/control/instances.rs
@@ -0,0 +1,78 @@
+//! What is asked of the platform at intervals, and its list of instances.
+
+use super::command::Event;
+use super::state::Control;
+use reedford_platform::KvError;
+use reedford_settings::ms;
+use reedford_wire::instances::{InstanceList, InstanceState};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Interval at which the list of instances is read.
+const INSTANCES_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which the rules' revision is read.
+const RULES_INTERVAL: Duration = Duration::from_secs(1);
+/// Reads of the table within one lease time.
+const READS_PER_LEASE: u32 = 3;
+
+impl Control {
+    pub(super) fn poll_platform(&mut self) {
+        let now = self.clock.now();
+        let table_interval = ms(self.cfg.timeouts.lease_ms) / READS_PER_LEASE;
+        if self.timers.table.start(now, table_interval) {
+            self.read_tables();
+        }
+        if self.timers.rules.start(now, RULES_INTERVAL) {
+            self.read_rules();
+        }
+        if self.timers.instances.start(now, INSTANCES_INTERVAL) {
+            self.read_instances();
+        }
+    }
+
+    pub(super) fn on_instances(&mut self, result: Result<InstanceList, KvError>) {
+        self.timers.instances.pending = false;
+        let list = match result {
+            Ok(list) => list,
+            Err(error) => {
+                tracing::debug!(event = "instances_read_failed", %error);
+                return;
+            }
+        };
+        let instances = list.instances.into_iter().map(|i| (i.id.clone(), i));
+        let instances: BTreeMap<_, _> = instances.collect();
+        if instances == self.instances {
+            return;
+        }
+        self.instances = instances;
+        self.outputs
+            .instances
+            .send_replace(Arc::new(self.instances.clone()));
+        self.stop_leaving_workers();
+    }
+
+    /// Whether the platform lists the target as live.
+    pub(super) fn is_listed_live(&self, id: &str) -> bool {
+        self.instances
+            .get(id)
+            .is_some_and(|i| i.state == InstanceState::Live)
+    }
+
+    fn read_instances(&mut self) {
+        let clients = Arc::clone(&self.clients);
+        self.metrics.platform_call("instances");
+        self.tasks
+            .spawn(async move { Event::Instances(clients.directory.read().await) });
+    }
+
+    fn stop_leaving_workers(&mut self) {
+        let leaving = self.workers.keys().filter(|id| !self.is_listed_live(id));
+        for worker in leaving.cloned().collect::<Vec<_>>() {
+            if let Some(owned) = self.workers.get_mut(&worker) {
+                tracing::info!(event = "worker_leaving", %worker);
+                owned.scheduler.on_leaving();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/serve/src/control/ownership.rs
@@ -0,0 +1,440 @@
+//! Joining the zone's table, claiming workers, and losing them.
+
+use super::command::Event;
+use super::state::{Control, PendingSwap};
+use reedford_core::messages::Handover;
+use reedford_core::table::{Ownership, ZoneTable};
+use reedford_core::{Epoch, InstanceId, Now, WorkerId, ZoneId};
+use reedford_platform::{Entry, KeyValue as _, KvError, Listing, Swapped};
+use reedford_settings::ms;
+use reedford_wire::instances::{InstanceKind, InstanceState};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Where the tables of all zones are kept.
+const TABLES_PREFIX: &str = "reedford/zones/";
+
+/// From when on a claimed worker may be used.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Opening {
+    open_from: Now,
+    evict_from: Now,
+}
+
+impl Control {
+    /// Reads the tables of all zones, soon.
+    pub(super) fn read_tables(&mut self) {
+        let kv = std::sync::Arc::clone(&self.clients.kv);
+        let sent = self.clock.now();
+        self.metrics.platform_call("table_read");
+        self.tasks.spawn(async move {
+            Event::TableRead {
+                sent,
+                result: kv.list(TABLES_PREFIX).await,
+            }
+        });
+    }
+
+    pub(super) fn on_table_read(&mut self, sent: Now, result: Result<Listing, KvError>) {
+        self.timers.table.pending = false;
+        // A read sent before our last swap ended may show the table from
+        // before it, and so ownership that we have given away.
+        if sent < self.membership.swap_ended {
+            self.timers.table.due = Duration::ZERO;
+            return;
+        }
+        let listing = match result {
+            Ok(listing) => listing,
+            Err(error) => {
+                tracing::debug!(event = "table_read_failed", %error);
+                return;
+            }
+        };
+        self.membership.read_sent = sent;
+        self.membership.table = ZoneTable::default();
+        self.membership.revision = 0;
+        for entry in listing.entries {
+            self.take_table(&entry);
+        }
+        self.prove_lease(sent);
+        self.drop_lost_workers();
+        self.open_won_workers();
+        if self.membership.swap.is_none() {
+            self.change_table();
+        }
+    }
+
+    pub(super) fn on_swapped(&mut self, result: Result<Swapped, KvError>) {
+        let pending = self.membership.swap.take();
+        self.membership.swap_ended = self.clock.now();
+        self.timers.table.due = Duration::ZERO;
+        match result {
+            Ok(Swapped::Done { .. }) => {
+                for (to, handover) in pending.map(|p| p.handovers).unwrap_or_default() {
+                    self.send_handover(&to, handover);
+                }
+            }
+            // The workers come back with the next read, unless a late write
+            // still gives them away. Either way that read decides.
+            Ok(Swapped::Lost { .. }) => tracing::debug!(event = "table_swap_lost"),
+            Err(error) => tracing::warn!(event = "table_swap_failed", %error),
+        }
+    }
+
+    pub(super) fn on_hand_over(&mut self, handover: Handover) {
+        self.timers.table.due = Duration::ZERO;
+        let now = self.clock.now();
+        let known = self.workers.get_mut(&handover.worker);
+        let waiting = known
+            .filter(|o| o.scheduler.epoch() == handover.epoch + 1 && o.scheduler.opens_at() > now);
+        match waiting {
+            Some(owned) => owned.scheduler.take_over(handover, now),
+            None => {
+                self.handovers.insert(handover.worker.clone(), handover);
+            }
+        }
+    }
+
+    /// Refuses promises to members that went silent, so that their workers can
+    /// be claimed, and gives them again to those that came back.
+    pub(super) fn watch_members(&mut self) {
+        let now = self.clock.now();
+        let Some(joined_at) = self.membership.joined_at else {
+            return;
+        };
+        if now < joined_at + ms(self.cfg.timeouts.peer_failed_ms) {
+            return;
+        }
+        let alive = self.alive_members(now);
+        for id in self.membership.table.members.keys() {
+            if alive.contains(id) {
+                self.membership.promises.allow(id);
+            } else {
+                self.membership.promises.refuse(id);
+            }
+        }
+    }
+
+    /// Starts a change of the table.
+    pub(super) fn swap_table(&mut self, table: &ZoneTable, handovers: Vec<(InstanceId, Handover)>) {
+        let Ok(value) = serde_json::to_vec(table) else {
+            return;
+        };
+        let key = table_key(&self.me.zone);
+        let kv = std::sync::Arc::clone(&self.clients.kv);
+        let expected = self.membership.revision;
+        self.membership.swap = Some(PendingSwap { handovers });
+        self.metrics.platform_call("table_swap");
+        self.tasks.spawn(async move {
+            Event::Swapped {
+                result: kv.swap(&key, expected, value).await,
+            }
+        });
+    }
+
+    /// Members to whom this instance promises nothing any more and whose last
+    /// read table named it: their promises can't be unanimous.
+    pub(super) fn released_members(&self, now: Now) -> BTreeSet<InstanceId> {
+        let members = self.membership.table.members.keys();
+        members
+            .filter(|id| self.membership.promises.free(id, now) && self.knew_me(id))
+            .cloned()
+            .collect()
+    }
+
+    fn take_table(&mut self, entry: &Entry) {
+        let Some(zone) = entry.key.strip_prefix(TABLES_PREFIX) else {
+            return;
+        };
+        let table: ZoneTable = match serde_json::from_slice(&entry.value) {
+            Ok(table) => table,
+            Err(error) => {
+                tracing::error!(event = "table_unreadable", zone, %error);
+                return;
+            }
+        };
+        if *zone == *self.me.zone {
+            self.membership.table = table;
+            self.membership.revision = entry.revision;
+        } else {
+            self.membership.foreign.insert(zone.into(), table);
+        }
+    }
+
+    fn prove_lease(&mut self, sent: Now) {
+        let me = &self.me;
+        let membership = &mut self.membership;
+        if !membership.table.has_member(&me.instance, me.incarnation) {
+            membership.lease.on_lost();
+            return;
+        }
+        let others = membership
+            .table
+            .members
+            .iter()
+            .filter(|(id, _)| **id != me.instance);
+        let others = others.map(|(id, m)| (id.clone(), m.incarnation)).collect();
+        membership.lease.on_read(sent, others);
+        if membership.joined_at.is_none() {
+            membership.joined_at = Some(self.clock.now());
+            tracing::info!(event = "joined", zone = %me.zone, instance = %me.instance);
+        }
+    }
+
+    fn drop_lost_workers(&mut self) {
+        let owned = self
+            .membership
+            .table
+            .owned_by(&self.me.instance, self.me.incarnation);
+        let lost: Vec<WorkerId> = self
+            .workers
+            .iter()
+            .filter(|(id, o)| owned.get(*id) != Some(&o.scheduler.epoch()))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for worker in lost {
+            tracing::warn!(event = "worker_lost", %worker);
+            self.drop_worker(&worker);
+        }
+    }
+
+    fn open_won_workers(&mut self) {
+        let owned = self
+            .membership
+            .table
+            .owned_by(&self.me.instance, self.me.incarnation);
+        let handing_over = self.membership.swap.is_some();
+        for (worker, epoch) in owned {
+            if self.workers.contains_key(&worker) || handing_over {
+                continue;
+            }
+            self.open_won_worker(&worker, epoch);
+        }
+    }
+
+    fn open_won_worker(&mut self, worker: &WorkerId, epoch: Epoch) {
+        let now = self.clock.now();
+        let handover = self.handovers.remove(worker);
+        let handover = handover.filter(|h| h.epoch + 1 == epoch || h.epoch == epoch);
+        let opening = match &handover {
+            Some(_) => Opening {
+                open_from: now,
+                evict_from: now,
+            },
+            None => self.opening(worker, now),
+        };
+        let opened = self.open_worker(worker, epoch, opening.open_from, opening.evict_from);
+        if !opened {
+            return;
+        }
+        let wait_ms = (opening.open_from - now).as_millis() as u64;
+        let handed_over = handover.is_some();
+        tracing::info!(event = "worker_owned", %worker, epoch, wait_ms, handed_over);
+        if let (Some(handover), Some(owned)) = (handover, self.workers.get_mut(worker)) {
+            owned.scheduler.take_over(handover, now);
+        }
+    }
+
+    /// From when on a worker that the table read just now shows as ours may be
+    /// used, when its old owner handed nothing over.
+    ///
+    /// The old owner proves its ownership for the lease time, either by a read
+    /// that was ordered before our swap, or by promises of all members of the
+    /// table that it last read. We claim only after our own promise to it has
+    /// ended. If that table named us, or names another member that has
+    /// stopped promising, its promises are not unanimous and the lease time is
+    /// all there is to wait for. Otherwise it may go on by promises for as
+    /// long as they may stand in for reads, and we wait for that.
+    fn opening(&self, worker: &WorkerId, now: Now) -> Opening {
+        let times = &self.membership.times;
+        let previous = self
+            .membership
+            .table
+            .workers
+            .get(worker)
+            .and_then(|o| o.previous.as_ref());
+        let Some(previous) = previous else {
+            return Opening {
+                open_from: now,
+                evict_from: now,
+            };
+        };
+        if !self
+            .membership
+            .table
+            .has_member(&previous.owner, previous.incarnation)
+        {
+            return Opening {
+                open_from: now,
+                evict_from: now + times.dispatch,
+            };
+        }
+        if !self.is_vouched(&previous.owner) {
+            let from = now + times.joiner_wait();
+            return Opening {
+                open_from: from,
+                evict_from: from,
+            };
+        }
+        Opening {
+            open_from: now + times.claim_wait(),
+            evict_from: now + times.evict_wait(),
+        }
+    }
+
+    fn is_vouched(&self, old: &InstanceId) -> bool {
+        let others = self.membership.released.values();
+        self.knew_me(old) || others.into_iter().any(|released| released.contains(old))
+    }
+
+    /// Whether `id` had read a table that names this instance.
+    fn knew_me(&self, id: &InstanceId) -> bool {
+        let Some(me) = self.membership.table.members.get(&self.me.instance) else {
+            return false;
+        };
+        let heard = self.membership.heard.get(id);
+        heard.is_some_and(|h| h.summary.table >= me.joined)
+    }
+
+    /// Joins the table, or claims what this instance should own, or hands over
+    /// what another should.
+    fn change_table(&mut self) {
+        if self.is_stopping() {
+            return;
+        }
+        let me = self.me.clone();
+        if !self
+            .membership
+            .table
+            .has_member(&me.instance, me.incarnation)
+        {
+            let joined = self
+                .membership
+                .table
+                .joined(&me.instance, me.incarnation, me.peers);
+            self.swap_table(&joined, Vec::new());
+            return;
+        }
+        let now = self.clock.now();
+        let claims = self.claims(now);
+        if !claims.is_empty() {
+            let claimed = self
+                .membership
+                .table
+                .claimed(&me.instance, me.incarnation, &claims);
+            let claimed = self.without_failed(claimed, now);
+            self.swap_table(&claimed, Vec::new());
+            return;
+        }
+        self.rebalance(now);
+    }
+
+    /// Workers that this instance claims now.
+    fn claims(&self, now: Now) -> BTreeSet<WorkerId> {
+        let settle = ms(self.cfg.timeouts.peer_failed_ms);
+        let settled = self
+            .membership
+            .joined_at
+            .is_some_and(|at| now >= at + settle);
+        let alive = self.alive_members(now);
+        if !settled && self.membership.table.members.len() > alive.len() {
+            return BTreeSet::new();
+        }
+        let workers = self.instances.values().filter(|i| {
+            i.kind == InstanceKind::Engine && i.zone == self.me.zone && self.policy_of(i).is_some()
+        });
+        let live = workers
+            .filter(|i| i.state == InstanceState::Live)
+            .map(|i| &i.id);
+        live.filter(|id| self.membership.table.home(id, &alive).as_ref() == Some(&self.me.instance))
+            .filter(|id| self.may_claim(id, &alive, now))
+            .cloned()
+            .collect()
+    }
+
+    fn may_claim(&self, worker: &WorkerId, alive: &BTreeSet<InstanceId>, now: Now) -> bool {
+        let Some(Ownership {
+            owner, incarnation, ..
+        }) = self.membership.table.workers.get(worker)
+        else {
+            return true;
+        };
+        if *owner == self.me.instance && *incarnation == self.me.incarnation {
+            return false;
+        }
+        if !self.membership.table.owner_is_member(worker) {
+            return true;
+        }
+        !alive.contains(owner) && self.membership.promises.free(owner, now)
+    }
+
+    /// Takes members out that are silent, own nothing, and whose promises this
+    /// instance has stopped.
+    fn without_failed(&self, mut table: ZoneTable, now: Now) -> ZoneTable {
+        let failed: Vec<InstanceId> = table
+            .members
+            .keys()
+            .filter(|id| self.membership.promises.free(id, now))
+            .filter(|id| !table.workers.values().any(|o| o.owner == **id))
+            .filter(|id| !self.is_previous_owner(&table, id))
+            .cloned()
+            .collect();
+        for id in failed {
+            table = table.without(&id);
+        }
+        table
+    }
+
+    /// A claimant tells from the member list whether the old owner's process
+    /// has ended, so an old owner stays listed while it is named as one.
+    fn is_previous_owner(&self, table: &ZoneTable, id: &InstanceId) -> bool {
+        let previous = table.workers.values().filter_map(|o| o.previous.as_ref());
+        previous.into_iter().any(|p| p.owner == *id)
+    }
+
+    /// Hands one worker over whose home is another live member.
+    fn rebalance(&mut self, now: Now) {
+        let alive = self.alive_members(now);
+        let moved = self.workers.keys().find_map(|worker| {
+            let home = self.membership.table.home(worker, &alive)?;
+            (home != self.me.instance).then(|| (worker.clone(), home))
+        });
+        if let Some(moved) = moved {
+            self.hand_over(BTreeMap::from([moved]));
+        }
+    }
+
+    /// Hands workers over, those with an order under way left out.
+    ///
+    /// The scheduler is dropped before the swap is sent: from then on nothing
+    /// is granted or ordered, so what is handed over stays true.
+    pub(super) fn hand_over(&mut self, moves: BTreeMap<WorkerId, InstanceId>) {
+        let now = self.clock.now();
+        let mut table = self.membership.table.clone();
+        let mut handovers = Vec::new();
+        for (worker, to) in moves {
+            let Some(member) = table.members.get(&to) else {
+                continue;
+            };
+            let handover = self
+                .workers
+                .get(&worker)
+                .and_then(|o| o.scheduler.hand_over(&worker, now));
+            let Some(handover) = handover else {
+                continue;
+            };
+            let incarnation = member.incarnation;
+            self.drop_worker(&worker);
+            self.handovers.insert(worker.clone(), handover.clone());
+            table = table.claimed(&to, incarnation, &BTreeSet::from([worker]));
+            handovers.push((to, handover));
+        }
+        if !handovers.is_empty() {
+            self.swap_table(&table, handovers);
+        }
+    }
+}
+
+fn table_key(zone: &ZoneId) -> String {
+    format!("{TABLES_PREFIX}{zone}")
+}
--- /dev/null
+++ b/crates/serve/src/control/rules.rs
@@ -0,0 +1,111 @@
+//! Putting revisions of the rules in force.
+
+use super::command::{Event, RulesError};
+use super::state::{Control, answer};
+use crate::clients::Clients;
+use crate::peer::{PeerClient, RulesText};
+use reedford_rules::{Adoption, RulesDocument, adopt};
+use reedford_settings::ms;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+impl Control {
+    /// Revision in force; 0 when there is none.
+    pub(super) fn revision(&self) -> u64 {
+        self.rules.as_ref().map_or(0, |doc| doc.revision)
+    }
+
+    pub(super) fn read_rules(&mut self) {
+        let clients = Arc::clone(&self.clients);
+        let known = self.revision();
+        self.metrics.platform_call("rules_revision");
+        self.tasks
+            .spawn(async move { Event::RulesRead(newer_rules(&clients, known).await) });
+    }
+
+    /// Gets the rules from a peer that has a higher revision.
+    pub(super) fn fetch_rules(&mut self, peer: SocketAddr) {
+        if self.timers.rules.pending {
+            return;
+        }
+        self.timers.rules.pending = true;
+        let clients = Arc::clone(&self.clients);
+        let limit = ms(self.cfg.timeouts.platform_ms);
+        self.metrics.peer_call("rules");
+        self.tasks
+            .spawn(async move { Event::RulesRead(peer_rules(&clients, peer, limit).await) });
+    }
+
+    pub(super) fn on_rules_asked(&self, reply: oneshot::Sender<Option<RulesText>>) {
+        let text = self.rules.as_ref().map(|doc| RulesText {
+            revision: doc.revision,
+            text: doc.text.clone(),
+        });
+        answer(reply, text);
+    }
+
+    pub(super) fn on_rules_read(&mut self, result: Result<Option<RulesDocument>, RulesError>) {
+        self.timers.rules.pending = false;
+        match result {
+            Ok(Some(doc)) => self.adopt_rules(doc),
+            Ok(None) => {}
+            Err(error) => tracing::debug!(event = "rules_read_failed", %error),
+        }
+    }
+
+    fn adopt_rules(&mut self, doc: RulesDocument) {
+        if adopt(self.rules.as_deref(), &doc) != Adoption::Adopted {
+            return;
+        }
+        tracing::info!(event = "rules_adopted", revision = doc.revision);
+        self.metrics.revision(doc.revision);
+        self.broker.set_rule(doc.rules.loads);
+        let doc = Arc::new(doc);
+        self.rules = Some(Arc::clone(&doc));
+        self.outputs.rules.send_replace(Some(doc));
+        self.apply_policies();
+    }
+
+    fn apply_policies(&mut self) {
+        let ids: Vec<Box<str>> = self.workers.keys().cloned().collect();
+        for id in ids {
+            let policy = self.instances.get(&id).and_then(|i| self.policy_of(i));
+            if let (Some(policy), Some(owned)) = (policy, self.workers.get_mut(&id)) {
+                owned.scheduler.set_policy(policy);
+            }
+        }
+    }
+}
+
+async fn newer_rules(clients: &Clients, known: u64) -> Result<Option<RulesDocument>, RulesError> {
+    if clients.documents.revision().await? <= known {
+        return Ok(None);
+    }
+    let Some(stored) = clients.documents.load().await? else {
+        return Ok(None);
+    };
+    read(stored.revision, &stored.text).map(Some)
+}
+
+async fn peer_rules(
+    clients: &Clients,
+    peer: SocketAddr,
+    limit: Duration,
+) -> Result<Option<RulesDocument>, RulesError> {
+    let asking = |client: PeerClient, cx| async move { client.rules(cx).await };
+    let Ok(Some(offered)) = clients.peers.call(peer, limit, asking).await else {
+        return Err(RulesError::Peer);
+    };
+    read(offered.revision, &offered.text).map(Some)
+}
+
+/// Reads rules that an operator's tool has checked. Faults can only come from
+/// another version of the program: they are logged and the old rules kept.
+fn read(revision: u64, text: &str) -> Result<RulesDocument, RulesError> {
+    RulesDocument::read(revision, text).map_err(|faults| {
+        tracing::error!(event = "rules_faulty", revision, faults = %faults);
+        RulesError::Faults
+    })
+}
--- /dev/null
+++ b/crates/serve/src/control/view.rs
@@ -0,0 +1,108 @@
+//! What traffic and peers are told of the workers.
+
+use super::state::{Control, Owned};
+use reedford_core::lease::LeaseState;
+use reedford_core::messages::{Summary, WorkerSummary};
+use reedford_core::placement::{View, WorkerView};
+use reedford_core::{Now, WorkerId};
+use reedford_settings::ms;
+use std::sync::Arc;
+
+impl Control {
+    /// Tells traffic which workers can be asked.
+    pub(super) fn publish_view(&mut self) {
+        let view = self.view();
+        self.metrics.workers(view.workers.len());
+        self.outputs.view.send_replace(Arc::new(view));
+    }
+
+    /// The summary to send to peers.
+    pub(super) fn summary(&mut self) -> Summary {
+        self.summaries_sent += 1;
+        let now = self.clock.now();
+        Summary {
+            instance: self.me.instance.clone(),
+            incarnation: self.me.incarnation,
+            zone: self.me.zone.clone(),
+            peers: self.me.peers,
+            serial: self.summaries_sent,
+            table: self.membership.table.sequence,
+            revision: self.revision(),
+            stopping: self.is_stopping(),
+            workers: self.worker_summaries(now),
+            loads_waiting: self.loads_waiting(),
+        }
+    }
+
+    pub(super) fn view(&self) -> View {
+        let now = self.clock.now();
+        let mut view = View::default();
+        for summary in self.worker_summaries(now) {
+            let worker = WorkerView {
+                owner: self.me.instance.clone(),
+                owner_address: self.me.peers,
+                zone: self.me.zone.clone(),
+                summary,
+            };
+            view.workers.insert(worker.summary.worker.clone(), worker);
+        }
+        let silence = ms(self.cfg.timeouts.peer_failed_ms);
+        for heard in self
+            .membership
+            .heard
+            .values()
+            .filter(|h| h.at + silence > now)
+        {
+            add_peer(&mut view, &heard.summary);
+        }
+        view
+    }
+
+    fn worker_summaries(&self, now: Now) -> Vec<WorkerSummary> {
+        let may_grant = self.membership.lease.state(now) > LeaseState::Lapsed;
+        let workers = self.workers.iter();
+        workers
+            .filter_map(|(id, owned)| self.worker_summary(id, owned, may_grant, now))
+            .collect()
+    }
+
+    fn worker_summary(
+        &self,
+        id: &WorkerId,
+        owned: &Owned,
+        may_grant: bool,
+        now: Now,
+    ) -> Option<WorkerSummary> {
+        let instance = self.instances.get(id)?;
+        let scheduler = &owned.scheduler;
+        Some(WorkerSummary {
+            worker: id.clone(),
+            group: instance.group.clone(),
+            address: instance.address,
+            epoch: scheduler.epoch(),
+            open: may_grant && scheduler.is_open(now),
+            batch_limit: scheduler.batch_limit(),
+            running: scheduler.running(),
+            waiting: scheduler.waiting(),
+            open_slots: scheduler.open_slots(),
+            residents: scheduler.residents_soon(),
+        })
+    }
+}
+
+/// Adds a peer's workers; of two that claim the same one, the later owner wins.
+fn add_peer(view: &mut View, peer: &Summary) {
+    for summary in &peer.workers {
+        let known = view.workers.get(&summary.worker);
+        if known.is_some_and(|k| k.summary.epoch >= summary.epoch) {
+            continue;
+        }
+        let worker = WorkerView {
+            owner: peer.instance.clone(),
+            owner_address: peer.peers,
+            zone: peer.zone.clone(),
+            summary: summary.clone(),
+        };
+        view.workers.insert(summary.worker.clone(), worker);
+    }
+}
--- /dev/null
+++ b/crates/serve/src/peer/server.rs
@@ -0,0 +1,137 @@
+//! Serves other entry instances: each call becomes a command to the control
+//! thread.
+
+use super::{Peer, RulesText};
+use crate::control::{Command, CommandTx};
+use futures::StreamExt as _;
+use reedford_core::broker::LoadKey;
+use reedford_core::messages::{
+    Handover, PermitAnswer, PermitReason, PermitRefusal, PermitRequest, Release, Summary,
+    SummaryAnswer, TurnRequest,
+};
+use reedford_core::{AdapterVersion, WorkerId};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tarpc::context::Context;
+use tarpc::serde_transport::tcp;
+use tarpc::server::{BaseChannel, Channel as _};
+use tarpc::tokio_serde::formats::Json;
+use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// The server's side of one connection.
+#[derive(Clone, Debug)]
+pub(crate) struct PeerServer {
+    pub(crate) control: CommandTx,
+    pub(crate) incarnation: u64,
+}
+
+impl PeerServer {
+    /// Binds `addr` and serves until `stop`; answers with the bound address.
+    pub(crate) async fn start(
+        self,
+        addr: SocketAddr,
+        tasks: &TaskTracker,
+        stop: CancellationToken,
+    ) -> std::io::Result<SocketAddr> {
+        let mut incoming = tcp::listen(addr, Json::default).await?;
+        let bound = incoming.local_addr();
+        let connections = tasks.clone();
+        tasks.spawn(async move {
+            loop {
+                let transport = tokio::select! {
+                    next = incoming.next() => next,
+                    () = stop.cancelled() => None,
+                };
+                match transport {
+                    Some(Ok(transport)) => {
+                        let serving = self.clone().connection(transport, stop.clone());
+                        connections.spawn(serving);
+                    }
+                    Some(Err(_)) => {}
+                    None => break,
+                }
+            }
+        });
+        Ok(bound)
+    }
+
+    async fn connection<T>(self, transport: T, stop: CancellationToken)
+    where
+        T: tarpc::Transport<
+                tarpc::Response<super::PeerResponse>,
+                tarpc::ClientMessage<super::PeerRequest>,
+            > + Send
+            + 'static,
+        T::Error: Send + Sync,
+    {
+        let calls = BaseChannel::with_defaults(transport).execute(self.serve());
+        let serving = calls.for_each_concurrent(None, |call| call);
+        tokio::select! {
+            () = serving => (),
+            () = stop.cancelled() => (),
+        }
+    }
+
+    async fn ask<T, F>(&self, make: F) -> Option<T>
+    where
+        F: FnOnce(oneshot::Sender<T>) -> Command,
+    {
+        let (tx, rx) = oneshot::channel();
+        self.control.send(make(tx)).await.ok()?;
+        rx.await.ok()
+    }
+
+    async fn tell(&self, command: Command) {
+        if self.control.send(command).await.is_err() {
+            tracing::debug!(event = "peer_call_after_stop");
+        }
+    }
+}
+
+impl Peer for PeerServer {
+    async fn permit(self, _: Context, req: PermitRequest) -> PermitAnswer {
+        let answer = self.ask(|reply| Command::Permit { req, reply }).await;
+        answer.unwrap_or(PermitAnswer::Refused(PermitRefusal {
+            reason: PermitReason::NotOwner,
+            retry_after: Duration::ZERO,
+        }))
+    }
+
+    async fn release(self, _: Context, release: Release) {
+        self.tell(Command::Release(release)).await;
+    }
+
+    async fn exchange(self, _: Context, summary: Summary) -> SummaryAnswer {
+        let answer = self.ask(|reply| Command::Summary { summary, reply }).await;
+        answer.unwrap_or(SummaryAnswer {
+            incarnation: self.incarnation,
+            promise: false,
+            released: BTreeSet::new(),
+        })
+    }
+
+    async fn turn(self, _: Context, req: TurnRequest) -> bool {
+        let turn = self.ask(|reply| Command::Turn { req, reply }).await;
+        turn.unwrap_or(false)
+    }
+
+    async fn revalue(self, _: Context, req: TurnRequest) {
+        self.tell(Command::Revalue(req)).await;
+    }
+
+    async fn turn_ended(self, _: Context, worker: WorkerId, target: AdapterVersion) {
+        self.tell(Command::TurnEnded(LoadKey { worker, target }))
+            .await;
+    }
+
+    async fn hand_over(self, _: Context, handover: Handover) {
+        self.tell(Command::HandOver(handover)).await;
+    }
+
+    async fn rules(self, _: Context) -> Option<RulesText> {
+        self.ask(|reply| Command::Rules { reply }).await.flatten()
+    }
+}
--- /dev/null
+++ b/crates/serve/src/traffic.rs
@@ -0,0 +1,149 @@
+//! The way of a request through an entry instance.
+//!
+//! Traffic threads check the request against the rules, take a claim for it
+//! if it may run only once, get a permit from the owner of a worker, send the
+//! request there themselves and pass the answer on. They decide nothing about
+//! workers; see the control thread for that.
+
+mod attempts;
+mod chat;
+mod check;
+mod claims;
+mod permits;
+mod plain;
+mod refusals;
+mod relay;
+
+use crate::clients::Clients;
+use crate::clock::Clock;
+use crate::control::{CommandTx, Identity};
+use crate::metrics::Metrics;
+use reedford_core::PermitId;
+use reedford_core::limits::Limits;
+use reedford_core::placement::View;
+use reedford_core::retry::RetryBudget;
+use reedford_front::{Answer, ChatCall, Handler, PlainCall, Readiness};
+use reedford_platform::LeaseId;
+use reedford_rules::RulesDocument;
+use reedford_settings::Settings;
+use reedford_wire::instances::Instance;
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// What all requests of an entry instance share.
+#[derive(Debug)]
+pub(crate) struct Traffic {
+    pub(crate) cfg: Arc<Settings>,
+    pub(crate) me: Identity,
+    pub(crate) clock: Clock,
+    pub(crate) clients: Arc<Clients>,
+    pub(crate) control: CommandTx,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) view: watch::Receiver<Arc<View>>,
+    pub(crate) rules: watch::Receiver<Option<Arc<RulesDocument>>>,
+    pub(crate) instances: watch::Receiver<Arc<BTreeMap<Box<str>, Instance>>>,
+    pub(crate) limits: Mutex<Limits>,
+    pub(crate) retries: Mutex<RetryBudget>,
+    pub(crate) tasks: TaskTracker,
+    pub(crate) stopping: CancellationToken,
+    pub(crate) serial: AtomicU64,
+    pub(crate) running: AtomicUsize,
+    pub(crate) claim_lease: watch::Receiver<Option<LeaseId>>,
+}
+
+/// Counts a request while it is held.
+#[derive(Debug)]
+pub(crate) struct Running {
+    traffic: Arc<Traffic>,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let before = self.traffic.running.fetch_sub(1, Ordering::Relaxed);
+        self.traffic.metrics.requests(before - 1);
+    }
+}
+
+impl Traffic {
+    /// An id that no attempt had before.
+    fn next_id(&self) -> PermitId {
+        PermitId {
+            instance: self.me.instance.clone(),
+            incarnation: self.me.incarnation,
+            serial: self.serial.fetch_add(1, Ordering::Relaxed),
+        }
+    }
+
+    fn view(&self) -> Arc<View> {
+        Arc::clone(&self.view.borrow())
+    }
+
+    fn document(&self) -> Option<Arc<RulesDocument>> {
+        self.rules.borrow().clone()
+    }
+
+    /// The lease that new claims are bound to.
+    fn claim_lease(&self) -> Option<LeaseId> {
+        *self.claim_lease.borrow()
+    }
+
+    /// Counts a request, if there is room for it.
+    fn enter(self: &Arc<Self>) -> Option<Running> {
+        let before = self.running.fetch_add(1, Ordering::Relaxed);
+        let running = Running {
+            traffic: Arc::clone(self),
+        };
+        self.metrics.requests(before + 1);
+        (before < self.cfg.bounds.requests).then_some(running)
+    }
+
+    /// Takes a retry from the budget.
+    fn may_retry(&self, cause: &'static str) -> bool {
+        let allowed = lock(&self.retries).take();
+        self.metrics
+            .retry(if allowed { cause } else { "budget_empty" });
+        allowed
+    }
+}
+
+/// The edge towards callers.
+#[derive(Clone, Debug)]
+pub(crate) struct CallerHandler(pub(crate) Arc<Traffic>);
+
+impl Handler for CallerHandler {
+    async fn chat(&self, call: ChatCall) -> Answer {
+        chat::handle(&self.0, call).await
+    }
+
+    async fn plain(&self, call: PlainCall) -> Answer {
+        plain::handle(&self.0, call).await
+    }
+
+    fn ready(&self) -> Readiness {
+        let traffic = &self.0;
+        if traffic.stopping.is_cancelled() {
+            return Readiness::NotReady {
+                reason: "stopping".into(),
+            };
+        }
+        match traffic.document() {
+            None => Readiness::NotReady {
+                reason: "no rules yet".into(),
+            },
+            Some(_) => Readiness::Ready,
+        }
+    }
+
+    fn metrics(&self) -> String {
+        self.0.metrics.text()
+    }
+}
+
+/// Locks what no panic can leave half-changed.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/serve/src/traffic/chat.rs
@@ -0,0 +1,168 @@
+//! Chat calls, from check to answer.
+
+use super::attempts::{Answered, run};
+use super::check::{Job, check_chat};
+use super::claims::{Claim, Claimed, claim};
+use super::permits::Permit;
+use super::refusals::not_run;
+use super::relay::{CALLER_QUEUE, Relay, recorded};
+use super::{Running, Traffic};
+use crate::metrics::class_name;
+use bytes::Bytes;
+use hyper::StatusCode;
+use reedford_core::claims::RecordedAnswer;
+use reedford_front::{Answer, AnswerMeta, ChatCall, Outcome, Refused, RefusedCode};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// Content type of whole answers.
+const JSON: &str = "application/json";
+/// When to come back to an instance that holds as many requests as it may.
+const FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Handles a call. A call that may run only once goes on when its caller goes
+/// away, so that its outcome is recorded.
+pub(super) async fn handle(traffic: &Arc<Traffic>, call: ChatCall) -> Answer {
+    let class = class_name(call.options.class);
+    let answer = match serve(traffic, call).await {
+        Ok(answer) => answer,
+        Err(refused) => Answer::Refused(refused),
+    };
+    traffic.metrics.outcome(class, outcome_name(&answer));
+    answer
+}
+
+/// Name of an outcome in metrics.
+pub(super) fn outcome_name(answer: &Answer) -> &'static str {
+    match answer {
+        Answer::Whole { .. } | Answer::Stream { .. } => "done",
+        Answer::Refused(refused) => match refused.outcome {
+            Outcome::NotRun => "not_run",
+            Outcome::Unknown => "unknown",
+            Outcome::BadRequest => "bad_request",
+        },
+    }
+}
+
+async fn serve(traffic: &Arc<Traffic>, call: ChatCall) -> Result<Answer, Refused> {
+    let running = enter(traffic)?;
+    let job = check_chat(traffic, &call)?;
+    if job.repeatable {
+        return execute(traffic, job, call, None, running).await;
+    }
+    let task = once(Arc::clone(traffic), job, call, running);
+    let joined = traffic.tasks.spawn(task).await;
+    joined.unwrap_or_else(|e| panic!("a request's task failed: {e}"))
+}
+
+/// Counts the request.
+///
+/// # Errors
+/// When the instance holds as many as it may.
+pub(super) fn enter(traffic: &Arc<Traffic>) -> Result<Running, Refused> {
+    let full = || {
+        not_run(
+            RefusedCode::Overloaded,
+            "this instance is full",
+            FULL_RETRY_AFTER,
+        )
+    };
+    traffic.enter().ok_or_else(full)
+}
+
+async fn once(
+    traffic: Arc<Traffic>,
+    job: Job,
+    call: ChatCall,
+    running: Running,
+) -> Result<Answer, Refused> {
+    let claim = match claim(&traffic, &call.options, &call.body_digest).await? {
+        Claimed::Held(claim) => claim,
+        Claimed::Replay(answer) => return Ok(replay(answer, job.revision)),
+    };
+    execute(&traffic, job, call, Some(claim), running).await
+}
+
+async fn execute(
+    traffic: &Arc<Traffic>,
+    job: Job,
+    call: ChatCall,
+    claim: Option<Claim>,
+    running: Running,
+) -> Result<Answer, Refused> {
+    match run(traffic, &job, &call.request).await {
+        Ok(Answered::Whole { body, permit }) => Ok(whole(&job, body, &permit, claim).await),
+        Ok(Answered::Stream {
+            first,
+            stream,
+            permit,
+        }) => {
+            let meta = meta(&job, &permit);
+            let (tx, rx) = mpsc::channel(CALLER_QUEUE);
+            let traffic = Arc::clone(traffic);
+            let tasks = traffic.tasks.clone();
+            let relay = Relay {
+                traffic,
+                job,
+                permit,
+                stream,
+                claim,
+                tx,
+            };
+            tasks.spawn(async move {
+                relay.run(first).await;
+                drop(running);
+            });
+            Ok(Answer::Stream { body: rx, meta })
+        }
+        Err(refused) => {
+            // What was told as "not run" must stay so: this attempt has ended
+            // and the claim says that none of it will come.
+            if let Some(claim) = claim.filter(|_| refused.outcome == Outcome::NotRun) {
+                claim.abort().await;
+            }
+            Err(refused)
+        }
+    }
+}
+
+async fn whole(job: &Job, body: Bytes, permit: &Permit, claim: Option<Claim>) -> Answer {
+    if let Some(claim) = claim {
+        let text = String::from_utf8_lossy(&body).into_owned().into();
+        claim.done(recorded(job, permit, JSON, text)).await;
+    }
+    Answer::Whole {
+        status: StatusCode::OK,
+        content_type: JSON.into(),
+        body,
+        meta: meta(job, permit),
+    }
+}
+
+/// The recorded answer of an earlier run.
+pub(super) fn replay(answer: RecordedAnswer, revision: u64) -> Answer {
+    let model = (!answer.model.is_empty()).then_some(answer.model);
+    Answer::Whole {
+        status: StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK),
+        content_type: answer.content_type,
+        body: Bytes::from(answer.body.into_string()),
+        meta: AnswerMeta {
+            model,
+            target: answer.target,
+            load_stall: None,
+            revision,
+            attempt: answer.attempt,
+        },
+    }
+}
+
+fn meta(job: &Job, permit: &Permit) -> AnswerMeta {
+    AnswerMeta {
+        model: Some(job.target.to_string().into()),
+        target: permit.worker.clone(),
+        load_stall: (!permit.load_stall.is_zero()).then_some(permit.load_stall),
+        revision: job.revision,
+        attempt: permit.id.to_string().into(),
+    }
+}
--- /dev/null
+++ b/crates/serve/src/traffic/check.rs
@@ -0,0 +1,123 @@
+//! Checks of a request against the rules in force.
+
+use super::refusals::{fault, not_run};
+use super::{Traffic, lock};
+use reedford_core::AdapterVersion;
+use reedford_core::limits::Limited;
+use reedford_front::{CallOptions, ChatCall, Refused, RefusedCode};
+use reedford_rules::{Class, GroupRule, RulesDocument};
+use reedford_settings::ms;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// A request that the rules allow.
+#[derive(Clone, Debug)]
+pub(super) struct Job {
+    pub(super) target: AdapterVersion,
+    pub(super) group: Box<str>,
+    pub(super) rule: GroupRule,
+    pub(super) class: Class,
+    pub(super) repeatable: bool,
+    pub(super) deadline: Instant,
+    pub(super) traceparent: Option<Box<str>>,
+    pub(super) revision: u64,
+}
+
+impl Job {
+    /// Time left until the deadline.
+    pub(super) fn remaining(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
+
+/// Checks a chat call.
+///
+/// # Errors
+/// The refusal for the caller; nothing has been sent or written.
+pub(super) fn check_chat(traffic: &Traffic, call: &ChatCall) -> Result<Job, Refused> {
+    let doc = rules(traffic)?;
+    let rules = &doc.rules;
+    let adapter = rules.adapters.get(&call.adapter).ok_or_else(|| {
+        Refused::bad_request(
+            RefusedCode::UnknownAdapter,
+            &format!("no adapter is named {}", call.adapter),
+        )
+    })?;
+    if !adapter.versions.contains(&call.version) {
+        let message = format!("adapter {} has no version {}", call.adapter, call.version);
+        return Err(Refused::bad_request(RefusedCode::UnknownVersion, &message));
+    }
+    let rule = rules.groups.get(&adapter.group).cloned();
+    let rule = rule.ok_or_else(|| fault(RefusedCode::NoWorker, "the adapter's group is gone"))?;
+    let options = &call.options;
+    let repeatable = adapter.repeatable && options.repeatable.unwrap_or(true);
+    require_key(repeatable, options)?;
+    admit(traffic, &doc, &call.adapter, options.class)?;
+    Ok(Job {
+        target: AdapterVersion::new(&call.adapter, &call.version),
+        group: adapter.group.clone(),
+        rule,
+        class: options.class,
+        repeatable,
+        deadline: deadline(traffic, options),
+        traceparent: options.traceparent.clone(),
+        revision: doc.revision,
+    })
+}
+
+/// The rules in force.
+///
+/// # Errors
+/// When there are none yet.
+pub(super) fn rules(traffic: &Traffic) -> Result<Arc<RulesDocument>, Refused> {
+    if traffic.stopping.is_cancelled() {
+        return Err(fault(RefusedCode::Stopping, "this instance is stopping"));
+    }
+    let doc = traffic.document();
+    doc.ok_or_else(|| fault(RefusedCode::NotReady, "this instance has no rules yet"))
+}
+
+/// A request that may run only once needs the caller's key.
+///
+/// # Errors
+/// When the key is missing.
+pub(super) fn require_key(repeatable: bool, options: &CallOptions) -> Result<(), Refused> {
+    if repeatable || options.idempotency_key.is_some() {
+        return Ok(());
+    }
+    let message = "a request that may not be repeated needs an Idempotency-Key";
+    Err(Refused::bad_request(RefusedCode::KeyRequired, message))
+}
+
+/// Takes room under the limits.
+///
+/// # Errors
+/// When there is none.
+pub(super) fn admit(
+    traffic: &Traffic,
+    doc: &RulesDocument,
+    name: &str,
+    class: Class,
+) -> Result<(), Refused> {
+    if doc.rules.limits.is_empty() {
+        return Ok(());
+    }
+    let now = traffic.clock.now();
+    let mut limits = lock(&traffic.limits);
+    limits.set_rules(&doc.rules.limits);
+    match limits.admit(name, class, now) {
+        Limited::Admitted => Ok(()),
+        Limited::Wait(wait) => Err(not_run(
+            RefusedCode::LimitExceeded,
+            "the limit is used up",
+            wait,
+        )),
+    }
+}
+
+/// When the answer has to be there.
+pub(super) fn deadline(traffic: &Traffic, options: &CallOptions) -> Instant {
+    let timeouts = &traffic.cfg.timeouts;
+    let asked = options.deadline.unwrap_or(ms(timeouts.request_ms));
+    Instant::now() + asked.min(ms(timeouts.request_max_ms))
+}
--- /dev/null
+++ b/crates/serve/src/traffic/permits.rs
@@ -0,0 +1,317 @@
+//! Getting a permit: which workers are asked, and in which order.
+
+use super::Traffic;
+use super::check::Job;
+use crate::control::Command;
+use crate::peer::PeerClient;
+use reedford_core::messages::{PermitAnswer, PermitReason, PermitRefusal, PermitRequest, Release};
+use reedford_core::placement::{Candidates, PlacementRequest, View, WorkerView, candidates};
+use reedford_core::{InstanceId, PermitId, WorkerId};
+use reedford_rules::Class;
+use reedford_settings::ms;
+use reedford_targets::Cancellation;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::sync::oneshot;
+
+/// Workers asked for one request.
+const ASK_MOST: usize = 4;
+/// Longest wait that a lookup takes at one worker while another may be free.
+const LOOKUP_PATIENCE: Duration = Duration::from_millis(20);
+/// The same for other requests.
+const PATIENCE: Duration = Duration::from_millis(200);
+
+/// Leave to send one request to a worker. Dropping it gives it back.
+#[derive(Debug)]
+pub(super) struct Permit {
+    traffic: Arc<Traffic>,
+    pub(super) id: PermitId,
+    pub(super) worker: WorkerId,
+    pub(super) address: SocketAddr,
+    pub(super) load_stall: Duration,
+    owner: InstanceId,
+    repeatable: bool,
+    ended: bool,
+}
+
+/// An ask of one worker.
+struct Ask<'a> {
+    job: &'a Job,
+    worker: &'a WorkerView,
+    patience: Duration,
+}
+
+/// The best refusal so far.
+#[derive(Debug, Default)]
+struct Refusals {
+    least: Option<(PermitRefusal, Option<WorkerId>)>,
+}
+
+/// Gets a permit for `job` on a worker that is not in `tried`.
+///
+/// # Errors
+/// The refusal with the shortest time to come back; `None` when no worker
+/// could be asked.
+pub(super) async fn permit(
+    traffic: &Arc<Traffic>,
+    job: &Job,
+    tried: &BTreeSet<WorkerId>,
+) -> Result<Permit, Option<PermitRefusal>> {
+    let view = traffic.view();
+    let order = order(traffic, &view, job, tried);
+    let mut refusals = Refusals::default();
+    let residents = order.resident.iter().map(|w| (w, true));
+    let homes = order.homes.iter().map(|w| (w, false));
+    for (worker, resident) in residents.chain(homes).take(ASK_MOST) {
+        let patience = if resident {
+            patience(job.class)
+        } else {
+            refusals.wait(job)
+        };
+        let worker = &view.workers[worker];
+        match traffic
+            .ask(&Ask {
+                job,
+                worker,
+                patience,
+            })
+            .await
+        {
+            Ok(permit) => return Ok(permit),
+            Err(refusal) => refusals.note(refusal, worker),
+        }
+        if !resident && refusals.is_final() {
+            break;
+        }
+    }
+    if let Some(worker) = refusals.shortest_queue().and_then(|w| view.workers.get(&w)) {
+        let patience = job.remaining();
+        match traffic
+            .ask(&Ask {
+                job,
+                worker,
+                patience,
+            })
+            .await
+        {
+            Ok(permit) => return Ok(permit),
+            Err(refusal) => refusals.note(refusal, worker),
+        }
+    }
+    Err(refusals.least.map(|(refusal, _)| refusal))
+}
+
+fn order(traffic: &Traffic, view: &View, job: &Job, tried: &BTreeSet<WorkerId>) -> Candidates {
+    let req = PlacementRequest {
+        group: &job.group,
+        target: &job.target,
+        zone: &traffic.me.zone,
+        objective: job.rule.objective,
+        placement: job.rule.placement,
+        random: rand::random(),
+    };
+    let mut order = candidates(view, &req);
+    order.resident.retain(|w| !tried.contains(w));
+    order.homes.retain(|w| !tried.contains(w));
+    order
+}
+
+fn patience(class: Class) -> Duration {
+    match class {
+        Class::Lookup => LOOKUP_PATIENCE,
+        Class::Standard | Class::Writing => PATIENCE,
+    }
+}
+
+impl Refusals {
+    fn note(&mut self, refusal: PermitRefusal, worker: &WorkerView) {
+        let queue = (refusal.reason == PermitReason::Busy).then(|| worker.summary.worker.clone());
+        let rank = |r: &PermitRefusal| (r.reason != PermitReason::Busy, r.retry_after);
+        let better = self
+            .least
+            .as_ref()
+            .is_none_or(|(known, _)| rank(&refusal) < rank(known));
+        if better {
+            self.least = Some((refusal, queue));
+        }
+    }
+
+    /// The wait that another worker has to beat.
+    fn wait(&self, job: &Job) -> Duration {
+        let busy = self
+            .least
+            .as_ref()
+            .filter(|(r, _)| r.reason == PermitReason::Busy);
+        let remaining = job.remaining();
+        busy.map_or(remaining, |(r, _)| r.retry_after.min(remaining))
+    }
+
+    /// The worker to wait at, when all were asked with less patience.
+    fn shortest_queue(&self) -> Option<WorkerId> {
+        self.least.as_ref().and_then(|(_, queue)| queue.clone())
+    }
+
+    /// Whether other workers would say the same: loads wait for the zone's
+    /// turn wherever they are asked.
+    fn is_final(&self) -> bool {
+        let reason = self.least.as_ref().map(|(r, _)| r.reason);
+        reason == Some(PermitReason::DeadlineUnreachable)
+    }
+}
+
+impl Traffic {
+    async fn ask(self: &Arc<Self>, ask: &Ask<'_>) -> Result<Permit, PermitRefusal> {
+        let id = self.next_id();
+        let summary = &ask.worker.summary;
+        let remaining = ask.job.remaining();
+        let req = PermitRequest {
+            id: id.clone(),
+            worker: summary.worker.clone(),
+            target: ask.job.target.clone(),
+            class: ask.job.class,
+            remaining,
+            patience: ask.patience,
+        };
+        let started = Instant::now();
+        // From here on the permit may be out: dropping gives it back.
+        let mut permit = Permit {
+            traffic: Arc::clone(self),
+            id,
+            worker: summary.worker.clone(),
+            address: summary.address,
+            load_stall: Duration::ZERO,
+            owner: ask.worker.owner.clone(),
+            repeatable: ask.job.repeatable,
+            ended: true,
+        };
+        match self.ask_owner(ask.worker, req, remaining).await {
+            PermitAnswer::Granted { load_stall } => {
+                permit.load_stall = load_stall;
+                self.metrics.permit(started.elapsed(), load_stall);
+                Ok(permit)
+            }
+            PermitAnswer::Refused(refusal) => {
+                permit.forget();
+                Err(refusal)
+            }
+        }
+    }
+
+    async fn ask_owner(
+        &self,
+        worker: &WorkerView,
+        req: PermitRequest,
+        limit: Duration,
+    ) -> PermitAnswer {
+        if worker.owner == self.me.instance {
+            let (reply, rx) = oneshot::channel();
+            if self
+                .control
+                .send(Command::Permit { req, reply })
+                .await
+                .is_err()
+            {
+                return not_owner();
+            }
+            return rx.await.unwrap_or_else(|_| not_owner());
+        }
+        let asking = |client: PeerClient, cx| async move { client.permit(cx, req).await };
+        self.metrics.peer_call("permit");
+        let answer = self
+            .clients
+            .peers
+            .call(worker.owner_address, limit, asking)
+            .await;
+        answer.unwrap_or_else(|error| {
+            tracing::debug!(event = "permit_lost", owner = %worker.owner, %error);
+            not_owner()
+        })
+    }
+
+    async fn release(&self, release: Release) {
+        let view = self.view();
+        let Some(worker) = view.workers.get(&release.worker) else {
+            return;
+        };
+        if worker.owner == self.me.instance {
+            let sent = self.control.send(Command::Release(release)).await;
+            if sent.is_err() {
+                tracing::debug!(event = "release_after_stop");
+            }
+            return;
+        }
+        let limit = ms(self.cfg.timeouts.platform_ms);
+        let telling = |client: PeerClient, cx| async move { client.release(cx, release).await };
+        self.metrics.peer_call("release");
+        let told = self
+            .clients
+            .peers
+            .call(worker.owner_address, limit, telling)
+            .await;
+        if let Err(error) = told {
+            tracing::debug!(event = "release_lost", %error);
+        }
+    }
+}
+
+impl Permit {
+    /// Whether the owner that granted still owns the worker, by what was last
+    /// heard. A grant that was on its way for long is not used, because a new
+    /// owner that does not know it may have begun to evict.
+    pub(super) fn is_current(&self) -> bool {
+        let view = self.traffic.view();
+        view.workers
+            .get(&self.worker)
+            .is_some_and(|w| w.owner == self.owner)
+    }
+
+    /// Notes that the request goes out: until the target says that it ended
+    /// it, it may be running there.
+    pub(super) fn sent(&mut self) {
+        self.ended = false;
+    }
+
+    /// Notes that the target has surely ended the request.
+    pub(super) fn ended(&mut self) {
+        self.ended = true;
+    }
+
+    /// There is nothing to give back.
+    fn forget(mut self) {
+        self.worker = "".into();
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        if self.worker.is_empty() {
+            return;
+        }
+        let traffic = Arc::clone(&self.traffic);
+        let mut release = Release {
+            id: self.id.clone(),
+            worker: self.worker.clone(),
+            ended: self.ended,
+        };
+        let address = self.address;
+        // A run that may happen only once is left to end by itself.
+        let cancel = !self.ended && self.repeatable;
+        self.traffic.tasks.spawn(async move {
+            if cancel {
+                let attempt = release.id.to_string();
+                let said = traffic.clients.targets.cancel(address, &attempt).await;
+                release.ended = said == Ok(Cancellation::Cancelled);
+            }
+            traffic.release(release).await;
+        });
+    }
+}
+
+fn not_owner() -> PermitAnswer {
+    PermitAnswer::Refused(PermitRefusal {
+        reason: PermitReason::NotOwner,
+        retry_after: Duration::ZERO,
+    })
+}
--- /dev/null
+++ b/crates/standins/src/caller.rs
@@ -0,0 +1,154 @@
+//! A caller, for the demonstration and the tests.
+
+use bytes::Bytes;
+use eyre::{Result, WrapErr as _};
+use http_body_util::{BodyExt as _, Full};
+use hyper::{Request, StatusCode, header};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use reedford_wire::headers;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Sends calls to entry instances, each on a connection of its own.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+/// A call.
+#[derive(Clone, Debug, Default)]
+pub struct Call {
+    /// Path at the entry instance.
+    pub path: String,
+    /// Headers besides the content type.
+    pub headers: BTreeMap<String, String>,
+    /// The body.
+    pub body: String,
+}
+
+/// What a call got.
+#[derive(Clone, Debug)]
+pub struct CallerAnswer {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Headers by name.
+    pub headers: BTreeMap<String, String>,
+    /// The body, as far as it came.
+    pub body: String,
+    /// Whether the body ended as HTTP says.
+    pub whole: bool,
+}
+
+impl Default for Caller {
+    fn default() -> Self {
+        let client = Client::builder(TokioExecutor::new())
+            .pool_max_idle_per_host(0)
+            .build_http();
+        Self { client }
+    }
+}
+
+impl Call {
+    /// A chat call.
+    #[must_use]
+    pub fn chat(model: &str, prompt: &str, stream: bool) -> Self {
+        let body = serde_json::json!({
+            "model": model,
+            "messages": [{"role": "user", "content": prompt}],
+            "max_tokens": 8,
+            "stream": stream,
+        });
+        Self {
+            path: "/v1/chat/completions".to_owned(),
+            body: body.to_string(),
+            ..Self::default()
+        }
+    }
+
+    /// A call of a plain service.
+    #[must_use]
+    pub fn plain(service: &str, path: &str, body: &str) -> Self {
+        Self {
+            path: format!("/services/{service}{path}"),
+            body: body.to_owned(),
+            ..Self::default()
+        }
+    }
+
+    /// With a header.
+    #[must_use]
+    pub fn with(mut self, name: &str, value: &str) -> Self {
+        self.headers.insert(name.to_owned(), value.to_owned());
+        self
+    }
+
+    /// With a key, for a call that may run only once.
+    #[must_use]
+    pub fn once(self, key: &str) -> Self {
+        self.with(headers::IDEMPOTENCY_KEY, key)
+            .with(headers::REPEATABLE, "false")
+    }
+}
+
+impl CallerAnswer {
+    /// A header, empty when it did not come.
+    #[must_use]
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", String::as_str)
+    }
+
+    /// A field of the error of a refusal, empty when there is none.
+    #[must_use]
+    pub fn error(&self, field: &str) -> String {
+        let body: serde_json::Value = serde_json::from_str(&self.body).unwrap_or_default();
+        body["error"][field].as_str().unwrap_or_default().to_owned()
+    }
+}
+
+impl Caller {
+    /// Makes a call and reads its answer to the end.
+    ///
+    /// # Errors
+    /// When no head of an answer comes.
+    pub async fn send(&self, entry: SocketAddr, call: &Call) -> Result<CallerAnswer> {
+        let mut req = Request::post(format!("http://{entry}{}", call.path))
+            .header(header::CONTENT_TYPE, "application/json");
+        for (name, value) in &call.headers {
+            req = req.header(name, value);
+        }
+        let req = req
+            .body(Full::new(Bytes::from(call.body.clone())))
+            .wrap_err("request")?;
+        let response = self.client.request(req).await.wrap_err("no answer")?;
+        let status = response.status();
+        let headers = response.headers().iter().map(|(name, value)| {
+            (
+                name.to_string(),
+                String::from_utf8_lossy(value.as_bytes()).into_owned(),
+            )
+        });
+        let headers = headers.collect();
+        let mut body = response.into_body();
+        let mut read = Vec::new();
+        let whole = loop {
+            match body.frame().await {
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        read.extend_from_slice(&data);
+                    }
+                }
+                Some(Err(_)) => break false,
+                None => break true,
+            }
+        };
+        let body = String::from_utf8_lossy(&read).into_owned();
+        Ok(CallerAnswer {
+            status,
+            headers,
+            body,
+            whole,
+        })
+    }
+}
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -2,6 +2,7 @@
 
 use crate::flags::Serve;
 use crate::outcome::Outcome;
+use reedford_serve::Ended;
 use reedford_settings::{Settings, SettingsError};
 
 pub(crate) fn run(flags: &Serve) -> eyre::Result<Outcome> {
@@ -20,7 +21,10 @@
         );
         return Ok(Outcome::Done);
     }
-    eyre::bail!("this build can only check settings")
+    match reedford_serve::run(settings)? {
+        Ended::Stopped => Ok(Outcome::Done),
+        Ended::Cut => Ok(Outcome::Failed),
+    }
 }
 
 fn print_faults(flags: &Serve, error: &SettingsError) {
