--- a/crates/standins/src/load/probe.rs
+++ b/crates/standins/src/load/probe.rs
@@ -4,6 +4,7 @@
 
 pub use metrics::{Counters, parse_counters};
 
+use crate::engine::{EngineRecord, EngineStats};
 use crate::load::report::share;
 use bytes::Bytes;
 use futures::future::join_all;
@@ -22,34 +23,6 @@
 /// Part of the names of counters that count retries.
 const RETRIES: &str = "retries";
 
-/// Counters of an engine since its start, `GET /control/stats`.
-#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
-pub struct EngineStats {
-    /// Steps of the batch loop.
-    pub steps: u64,
-    /// Steps in which a request ran.
-    pub busy_steps: u64,
-    /// Tokens generated.
-    pub tokens: u64,
-    /// Most requests that run at once.
-    pub batch_limit: u64,
-    /// Loads done.
-    pub loads: u64,
-    /// Loads that failed.
-    #[serde(default)]
-    pub failed_loads: u64,
-    /// Unloads done.
-    pub unloads: u64,
-    /// Most requests that have run at once.
-    pub max_running: u64,
-}
-
-/// What the engine's record says of broken promises, `GET /control/record`.
-#[derive(Clone, Debug, Deserialize)]
-struct RecordPage {
-    violations: Vec<serde_json::Value>,
-}
-
 /// Changes of all engines' counters.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct EngineReport {
@@ -68,7 +41,7 @@
     /// Evictions done.
     pub evictions: u64,
     /// Most requests that have run at once in one engine, since its start.
-    pub max_running: u64,
+    pub max_running: u32,
     /// Broken promises on the engines' records, since their start.
     pub violations: u64,
     /// Engines whose counters could not be read.
@@ -142,7 +115,7 @@
     async fn engine(&self, address: SocketAddr) -> Option<(SocketAddr, EngineSample)> {
         let stats = self.get(address, "/control/stats").await?;
         let record = self.get(address, "/control/record").await?;
-        let record: RecordPage = serde_json::from_slice(&record).ok()?;
+        let record: EngineRecord = serde_json::from_slice(&record).ok()?;
         let sample = EngineSample {
             stats: serde_json::from_slice(&stats).ok()?,
             violations: record.violations.len() as u64,
@@ -187,7 +160,7 @@
     let busy_steps = change(was.busy_steps, now.busy_steps);
     report.busy_steps += busy_steps;
     report.tokens += change(was.tokens, now.tokens);
-    report.token_room += busy_steps * now.batch_limit;
+    report.token_room += busy_steps * u64::from(now.batch_limit);
     report.loads += change(was.loads, now.loads);
     report.failed_loads += change(was.failed_loads, now.failed_loads);
     report.evictions += change(was.unloads, now.unloads);
--- a/crates/standins/src/load/table/rows.rs
+++ b/crates/standins/src/load/table/rows.rs
@@ -64,7 +64,7 @@
         count("loads", engines.loads),
         count("failed loads", engines.failed_loads),
         count("evictions", engines.evictions),
-        count("most running", engines.max_running),
+        count("most running", engines.max_running.into()),
         count("engine violations", engines.violations),
         number("retries", report.entries.retries),
         count("targets and entries unread", unread as u64),
--- a/crates/standins/tests/load_run/entry.rs
+++ b/crates/standins/tests/load_run/entry.rs
@@ -94,7 +94,7 @@
         "/v1/chat/completions" => chat(&state, &serde_json::from_slice(&body).unwrap()),
         "/services/einkauf/orders" => receipt(&state, &key.unwrap(), &body),
         "/control/stats" => stats(&state),
-        "/control/record" => page(r#"{"runs":[],"violations":["evicted in use"]}"#.to_owned()),
+        "/control/record" => record(),
         "/metrics" => page(metrics(&state)),
         _ => panic!("unexpected path {path}"),
     })
@@ -183,7 +183,14 @@
     let (steps, tokens) = (reads * 10, reads * 40);
     page(format!(
         r#"{{"steps":{steps},"busy_steps":{steps},"tokens":{tokens},"batch_limit":8,
-        "loads":{reads},"unloads":{reads},"max_running":5}}"#
+        "loads":{reads},"failed_loads":0,"unloads":{reads},"max_running":5}}"#
+    ))
+}
+
+fn record() -> Response<Full<Bytes>> {
+    let violation = r#"{"kind":"duplicate_attempt","attempt":"a-1"}"#;
+    page(format!(
+        r#"{{"runs":[],"orders":[],"violations":[{violation}]}}"#
     ))
 }
 
--- a/crates/standins/tests/load_run/main.rs
+++ b/crates/standins/tests/load_run/main.rs
@@ -5,6 +5,7 @@
 
 use entry::FakeEntry;
 use reedford_rules::Class;
+use reedford_standins::engine::{EngineConfig, EngineStandin};
 use reedford_standins::load::balancer::{Entry, Spread};
 use reedford_standins::load::experiment::{Experiment, Names, Overrides};
 use reedford_standins::load::floor::LoadLimits;
@@ -144,6 +145,18 @@
     fake.stop().await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_engine_stand_in_shows_its_counters() {
+    let engine = EngineStandin::start(EngineConfig::default()).await.unwrap();
+    let fake = FakeEntry::start().await;
+    let experiment = experiment(&[fake.address], engine.addr(), "tint-{}@1");
+    let report = run(&experiment).await.unwrap();
+    assert!(report.engines.unread.is_empty());
+    assert_eq!((report.engines.tokens, report.engines.violations), (0, 0));
+    fake.stop().await;
+    engine.shutdown().await;
+}
+
 fn example(name: &str) -> PathBuf {
     let crates = Path::new(env!("CARGO_MANIFEST_DIR"));
     crates.join("../../examples").join(name).join("load.yaml")
