Load tool: a dash where nothing was measured

Cause: figures without values showed as 0.0, which reads as measured, and a closed pipe made the program panic.

--- a/crates/standins/src/bin/reedford-load.rs
+++ b/crates/standins/src/bin/reedford-load.rs
@@ -5,6 +5,7 @@
 use reedford_standins::load::report::Report;
 use reedford_standins::load::runner::{floors, run};
 use reedford_standins::load::table::Table;
+use std::io::Write as _;
 use std::path::Path;
 
 mod flags {
@@ -76,13 +77,14 @@
     experiment.come_back |= flags.come_back;
     let runtime = tokio::runtime::Runtime::new().wrap_err("starting the runtime")?;
     let report = runtime.block_on(run(&experiment))?;
-    println!("{}", Table::of_run(&report));
-    println!("{}", Table::of_timeline(&report));
-    print!("{}", Table::of_run_wide(&report));
-    match &flags.json {
-        Some(path) => write_json(path, &report),
-        None => Ok(()),
+    if let Some(path) = &flags.json {
+        write_json(path, &report)?;
     }
+    print(&[
+        Table::of_run(&report),
+        Table::of_timeline(&report),
+        Table::of_run_wide(&report),
+    ])
 }
 
 fn print_floor(flags: &flags::Floor) -> Result<()> {
@@ -95,14 +97,20 @@
     };
     let experiment = Experiment::read(&flags.experiment, overrides)?;
     let (floor, lru_floor) = floors(&experiment)?;
-    print!("{}", Table::of_floors(&floor, &lru_floor));
-    Ok(())
+    print(&[Table::of_floors(&floor, &lru_floor)])
 }
 
 fn compare(flags: &flags::Compare) -> Result<()> {
     let reports = flags.files.iter().map(|path| read_json(path));
     let reports: Vec<_> = reports.collect::<Result<_>>()?;
-    print!("{}", Table::of_runs(&reports));
+    print(&[Table::of_runs(&reports)])
+}
+
+fn print(tables: &[Table]) -> Result<()> {
+    let mut out = std::io::stdout().lock();
+    for table in tables {
+        writeln!(out, "{table}").wrap_err("printing")?;
+    }
     Ok(())
 }
 
--- a/crates/standins/src/load/probe.rs
+++ b/crates/standins/src/load/probe.rs
@@ -189,6 +189,6 @@
         .counters
         .iter()
         .filter(|(name, _)| name.contains(RETRIES));
-    report.retries = retries.map(|(_, value)| value).sum();
+    report.retries = retries.fold(0.0, |sum, (_, value)| sum + value);
     report
 }
--- a/crates/standins/src/load/table/rows.rs
+++ b/crates/standins/src/load/table/rows.rs
@@ -27,16 +27,19 @@
     rows.extend(quantiles("first token", class.first_token));
     rows.extend(quantiles("token gap", class.token_gap));
     rows.extend(quantiles("latency", class.latency));
-    rows.push(number("refused after p50 ms", class.refusal_after.p50_ms));
-    rows.push(number("refused after max ms", class.refusal_after.max_ms));
-    rows.push(number(
+    let has_refusals = class.refusal_after.count > 0;
+    let refusal = |name, value: f64| cell(name, measured(has_refusals, format!("{value:.1}")));
+    rows.push(refusal("refused after p50 ms", class.refusal_after.p50_ms));
+    rows.push(refusal("refused after max ms", class.refusal_after.max_ms));
+    rows.push(refusal(
         "refused before deadline max ms",
         class.refusal_left.max_ms,
     ));
     rows.push(count("came back", class.came_back));
-    rows.push(percent(
+    rows.push(share_row(
         "served on return %",
-        share(class.served_on_return, class.came_back),
+        class.served_on_return,
+        class.came_back,
     ));
     rows.push(number("goodput/s", class.goodput_per_s));
     rows
@@ -60,7 +63,7 @@
         count("seed", report.seed),
         number("rate/s", report.rate),
         number("counted s", report.counted_s),
-        percent("batch efficiency %", engines.batch_efficiency),
+        share_row("batch efficiency %", engines.tokens, engines.token_room),
         count("loads", engines.loads),
         count("failed loads", engines.failed_loads),
         count("evictions", engines.evictions),
@@ -93,34 +96,55 @@
         ("not run", column(|row, w| count(row, w.not_run))),
         (
             "stall p50 ms",
-            column(|row, w| number(row, w.stall.time.p50_ms)),
+            column(|row, w| stalled(row, w, w.stall.time.p50_ms)),
         ),
         (
             "stall p95 ms",
-            column(|row, w| number(row, w.stall.time.p95_ms)),
+            column(|row, w| stalled(row, w, w.stall.time.p95_ms)),
         ),
         (
             "stalled %",
-            column(|row, w| percent(row, w.stall.share_stalled)),
+            column(|row, w| stalled(row, w, w.stall.share_stalled * PERCENT)),
         ),
     ]
 }
 
+/// A figure of the stalls of a window.
+fn stalled(row: &str, window: &Window, value: f64) -> Cell {
+    let text = measured(window.stall.time.count > 0, format!("{value:.1}"));
+    cell(row, text)
+}
+
 fn stall_rows(stall: &StallSummary) -> Vec<Cell> {
     let mut rows = vec![count("stalls stated", stall.time.count)];
     rows.extend(quantiles("load stall", stall.time));
-    rows.push(percent("stalled %", stall.share_stalled));
+    let stalled = format!("{:.2}", stall.share_stalled * PERCENT);
+    rows.push(cell("stalled %", measured(stall.time.count > 0, stalled)));
     rows
 }
 
 fn quantiles(name: &str, of: Quantiles) -> Vec<Cell> {
+    let row = |quantile, value: f64| {
+        let text = measured(of.count > 0, format!("{value:.1}"));
+        cell(&format!("{name} {quantile} ms"), text)
+    };
     vec![
-        number(&format!("{name} p50 ms"), of.p50_ms),
-        number(&format!("{name} p95 ms"), of.p95_ms),
-        number(&format!("{name} p99 ms"), of.p99_ms),
+        row("p50", of.p50_ms),
+        row("p95", of.p95_ms),
+        row("p99", of.p99_ms),
     ]
 }
 
+/// A figure, or a dash where nothing was there to measure.
+fn measured(is_measured: bool, text: String) -> String {
+    if is_measured { text } else { "-".to_owned() }
+}
+
+fn share_row(name: &str, part: u64, whole: u64) -> Cell {
+    let text = format!("{:.2}", share(part, whole) * PERCENT);
+    cell(name, measured(whole > 0, text))
+}
+
 fn counts(name: &str, by: &BTreeMap<Box<str>, u64>) -> Vec<Cell> {
     let rows = by.iter().map(|(code, value)| {
         let row = format!("  {name}: {code}");
