--- a/crates/standins/src/load/experiment/names.rs
+++ b/crates/standins/src/load/experiment/names.rs
@@ -4,8 +4,14 @@
 use serde::{Deserialize, Serialize};
 use std::path::{Path, PathBuf};
 
-/// An adapter and version as requests name it, `adapter@version`.
-pub type Model = Box<str>;
+/// An adapter version that callers ask for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Model {
+    /// As requests name it, `adapter@version`.
+    pub name: Box<str>,
+    /// Whether the rules let its requests be idempotent.
+    pub repeatable: bool,
+}
 
 /// Stands for the number of the adapter in a pattern.
 const PLACEHOLDER: &str = "{}";
@@ -105,7 +111,10 @@
 fn first_versions(rules: &Rules, count: usize) -> Vec<Model> {
     let models = rules.adapters.iter().filter_map(|(name, adapter)| {
         let version = adapter.versions.first()?;
-        Some(format!("{name}@{version}").into())
+        Some(Model {
+            name: format!("{name}@{version}").into(),
+            repeatable: adapter.repeatable,
+        })
     });
     models.take(count).collect()
 }
@@ -117,6 +126,9 @@
     if !pattern.contains('@') {
         return Err(NamesError::NoVersion(pattern.into()));
     }
-    let model = |number| pattern.replace(PLACEHOLDER, &format!("{number:04}")).into();
+    let model = |number| Model {
+        name: pattern.replace(PLACEHOLDER, &format!("{number:04}")).into(),
+        repeatable: true,
+    };
     Ok((0..count).map(model).collect())
 }
--- a/crates/standins/src/load/sender.rs
+++ b/crates/standins/src/load/sender.rs
@@ -241,14 +241,14 @@
 
 fn expected(call: &Call<'_>, headers: &HeaderMap) -> Expected {
     Expected {
-        model: call.model.into(),
+        model: call.model.name.clone(),
         attempt: text(headers, headers::ATTEMPT_ID).map(Box::from),
         tokens: call.tokens,
     }
 }
 
 fn check_model_header(call: &Call<'_>, headers: &HeaderMap, violations: &mut Vec<Violation>) {
-    let names_it = text(headers, headers::MODEL) == Some(call.model);
+    let names_it = text(headers, headers::MODEL) == Some(&*call.model.name);
     if !names_it && !violations.contains(&Violation::Model) {
         violations.push(Violation::Model);
     }
--- a/crates/standins/src/load/sender/request.rs
+++ b/crates/standins/src/load/sender/request.rs
@@ -1,5 +1,6 @@
 //! Builds the requests.
 
+use crate::load::experiment::Model;
 use crate::load::workload::ClassMix;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -13,7 +14,7 @@
 /// One request, before an entry instance is chosen.
 pub(super) struct Call<'a> {
     pub(super) mix: &'a ClassMix,
-    pub(super) model: &'a str,
+    pub(super) model: &'a Model,
     pub(super) tokens: u32,
     /// Names the request; sent as its key when it isn't idempotent.
     pub(super) key: Box<str>,
@@ -29,8 +30,8 @@
             .header(CONTENT_TYPE, "application/json")
             .header(headers::DEADLINE_MS, self.mix.deadline_ms)
             .header(headers::CLASS, class_name(self.mix.class))
-            .header(headers::REPEATABLE, self.mix.repeatable.to_string());
-        if !self.mix.repeatable {
+            .header(headers::REPEATABLE, self.is_repeatable().to_string());
+        if !self.is_repeatable() {
             builder = builder.header(headers::IDEMPOTENCY_KEY, &*self.key);
         }
         let req = builder.body(Full::from(self.body()));
@@ -42,6 +43,12 @@
         format!(r#"{{"order":"{}"}}"#, self.key)
     }
 
+    /// A class only narrows what the rules say of an adapter.
+    const fn is_repeatable(&self) -> bool {
+        let is_plain = self.mix.plain.is_some();
+        self.mix.repeatable && (is_plain || self.model.repeatable)
+    }
+
     fn path(&self) -> String {
         match &self.mix.plain {
             Some(plain) => format!("/services/{}/{}", plain.service, plain.path),
@@ -62,7 +69,7 @@
             content: self.key.clone(),
         };
         let chat = ChatRequest {
-            model: self.model.into(),
+            model: self.model.name.clone(),
             messages: vec![message],
             stream: self.mix.stream,
             max_tokens: Some(self.tokens),
--- a/crates/standins/tests/load_workload.rs
+++ b/crates/standins/tests/load_workload.rs
@@ -1,7 +1,7 @@
 //! Arrivals of the load tool.
 
 use reedford_rules::Class;
-use reedford_standins::load::experiment::{Names, NamesError};
+use reedford_standins::load::experiment::{Model, Names, NamesError};
 use reedford_standins::load::workload::{Arrival, ClassMix, PlainCall, Swap, Tokens, Workload};
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
@@ -40,6 +40,13 @@
     }
 }
 
+fn model(name: &str, repeatable: bool) -> Model {
+    Model {
+        name: name.into(),
+        repeatable,
+    }
+}
+
 fn arrivals(workload: &Workload, seed: u64) -> Vec<Arrival> {
     workload.arrivals(seed).unwrap()
 }
@@ -191,10 +198,10 @@
 #[test]
 fn names_follow_the_pattern() {
     let names = Names::Pattern("rezept-{}@3".into());
-    let models = names.models(3).unwrap();
+    let models = names.models(2).unwrap();
     assert_eq!(
         models,
-        ["rezept-0000@3", "rezept-0001@3", "rezept-0002@3"].map(Box::from)
+        ["rezept-0000@3", "rezept-0001@3"].map(|name| model(name, true))
     );
     assert!(Names::Pattern("rezept@3".into()).models(1).is_err());
     assert!(Names::Pattern("rezept-{}".into()).models(1).is_err());
@@ -203,7 +210,7 @@
 const RULES: &str = "\
 group g kind=engine base=b # asked by Ada
 adapter tint group=g versions=4,2 repeatable=yes # asked by Ada
-adapter rust group=g versions=1 repeatable=yes # asked by Ada
+adapter rust group=g versions=1 repeatable=no # asked by Ada
 ";
 
 #[test]
@@ -217,7 +224,7 @@
         names
     };
     let models = names("load-names.txt").models(2).unwrap();
-    assert_eq!(models, ["rust@1", "tint@2"].map(Box::from));
+    assert_eq!(models, [model("rust@1", false), model("tint@2", true)]);
     let error = names("load-names.txt").models(3).unwrap_err();
     assert!(
         matches!(error, NamesError::TooFew { found: 2, .. }),
