Stand-in targets tried against the stand-in platform

Registration, leaving, weights and the control calls had no test, since the platform's stand-in came later.

--- a/crates/standins/tests/target_support/mod.rs
+++ b/crates/standins/tests/target_support/mod.rs
@@ -1,13 +1,20 @@
 //! What the tests of the stand-in targets share.
 #![expect(dead_code, reason = "each test file uses a part")]
 
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full};
+use hyper::client::conn::http1;
+use hyper::{Method, Request, StatusCode};
+use hyper_util::rt::TokioIo;
 use reedford_standins::engine::{EngineConfig, EngineStandin};
 use reedford_targets::{
     DispatchError, DispatchOptions, OrderError, Reply, TargetClient, Timeouts, TokenStream,
 };
 use reedford_wire::chat::{ChatRequest, Message};
 use reedford_wire::engine::{Listing, LoadOrder, OrderDone, RefusalCode};
+use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::net::TcpStream;
 
 pub const MODEL: &str = "price@v1";
 /// Tokens of a request that outlasts its test unless cancelled.
@@ -178,3 +185,32 @@
         Ok(_) => panic!("expected a refusal"),
     }
 }
+
+/// Makes one call without a body; the status and the body of the answer.
+pub async fn bare(addr: SocketAddr, method: Method, path: &str) -> (StatusCode, Bytes) {
+    call(addr, method, path, Bytes::new()).await
+}
+
+/// Makes one call; the status and the body of the answer.
+pub async fn call(
+    addr: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Bytes,
+) -> (StatusCode, Bytes) {
+    let stream = TcpStream::connect(addr).await.unwrap();
+    let (mut sender, driver) = http1::handshake(TokioIo::new(stream)).await.unwrap();
+    let req = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", addr.to_string())
+        .body(Full::new(body))
+        .unwrap();
+    let exchange = async move {
+        let res = sender.send_request(req).await.unwrap();
+        let status = res.status();
+        (status, res.into_body().collect().await.unwrap().to_bytes())
+    };
+    let (answer, _ended) = tokio::join!(exchange, driver);
+    answer
+}
