Stand-in tests: a stream that should fail and does not is a failure, not a hang

With the record of evictions in use switched off for trial, the test for it read on after the end of the stream for good. No check was dropped.

--- a/crates/standins/tests/engine_answers.rs
+++ b/crates/standins/tests/engine_answers.rs
@@ -10,7 +10,7 @@
 use reedford_wire::engine::RefusalCode;
 use std::time::Duration;
 use target_support::{
-    Bench, ENDLESS, MODEL, chat, client, content, expected, options, quick, text,
+    Bench, ENDLESS, MODEL, chat, client, content, expected, failure, options, quick, text,
 };
 use test_case::test_case;
 
@@ -69,13 +69,8 @@
         ..FaultOrder::default()
     };
     bench.engine.set_faults(&silent).await;
-    let received = loop {
-        match stream.next().await {
-            Ok(Some(_)) => {}
-            Ok(None) => panic!("a silent stream has no end"),
-            Err(StreamError::Silent { received }) => break received,
-            Err(other) => panic!("expected silence, got {other}"),
-        }
+    let StreamError::Silent { received } = failure(&mut stream).await else {
+        panic!("expected silence");
     };
     let mut resumed = hasty.resume(addr, "a", MODEL, received).await.unwrap();
     let next = resumed.next().await.unwrap().unwrap();
@@ -92,13 +87,9 @@
         Err(DispatchError::Mismatch(mismatch)) => return mismatch.got,
         Err(other) => panic!("expected a mismatch, got {other}"),
     };
-    loop {
-        match stream.next().await {
-            Ok(Some(_)) => {}
-            Ok(None) => panic!("a crossed stream came through"),
-            Err(StreamError::Mismatch { mismatch, .. }) => return mismatch.got,
-            Err(other) => panic!("expected a mismatch, got {other}"),
-        }
+    match failure(&mut stream).await {
+        StreamError::Mismatch { mismatch, .. } => mismatch.got,
+        other => panic!("expected a mismatch, got {other}"),
     }
 }
 
@@ -144,11 +135,7 @@
         ..FaultOrder::default()
     };
     bench.engine.set_faults(&crossed).await;
-    let error = loop {
-        if let Err(e) = stream.next().await {
-            break e;
-        }
-    };
+    let error = failure(&mut stream).await;
     assert!(matches!(error, StreamError::Mismatch { .. }), "{error}");
     bench.stop().await;
 }
@@ -232,11 +219,7 @@
     let addr = bench.engine.addr();
     let cancelled = bench.client.cancel(addr, "a").await;
     assert_eq!(cancelled, Ok(Cancellation::Cancelled));
-    let error = loop {
-        if let Err(e) = stream.next().await {
-            break e;
-        }
-    };
+    let error = failure(&mut stream).await;
     assert!(matches!(error, StreamError::Cut { .. }), "{error}");
     let again = bench.client.cancel(addr, "a").await;
     assert_eq!(again, Ok(Cancellation::UnknownStream));
--- a/crates/standins/tests/engine_orders.rs
+++ b/crates/standins/tests/engine_orders.rs
@@ -5,7 +5,7 @@
 use reedford_standins::engine::{FaultOrder, OrderOutcome, UnloadRunning, Violation};
 use reedford_targets::{OrderError, ResumeError, StreamError};
 use reedford_wire::engine::RefusalCode;
-use target_support::{Bench, ENDLESS, MODEL, quick, refused_order};
+use target_support::{Bench, ENDLESS, MODEL, failure, quick, refused_order};
 use test_case::test_case;
 
 #[test_case(true, Some(RefusalCode::OldFence); "honoured")]
@@ -84,11 +84,7 @@
     let bench = Bench::loaded(quick()).await;
     let mut stream = bench.stream("a", ENDLESS).await;
     bench.unload(MODEL, 3).await.unwrap();
-    let error = loop {
-        if let Err(e) = stream.next().await {
-            break e;
-        }
-    };
+    let error = failure(&mut stream).await;
     assert!(matches!(error, StreamError::Cut { .. }), "{error}");
     let violation = Violation::EvictedInUse {
         adapter: "price".into(),
@@ -121,11 +117,7 @@
     let mut stream = bench.stream("a", ENDLESS).await;
     stream.next().await.unwrap().unwrap();
     bench.engine.restart();
-    let error = loop {
-        if let Err(e) = stream.next().await {
-            break e;
-        }
-    };
+    let error = failure(&mut stream).await;
     assert!(matches!(error, StreamError::Cut { .. }), "{error}");
     let after = bench.listing().await;
     assert_ne!(after.boot_id, before.boot_id);
--- a/crates/standins/tests/target_support/mod.rs
+++ b/crates/standins/tests/target_support/mod.rs
@@ -8,7 +8,8 @@
 use hyper_util::rt::TokioIo;
 use reedford_standins::engine::{EngineConfig, EngineStandin};
 use reedford_targets::{
-    DispatchError, DispatchOptions, OrderError, Reply, TargetClient, Timeouts, TokenStream,
+    DispatchError, DispatchOptions, OrderError, Reply, StreamError, TargetClient, Timeouts,
+    TokenStream,
 };
 use reedford_wire::chat::{ChatRequest, Message};
 use reedford_wire::engine::{Listing, LoadOrder, OrderDone, RefusalCode};
@@ -162,6 +163,17 @@
     text
 }
 
+/// Reads a stream until it fails.
+pub async fn failure(stream: &mut TokenStream) -> StreamError {
+    loop {
+        match stream.next().await {
+            Ok(Some(_)) => {}
+            Ok(None) => panic!("the stream ended well"),
+            Err(e) => return e,
+        }
+    }
+}
+
 /// The text of one event.
 pub fn content(raw: &[u8]) -> String {
     let event = std::str::from_utf8(raw).unwrap();
