Targets: an attempt id that can't be read counts as another's

A refusal with an unreadable or second attempt id was taken for this request's, and would have proved not run. All values of the field must now equal the id. A second, redundant check of refusals went: with it removed for trial no test failed, as the head is checked before.

Added: two cases for this, 300 requests on connections that close behind their answers (none sent twice, none of the not sent ever seen), and silence on one connection dropping the unused ones, which no test covered.

--- a/crates/targets/src/client.rs
+++ b/crates/targets/src/client.rs
@@ -5,11 +5,12 @@
 mod requests;
 mod streams;
 
+use crate::error::{Mismatch, NotSentReason};
 use crate::options::Timeouts;
 use crate::pool::Pool;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::header::{HeaderMap, HeaderValue};
+use hyper::header::HeaderMap;
 use hyper::{Method, Request, header};
 use std::sync::Arc;
 
@@ -64,20 +65,24 @@
         method: Method,
         path: &str,
         body: Bytes,
-    ) -> Result<Request<Full<Bytes>>, crate::NotSentReason> {
+    ) -> Result<Request<Full<Bytes>>, NotSentReason> {
         let mut req = Request::builder().method(method).uri(path);
         for (name, value) in self.fields {
             req = req.header(name, value);
         }
         req.body(Full::new(body))
-            .map_err(|_invalid| crate::NotSentReason::Encoding)
+            .map_err(|_invalid| NotSentReason::Encoding)
     }
 }
 
-fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    headers.get(name).map(HeaderValue::to_str)?.ok()
+fn content_type(headers: &HeaderMap) -> Option<&str> {
+    headers.get(header::CONTENT_TYPE)?.to_str().ok()
 }
 
-fn content_type(headers: &HeaderMap) -> Option<&str> {
-    text(headers, header::CONTENT_TYPE.as_str())
+/// Checks that a field has the expected value wherever it is given.
+fn check_field(headers: &HeaderMap, name: &str, expected: &str) -> Result<(), Mismatch> {
+    for value in headers.get_all(name) {
+        Mismatch::check(expected, &String::from_utf8_lossy(value.as_bytes()))?;
+    }
+    Ok(())
 }
--- a/crates/targets/src/client/plain.rs
+++ b/crates/targets/src/client/plain.rs
@@ -1,7 +1,7 @@
 //! Calls to plain services.
 
-use super::{RequestHead, TargetClient, content_type, text};
-use crate::error::{DispatchError, LostReason, Mismatch};
+use super::{RequestHead, TargetClient, check_field, content_type};
+use crate::error::{DispatchError, LostReason};
 use crate::exchange::{self, Answer, HeadLimit, Reuse};
 use crate::options::PlainCall;
 use crate::reply::PlainReply;
@@ -36,8 +36,10 @@
     }
 
     fn plain_reply(&self, answer: Answer, attempt: &str) -> Result<PlainReply, DispatchError> {
-        let echoed = text(&answer.headers, headers::ATTEMPT_ID).ok_or(LostReason::NoAttemptId)?;
-        Mismatch::check(attempt, echoed)?;
+        if !answer.headers.contains_key(headers::ATTEMPT_ID) {
+            return Err(LostReason::NoAttemptId.into());
+        }
+        check_field(&answer.headers, headers::ATTEMPT_ID, attempt)?;
         let status = answer.status;
         let content_type = content_type(&answer.headers).map(Box::from);
         let body = answer.accept(&self.pool);
--- a/crates/targets/src/client/requests.rs
+++ b/crates/targets/src/client/requests.rs
@@ -1,6 +1,6 @@
 //! Requests to engines.
 
-use super::{JSON, RequestHead, TargetClient, content_type, text};
+use super::{JSON, RequestHead, TargetClient, check_field, content_type};
 use crate::error::{DispatchError, LostReason, Mismatch, NotSentReason};
 use crate::exchange::{self, Answer, Exchange, HeadLimit, Reuse};
 use crate::options::DispatchOptions;
@@ -34,7 +34,7 @@
         check_echo(&exchange, &options.attempt, &chat.model)?;
         if exchange.status != StatusCode::OK {
             let answer = self.whole(exchange, deadline).await?;
-            return Err(self.refusal(answer, &options.attempt));
+            return Err(self.refusal(answer));
         }
         if chat.stream {
             return self.streamed(exchange, chat, options, deadline);
@@ -79,14 +79,12 @@
         exchange::read_whole(&self.pool, exchange, self.timeouts.progress, deadline).await
     }
 
-    /// Reads an answer that is no success. Without the attempt id it may be
-    /// another request's, and proves nothing about this one.
-    pub(super) fn refusal(&self, answer: Answer, attempt: &str) -> DispatchError {
-        let Some(echoed) = text(&answer.headers, headers::ATTEMPT_ID) else {
+    /// Reads an answer that is no success. One without attempt id may be
+    /// another request's, and proves nothing about this one; one with another
+    /// attempt id has been thrown away before.
+    fn refusal(&self, answer: Answer) -> DispatchError {
+        if !answer.headers.contains_key(headers::ATTEMPT_ID) {
             return LostReason::NoAttemptId.into();
-        };
-        if let Err(mismatch) = Mismatch::check(attempt, echoed) {
-            return mismatch.into();
         }
         let status = answer.status;
         match parse_refusal(status, &answer.accept(&self.pool)) {
@@ -137,11 +135,6 @@
 
 /// Checks the attempt id and model in the head of an answer, where they are given.
 pub(super) fn check_echo(exchange: &Exchange, attempt: &str, model: &str) -> Result<(), Mismatch> {
-    if let Some(got) = text(&exchange.headers, headers::ATTEMPT_ID) {
-        Mismatch::check(attempt, got)?;
-    }
-    if let Some(got) = text(&exchange.headers, headers::MODEL) {
-        Mismatch::check(model, got)?;
-    }
-    Ok(())
+    check_field(&exchange.headers, headers::ATTEMPT_ID, attempt)?;
+    check_field(&exchange.headers, headers::MODEL, model)
 }
--- a/crates/targets/tests/dispatch.rs
+++ b/crates/targets/tests/dispatch.rs
@@ -72,6 +72,9 @@
 #[test_case(sends(answer("503 x", "", "{\"code\":\"full\",\"message\":\"\"}"),
     Outcome::Lost(LostReason::NoAttemptId)); "refusal of nobody's request")]
 #[test_case(mismatch(refusal("503 x", "full", "a-2"), "a-2"); "refusal of another request")]
+#[test_case(mismatch(refusal("503 x", "full", "a-1\r\nx-attempt-id: a-2"), "a-2");
+    "refusal of two requests")]
+#[test_case(mismatch(refusal("503 x", "full", "\u{fd}"), "\u{fd}"); "refusal under garbage")]
 #[test_case(mismatch(whole("a-2", MODEL), "a-2"); "another attempt's answer")]
 #[test_case(mismatch(whole(ATTEMPT, "price@v2"), "price@v2"); "another version's answer")]
 #[test_case(mismatch(answer("200 x", "x-model: price@v0\r\n", "{}"), "price@v0");
--- a/crates/targets/tests/reuse.rs
+++ b/crates/targets/tests/reuse.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use reedford_targets::Reply;
+use reedford_targets::{DispatchError, Reply};
 use std::time::Duration;
 use support::fake::{Fake, Step};
 use support::{
@@ -86,3 +86,62 @@
     assert_eq!(used, [0, 1]);
     hasty.close().await;
 }
+
+#[tokio::test]
+async fn silence_on_one_connection_drops_the_unused_ones() {
+    let steps = vec![
+        second_answer(),
+        second_answer(),
+        Step::Hang,
+        second_answer(),
+    ];
+    let fake = Fake::start(steps).await;
+    let hasty = client(Duration::from_millis(300));
+    let chat = chat(false);
+    let (a, b) = tokio::join!(
+        hasty.dispatch(fake.addr, &chat, options()),
+        hasty.dispatch(fake.addr, &chat, options()),
+    );
+    assert!(a.is_ok() && b.is_ok(), "{a:?} {b:?}");
+    let silent = hasty.dispatch(fake.addr, &chat, options()).await;
+    assert!(silent.is_err(), "{silent:?}");
+    hasty.dispatch(fake.addr, &chat, options()).await.unwrap();
+    let used: Vec<usize> = fake.seen().iter().map(|s| s.connection).collect();
+    assert_eq!(used[3], 2, "{used:?}");
+    hasty.close().await;
+}
+
+/// Requests are told apart by their priority, as all have one attempt id.
+fn sent_requests(fake: &Fake) -> Vec<i32> {
+    let heads = fake.seen().into_iter().map(|s| s.head);
+    heads
+        .map(|head| {
+            let line = head.lines().find_map(|l| l.strip_prefix("x-priority: "));
+            line.expect("priority").parse().expect("number")
+        })
+        .collect()
+}
+
+#[tokio::test]
+async fn connections_that_close_behind_an_answer_never_send_twice() {
+    const REQUESTS: i32 = 300;
+    let step = Step::SendClose(whole(ATTEMPT, MODEL));
+    let fake = Fake::start(vec![step; 300]).await;
+    let client = patient();
+    let mut not_sent = Vec::new();
+    for priority in 0..REQUESTS {
+        let mut options = options();
+        options.priority = priority;
+        let result = client.dispatch(fake.addr, &chat(false), options).await;
+        if matches!(result, Err(DispatchError::NotSent(_))) {
+            not_sent.push(priority);
+        }
+    }
+    let sent = sent_requests(&fake);
+    let mut once = sent.clone();
+    once.sort_unstable();
+    once.dedup();
+    assert_eq!(once.len(), sent.len(), "sent twice");
+    assert!(not_sent.iter().all(|p| !sent.contains(p)), "{not_sent:?}");
+    client.close().await;
+}
