Loads: one broker for the zones in reach, and loads that come too late are given up

Cause: 28 of 326 requests waited to their deadline before they were refused, and each zone queued its loads alone at a third of the rate, so that a load waited although another zone's turn was free. Change: one broker orders the loads of all reachable zones at their joint share; it tells owners at once when a load's turn would come too late; the expected time of the answer counts against the deadline; the stall is always stated. Ruled out: lending by zones that say that nothing waits there (what was said is old, and a queue of one zone still waits for its own second).

--- a/crates/core/src/broker.rs
+++ b/crates/core/src/broker.rs
@@ -1,20 +1,20 @@
-//! Which load of the zone goes next.
+//! Which load goes next.
 //!
-//! The weight store allows few loads a second for all zones together. Each
-//! zone has a share that adds up to no more than the whole, so that zones
-//! that can't talk don't overload the store. A zone takes over the shares of
-//! zones that said lately that nothing waits there; what was said is believed
-//! for [`BELIEVED`] only.
+//! The weight store allows few loads a second for all zones together. One
+//! instance orders the loads of all zones that it can reach; zones that are
+//! cut off from it have a broker of their own. Each broker starts loads at the
+//! share of the rate that belongs to the zones it reaches, so that all shares
+//! together are no more than the whole.
 
-use crate::ids::{AdapterVersion, Now, WorkerId, ZoneId};
+use crate::ids::{AdapterVersion, Now, WorkerId};
 use crate::limits::Bucket;
-use crate::messages::TurnRequest;
-use reedford_rules::LoadsRule;
+use crate::messages::{LoadOutlook, TurnRequest};
+use crate::scheduler::class_weight;
+use reedford_rules::{Class, LoadsRule};
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// How long another zone's word on its waiting loads is believed.
-const BELIEVED: Duration = Duration::from_secs(2);
 /// A load that has not reported its end by then no longer counts as under way.
 const LOAD_FORGOTTEN: Duration = Duration::from_secs(10);
 /// Loads that may start at once after a quiet time.
@@ -38,15 +38,24 @@
     }
 }
 
-/// Orders the loads of one zone.
+/// A load whose turn would come too late.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TooLate {
+    /// The load.
+    pub key: LoadKey,
+    /// Expected wait.
+    pub outlook: Duration,
+}
+
+/// Orders the loads of the zones in reach.
 #[derive(Clone, Debug)]
 pub struct Broker {
     zones: usize,
+    reached: usize,
     rule: LoadsRule,
     bucket: Bucket,
     waiting: BTreeMap<LoadKey, Ask>,
     running: BTreeMap<LoadKey, Now>,
-    quiet: BTreeMap<ZoneId, Now>,
     asks: u64,
 }
 
@@ -54,10 +63,11 @@
 struct Ask {
     value: f64,
     serial: u64,
+    until: Now,
 }
 
 impl Broker {
-    /// A broker of one of `zones` zones.
+    /// A broker in a region of `zones` zones that reaches only its own yet.
     ///
     /// # Panics
     /// When `zones` is 0.
@@ -66,11 +76,11 @@
         assert!(zones > 0, "a region has at least one zone");
         Self {
             zones,
+            reached: 1,
             rule,
             bucket: Bucket::new(0.0, now),
             waiting: BTreeMap::new(),
             running: BTreeMap::new(),
-            quiet: BTreeMap::new(),
             asks: 0,
         }
     }
@@ -80,15 +90,24 @@
         self.rule = rule;
     }
 
+    /// Notes how many zones are in reach, the own one included.
+    pub fn set_reached(&mut self, zones: usize, now: Now) {
+        self.bucket.refill(now, self.rate(), BURST_LOADS);
+        self.reached = zones.clamp(1, self.zones);
+    }
+
     /// Queues a load, or changes the value of one that waits.
-    pub fn ask(&mut self, req: &TurnRequest) {
+    pub fn ask(&mut self, req: &TurnRequest, now: Now) {
         self.asks += 1;
-        let serial = self.asks;
-        let ask = self.waiting.entry(req.into()).or_insert(Ask {
+        let until = now + req.patience;
+        let new = Ask {
             value: req.value,
-            serial,
-        });
+            serial: self.asks,
+            until,
+        };
+        let ask = self.waiting.entry(req.into()).or_insert(new);
         ask.value = req.value;
+        ask.until = until;
     }
 
     /// Takes a load out of the queue.
@@ -101,21 +120,11 @@
         self.running.remove(key);
     }
 
-    /// Notes what another zone said about its waiting loads.
-    pub fn heard(&mut self, zone: &ZoneId, waiting: u32, now: Now) {
-        if waiting == 0 {
-            self.quiet.insert(zone.clone(), now);
-        } else {
-            self.quiet.remove(zone);
-        }
-    }
-
     /// Starts the loads whose turn it is.
     pub fn start(&mut self, now: Now) -> Vec<LoadKey> {
         self.running
             .retain(|_, since| *since + LOAD_FORGOTTEN > now);
-        let rate = self.rate(now);
-        self.bucket.refill(now, rate, BURST_LOADS);
+        self.bucket.refill(now, self.rate(), BURST_LOADS);
         let mut started = Vec::new();
         while self.running.len() < self.in_flight() {
             let Some(key) = self.best() else {
@@ -131,45 +140,79 @@
         started
     }
 
+    /// Takes out the loads whose turn, by their place in the queue, would come
+    /// too late to be of use.
+    pub fn take_too_late(&mut self, now: Now) -> Vec<TooLate> {
+        let mut queue: Vec<(&LoadKey, &Ask)> = self.waiting.iter().collect();
+        queue.sort_by(|a, b| by_value(b.1, a.1));
+        let mut late: Vec<TooLate> = Vec::new();
+        for (place, (key, ask)) in queue.into_iter().enumerate() {
+            let outlook = self.wait_behind(place - late.len(), now);
+            if now + outlook > ask.until {
+                late.push(TooLate {
+                    key: key.clone(),
+                    outlook,
+                });
+            }
+        }
+        for TooLate { key, .. } in &late {
+            self.waiting.remove(key);
+        }
+        late
+    }
+
     /// Number of loads that wait.
     #[must_use]
     pub fn waiting(&self) -> usize {
         self.waiting.len()
     }
 
-    /// Time that a load asked for now would wait behind those that wait.
+    /// Time that a load asked for now would wait.
     #[must_use]
-    pub fn outlook(&self, now: Now) -> Duration {
-        let mut bucket = self.bucket;
-        let rate = self.rate(now);
-        bucket.refill(now, rate, BURST_LOADS);
-        let ahead = self.waiting.len() as f64;
-        bucket.wait(rate) + Duration::from_secs_f64(ahead / rate.max(f64::MIN_POSITIVE))
+    pub fn outlook(&self, now: Now) -> LoadOutlook {
+        let wait = |class| {
+            let ahead = self
+                .waiting
+                .values()
+                .filter(|a| a.value >= class_weight(class))
+                .count();
+            self.wait_behind(ahead, now)
+        };
+        LoadOutlook {
+            lookup: wait(Class::Lookup),
+            standard: wait(Class::Standard),
+            writing: wait(Class::Writing),
+        }
     }
 
-    /// Loads a second that this zone may start.
+    /// Loads a second that this broker may start.
     #[must_use]
-    pub fn rate(&self, now: Now) -> f64 {
+    pub fn rate(&self) -> f64 {
         let whole = f64::from(self.rule.per_1000_s) / 1_000.0;
-        let quiet = self
-            .quiet
-            .values()
-            .filter(|at| **at + BELIEVED > now)
-            .count();
-        let busy = self.zones.saturating_sub(quiet).max(1);
-        whole / busy as f64
+        whole * self.reached as f64 / self.zones as f64
+    }
+
+    fn wait_behind(&self, ahead: usize, now: Now) -> Duration {
+        let rate = self.rate();
+        if rate <= 0.0 {
+            return Duration::MAX;
+        }
+        let mut bucket = self.bucket;
+        bucket.refill(now, rate, BURST_LOADS);
+        bucket.wait(rate) + Duration::from_secs_f64(ahead as f64 / rate)
     }
 
     fn in_flight(&self) -> usize {
-        (self.rule.in_flight as usize / self.zones).max(1)
+        (self.rule.in_flight as usize * self.reached / self.zones).max(1)
     }
 
     fn best(&self) -> Option<LoadKey> {
-        let by_value = |a: &Ask, b: &Ask| {
-            let value = a.value.total_cmp(&b.value);
-            value.then(b.serial.cmp(&a.serial))
-        };
         let best = self.waiting.iter().max_by(|a, b| by_value(a.1, b.1));
         best.map(|(key, _)| key.clone())
     }
 }
+
+/// The more valuable is greater; of equals, the one asked for first.
+fn by_value(a: &Ask, b: &Ask) -> Ordering {
+    a.value.total_cmp(&b.value).then(b.serial.cmp(&a.serial))
+}
--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -112,8 +112,32 @@
     pub stopping: bool,
     /// Workers that the sender owns.
     pub workers: Vec<WorkerSummary>,
-    /// Loads that wait in the sender's zone, when the sender orders them.
-    pub loads_waiting: Option<u32>,
+    /// How long loads wait for their turn, when the sender orders them.
+    pub load_outlook: Option<LoadOutlook>,
+}
+
+/// Time that a load asked for now would wait for its turn, by the class of
+/// the request that waits for it.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LoadOutlook {
+    /// For a lookup.
+    pub lookup: Duration,
+    /// For an ordinary request.
+    pub standard: Duration,
+    /// For long writing.
+    pub writing: Duration,
+}
+
+impl LoadOutlook {
+    /// The wait for a class.
+    #[must_use]
+    pub const fn of(&self, class: Class) -> Duration {
+        match class {
+            Class::Lookup => self.lookup,
+            Class::Standard => self.standard,
+            Class::Writing => self.writing,
+        }
+    }
 }
 
 /// One worker, as its owner sees it.
@@ -191,4 +215,20 @@
     pub target: AdapterVersion,
     /// Value of the load; the highest goes first.
     pub value: f64,
+    /// Longest wait after which the load is still of use to a request.
+    pub patience: Duration,
+}
+
+/// The broker's answer to a [`TurnRequest`].
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum TurnAnswer {
+    /// Load now.
+    Granted,
+    /// The turn would come too late for every request that waits for the load.
+    TooLate {
+        /// Expected wait.
+        outlook: Duration,
+    },
+    /// The broker does not know the ask any more; ask again.
+    Lost,
 }
--- a/crates/core/src/scheduler.rs
+++ b/crates/core/src/scheduler.rs
@@ -12,13 +12,13 @@
 mod state;
 mod takeover;
 
-pub use loads::LoadFault;
+pub use loads::{LoadFault, class_weight};
 pub use state::{EngineFacts, Policy, Scheduler, SlotFacts};
 
 use crate::frequency::Frequency;
 use crate::ids::{AdapterVersion, Now, PermitId};
 use crate::lease::LeaseState;
-use crate::messages::PermitRefusal;
+use crate::messages::{LoadOutlook, PermitRefusal};
 use std::time::Duration;
 
 /// What a decision depends on besides the worker's own state.
@@ -31,7 +31,7 @@
     /// How often adapters are asked for.
     pub frequency: &'a Frequency,
     /// Time that a load asked for now would wait for its turn.
-    pub load_outlook: Duration,
+    pub load_outlook: LoadOutlook,
 }
 
 /// What the owner has to carry out.
@@ -57,6 +57,8 @@
         target: AdapterVersion,
         /// Value of the load.
         value: f64,
+        /// Longest wait after which the load is still of use.
+        patience: Duration,
     },
     /// Withdraw an ask.
     WithdrawTurn {
--- a/crates/core/src/scheduler/admission.rs
+++ b/crates/core/src/scheduler/admission.rs
@@ -28,7 +28,7 @@
         if wait > req.patience {
             return Some(refuse(PermitReason::Busy, wait));
         }
-        let late = wait >= req.remaining;
+        let late = wait + self.hold(req.class) > req.remaining;
         let admission = self.policy.admission == Admission::On;
         (late && admission).then(|| refuse(PermitReason::DeadlineUnreachable, wait))
     }
@@ -78,10 +78,13 @@
         cx: &Cx<'_>,
     ) -> Duration {
         let opening = self.open_from.saturating_sub(cx.now);
-        opening + self.load_wait(target, cx).max(self.batch_wait(class))
+        opening
+            + self
+                .load_wait(target, class, cx)
+                .max(self.batch_wait(class))
     }
 
-    fn load_wait(&self, target: &AdapterVersion, cx: &Cx<'_>) -> Duration {
+    fn load_wait(&self, target: &AdapterVersion, class: Class, cx: &Cx<'_>) -> Duration {
         if self.is_resident(target) {
             return Duration::ZERO;
         }
@@ -91,9 +94,9 @@
         let slot = if self.open_slots() > 0 {
             Duration::ZERO
         } else {
-            self.hold
+            self.average_hold()
         };
-        slot + cx.load_outlook + LOAD_TIME
+        slot + cx.load_outlook.of(class) + LOAD_TIME
     }
 
     fn batch_wait(&self, class: Class) -> Duration {
@@ -102,7 +105,7 @@
             return Duration::ZERO;
         }
         let ahead = self.waiting.values().filter(|w| w.class <= class).count() as u32 + 1;
-        self.hold * ahead / limit
+        self.average_hold() * ahead / limit
     }
 
     fn closed(&self, target: &AdapterVersion, cx: &Cx<'_>) -> Option<PermitReason> {
--- a/crates/core/src/scheduler/loads.rs
+++ b/crates/core/src/scheduler/loads.rs
@@ -6,7 +6,7 @@
 use crate::ids::{AdapterVersion, Now, PermitId};
 use crate::lease::LeaseState;
 use crate::messages::PermitReason;
-use reedford_rules::{Class, Eviction, LoadOrdering, Objective};
+use reedford_rules::{Admission, Class, Eviction, LoadOrdering, Objective};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -107,6 +107,27 @@
         self.free_slots() + evictable as u32
     }
 
+    /// The turn to load `target` would come only after `outlook`: requests that
+    /// could not end in time then are refused at once.
+    pub fn on_too_late(&mut self, target: &AdapterVersion, outlook: Duration, cx: &Cx<'_>) {
+        self.asked.remove(target);
+        if self.policy.admission == Admission::Off {
+            return;
+        }
+        let wait = outlook + LOAD_TIME;
+        let late: Vec<PermitId> = self
+            .waiting
+            .iter()
+            .filter(|(_, w)| w.target == *target)
+            .filter(|(_, w)| cx.now + wait + self.hold(w.class) > w.deadline)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in late {
+            self.waiting.remove(&id);
+            self.refuse(id, refuse(PermitReason::DeadlineUnreachable, wait));
+        }
+    }
+
     pub(super) fn ask_loads(&mut self, cx: &Cx<'_>) {
         let mut room = (self.open_slots() as usize).saturating_sub(self.asked.len());
         for (target, value) in self.wanted_loads(cx) {
@@ -117,7 +138,12 @@
                 None => room -= 1,
             }
             self.asked.insert(target.clone(), value);
-            self.actions.push(Action::AskTurn { target, value });
+            let patience = self.patience(&target, cx.now);
+            self.actions.push(Action::AskTurn {
+                target,
+                value,
+                patience,
+            });
         }
     }
 
@@ -134,6 +160,19 @@
         }
     }
 
+    /// Longest wait for the turn after which a request for `target` could still
+    /// end in time. Without admission requests wait to their deadline.
+    fn patience(&self, target: &AdapterVersion, now: Now) -> Duration {
+        let waiting = self.waiting.values().filter(|w| w.target == *target);
+        let spare = waiting.map(|w| match self.policy.admission {
+            Admission::On => w
+                .deadline
+                .saturating_sub(now + LOAD_TIME + self.hold(w.class)),
+            Admission::Off => w.deadline.saturating_sub(now),
+        });
+        spare.max().unwrap_or_default()
+    }
+
     fn is_wanted(&self, target: &AdapterVersion) -> bool {
         !self.is_resident(target) && self.waiting.values().any(|w| w.target == *target)
     }
@@ -213,11 +252,7 @@
         if self.policy.load_ordering == LoadOrdering::Fifo {
             return 0.0;
         }
-        let weight = match waiting.class {
-            Class::Lookup => LOOKUP_WEIGHT,
-            Class::Standard => STANDARD_WEIGHT,
-            Class::Writing => WRITING_WEIGHT,
-        };
+        let weight = class_weight(waiting.class);
         let waited = now.saturating_sub(waiting.since).as_secs_f64();
         match self.policy.objective {
             Objective::LoadStalls => weight * (1.0 + waited / LOAD_TIME.as_secs_f64()),
@@ -254,3 +289,13 @@
         loads.map(|(target, _)| target.clone()).collect()
     }
 }
+
+/// Weight of a waiting request in the value of a load.
+#[must_use]
+pub const fn class_weight(class: Class) -> f64 {
+    match class {
+        Class::Lookup => LOOKUP_WEIGHT,
+        Class::Standard => STANDARD_WEIGHT,
+        Class::Writing => WRITING_WEIGHT,
+    }
+}
--- a/crates/core/src/scheduler/state.rs
+++ b/crates/core/src/scheduler/state.rs
@@ -80,7 +80,7 @@
     pub(super) backoff: BTreeMap<AdapterVersion, Backoff>,
     pub(super) waiting: BTreeMap<PermitId, Waiting>,
     pub(super) permits: BTreeMap<PermitId, Permit>,
-    pub(super) hold: Duration,
+    pub(super) holds: BTreeMap<Class, Duration>,
     pub(super) actions: Vec<Action>,
 }
 
@@ -156,7 +156,7 @@
             backoff: BTreeMap::new(),
             waiting: BTreeMap::new(),
             permits: BTreeMap::new(),
-            hold: FIRST_HOLD,
+            holds: BTreeMap::new(),
             actions: Vec::new(),
         }
     }
@@ -359,6 +359,17 @@
             && !self.barred.contains_key(target)
     }
 
+    /// Expected time of a request on the worker.
+    pub(super) fn hold(&self, class: Class) -> Duration {
+        self.holds.get(&class).copied().unwrap_or(FIRST_HOLD)
+    }
+
+    /// Expected time of the requests that run now.
+    pub(super) fn average_hold(&self) -> Duration {
+        let running = self.permits.values().map(|p| self.hold(p.class));
+        running.sum::<Duration>() / (self.running().max(1))
+    }
+
     pub(super) fn refuse(&mut self, id: PermitId, refusal: PermitRefusal) {
         self.actions.push(Action::Refuse { id, refusal });
     }
@@ -420,8 +431,10 @@
 
     fn note_hold(&mut self, permit: &Permit, now: Now) {
         let held = now.saturating_sub(permit.granted).as_secs_f64();
-        let average = self.hold.as_secs_f64() * (1.0 - HOLD_WEIGHT) + held * HOLD_WEIGHT;
-        self.hold = Duration::from_secs_f64(average);
+        let known = self.hold(permit.class).as_secs_f64();
+        let average = known * (1.0 - HOLD_WEIGHT) + held * HOLD_WEIGHT;
+        self.holds
+            .insert(permit.class, Duration::from_secs_f64(average));
     }
 
     fn end_permits(&mut self, now: Now) {
--- a/crates/serve/src/control.rs
+++ b/crates/serve/src/control.rs
@@ -60,7 +60,7 @@
             Command::Permit { req, reply } => self.on_permit(req, reply),
             Command::Release(release) => self.on_release(&release),
             Command::Report { reply } => self.on_report(reply),
-            Command::Revalue(req) => self.broker.ask(&req),
+            Command::Revalue(req) => self.on_revalued(&req),
             Command::Rules { reply } => self.on_rules_asked(reply),
             Command::Stop { reply } => self.on_stop(reply),
             Command::Summary { summary, reply } => self.on_summary(summary, reply),
@@ -106,7 +106,7 @@
             Event::RulesRead(result) => self.on_rules_read(result),
             Event::Swapped { result } => self.on_swapped(result),
             Event::TableRead { sent, result } => self.on_table_read(sent, result),
-            Event::Turn { key, granted } => self.on_turn(&key, granted),
+            Event::Turn { key, said } => self.on_turn(&key, said),
         }
     }
 
--- a/crates/serve/src/control/command.rs
+++ b/crates/serve/src/control/command.rs
@@ -4,7 +4,7 @@
 use crate::peer::RulesText;
 use reedford_core::broker::LoadKey;
 use reedford_core::messages::{
-    Handover, PermitAnswer, PermitRequest, Release, Summary, SummaryAnswer, TurnRequest,
+    Handover, PermitAnswer, PermitRequest, Release, Summary, SummaryAnswer, TurnAnswer, TurnRequest,
 };
 use reedford_core::scheduler::{EngineFacts, LoadFault};
 use reedford_core::{AdapterVersion, Epoch, InstanceId, Now, WorkerId};
@@ -43,7 +43,7 @@
     },
     Turn {
         req: TurnRequest,
-        reply: oneshot::Sender<bool>,
+        reply: oneshot::Sender<TurnAnswer>,
     },
     TurnEnded(LoadKey),
 }
@@ -92,7 +92,7 @@
     },
     Turn {
         key: LoadKey,
-        granted: bool,
+        said: TurnAnswer,
     },
 }
 
--- a/crates/serve/src/control/exchange.rs
+++ b/crates/serve/src/control/exchange.rs
@@ -127,12 +127,6 @@
         if !newest {
             return;
         }
-        if let Some(waiting) = summary
-            .loads_waiting
-            .filter(|_| summary.zone != self.me.zone)
-        {
-            self.broker.heard(&summary.zone, waiting, now);
-        }
         if summary.revision > self.revision() {
             self.fetch_rules(summary.peers);
         }
--- a/crates/serve/src/control/state.rs
+++ b/crates/serve/src/control/state.rs
@@ -7,7 +7,7 @@
 use reedford_core::broker::{Broker, LoadKey};
 use reedford_core::frequency::Frequency;
 use reedford_core::lease::{Lease, LeaseTimes, Promises};
-use reedford_core::messages::{Handover, PermitAnswer, Summary};
+use reedford_core::messages::{Handover, LoadOutlook, PermitAnswer, Summary, TurnAnswer};
 use reedford_core::placement::View;
 use reedford_core::scheduler::{Cx, Scheduler};
 use reedford_core::table::ZoneTable;
@@ -63,7 +63,7 @@
     pub(super) frequency: Frequency,
     pub(super) broker: Broker,
     pub(super) replies: BTreeMap<PermitId, Reply>,
-    pub(super) turn_replies: BTreeMap<LoadKey, oneshot::Sender<bool>>,
+    pub(super) turn_replies: BTreeMap<LoadKey, oneshot::Sender<TurnAnswer>>,
     pub(super) instances: BTreeMap<Box<str>, Instance>,
     pub(super) rules: Option<Arc<RulesDocument>>,
     pub(super) handovers: BTreeMap<WorkerId, Handover>,
@@ -191,7 +191,7 @@
 pub(super) struct Decision {
     pub(super) now: Now,
     lease: reedford_core::lease::LeaseState,
-    load_outlook: Duration,
+    load_outlook: LoadOutlook,
 }
 
 impl Decision {
@@ -276,6 +276,20 @@
         alive.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Entry instances of all zones in reach, with this one.
+    pub(super) fn reachable(&self, now: Now) -> BTreeMap<InstanceId, ZoneId> {
+        let peers = self
+            .membership
+            .heard
+            .iter()
+            .filter(|(id, _)| self.is_heard(id, None, now));
+        let mut reachable: BTreeMap<InstanceId, ZoneId> = peers
+            .map(|(id, heard)| (id.clone(), heard.summary.zone.clone()))
+            .collect();
+        reachable.insert(self.me.instance.clone(), self.me.zone.clone());
+        reachable
+    }
+
     /// Whether a peer was heard of lately and is not stopping.
     pub(super) fn is_heard(
         &self,
--- a/crates/serve/src/control/turns.rs
+++ b/crates/serve/src/control/turns.rs
@@ -1,34 +1,29 @@
-//! Turns to load: asked of the zone's broker, which is one of its instances.
+//! Turns to load: asked of the broker, which is one of the instances in reach.
 
 use super::command::{Event, Peer};
-use super::state::Control;
+use super::state::{Control, answer};
 use crate::peer::PeerClient;
 use reedford_core::broker::LoadKey;
-use reedford_core::messages::TurnRequest;
-use reedford_core::{AdapterVersion, Now, WorkerId, rendezvous};
+use reedford_core::messages::{LoadOutlook, TurnAnswer, TurnRequest};
+use reedford_core::{AdapterVersion, Now, WorkerId, ZoneId, rendezvous};
 use reedford_settings::ms;
+use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::sync::oneshot;
 
-/// What the zone's broker is chosen by.
+/// What the broker is chosen by.
 const BROKER_KEY: &str = "broker";
 
-/// Who orders the loads of the zone.
+/// Who orders the loads.
 enum BrokerPlace {
     Here,
     At(Peer),
 }
 
 impl Control {
-    pub(super) fn ask_turn(&mut self, worker: &WorkerId, target: &AdapterVersion, value: f64) {
-        let req = TurnRequest {
-            worker: worker.clone(),
-            target: target.clone(),
-            value,
-        };
+    pub(super) fn ask_turn(&mut self, req: TurnRequest) {
         match self.broker_place() {
-            BrokerPlace::Here => self.broker.ask(&req),
+            BrokerPlace::Here => self.broker.ask(&req, self.clock.now()),
             BrokerPlace::At(peer) => self.ask_turn_at(&peer, req),
         }
     }
@@ -45,9 +40,15 @@
         }
     }
 
-    pub(super) fn on_turn_asked(&mut self, req: &TurnRequest, reply: oneshot::Sender<bool>) {
+    pub(super) fn on_turn_asked(&mut self, req: &TurnRequest, reply: oneshot::Sender<TurnAnswer>) {
         self.turn_replies.insert(req.into(), reply);
-        self.broker.ask(req);
+        self.broker.ask(req, self.clock.now());
+    }
+
+    pub(super) fn on_revalued(&mut self, req: &TurnRequest) {
+        if self.turn_replies.contains_key(&req.into()) {
+            self.broker.ask(req, self.clock.now());
+        }
     }
 
     pub(super) fn on_turn_ended(&mut self, key: &LoadKey) {
@@ -57,67 +58,79 @@
     }
 
     /// The broker's answer for a load of ours.
-    pub(super) fn on_turn(&mut self, key: &LoadKey, granted: bool) {
+    pub(super) fn on_turn(&mut self, key: &LoadKey, said: TurnAnswer) {
         self.timers.turns.remove(key);
         let decision = self.decision();
         let Some(owned) = self.workers.get_mut(&key.worker) else {
             return self.end_turn(&key.worker, &key.target);
         };
-        if granted {
-            owned
-                .scheduler
-                .on_turn(&key.target, &decision.cx(&self.frequency));
-        } else {
-            owned.scheduler.on_turn_lost(&key.target);
+        let cx = decision.cx(&self.frequency);
+        match said {
+            TurnAnswer::Granted => owned.scheduler.on_turn(&key.target, &cx),
+            TurnAnswer::TooLate { outlook } => {
+                owned.scheduler.on_too_late(&key.target, outlook, &cx);
+            }
+            TurnAnswer::Lost => owned.scheduler.on_turn_lost(&key.target),
         }
     }
 
-    /// As the broker: starts the loads whose turn it is.
+    /// As the broker: starts the loads whose turn it is, and gives up those
+    /// whose turn would come too late.
     pub(super) fn start_turns(&mut self) {
         let now = self.clock.now();
+        let zones: BTreeSet<ZoneId> = self.reachable(now).into_values().collect();
+        self.broker.set_reached(zones.len(), now);
+        for late in self.broker.take_too_late(now) {
+            let outlook = late.outlook;
+            self.tell_turn(&late.key, TurnAnswer::TooLate { outlook });
+        }
         for key in self.broker.start(now) {
-            match self.turn_replies.remove(&key) {
-                None => self.on_turn(&key, true),
-                Some(reply) => {
-                    if reply.send(true).is_err() {
-                        self.broker.ended(&key);
-                    }
-                }
-            }
+            self.tell_turn(&key, TurnAnswer::Granted);
         }
     }
 
     /// Time that a load asked for now would wait for its turn.
-    pub(super) fn load_outlook(&self, now: Now) -> Duration {
+    pub(super) fn load_outlook(&self, now: Now) -> LoadOutlook {
         match self.broker_place() {
             BrokerPlace::Here => self.broker.outlook(now),
             BrokerPlace::At(peer) => {
                 let heard = self.membership.heard.get(&peer.instance);
-                let ahead = heard.and_then(|h| h.summary.loads_waiting).unwrap_or(0);
-                let rate = self.broker.rate(now).max(f64::MIN_POSITIVE);
-                Duration::from_secs_f64(f64::from(ahead + 1) / rate)
+                heard
+                    .and_then(|h| h.summary.load_outlook)
+                    .unwrap_or_default()
             }
         }
     }
 
-    /// Loads that wait here, if this instance is the broker.
-    pub(super) fn loads_waiting(&self) -> Option<u32> {
+    /// How long loads wait, if this instance is the broker.
+    pub(super) fn own_load_outlook(&self) -> Option<LoadOutlook> {
         match self.broker_place() {
-            BrokerPlace::Here => Some(self.broker.waiting() as u32),
+            BrokerPlace::Here => Some(self.broker.outlook(self.clock.now())),
             BrokerPlace::At(_) => None,
         }
     }
 
+    /// Answers an ask, of this instance or of another. A turn whose asker is
+    /// gone is over.
+    fn tell_turn(&mut self, key: &LoadKey, said: TurnAnswer) {
+        let Some(reply) = self.turn_replies.remove(key) else {
+            self.on_turn(key, said);
+            return;
+        };
+        if !answer(reply, said) {
+            self.broker.ended(key);
+        }
+    }
+
     fn broker_place(&self) -> BrokerPlace {
-        let alive = self.alive_members(self.clock.now());
-        let broker = rendezvous::first(BROKER_KEY, alive.iter().map(|id| &**id));
+        let reachable = self.reachable(self.clock.now());
+        let broker = rendezvous::first(BROKER_KEY, reachable.keys().map(|id| &**id));
         let elsewhere = broker.filter(|id| **id != *self.me.instance);
-        let member = elsewhere.and_then(|id| self.membership.table.members.get_key_value(id));
-        match member {
+        match elsewhere.and_then(|id| self.membership.heard.get_key_value(id)) {
             None => BrokerPlace::Here,
-            Some((id, m)) => BrokerPlace::At(Peer {
+            Some((id, heard)) => BrokerPlace::At(Peer {
                 instance: id.clone(),
-                address: m.peers,
+                address: heard.summary.peers,
             }),
         }
     }
@@ -136,12 +149,11 @@
                 return Event::Done;
             }
             let asking = |c: PeerClient, cx| async move { c.turn(cx, req).await };
-            let granted = clients
-                .peers
-                .call(address, limit, asking)
-                .await
-                .unwrap_or(false);
-            Event::Turn { key, granted }
+            let said = clients.peers.call(address, limit, asking).await;
+            Event::Turn {
+                key,
+                said: said.unwrap_or(TurnAnswer::Lost),
+            }
         });
     }
 
--- a/crates/serve/src/control/view.rs
+++ b/crates/serve/src/control/view.rs
@@ -30,7 +30,7 @@
             revision: self.revision(),
             stopping: self.is_stopping(),
             workers: self.worker_summaries(now),
-            loads_waiting: self.loads_waiting(),
+            load_outlook: self.own_load_outlook(),
         }
     }
 
--- a/crates/serve/src/control/workers.rs
+++ b/crates/serve/src/control/workers.rs
@@ -2,7 +2,9 @@
 
 use super::command::{Event, IntentTaken};
 use super::state::{Control, Fence, Owned, Poll, Reply, answer};
-use reedford_core::messages::{PermitAnswer, PermitReason, PermitRefusal, PermitRequest, Release};
+use reedford_core::messages::{
+    PermitAnswer, PermitReason, PermitRefusal, PermitRequest, Release, TurnRequest,
+};
 use reedford_core::scheduler::{Action, EngineFacts, Policy, Scheduler, SlotFacts};
 use reedford_core::{AdapterVersion, Epoch, Now, PermitId, WorkerId};
 use reedford_wire::engine::Listing;
@@ -211,7 +213,19 @@
                 self.metrics.permit_refused(refusal.reason);
                 self.reply_permit(worker, &id, PermitAnswer::Refused(refusal));
             }
-            Action::AskTurn { target, value } => self.ask_turn(worker, &target, value),
+            Action::AskTurn {
+                target,
+                value,
+                patience,
+            } => {
+                let worker = worker.clone();
+                self.ask_turn(TurnRequest {
+                    worker,
+                    target,
+                    value,
+                    patience,
+                });
+            }
             Action::WithdrawTurn { target } | Action::TurnEnded { target } => {
                 self.end_turn(worker, &target);
             }
--- a/crates/serve/src/peer.rs
+++ b/crates/serve/src/peer.rs
@@ -7,7 +7,7 @@
 pub(crate) use server::PeerServer;
 
 use reedford_core::messages::{
-    Handover, PermitAnswer, PermitRequest, Release, Summary, SummaryAnswer, TurnRequest,
+    Handover, PermitAnswer, PermitRequest, Release, Summary, SummaryAnswer, TurnAnswer, TurnRequest,
 };
 use reedford_core::{AdapterVersion, WorkerId};
 use serde::{Deserialize, Serialize};
@@ -29,7 +29,7 @@
     /// Tells what the sender owns and knows.
     async fn exchange(summary: Summary) -> SummaryAnswer;
     /// Asks the zone's broker for the turn to load; answers when it comes.
-    async fn turn(req: TurnRequest) -> bool;
+    async fn turn(req: TurnRequest) -> TurnAnswer;
     /// Changes the value of a load that waits for its turn.
     async fn revalue(req: TurnRequest);
     /// Ends a turn, or withdraws the ask for one.
--- a/crates/serve/src/peer/clients.rs
+++ b/crates/serve/src/peer/clients.rs
@@ -12,6 +12,9 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+/// Calls with at most this time limit are answered at once by a live peer.
+const PROMPT: Duration = Duration::from_secs(3);
+
 /// Why a call to a peer gave no answer.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum PeerError {
@@ -64,7 +67,7 @@
         let mut cx = context::current();
         cx.deadline = Instant::now() + limit;
         let result = call(conn.client, cx).await;
-        if result.is_err() {
+        if result.as_ref().is_err_and(|error| spoils(error, limit)) {
             conn.stop.cancel();
         }
         Ok(result?)
@@ -114,3 +117,10 @@
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Whether a call that failed speaks against its connection. A call that may
+/// rightly wait for long says nothing by its timeout; summaries are sent on the
+/// same connection and find out whether it is silent.
+fn spoils(error: &RpcError, limit: Duration) -> bool {
+    !matches!(error, RpcError::DeadlineExceeded) || limit <= PROMPT
+}
--- a/crates/serve/src/peer/server.rs
+++ b/crates/serve/src/peer/server.rs
@@ -7,7 +7,7 @@
 use reedford_core::broker::LoadKey;
 use reedford_core::messages::{
     Handover, PermitAnswer, PermitReason, PermitRefusal, PermitRequest, Release, Summary,
-    SummaryAnswer, TurnRequest,
+    SummaryAnswer, TurnAnswer, TurnRequest,
 };
 use reedford_core::{AdapterVersion, WorkerId};
 use std::collections::BTreeSet;
@@ -113,9 +113,9 @@
         })
     }
 
-    async fn turn(self, _: Context, req: TurnRequest) -> bool {
-        let turn = self.ask(|reply| Command::Turn { req, reply }).await;
-        turn.unwrap_or(false)
+    async fn turn(self, _: Context, req: TurnRequest) -> TurnAnswer {
+        let said = self.ask(|reply| Command::Turn { req, reply }).await;
+        said.unwrap_or(TurnAnswer::Lost)
     }
 
     async fn revalue(self, _: Context, req: TurnRequest) {
--- a/crates/serve/src/traffic/chat.rs
+++ b/crates/serve/src/traffic/chat.rs
@@ -161,7 +161,7 @@
     AnswerMeta {
         model: Some(job.target.to_string().into()),
         target: permit.worker.clone(),
-        load_stall: (!permit.load_stall.is_zero()).then_some(permit.load_stall),
+        load_stall: Some(permit.load_stall),
         revision: job.revision,
         attempt: permit.id.to_string().into(),
     }
--- a/crates/serve/src/traffic/permits.rs
+++ b/crates/serve/src/traffic/permits.rs
@@ -18,6 +18,9 @@
 
 /// Workers asked for one request.
 const ASK_MOST: usize = 4;
+/// Added to the time for an owner's answer, so that the owner's own refusal at
+/// the deadline arrives.
+const ANSWER_SLACK: Duration = Duration::from_millis(500);
 /// Longest wait that a lookup takes at one worker while another may be free.
 const LOOKUP_PATIENCE: Duration = Duration::from_millis(20);
 /// The same for other requests.
@@ -186,7 +189,10 @@
             repeatable: ask.job.repeatable,
             ended: true,
         };
-        match self.ask_owner(ask.worker, req, remaining).await {
+        match self
+            .ask_owner(ask.worker, req, remaining + ANSWER_SLACK)
+            .await
+        {
             PermitAnswer::Granted { load_stall } => {
                 permit.load_stall = load_stall;
                 self.metrics.permit(started.elapsed(), load_stall);
