Table: previous owners are forgotten once waited for; placement asks where an adapter loads

Cause: a failed member stayed in the table while a worker named it as its previous owner, so promises could not be unanimous in a later cut of the zone; and a request whose adapter was being loaded on one worker could start a second load at another. Change: owners take the previous owner out once settled, workers that are no longer listed get owners too; summaries tell loads under way apart from residents and are sent soon after a change; a load goes to the home of three whose next slot costs least; request counts halve in 20 min, since the rarest resident adapters are asked for once in about two minutes. Ruled out: dropping a failed member at once, as its claimant could then not tell whether to wait for it.

--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -140,6 +140,9 @@
     }
 }
 
+/// Cost of a slot on a worker where none can be had.
+pub const NO_SLOT: u32 = u32::MAX;
+
 /// One worker, as its owner sees it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct WorkerSummary {
@@ -161,8 +164,14 @@
     pub waiting: u32,
     /// Slots that are free, or whose adapter could be evicted.
     pub open_slots: u32,
-    /// Adapter versions resident or being loaded.
+    /// What the next load would cost: thousandths of the decayed request count
+    /// of the adapter that it would evict, 0 while a slot is free, and
+    /// [`NO_SLOT`] while none can be had.
+    pub slot_cost: u32,
+    /// Adapter versions that are resident.
     pub residents: BTreeSet<AdapterVersion>,
+    /// Adapter versions that are being loaded, or wait for their turn.
+    pub loading: BTreeSet<AdapterVersion>,
 }
 
 /// Answer to a [`Summary`].
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -2,8 +2,10 @@
 //!
 //! Adapters are few to a worker and loads are scarce, so a request goes where
 //! its adapter is resident, in any zone that can be reached. Otherwise it goes
-//! to the adapter's home: the first worker by rendezvous hashing, so that all
-//! instances choose the same one and one load serves them all.
+//! to one of the adapter's homes, the first workers by rendezvous hashing: few,
+//! so that instances with summaries of different age choose the same one and
+//! one load serves them all; more than one, so that a worker full of busy
+//! adapters does not evict them while another holds idle ones.
 
 use crate::ids::{AdapterVersion, GroupName, InstanceId, WorkerId, ZoneId};
 use crate::messages::WorkerSummary;
@@ -12,6 +14,9 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+/// Homes of an adapter. It is loaded at the one whose next slot costs least.
+const HOME_CHOICES: usize = 3;
+
 /// Workers that can be reached, as their owners last described them.
 #[derive(Clone, Debug, Default)]
 pub struct View {
@@ -53,8 +58,10 @@
 /// The workers to ask, best first.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Candidates {
-    /// Workers on which the adapter is resident or on its way.
+    /// Workers on which the adapter is resident.
     pub resident: Vec<WorkerId>,
+    /// Workers on which it is being loaded, or waits for its turn.
+    pub loading: Vec<WorkerId>,
     /// The others, the adapter's home first.
     pub homes: Vec<WorkerId>,
 }
@@ -70,6 +77,7 @@
         let homes = shuffled(open().map(|(id, _)| &**id), req.random);
         return Candidates {
             resident: Vec::new(),
+            loading: Vec::new(),
             homes,
         };
     }
@@ -77,10 +85,17 @@
     let mut resident: Vec<(&WorkerId, &WorkerView)> =
         open().filter(|(_, w)| is_resident(w)).collect();
     resident.sort_by_key(|(id, w)| resident_rank(id, w, req));
-    let others = open().filter(|(_, w)| !is_resident(w)).map(|(id, _)| &**id);
-    let homes = rendezvous::order(&req.target.adapter, others);
+    let is_loading = |w: &WorkerView| w.summary.loading.contains(req.target);
+    let (loading, others): (Vec<_>, Vec<_>) = open()
+        .filter(|(_, w)| !is_resident(w))
+        .partition(|(_, w)| is_loading(w));
+    let others = others.into_iter().map(|(id, _)| &**id);
+    let mut homes = rendezvous::order(&req.target.adapter, others);
+    let choices = homes.len().min(HOME_CHOICES);
+    homes[..choices].sort_by_key(|id| view.workers[*id].summary.slot_cost);
     Candidates {
         resident: resident.into_iter().map(|(id, _)| id.clone()).collect(),
+        loading: loading.into_iter().map(|(id, _)| id.clone()).collect(),
         homes: homes.into_iter().map(Into::into).collect(),
     }
 }
--- a/crates/core/src/scheduler/loads.rs
+++ b/crates/core/src/scheduler/loads.rs
@@ -3,11 +3,12 @@
 use super::admission::{LOAD_TIME, refuse};
 use super::state::{Backoff, OrderKind, Resident, Scheduler, Waiting};
 use super::{Action, Cx};
+use crate::frequency::Frequency;
 use crate::ids::{AdapterVersion, Now, PermitId};
 use crate::lease::LeaseState;
-use crate::messages::PermitReason;
+use crate::messages::{NO_SLOT, PermitReason};
 use reedford_rules::{Admission, Class, Eviction, LoadOrdering, Objective};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// First pause after a failed load; doubles with each further one.
@@ -128,6 +129,20 @@
         }
     }
 
+    /// What the next load would cost, as [`WorkerSummary::slot_cost`] tells it.
+    ///
+    /// [`WorkerSummary::slot_cost`]: crate::messages::WorkerSummary::slot_cost
+    #[must_use]
+    pub fn slot_cost(&self, frequency: &Frequency, now: Now) -> u32 {
+        if self.free_slots() > 0 {
+            return 0;
+        }
+        let open = self.residents.iter().filter(|(t, r)| self.evictable(t, r));
+        let scores = open.map(|(target, _)| frequency.score(&target.adapter, now));
+        let least = scores.min_by(f64::total_cmp);
+        least.map_or(NO_SLOT, |score| (score * 1_000.0) as u32)
+    }
+
     pub(super) fn ask_loads(&mut self, cx: &Cx<'_>) {
         let mut room = (self.open_slots() as usize).saturating_sub(self.asked.len());
         for (target, value) in self.wanted_loads(cx) {
@@ -278,16 +293,6 @@
         let ordered = self.orders.contains_key(target);
         !pinned && !wanted && !ordered && resident.uncertain.is_none()
     }
-
-    /// Adapter versions that a load order of ours may still bring.
-    #[must_use]
-    pub fn loading(&self) -> BTreeSet<AdapterVersion> {
-        let loads = self
-            .orders
-            .iter()
-            .filter(|(_, kind)| **kind == OrderKind::Load);
-        loads.map(|(target, _)| target.clone()).collect()
-    }
 }
 
 /// Weight of a waiting request in the value of a load.
--- a/crates/core/src/scheduler/state.rs
+++ b/crates/core/src/scheduler/state.rs
@@ -321,17 +321,18 @@
             .collect()
     }
 
-    /// Adapter versions resident or being loaded.
+    /// Adapter versions that are being loaded, or wait for their turn.
     #[must_use]
-    pub fn residents_soon(&self) -> BTreeSet<AdapterVersion> {
-        let loading = self
+    pub fn loading(&self) -> BTreeSet<AdapterVersion> {
+        let loads = self
             .orders
             .iter()
             .filter(|(_, kind)| **kind == OrderKind::Load);
-        let mut targets = self.residents();
-        targets.extend(loading.map(|(target, _)| target.clone()));
-        targets.extend(self.asked.keys().cloned());
-        targets
+        loads
+            .map(|(target, _)| target)
+            .chain(self.asked.keys())
+            .cloned()
+            .collect()
     }
 
     /// How many requests wait for each adapter version.
--- a/crates/core/src/scheduler/takeover.rs
+++ b/crates/core/src/scheduler/takeover.rs
@@ -60,6 +60,12 @@
         }
     }
 
+    /// Whether nothing that an old owner may have done has to be waited for.
+    #[must_use]
+    pub fn is_settled(&self, now: Now) -> bool {
+        now >= self.open_from && now >= self.evict_from
+    }
+
     /// Time from which the worker grants.
     #[must_use]
     pub fn opens_at(&self) -> Duration {
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -109,6 +109,20 @@
         next
     }
 
+    /// The table that no longer names the previous owners of `workers`.
+    #[must_use]
+    pub fn settled(&self, workers: &BTreeSet<WorkerId>) -> Self {
+        let mut next = self.next();
+        for (_, ownership) in next
+            .workers
+            .iter_mut()
+            .filter(|(id, _)| workers.contains(*id))
+        {
+            ownership.previous = None;
+        }
+        next
+    }
+
     /// Whether `id` in this run is a member.
     #[must_use]
     pub fn has_member(&self, id: &InstanceId, incarnation: Incarnation) -> bool {
--- a/crates/serve/src/control/exchange.rs
+++ b/crates/serve/src/control/exchange.rs
@@ -7,15 +7,23 @@
 use reedford_settings::ms;
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::oneshot;
 
+/// Least time between two summaries, the later of which tells a change.
+const EARLY_EXCHANGE: Duration = Duration::from_millis(100);
+
 impl Control {
-    /// Sends a summary to every peer, at intervals.
+    /// Sends a summary to every peer, at intervals, and soon after a change of
+    /// what is resident.
     pub(super) fn exchange_summaries(&mut self) {
         let now = self.clock.now();
-        if now < self.timers.exchange {
+        let early = self.timers.changed && now >= self.timers.exchanged + EARLY_EXCHANGE;
+        if now < self.timers.exchange && !early {
             return;
         }
+        self.timers.changed = false;
+        self.timers.exchanged = now;
         self.timers.exchange = now + ms(self.cfg.timeouts.exchange_ms);
         let summary = self.summary();
         for peer in self.peers().into_values() {
--- a/crates/serve/src/control/orders.rs
+++ b/crates/serve/src/control/orders.rs
@@ -95,6 +95,7 @@
         outcome: Result<(), LoadFault>,
     ) {
         self.metrics.load(outcome);
+        self.timers.changed = true;
         tracing::info!(event = "loaded", %worker, adapter = %target, ?outcome);
         let decision = self.decision();
         if let Some(owned) = owned_at(&mut self.workers, worker, epoch) {
--- a/crates/serve/src/control/ownership.rs
+++ b/crates/serve/src/control/ownership.rs
@@ -7,7 +7,7 @@
 use reedford_core::{Epoch, InstanceId, Now, WorkerId, ZoneId};
 use reedford_platform::{Entry, KeyValue as _, KvError, Listing, Swapped};
 use reedford_settings::ms;
-use reedford_wire::instances::{InstanceKind, InstanceState};
+use reedford_wire::instances::InstanceKind;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -326,6 +326,12 @@
             self.swap_table(&claimed, Vec::new());
             return;
         }
+        let settled = self.membership.table.settled(&self.settled_workers(now));
+        let tidy = self.without_failed(settled, now);
+        if tidy.members != self.membership.table.members {
+            self.swap_table(&tidy, Vec::new());
+            return;
+        }
         self.rebalance(now);
     }
 
@@ -340,18 +346,31 @@
         if !settled && self.membership.table.members.len() > alive.len() {
             return BTreeSet::new();
         }
-        let workers = self.instances.values().filter(|i| {
+        let listed = self.instances.values().filter(|i| {
             i.kind == InstanceKind::Engine && i.zone == self.me.zone && self.policy_of(i).is_some()
         });
-        let live = workers
-            .filter(|i| i.state == InstanceState::Live)
-            .map(|i| &i.id);
-        live.filter(|id| self.membership.table.home(id, &alive).as_ref() == Some(&self.me.instance))
-            .filter(|id| self.may_claim(id, &alive, now))
+        // A worker that is no longer listed gets an owner too: it would
+        // otherwise keep a failed member in the table for ever.
+        let known = self.membership.table.workers.keys();
+        let workers: BTreeSet<&WorkerId> = listed.map(|i| &i.id).chain(known).collect();
+        let own = workers.into_iter().filter(|id| {
+            self.membership.table.home(id, &alive).as_ref() == Some(&self.me.instance)
+        });
+        own.filter(|id| self.may_claim(id, &alive, now))
             .cloned()
             .collect()
     }
 
+    /// Own workers whose old owner no longer matters: everything that it may
+    /// still have done has been waited for.
+    fn settled_workers(&self, now: Now) -> BTreeSet<WorkerId> {
+        let settled = self
+            .workers
+            .iter()
+            .filter(|(_, owned)| owned.scheduler.is_settled(now));
+        settled.map(|(id, _)| id.clone()).collect()
+    }
+
     fn may_claim(&self, worker: &WorkerId, alive: &BTreeSet<InstanceId>, now: Now) -> bool {
         let Some(Ownership {
             owner, incarnation, ..
@@ -369,7 +388,8 @@
     }
 
     /// Takes members out that are silent, own nothing, and whose promises this
-    /// instance has stopped.
+    /// instance has stopped. A failed member that stayed would never promise
+    /// again, and the others could not go on when the platform is cut off.
     fn without_failed(&self, mut table: ZoneTable, now: Now) -> ZoneTable {
         let failed: Vec<InstanceId> = table
             .members
--- a/crates/serve/src/control/state.rs
+++ b/crates/serve/src/control/state.rs
@@ -23,7 +23,7 @@
 use tokio::task::JoinSet;
 
 /// Half-life of the request counts that evictions go by.
-const FREQUENCY_HALF_LIFE: Duration = Duration::from_secs(120);
+const FREQUENCY_HALF_LIFE: Duration = Duration::from_secs(1_200);
 /// How long a lapsed owner still grants on resident adapters.
 const GRACE: Duration = Duration::from_secs(5);
 /// Time within which a granted request is sent to its target.
@@ -164,6 +164,9 @@
     pub(super) rules: Poll,
     pub(super) instances: Poll,
     pub(super) exchange: Now,
+    pub(super) exchanged: Now,
+    /// Whether what is resident has changed since the last summary.
+    pub(super) changed: bool,
     pub(super) exchanging: BTreeSet<InstanceId>,
     /// Loads for which a turn was asked of a broker elsewhere.
     pub(super) turns: BTreeSet<LoadKey>,
--- a/crates/serve/src/control/view.rs
+++ b/crates/serve/src/control/view.rs
@@ -85,7 +85,9 @@
             running: scheduler.running(),
             waiting: scheduler.waiting(),
             open_slots: scheduler.open_slots(),
-            residents: scheduler.residents_soon(),
+            slot_cost: scheduler.slot_cost(&self.frequency, now),
+            residents: scheduler.residents(),
+            loading: scheduler.loading(),
         })
     }
 }
--- a/crates/serve/src/control/workers.rs
+++ b/crates/serve/src/control/workers.rs
@@ -218,6 +218,7 @@
                 value,
                 patience,
             } => {
+                self.timers.changed = true;
                 let worker = worker.clone();
                 self.ask_turn(TurnRequest {
                     worker,
--- a/crates/serve/src/traffic/permits.rs
+++ b/crates/serve/src/traffic/permits.rs
@@ -64,46 +64,70 @@
 ) -> Result<Permit, Option<PermitRefusal>> {
     let view = traffic.view();
     let order = order(traffic, &view, job, tried);
-    let mut refusals = Refusals::default();
-    let residents = order.resident.iter().map(|w| (w, true));
-    let homes = order.homes.iter().map(|w| (w, false));
-    for (worker, resident) in residents.chain(homes).take(ASK_MOST) {
-        let patience = if resident {
-            patience(job.class)
+    let mut search = Search {
+        traffic,
+        view: &view,
+        job,
+        refusals: Refusals::default(),
+    };
+    match search.run(&order).await {
+        Some(permit) => Ok(permit),
+        None => Err(search.refusals.least.map(|(refusal, _)| refusal)),
+    }
+}
+
+/// The search for a worker that grants.
+struct Search<'a> {
+    traffic: &'a Arc<Traffic>,
+    view: &'a View,
+    job: &'a Job,
+    refusals: Refusals,
+}
+
+impl Search<'_> {
+    /// Asks where the adapter is resident, then where it is being loaded, then
+    /// at its homes. A load under way ends before any that is asked for now,
+    /// so a home is asked only when no worker loads the adapter.
+    async fn run(&mut self, order: &Candidates) -> Option<Permit> {
+        for worker in order.resident.iter().take(ASK_MOST) {
+            let permit = self.ask(worker, patience(self.job.class)).await;
+            if permit.is_some() {
+                return permit;
+            }
+        }
+        let next = if order.loading.is_empty() {
+            &order.homes
         } else {
-            refusals.wait(job)
+            &order.loading
         };
-        let worker = &view.workers[worker];
-        match traffic
-            .ask(&Ask {
-                job,
-                worker,
-                patience,
-            })
-            .await
-        {
-            Ok(permit) => return Ok(permit),
-            Err(refusal) => refusals.note(refusal, worker),
-        }
-        if !resident && refusals.is_final() {
-            break;
+        for worker in next.iter().take(ASK_MOST) {
+            let permit = self.ask(worker, self.refusals.wait(self.job)).await;
+            if permit.is_some() {
+                return permit;
+            }
+            if self.refusals.is_final() {
+                break;
+            }
         }
+        let shortest = self.refusals.shortest_queue()?;
+        self.ask(&shortest, self.job.remaining()).await
     }
-    if let Some(worker) = refusals.shortest_queue().and_then(|w| view.workers.get(&w)) {
-        let patience = job.remaining();
-        match traffic
-            .ask(&Ask {
-                job,
-                worker,
-                patience,
-            })
-            .await
-        {
-            Ok(permit) => return Ok(permit),
-            Err(refusal) => refusals.note(refusal, worker),
+
+    async fn ask(&mut self, worker: &WorkerId, patience: Duration) -> Option<Permit> {
+        let worker = self.view.workers.get(worker)?;
+        let ask = Ask {
+            job: self.job,
+            worker,
+            patience,
+        };
+        match self.traffic.ask(&ask).await {
+            Ok(permit) => Some(permit),
+            Err(refusal) => {
+                self.refusals.note(refusal, worker);
+                None
+            }
         }
     }
-    Err(refusals.least.map(|(refusal, _)| refusal))
 }
 
 fn order(traffic: &Traffic, view: &View, job: &Job, tried: &BTreeSet<WorkerId>) -> Candidates {
@@ -117,10 +141,21 @@
     };
     let mut order = candidates(view, &req);
     order.resident.retain(|w| !tried.contains(w));
+    order.loading.retain(|w| !tried.contains(w));
     order.homes.retain(|w| !tried.contains(w));
     order
 }
 
+/// Lower tells the caller more about when to come back.
+const fn rank(reason: PermitReason) -> u8 {
+    match reason {
+        PermitReason::Busy => 0,
+        PermitReason::DeadlineUnreachable => 1,
+        PermitReason::LoadFailed => 2,
+        PermitReason::NotOwner | PermitReason::WorkerDown | PermitReason::WorkerLeaving => 3,
+    }
+}
+
 fn patience(class: Class) -> Duration {
     match class {
         Class::Lookup => LOOKUP_PATIENCE,
@@ -131,7 +166,7 @@
 impl Refusals {
     fn note(&mut self, refusal: PermitRefusal, worker: &WorkerView) {
         let queue = (refusal.reason == PermitReason::Busy).then(|| worker.summary.worker.clone());
-        let rank = |r: &PermitRefusal| (r.reason != PermitReason::Busy, r.retry_after);
+        let rank = |r: &PermitRefusal| (rank(r.reason), r.retry_after);
         let better = self
             .least
             .as_ref()
