Admission counts the answer's own time by its tokens; batch packing by heat

And the objective batch-efficiency changed only the choice among resident copies. Change: a request that names its most tokens is judged by them and the pace seen; under batch-efficiency a load goes to the first worker, in one order for the whole group, from which it drives a clearly colder adapter.

--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -22,6 +22,8 @@
     pub class: Class,
     /// Time left until the caller's deadline, counted from sending.
     pub remaining: Duration,
+    /// Time that the answer will take, where the request tells.
+    pub expected: Option<Duration>,
     /// Refuse at once when the wait would be longer than this.
     pub patience: Duration,
 }
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -14,6 +14,9 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+/// An adapter is clearly colder than another that is asked for this many times
+/// as often.
+const COLDER: u32 = 2;
 /// Homes of an adapter. It is loaded at the one whose next slot costs least.
 const HOME_CHOICES: usize = 3;
 
@@ -50,6 +53,9 @@
     pub objective: Objective,
     /// How a worker is chosen.
     pub placement: Placement,
+    /// How often the adapter is asked for, in the unit of
+    /// [`WorkerSummary::slot_cost`].
+    pub heat: u32,
     /// A random number; it spreads requests over equal workers, so that
     /// instances with the same old summaries don't all choose the same one.
     pub random: u64,
@@ -90,9 +96,10 @@
         .filter(|(_, w)| !is_resident(w))
         .partition(|(_, w)| is_loading(w));
     let others = others.into_iter().map(|(id, _)| &**id);
-    let mut homes = rendezvous::order(&req.target.adapter, others);
-    let choices = homes.len().min(HOME_CHOICES);
-    homes[..choices].sort_by_key(|id| view.workers[*id].summary.slot_cost);
+    let homes = match req.objective {
+        Objective::LoadStalls => cheapest_homes(view, req, others),
+        Objective::BatchEfficiency => packed_homes(view, req, others),
+    };
     Candidates {
         resident: resident.into_iter().map(|(id, _)| id.clone()).collect(),
         loading: loading.into_iter().map(|(id, _)| id.clone()).collect(),
@@ -100,6 +107,38 @@
     }
 }
 
+/// The adapter's own homes, the one whose next slot costs least first.
+fn cheapest_homes<'a, I>(view: &View, req: &PlacementRequest<'_>, workers: I) -> Vec<&'a str>
+where
+    I: Iterator<Item = &'a str>,
+{
+    let mut homes = rendezvous::order(&req.target.adapter, workers);
+    let choices = homes.len().min(HOME_CHOICES);
+    homes[..choices].sort_by_key(|id| slot_cost(view, id));
+    homes
+}
+
+/// The workers in one order for all adapters of the group, those first from
+/// which this adapter would drive a clearly colder one; then the others, the
+/// cheapest first. The hottest adapters so gather on the first workers, whose
+/// batches fill, and the cold ones on the last.
+fn packed_homes<'a, I>(view: &View, req: &PlacementRequest<'_>, workers: I) -> Vec<&'a str>
+where
+    I: Iterator<Item = &'a str>,
+{
+    let order = rendezvous::order(req.group, workers);
+    let (mut homes, mut others): (Vec<&str>, Vec<&str>) = order
+        .into_iter()
+        .partition(|id| slot_cost(view, id) <= req.heat / COLDER);
+    others.sort_by_key(|id| slot_cost(view, id));
+    homes.append(&mut others);
+    homes
+}
+
+fn slot_cost(view: &View, worker: &str) -> u32 {
+    view.workers[worker].summary.slot_cost
+}
+
 /// Lower is better: room first, then what the objective asks for, then the
 /// own zone, then at random.
 fn resident_rank(
--- a/crates/core/src/scheduler/admission.rs
+++ b/crates/core/src/scheduler/admission.rs
@@ -28,7 +28,8 @@
         if wait > req.patience {
             return Some(refuse(PermitReason::Busy, wait));
         }
-        let late = wait + self.hold(req.class) > req.remaining;
+        let expected = req.expected.unwrap_or_else(|| self.hold(req.class));
+        let late = wait + expected > req.remaining;
         let admission = self.policy.admission == Admission::On;
         (late && admission).then(|| refuse(PermitReason::DeadlineUnreachable, wait))
     }
--- a/crates/core/src/scheduler/loads.rs
+++ b/crates/core/src/scheduler/loads.rs
@@ -120,7 +120,7 @@
             .waiting
             .iter()
             .filter(|(_, w)| w.target == *target)
-            .filter(|(_, w)| cx.now + wait + self.hold(w.class) > w.deadline)
+            .filter(|(_, w)| cx.now + wait + w.expected > w.deadline)
             .map(|(id, _)| id.clone())
             .collect();
         for id in late {
@@ -180,9 +180,7 @@
     fn patience(&self, target: &AdapterVersion, now: Now) -> Duration {
         let waiting = self.waiting.values().filter(|w| w.target == *target);
         let spare = waiting.map(|w| match self.policy.admission {
-            Admission::On => w
-                .deadline
-                .saturating_sub(now + LOAD_TIME + self.hold(w.class)),
+            Admission::On => w.deadline.saturating_sub(now + LOAD_TIME + w.expected),
             Admission::Off => w.deadline.saturating_sub(now),
         });
         spare.max().unwrap_or_default()
--- a/crates/core/src/scheduler/state.rs
+++ b/crates/core/src/scheduler/state.rs
@@ -123,6 +123,7 @@
 pub(super) struct Waiting {
     pub(super) target: AdapterVersion,
     pub(super) class: Class,
+    pub(super) expected: Duration,
     pub(super) since: Now,
     pub(super) deadline: Now,
     /// Set when the load that it waited for ended.
@@ -175,6 +176,7 @@
         let waiting = Waiting {
             target: req.target.clone(),
             class: req.class,
+            expected: req.expected.unwrap_or_else(|| self.hold(req.class)),
             since: cx.now,
             deadline: cx.now + req.remaining,
             load_stall: None,
--- a/crates/serve/src/control.rs
+++ b/crates/serve/src/control.rs
@@ -20,7 +20,7 @@
 mod workers;
 
 pub(crate) use command::{Command, CommandTx};
-pub(crate) use state::{Control, Identity, Outputs};
+pub(crate) use state::{Control, FREQUENCY_HALF_LIFE, Identity, Outputs};
 
 use command::Event;
 use std::time::Duration;
--- a/crates/serve/src/control/state.rs
+++ b/crates/serve/src/control/state.rs
@@ -23,7 +23,7 @@
 use tokio::task::JoinSet;
 
 /// Half-life of the request counts that evictions go by.
-const FREQUENCY_HALF_LIFE: Duration = Duration::from_secs(1_200);
+pub(crate) const FREQUENCY_HALF_LIFE: Duration = Duration::from_secs(1_200);
 /// How long a lapsed owner still grants on resident adapters.
 const GRACE: Duration = Duration::from_secs(5);
 /// Time within which a granted request is sent to its target.
--- a/crates/serve/src/entry.rs
+++ b/crates/serve/src/entry.rs
@@ -2,12 +2,15 @@
 
 use crate::clients::Clients;
 use crate::clock::Clock;
-use crate::control::{COMMAND_QUEUE, Command, CommandTx, Control, Identity, Outputs};
+use crate::control::{
+    COMMAND_QUEUE, Command, CommandTx, Control, FREQUENCY_HALF_LIFE, Identity, Outputs,
+};
 use crate::metrics::Metrics;
 use crate::peer::PeerServer;
 use crate::retention::keep_lease;
-use crate::traffic::{CallerHandler, Traffic};
+use crate::traffic::{CallerHandler, Pace, Traffic};
 use eyre::{Result, WrapErr as _, eyre};
+use reedford_core::frequency::Frequency;
 use reedford_core::limits::Limits;
 use reedford_core::placement::View;
 use reedford_core::retry::RetryBudget;
@@ -133,6 +136,8 @@
             rules,
             instances,
             limits: Mutex::new(Limits::default()),
+            frequency: Mutex::new(Frequency::new(FREQUENCY_HALF_LIFE)),
+            pace: Pace::default(),
             retries: Mutex::new(RetryBudget::new(cfg.bounds.retry_percent)),
             tasks: TaskTracker::new(),
             stopping: stopping.clone(),
--- a/crates/serve/src/traffic.rs
+++ b/crates/serve/src/traffic.rs
@@ -9,31 +9,38 @@
 mod chat;
 mod check;
 mod claims;
+mod pace;
 mod permits;
 mod plain;
 mod refusals;
 mod relay;
 
+pub(crate) use pace::Pace;
+
 use crate::clients::Clients;
 use crate::clock::Clock;
 use crate::control::{CommandTx, Identity};
 use crate::metrics::Metrics;
-use reedford_core::PermitId;
+use reedford_core::frequency::Frequency;
 use reedford_core::limits::Limits;
 use reedford_core::placement::View;
 use reedford_core::retry::RetryBudget;
+use reedford_core::{InstanceId, PermitId};
 use reedford_front::{Answer, ChatCall, Handler, PlainCall, Readiness};
 use reedford_platform::LeaseId;
 use reedford_rules::RulesDocument;
 use reedford_settings::Settings;
 use reedford_wire::instances::Instance;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+/// Thousandths in one.
+const MILLI: f64 = 1_000.0;
+
 /// What all requests of an entry instance share.
 #[derive(Debug)]
 pub(crate) struct Traffic {
@@ -48,6 +55,8 @@
     pub(crate) instances: watch::Receiver<Arc<BTreeMap<Box<str>, Instance>>>,
     pub(crate) limits: Mutex<Limits>,
     pub(crate) retries: Mutex<RetryBudget>,
+    pub(crate) frequency: Mutex<Frequency>,
+    pub(crate) pace: Pace,
     pub(crate) tasks: TaskTracker,
     pub(crate) stopping: CancellationToken,
     pub(crate) serial: AtomicU64,
@@ -91,6 +100,15 @@
         *self.claim_lease.borrow()
     }
 
+    /// How often an adapter is asked for at all instances, by what this one
+    /// sees of it: callers are spread over the instances evenly.
+    fn heat(&self, adapter: &str, view: &View) -> u32 {
+        let instances: BTreeSet<&InstanceId> = view.workers.values().map(|w| &w.owner).collect();
+        let now = self.clock.now();
+        let score = lock(&self.frequency).score(adapter, now);
+        (score * instances.len().max(1) as f64 * MILLI) as u32
+    }
+
     /// Counts a request, if there is room for it.
     fn enter(self: &Arc<Self>) -> Option<Running> {
         let before = self.running.fetch_add(1, Ordering::Relaxed);
--- a/crates/serve/src/traffic/check.rs
+++ b/crates/serve/src/traffic/check.rs
@@ -18,6 +18,8 @@
     pub(super) rule: GroupRule,
     pub(super) class: Class,
     pub(super) repeatable: bool,
+    /// Time that the answer will take, where the request tells.
+    pub(super) expected: Option<Duration>,
     pub(super) deadline: Instant,
     pub(super) traceparent: Option<Box<str>>,
     pub(super) revision: u64,
@@ -53,12 +55,17 @@
     let repeatable = adapter.repeatable && options.repeatable.unwrap_or(true);
     require_key(repeatable, options)?;
     admit(traffic, &doc, &call.adapter, options.class)?;
+    lock(&traffic.frequency).record(&call.adapter, traffic.clock.now());
     Ok(Job {
         target: AdapterVersion::new(&call.adapter, &call.version),
         group: adapter.group.clone(),
         rule,
         class: options.class,
         repeatable,
+        expected: call
+            .request
+            .max_tokens
+            .map(|tokens| traffic.pace.expected(tokens)),
         deadline: deadline(traffic, options),
         traceparent: options.traceparent.clone(),
         revision: doc.revision,
--- a/crates/serve/src/traffic/permits.rs
+++ b/crates/serve/src/traffic/permits.rs
@@ -137,6 +137,7 @@
         zone: &traffic.me.zone,
         objective: job.rule.objective,
         placement: job.rule.placement,
+        heat: traffic.heat(&job.target.adapter, view),
         random: rand::random(),
     };
     let mut order = candidates(view, &req);
@@ -210,6 +211,7 @@
             target: ask.job.target.clone(),
             class: ask.job.class,
             remaining,
+            expected: ask.job.expected,
             patience: ask.patience,
         };
         let started = Instant::now();
--- a/crates/serve/src/traffic/relay.rs
+++ b/crates/serve/src/traffic/relay.rs
@@ -11,6 +11,7 @@
 use reedford_targets::{TokenEvent, TokenStream};
 use reedford_wire::chat::STREAM_END;
 use std::sync::Arc;
+use std::time::Instant;
 use tokio::sync::mpsc;
 
 /// Events that may wait for a slow caller.
@@ -54,13 +55,19 @@
 impl Relay {
     /// Passes the answer on, `first` before the rest.
     pub(super) async fn run(mut self, first: Option<TokenEvent>) {
+        let started = Instant::now();
         let mut record = BytesMut::new();
         let end = match first {
             Some(first) => self.pass_all(first, &mut record).await,
             None => End::Whole,
         };
         match end {
-            End::Whole => self.finish(record).await,
+            End::Whole => {
+                self.traffic
+                    .pace
+                    .note(self.stream.received(), started.elapsed());
+                self.finish(record).await;
+            }
             End::CallerGone => tracing::info!(event = "caller_gone", attempt = %self.permit.id),
             End::Cut => {
                 let message = "the answer was cut; the request may have run to its end";
