Scheduler: tables of admission, loads and evictions

The scheduler had no tests of its own. Tables in logical time cover what is refused at once and with what time to come back, the order of grants, the reserve for lookups, when a turn leads to an order, which adapter is evicted, pauses after failed loads, uncertainty, and listings that come late.

--- /dev/null
+++ b/crates/core/tests/scheduler/loads.rs
@@ -0,0 +1,215 @@
+//! What is loaded and evicted, and when.
+
+use super::support::{
+    Bench, POLICY, REMAINING, asked, av, facts, granted, ms, order, refusals, refused, turn_ended,
+};
+use reedford_core::lease::LeaseState;
+use reedford_core::messages::PermitReason;
+use reedford_core::scheduler::{Action, LoadFault, Policy, Scheduler};
+use reedford_rules::{Class, Eviction, Objective};
+use test_case::test_case;
+
+#[test]
+fn one_load_serves_all_that_wait() {
+    let mut bench = Bench::open(POLICY, 2, 8, &[]);
+    let (first, actions) = bench.request("a");
+    assert_eq!(asked(&actions), ["a"]);
+    bench.advance(100);
+    let (second, _) = bench.request("a");
+    assert_eq!(bench.turn("a"), [order(None, "a")]);
+    bench.now += ms(250);
+    let grants = [
+        turn_ended("a"),
+        granted(&first, ms(350)),
+        granted(&second, ms(250)),
+    ];
+    assert_eq!(bench.loaded("a"), grants);
+}
+
+/// The turn to load `b` comes to a worker with one slot that holds `a`.
+struct Turn {
+    before: fn(&mut Bench),
+    decided: Action,
+}
+
+#[test_case(Turn {
+    before: |_| {},
+    decided: order(Some("a"), "b"),
+}; "the resident is idle")]
+#[test_case(Turn {
+    before: |b| { b.request("a"); },
+    decided: turn_ended("b"),
+}; "a permit pins the resident")]
+#[test_case(Turn {
+    before: |b| { let (id, _) = b.request("a"); b.release(&id, false); },
+    decided: turn_ended("b"),
+}; "the resident is uncertain")]
+#[test_case(Turn {
+    before: |b| { b.request("a"); b.now += REMAINING + ms(1_000); b.act(Scheduler::on_tick); },
+    decided: turn_ended("b"),
+}; "a permit on the resident ended without word")]
+#[test_case(Turn {
+    before: |b| b.lease = LeaseState::ResidentOnly,
+    decided: turn_ended("b"),
+}; "the lease is not held")]
+#[test_case(Turn {
+    before: |b| { b.act(|s, _| s.on_turn_lost(&av("b"))); },
+    decided: turn_ended("b"),
+}; "the ask was taken for lost")]
+#[test_case(Turn {
+    before: |b| { b.act(|s, _| s.on_leaving()); },
+    decided: turn_ended("b"),
+}; "the worker leaves")]
+fn a_turn_leads_to_an_order_only_when_all_holds(case: Turn) {
+    let mut bench = Bench::open(POLICY, 1, 8, &["a"]);
+    let mut req = bench.permit("b");
+    req.remaining = REMAINING * 2;
+    bench.ask(&req);
+    (case.before)(&mut bench);
+    assert_eq!(bench.turn("b"), [case.decided]);
+}
+
+#[test]
+fn a_turn_used_up_without_lease_is_asked_for_again() {
+    let mut bench = Bench::open(POLICY, 1, 8, &[]);
+    bench.request("a");
+    bench.lease = LeaseState::ResidentOnly;
+    assert_eq!(bench.turn("a"), [turn_ended("a")]);
+    bench.lease = LeaseState::Held;
+    assert_eq!(asked(&bench.advance(1)), ["a"]);
+    assert_eq!(bench.turn("a"), [order(None, "a")]);
+}
+
+#[test]
+fn a_lost_turn_is_asked_for_again_once() {
+    let mut bench = Bench::open(POLICY, 1, 8, &[]);
+    bench.request("a");
+    bench.act(|s, _| s.on_turn_lost(&av("a")));
+    assert_eq!(asked(&bench.advance(1)), ["a"]);
+    assert_eq!(asked(&bench.advance(1)), Vec::<&str>::new());
+}
+
+#[test]
+fn uncertainty_ends_with_a_listing_sent_late_enough_that_shows_nothing() {
+    let mut bench = Bench::open(POLICY, 1, 8, &["a"]);
+    let sent_before = bench.now;
+    bench.advance(10);
+    let (id, _) = bench.request("a");
+    bench.release(&id, false);
+    bench.advance(10);
+    bench.request("b");
+    let idle = facts("boot-1", 1, 8, &[("a", 0)]);
+    bench.act(|s, cx| s.on_listing(&idle, sent_before, cx));
+    assert_eq!(
+        bench.scheduler.open_slots(),
+        0,
+        "the question was sent too early"
+    );
+    bench.listing(&facts("boot-1", 1, 8, &[("a", 1)]));
+    assert_eq!(bench.scheduler.open_slots(), 0, "it runs");
+    assert_eq!(asked(&bench.listing(&idle)), ["b"]);
+}
+
+#[test_case(Eviction::Frequency, "b"; "seldom asked for")]
+#[test_case(Eviction::Lru, "a"; "not used for longest")]
+fn the_victim_follows_the_policy(eviction: Eviction, victim: &str) {
+    let policy = Policy { eviction, ..POLICY };
+    let mut bench = Bench::open(policy, 2, 8, &[]);
+    for (name, times) in [("a", 3), ("b", 1)] {
+        bench.advance(10);
+        bench.load(name);
+        for _ in 0..times {
+            bench.frequency.record(name, bench.now);
+        }
+    }
+    bench.request("c");
+    assert_eq!(bench.turn("c"), [order(Some(victim), "c")]);
+}
+
+#[test]
+fn a_failed_load_pauses_the_adapter_for_longer_each_time() {
+    let mut bench = Bench::open(POLICY, 1, 8, &[]);
+    let pauses = [500, 1_000, 2_000, 4_000, 8_000, 16_000, 30_000, 30_000];
+    for pause in pauses {
+        bench.request("a");
+        bench.turn("a");
+        let actions = bench.act(|s, cx| s.on_loaded(&av("a"), Err(LoadFault::Failed), cx));
+        let said: Vec<_> = refusals(&actions).into_values().collect();
+        assert_eq!(said.len(), 1);
+        assert_eq!(
+            (said[0].reason, said[0].retry_after),
+            (PermitReason::LoadFailed, ms(pause))
+        );
+        bench.advance(pause - 1);
+        let (_, early) = bench.request("a");
+        assert_eq!(refused(&early), Some(PermitReason::LoadFailed));
+        bench.advance(1);
+    }
+    bench.load("a");
+    assert_eq!(bench.scheduler.residents(), [av("a")].into());
+}
+
+#[test]
+fn an_engine_without_a_slot_costs_only_the_turn() {
+    let mut bench = Bench::open(POLICY, 1, 8, &[]);
+    bench.request("a");
+    bench.turn("a");
+    let actions = bench.act(|s, cx| s.on_loaded(&av("a"), Err(LoadFault::NoSlot), cx));
+    assert_eq!(actions[0], turn_ended("a"));
+    assert_eq!(asked(&actions), ["a"], "it is asked for again");
+}
+
+#[test]
+fn an_eviction_without_effect_leaves_the_adapter_uncertain() {
+    let mut bench = Bench::open(POLICY, 1, 8, &["a"]);
+    bench.request("b");
+    bench.turn("b");
+    bench.act(|s, cx| s.on_evicted(&av("a"), false, cx));
+    bench.act(|s, cx| s.on_loaded(&av("b"), Err(LoadFault::NoSlot), cx));
+    assert_eq!(bench.scheduler.open_slots(), 0);
+    bench.now += ms(1);
+    bench.listing(&facts("boot-1", 1, 8, &[("a", 0)]));
+    assert_eq!(bench.scheduler.open_slots(), 1);
+}
+
+#[test_case(Objective::LoadStalls, 5)]
+#[test_case(Objective::BatchEfficiency, 2)]
+fn a_higher_value_is_told_to_the_broker(objective: Objective, asks: usize) {
+    let policy = Policy {
+        objective,
+        ..POLICY
+    };
+    let mut bench = Bench::open(policy, 1, 8, &[]);
+    let (_, actions) = bench.request("a");
+    let mut told = asked(&actions).len();
+    for _ in 0..10 {
+        told += asked(&bench.advance(50)).len();
+    }
+    assert_eq!(told, asks);
+}
+
+#[test]
+fn the_most_valuable_load_takes_the_only_slot() {
+    let mut bench = Bench::open(POLICY, 1, 8, &["a"]);
+    let (pin, _) = bench.request("a");
+    bench.request("b");
+    let mut lookup = bench.permit("c");
+    lookup.class = Class::Lookup;
+    bench.ask(&lookup);
+    assert_eq!(asked(&bench.release(&pin, true)), ["c"]);
+}
+
+#[test]
+fn a_stale_listing_does_not_undo_a_load() {
+    let mut bench = Bench::open(POLICY, 2, 8, &[]);
+    bench.request("a");
+    bench.turn("a");
+    let sent = bench.now;
+    bench.now += ms(250);
+    bench.loaded("a");
+    bench.now += ms(1);
+    bench.act(|s, cx| s.on_listing(&facts("boot-1", 2, 8, &[]), sent, cx));
+    assert_eq!(bench.scheduler.residents(), [av("a")].into());
+    let grants = |actions: &[Action]| actions.iter().any(|a| matches!(a, Action::Grant { .. }));
+    assert!(grants(&bench.request("a").1));
+}
--- /dev/null
+++ b/crates/core/tests/scheduler/main.rs
@@ -0,0 +1,5 @@
+//! The scheduler of one worker, in logical time.
+
+mod admission;
+mod loads;
+mod support;
