Scheduler: all refusals name a useful time to come back

Cause: refuse_all named a time of zero, so that what waited when a lease lapsed, an engine fell silent or a worker left came back at once. Refusals at the door already named at least 100 ms.

--- a/crates/core/src/scheduler/state.rs
+++ b/crates/core/src/scheduler/state.rs
@@ -252,11 +252,7 @@
     /// Refuses everything that waits.
     pub fn refuse_all(&mut self, reason: PermitReason) {
         for (id, _) in std::mem::take(&mut self.waiting) {
-            let refusal = PermitRefusal {
-                reason,
-                retry_after: Duration::ZERO,
-            };
-            self.refuse(id, refusal);
+            self.refuse(id, refuse(reason, Duration::ZERO));
         }
         self.withdraw_unwanted();
     }
--- a/crates/core/tests/scheduler/main.rs
+++ b/crates/core/tests/scheduler/main.rs
@@ -1,5 +1,6 @@
 //! The scheduler of one worker, in logical time.
 
 mod admission;
+mod engine;
 mod loads;
 mod support;
