Scheduler: what an engine's restart does not end

Cause: a listing with a new boot id dropped all permits and the wait for a former owner. But a request granted just before may reach the engine after the restart, when its adapter has been loaded again, and a former owner that missed the restart sends for as long as before; either then ran on an adapter that nothing protected from eviction. And a load order answered by the old boot made its adapter resident on the new one.

Permits now stay until they are released or end by themselves, the wait for the former owner stays, an adapter loaded within that wait is uncertain until its end, and the success of an order from before the restart counts for nothing: a listing shows what is there. Ruled out: clearing only permits older than the dispatch time, which the scheduler does not know; their askers release them as soon as the connection breaks.

Requests that wait go on waiting through the restart, as before.

--- a/crates/core/src/scheduler/loads.rs
+++ b/crates/core/src/scheduler/loads.rs
@@ -82,12 +82,13 @@
         outcome: Result<(), LoadFault>,
         cx: &Cx<'_>,
     ) {
-        self.orders.remove(target);
+        let kind = self.orders.remove(target);
         self.orders_changed = cx.now;
         self.actions.push(Action::TurnEnded {
             target: target.clone(),
         });
         match outcome {
+            Ok(()) if kind == Some(OrderKind::LoadBeforeRestart) => {}
             Ok(()) => self.note_loaded(target, cx.now),
             Err(LoadFault::NoSlot) => {}
             Err(LoadFault::Failed) => self.note_failed(target, cx.now),
@@ -138,13 +139,16 @@
         !self.is_resident(target) && self.waiting.values().any(|w| w.target == *target)
     }
 
+    /// A former owner that missed an engine's restart may take the adapter for
+    /// resident already, and send to it until `evict_from`.
     fn note_loaded(&mut self, target: &AdapterVersion, now: Now) {
+        let uncertain = (now < self.evict_from).then_some(self.evict_from);
         self.backoff.remove(target);
         self.residents.insert(
             target.clone(),
             Resident {
                 last_used: now,
-                uncertain: None,
+                uncertain,
             },
         );
         for waiting in self.waiting.values_mut().filter(|w| w.target == *target) {
@@ -181,11 +185,7 @@
         let Some(engine) = &self.engine else {
             return 0;
         };
-        let loading = self
-            .orders
-            .values()
-            .filter(|kind| **kind == OrderKind::Load)
-            .count();
+        let loading = self.orders.values().filter(|kind| kind.is_load()).count();
         let taken = self.residents.len() + loading;
         engine.slots.saturating_sub(taken as u32)
     }
@@ -247,10 +247,7 @@
     /// Adapter versions that a load order of ours may still bring.
     #[must_use]
     pub fn loading(&self) -> BTreeSet<AdapterVersion> {
-        let loads = self
-            .orders
-            .iter()
-            .filter(|(_, kind)| **kind == OrderKind::Load);
+        let loads = self.orders.iter().filter(|(_, kind)| kind.is_load());
         loads.map(|(target, _)| target.clone()).collect()
     }
 }
--- a/crates/core/src/scheduler/state.rs
+++ b/crates/core/src/scheduler/state.rs
@@ -111,6 +111,18 @@
 pub(super) enum OrderKind {
     Evict,
     Load,
+    /// The engine has restarted since. Which boot took the order is unknown,
+    /// so its success says nothing about the present one.
+    LoadBeforeRestart,
+}
+
+impl OrderKind {
+    pub(super) fn is_load(self) -> bool {
+        match self {
+            Self::Evict => false,
+            Self::Load | Self::LoadBeforeRestart => true,
+        }
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -320,10 +332,7 @@
     /// Adapter versions resident or being loaded.
     #[must_use]
     pub fn residents_soon(&self) -> BTreeSet<AdapterVersion> {
-        let loading = self
-            .orders
-            .iter()
-            .filter(|(_, kind)| **kind == OrderKind::Load);
+        let loading = self.orders.iter().filter(|(_, kind)| kind.is_load());
         let mut targets = self.residents();
         targets.extend(loading.map(|(target, _)| target.clone()));
         targets.extend(self.asked.keys().cloned());
@@ -434,12 +443,15 @@
         }
     }
 
-    /// A restarted engine holds nothing and runs nothing of ours. Orders under
-    /// way are left to end by their own answers.
+    /// A restarted engine holds nothing. Permits stay: a request granted
+    /// before the restart may reach the engine after it, when the adapter has
+    /// been loaded again. A former owner may send until `evict_from` all the
+    /// same. Orders under way are left to end by their own answers.
     fn forget_engine(&mut self) {
         self.residents.clear();
-        self.permits.clear();
-        self.evict_from = Duration::ZERO;
+        for kind in self.orders.values_mut().filter(|kind| kind.is_load()) {
+            *kind = OrderKind::LoadBeforeRestart;
+        }
     }
 
     /// Takes over the engine's word on its slots, unless an order was under
--- a/crates/core/tests/scheduler/main.rs
+++ b/crates/core/tests/scheduler/main.rs
@@ -3,4 +3,5 @@
 mod admission;
 mod engine;
 mod loads;
+mod restart;
 mod support;
