Scheduler: no handover before the owner's own takeover is over

Cause: a claimant that had to wait for a silent owner could hand the worker on meanwhile, as on a graceful stop or when the home came back. The next owner opens at once and takes what it finds for idle after one listing, so the wait for the first owner, which may still grant, was lost.

hand_over now answers None until then, as it does while an order is under way; a stop that can't wait as long leaves the worker to be claimed.

Also, residents_soon no longer repeats what loading() computes.

--- a/crates/core/src/scheduler/state.rs
+++ b/crates/core/src/scheduler/state.rs
@@ -332,9 +332,8 @@
     /// Adapter versions resident or being loaded.
     #[must_use]
     pub fn residents_soon(&self) -> BTreeSet<AdapterVersion> {
-        let loading = self.orders.iter().filter(|(_, kind)| kind.is_load());
         let mut targets = self.residents();
-        targets.extend(loading.map(|(target, _)| target.clone()));
+        targets.extend(self.loading());
         targets.extend(self.asked.keys().cloned());
         targets
     }
--- a/crates/core/src/scheduler/takeover.rs
+++ b/crates/core/src/scheduler/takeover.rs
@@ -9,10 +9,14 @@
 impl Scheduler {
     /// What the next owner has to know. The caller must have stopped granting
     /// and ordering under this ownership: nothing may change afterwards.
+    ///
+    /// `None` while an order is under way, and until this owner's own takeover
+    /// is over: the next owner would not wait for the one before this.
     #[must_use]
     pub fn hand_over(&self, worker: &WorkerId, now: Now) -> Option<Handover> {
         let engine = self.engine.as_ref()?;
-        if !self.orders.is_empty() {
+        let taking_over = now < self.open_from.max(self.evict_from);
+        if taking_over || !self.orders.is_empty() {
             return None;
         }
         let uncertain = self.residents.iter().filter(|(_, r)| r.uncertain.is_some());
--- a/crates/core/tests/scheduler/main.rs
+++ b/crates/core/tests/scheduler/main.rs
@@ -5,3 +5,4 @@
 mod loads;
 mod restart;
 mod support;
+mod takeover;
