Scheduler: a bar holds until its time, and passes to the next owner

Cause: an adapter whose eviction may still come was barred only until a listing showed it gone. It can be gone for another reason, an engine's restart or a second eviction, and was then loaded and granted while the first eviction was still under way. A handover dropped bars altogether, a later bar could shorten an earlier one, and requests that waited when a bar came had to wait for their deadline.

A bar now holds until its time whatever is listed, is handed over with the rest (Handover::barred), is never shortened, and refuses what waits, so that it can go to another worker. The cost: an adapter that such an eviction did remove is not loaded on that worker again until the bar ends.

--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -165,10 +165,21 @@
     pub boot_id: Box<str>,
     /// Adapter versions that may be in use without a permit below.
     pub uncertain: BTreeSet<AdapterVersion>,
+    /// Adapter versions that an eviction may still hit.
+    pub barred: Vec<HandedBar>,
     /// Permits out.
     pub permits: Vec<HandedPermit>,
 }
 
+/// An adapter version that is neither granted nor loaded for a time.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HandedBar {
+    /// The adapter version.
+    pub target: AdapterVersion,
+    /// Time until an eviction can no longer hit it.
+    pub remaining: Duration,
+}
+
 /// A permit handed over.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct HandedPermit {
--- a/crates/core/src/scheduler/loads.rs
+++ b/crates/core/src/scheduler/loads.rs
@@ -3,7 +3,7 @@
 use super::admission::{LOAD_TIME, refuse};
 use super::state::{Backoff, OrderKind, Resident, Scheduler, Waiting};
 use super::{Action, Cx};
-use crate::ids::{AdapterVersion, Now, PermitId};
+use crate::ids::{AdapterVersion, Now};
 use crate::lease::LeaseState;
 use crate::messages::PermitReason;
 use reedford_rules::{Class, Eviction, LoadOrdering, Objective};
@@ -169,16 +169,7 @@
                 until: now + pause,
             },
         );
-        let ids: Vec<PermitId> = self
-            .waiting
-            .iter()
-            .filter(|(_, w)| w.target == *target)
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in ids {
-            self.waiting.remove(&id);
-            self.refuse(id, refuse(PermitReason::LoadFailed, pause));
-        }
+        self.refuse_waiting(target, refuse(PermitReason::LoadFailed, pause));
     }
 
     fn free_slots(&self) -> u32 {
--- a/crates/core/src/scheduler/state.rs
+++ b/crates/core/src/scheduler/state.rs
@@ -73,6 +73,9 @@
     pub(super) evict_from: Now,
     pub(super) engine: Option<Engine>,
     pub(super) residents: BTreeMap<AdapterVersion, Resident>,
+    /// Not granted or loaded until then, whatever the engine lists meanwhile:
+    /// the adapter may be gone for another reason than the eviction that may
+    /// still come.
     pub(super) barred: BTreeMap<AdapterVersion, Now>,
     pub(super) orders: BTreeMap<AdapterVersion, OrderKind>,
     pub(super) orders_changed: Now,
@@ -271,17 +274,26 @@
 
     /// Refuses what waits for a load: without a lease nothing is loaded.
     fn refuse_not_resident(&mut self) {
+        let targets = self.waiting_by_target().into_keys();
+        let missing: Vec<AdapterVersion> = targets.filter(|t| !self.is_resident(t)).collect();
+        for target in missing {
+            self.refuse_waiting(&target, refuse(PermitReason::NotOwner, Duration::ZERO));
+        }
+        self.withdraw_unwanted();
+    }
+
+    /// Refuses what waits for `target`.
+    pub(super) fn refuse_waiting(&mut self, target: &AdapterVersion, refusal: PermitRefusal) {
         let ids: Vec<PermitId> = self
             .waiting
             .iter()
-            .filter(|(_, w)| !self.is_resident(&w.target))
+            .filter(|(_, w)| w.target == *target)
             .map(|(id, _)| id.clone())
             .collect();
         for id in ids {
             self.waiting.remove(&id);
-            self.refuse(id, refuse(PermitReason::NotOwner, Duration::ZERO));
+            self.refuse(id, refusal);
         }
-        self.withdraw_unwanted();
     }
 
     /// The actions decided since the last call.
@@ -463,8 +475,6 @@
         }
         self.residents
             .retain(|target, _| facts.residents.contains_key(target));
-        self.barred
-            .retain(|target, _| facts.residents.contains_key(target));
         let uncertain = Some(self.evict_from.max(sent));
         for (target, slot) in &facts.residents {
             if !slot.loading {
--- a/crates/core/src/scheduler/takeover.rs
+++ b/crates/core/src/scheduler/takeover.rs
@@ -1,8 +1,9 @@
 //! What passes from one owner of a worker to the next.
 
+use super::admission::refuse;
 use super::state::{Permit, Scheduler};
 use crate::ids::{AdapterVersion, Now, WorkerId};
-use crate::messages::{HandedPermit, Handover};
+use crate::messages::{HandedBar, HandedPermit, Handover, PermitReason};
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -26,11 +27,16 @@
             class: permit.class,
             remaining: permit.until.saturating_sub(now),
         });
+        let barred = self.barred.iter().map(|(target, until)| HandedBar {
+            target: target.clone(),
+            remaining: until.saturating_sub(now),
+        });
         Some(Handover {
             worker: worker.clone(),
             epoch: self.epoch,
             boot_id: engine.boot_id.clone(),
             uncertain: uncertain.map(|(target, _)| target.clone()).collect(),
+            barred: barred.collect(),
             permits: permits.collect(),
         })
     }
@@ -51,17 +57,23 @@
             };
             self.permits.insert(handed.id, permit);
         }
+        for bar in handover.barred {
+            self.bar(BTreeSet::from([bar.target]), now + bar.remaining);
+        }
         for resident in self.residents.values_mut() {
             resident.uncertain = resident.uncertain.map(|_| now);
         }
     }
 
-    /// Never grants on `targets` here: an eviction that an old owner may still
-    /// order could hit them at any time until `until`.
+    /// Neither grants on `targets` nor loads them before `until`: an eviction
+    /// whose end is unknown could hit them at any time before.
     pub fn bar(&mut self, targets: BTreeSet<AdapterVersion>, until: Now) {
         for target in targets {
-            self.barred.insert(target, until);
+            self.refuse_waiting(&target, refuse(PermitReason::NotOwner, Duration::ZERO));
+            let bar = self.barred.entry(target).or_insert(until);
+            *bar = until.max(*bar);
         }
+        self.withdraw_unwanted();
     }
 
     /// Time from which the worker grants.
--- a/crates/core/tests/scheduler/takeover.rs
+++ b/crates/core/tests/scheduler/takeover.rs
@@ -1,11 +1,17 @@
 //! What passes from one owner to the next.
 
-use super::support::{Bench, POLICY, av, facts, granted, ms, order, turn_ended};
-use reedford_core::messages::{HandedPermit, Handover};
+use super::support::{Bench, POLICY, av, facts, granted, ms, order, refused, turn_ended};
+use reedford_core::messages::{HandedPermit, Handover, PermitReason};
+use reedford_core::scheduler::{Action, Scheduler};
+use reedford_core::{AdapterVersion, Now};
 use std::collections::BTreeSet;
 use std::time::Duration;
 use test_case::test_case;
 
+fn bar(bench: &mut Bench, name: &str, until: Now) -> Vec<Action> {
+    bench.act(|s, _| s.bar(BTreeSet::from([av(name)]), until))
+}
+
 fn hand_over(bench: &Bench) -> Option<Handover> {
     bench.scheduler.hand_over(&"worker-1".into(), bench.now)
 }
@@ -135,3 +141,57 @@
     next.listing(&facts("boot-1", 1, 8, &[("a", 0)]));
     assert_eq!(next.scheduler.open_slots(), 1);
 }
+
+/// What a listing shows while `a` is barred until 1,000 ms.
+#[test_case(&[("a", 0)]; "it is there")]
+#[test_case(&[]; "it is gone, maybe by another hand")]
+fn a_barred_adapter_is_not_granted_before_the_bar_ends(held: &[(&str, u32)]) {
+    let mut bench = Bench::open(POLICY, 2, 8, &["a"]);
+    bar(&mut bench, "a", ms(1_000));
+    bench.listing(&facts("boot-1", 2, 8, held));
+    assert_eq!(
+        bench.scheduler.residents(),
+        BTreeSet::<AdapterVersion>::new()
+    );
+    bench.now = ms(999);
+    bench.act(Scheduler::on_tick);
+    assert_eq!(refused(&bench.request("a").1), Some(PermitReason::NotOwner));
+    bench.now = ms(1_000);
+    bench.act(Scheduler::on_tick);
+    assert_eq!(refused(&bench.request("a").1), None);
+}
+
+#[test]
+fn a_bar_is_not_shortened() {
+    let mut bench = Bench::open(POLICY, 2, 8, &["a"]);
+    bar(&mut bench, "a", ms(1_000));
+    bar(&mut bench, "a", ms(500));
+    bench.advance(600);
+    assert_eq!(refused(&bench.request("a").1), Some(PermitReason::NotOwner));
+}
+
+#[test]
+fn what_waits_for_a_barred_adapter_is_refused_at_once() {
+    let mut bench = Bench::open(POLICY, 1, 8, &["a"]);
+    bench.request("b");
+    bench.turn("b");
+    assert_eq!(bench.request("a").1, [], "it is being evicted");
+    bench.act(|s, cx| s.on_evicted(&av("a"), false, cx));
+    assert_eq!(
+        refused(&bar(&mut bench, "a", ms(1_000))),
+        Some(PermitReason::NotOwner)
+    );
+}
+
+#[test]
+fn a_bar_passes_to_the_next_owner() {
+    let mut old = Bench::open(POLICY, 1, 8, &["a"]);
+    bar(&mut old, "a", ms(1_000));
+    let handover = hand_over(&old).expect("nothing is under way");
+    let mut next = next_owner(&old, handover);
+    next.listing(&facts("boot-1", 1, 8, &[("a", 0)]));
+    assert_eq!(refused(&next.request("a").1), Some(PermitReason::NotOwner));
+    next.now = ms(1_000);
+    next.act(Scheduler::on_tick);
+    assert_eq!(refused(&next.request("a").1), None);
+}
