--- a/crates/core/src/scheduler/admission.rs
+++ b/crates/core/src/scheduler/admission.rs
@@ -29,7 +29,7 @@
             return Some(refuse(PermitReason::Busy, wait));
         }
         let expected = req.expected.unwrap_or_else(|| self.hold(req.class));
-        let late = wait + expected > req.remaining;
+        let late = wait + expected >= req.remaining;
         let admission = self.policy.admission == Admission::On;
         (late && admission).then(|| refuse(PermitReason::DeadlineUnreachable, wait))
     }
--- a/crates/core/src/scheduler/loads.rs
+++ b/crates/core/src/scheduler/loads.rs
@@ -35,6 +35,13 @@
     OldFence,
 }
 
+/// A load that requests wait for.
+struct Wanted {
+    value: f64,
+    /// When the first of them came.
+    since: Now,
+}
+
 impl Scheduler {
     /// The broker gave the turn to load `target`.
     pub fn on_turn(&mut self, target: &AdapterVersion, cx: &Cx<'_>) {
@@ -83,12 +90,13 @@
         outcome: Result<(), LoadFault>,
         cx: &Cx<'_>,
     ) {
-        self.orders.remove(target);
+        let kind = self.orders.remove(target);
         self.orders_changed = cx.now;
         self.actions.push(Action::TurnEnded {
             target: target.clone(),
         });
         match outcome {
+            Ok(()) if kind == Some(OrderKind::LoadBeforeRestart) => {}
             Ok(()) => self.note_loaded(target, cx.now),
             Err(LoadFault::NoSlot) => {}
             Err(LoadFault::Failed) => self.note_failed(target, cx.now),
@@ -120,7 +128,7 @@
             .waiting
             .iter()
             .filter(|(_, w)| w.target == *target)
-            .filter(|(_, w)| cx.now + wait + w.expected > w.deadline)
+            .filter(|(_, w)| cx.now + wait + w.expected >= w.deadline)
             .map(|(id, _)| id.clone())
             .collect();
         for id in late {
@@ -147,7 +155,7 @@
         let mut room = (self.open_slots() as usize).saturating_sub(self.asked.len());
         for (target, value) in self.wanted_loads(cx) {
             match self.asked.get(&target) {
-                Some(known) if value < known * REVALUE_FACTOR => continue,
+                Some(known) if !has_grown(*known, value) => continue,
                 Some(_) => {}
                 None if room == 0 => continue,
                 None => room -= 1,
@@ -190,13 +198,16 @@
         !self.is_resident(target) && self.waiting.values().any(|w| w.target == *target)
     }
 
+    /// A former owner that missed an engine's restart may take the adapter for
+    /// resident already, and send to it until `evict_from`.
     fn note_loaded(&mut self, target: &AdapterVersion, now: Now) {
+        let uncertain = (now < self.evict_from).then_some(self.evict_from);
         self.backoff.remove(target);
         self.residents.insert(
             target.clone(),
             Resident {
                 last_used: now,
-                uncertain: None,
+                uncertain,
             },
         );
         for waiting in self.waiting.values_mut().filter(|w| w.target == *target) {
@@ -217,48 +228,42 @@
                 until: now + pause,
             },
         );
-        let ids: Vec<PermitId> = self
-            .waiting
-            .iter()
-            .filter(|(_, w)| w.target == *target)
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in ids {
-            self.waiting.remove(&id);
-            self.refuse(id, refuse(PermitReason::LoadFailed, pause));
-        }
+        self.refuse_waiting(target, refuse(PermitReason::LoadFailed, pause));
     }
 
     fn free_slots(&self) -> u32 {
         let Some(engine) = &self.engine else {
             return 0;
         };
-        let loading = self
-            .orders
-            .values()
-            .filter(|kind| **kind == OrderKind::Load)
-            .count();
+        let loading = self.orders.values().filter(|kind| kind.is_load()).count();
         let taken = self.residents.len() + loading;
         engine.slots.saturating_sub(taken as u32)
     }
 
     /// Adapter versions that requests wait for and nothing loads yet, with the
-    /// value of loading them, highest first.
+    /// value of loading them: highest first, and of equal value the one that
+    /// was asked for first.
     fn wanted_loads(&self, cx: &Cx<'_>) -> Vec<(AdapterVersion, f64)> {
-        let mut values: BTreeMap<&AdapterVersion, f64> = BTreeMap::new();
+        let mut wanted: BTreeMap<&AdapterVersion, Wanted> = BTreeMap::new();
         for waiting in self.waiting.values() {
             let target = &waiting.target;
             if self.residents.contains_key(target) || self.orders.contains_key(target) {
                 continue;
             }
-            *values.entry(target).or_default() += self.value(waiting, cx.now);
+            let load = wanted.entry(target).or_insert(Wanted {
+                value: 0.0,
+                since: waiting.since,
+            });
+            load.value += self.value(waiting, cx.now);
+            load.since = load.since.min(waiting.since);
         }
-        let mut wanted: Vec<(AdapterVersion, f64)> = values
-            .into_iter()
-            .map(|(target, value)| (target.clone(), value))
-            .collect();
-        wanted.sort_by(|a, b| b.1.total_cmp(&a.1));
-        wanted
+        let mut wanted: Vec<(&AdapterVersion, Wanted)> = wanted.into_iter().collect();
+        wanted.sort_by(|(_, a), (_, b)| {
+            let by_value = b.value.total_cmp(&a.value);
+            by_value.then(a.since.cmp(&b.since))
+        });
+        let loads = wanted.into_iter();
+        loads.map(|(target, w)| (target.clone(), w.value)).collect()
     }
 
     fn value(&self, waiting: &Waiting, now: Now) -> f64 {
@@ -302,3 +307,8 @@
         Class::Writing => WRITING_WEIGHT,
     }
 }
+
+/// Whether the broker is told of the new value of a load.
+fn has_grown(known: f64, value: f64) -> bool {
+    value > known && value >= known * REVALUE_FACTOR
+}
--- a/crates/core/src/scheduler/state.rs
+++ b/crates/core/src/scheduler/state.rs
@@ -73,6 +73,9 @@
     pub(super) evict_from: Now,
     pub(super) engine: Option<Engine>,
     pub(super) residents: BTreeMap<AdapterVersion, Resident>,
+    /// Not granted or loaded until then, whatever the engine lists meanwhile:
+    /// the adapter may be gone for another reason than the eviction that may
+    /// still come.
     pub(super) barred: BTreeMap<AdapterVersion, Now>,
     pub(super) orders: BTreeMap<AdapterVersion, OrderKind>,
     pub(super) orders_changed: Now,
@@ -111,6 +114,18 @@
 pub(super) enum OrderKind {
     Evict,
     Load,
+    /// The engine has restarted since. Which boot took the order is unknown,
+    /// so its success says nothing about the present one.
+    LoadBeforeRestart,
+}
+
+impl OrderKind {
+    pub(super) fn is_load(self) -> bool {
+        match self {
+            Self::Evict => false,
+            Self::Load | Self::LoadBeforeRestart => true,
+        }
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -241,7 +256,6 @@
     /// Ends what has run out of time and starts what can be started.
     pub fn on_tick(&mut self, cx: &Cx<'_>) {
         self.end_permits(cx.now);
-        self.give_up_late(cx);
         self.barred.retain(|_, until| *until > cx.now);
         match cx.lease {
             LeaseState::Held => {}
@@ -254,28 +268,33 @@
     /// Refuses everything that waits.
     pub fn refuse_all(&mut self, reason: PermitReason) {
         for (id, _) in std::mem::take(&mut self.waiting) {
-            let refusal = PermitRefusal {
-                reason,
-                retry_after: Duration::ZERO,
-            };
-            self.refuse(id, refusal);
+            self.refuse(id, refuse(reason, Duration::ZERO));
         }
         self.withdraw_unwanted();
     }
 
     /// Refuses what waits for a load: without a lease nothing is loaded.
     fn refuse_not_resident(&mut self) {
+        let targets = self.waiting_by_target().into_keys();
+        let missing: Vec<AdapterVersion> = targets.filter(|t| !self.is_resident(t)).collect();
+        for target in missing {
+            self.refuse_waiting(&target, refuse(PermitReason::NotOwner, Duration::ZERO));
+        }
+        self.withdraw_unwanted();
+    }
+
+    /// Refuses what waits for `target`.
+    pub(super) fn refuse_waiting(&mut self, target: &AdapterVersion, refusal: PermitRefusal) {
         let ids: Vec<PermitId> = self
             .waiting
             .iter()
-            .filter(|(_, w)| !self.is_resident(&w.target))
+            .filter(|(_, w)| w.target == *target)
             .map(|(id, _)| id.clone())
             .collect();
         for id in ids {
             self.waiting.remove(&id);
-            self.refuse(id, refuse(PermitReason::NotOwner, Duration::ZERO));
+            self.refuse(id, refusal);
         }
-        self.withdraw_unwanted();
     }
 
     /// The actions decided since the last call.
@@ -326,15 +345,9 @@
     /// Adapter versions that are being loaded, or wait for their turn.
     #[must_use]
     pub fn loading(&self) -> BTreeSet<AdapterVersion> {
-        let loads = self
-            .orders
-            .iter()
-            .filter(|(_, kind)| **kind == OrderKind::Load);
-        loads
-            .map(|(target, _)| target)
-            .chain(self.asked.keys())
-            .cloned()
-            .collect()
+        let loads = self.orders.iter().filter(|(_, kind)| kind.is_load());
+        let loads = loads.map(|(target, _)| target);
+        loads.chain(self.asked.keys()).cloned().collect()
     }
 
     /// How many requests wait for each adapter version.
@@ -377,8 +390,10 @@
         self.actions.push(Action::Refuse { id, refusal });
     }
 
-    /// Grants what can be granted, then asks for the loads still wanted.
+    /// Gives up what is late, grants what can be granted, then asks for the
+    /// loads still wanted.
     pub(super) fn pump(&mut self, cx: &Cx<'_>) {
+        self.give_up_late(cx);
         if !self.is_open(cx.now) || cx.lease == LeaseState::Lapsed {
             return;
         }
@@ -454,12 +469,15 @@
         }
     }
 
-    /// A restarted engine holds nothing and runs nothing of ours. Orders under
-    /// way are left to end by their own answers.
+    /// A restarted engine holds nothing. Permits stay: a request granted
+    /// before the restart may reach the engine after it, when the adapter has
+    /// been loaded again. A former owner may send until `evict_from` all the
+    /// same. Orders under way are left to end by their own answers.
     fn forget_engine(&mut self) {
         self.residents.clear();
-        self.permits.clear();
-        self.evict_from = Duration::ZERO;
+        for kind in self.orders.values_mut().filter(|kind| kind.is_load()) {
+            *kind = OrderKind::LoadBeforeRestart;
+        }
     }
 
     /// Takes over the engine's word on its slots, unless an order was under
@@ -472,8 +490,6 @@
         }
         self.residents
             .retain(|target, _| facts.residents.contains_key(target));
-        self.barred
-            .retain(|target, _| facts.residents.contains_key(target));
         let uncertain = Some(self.evict_from.max(sent));
         for (target, slot) in &facts.residents {
             if !slot.loading {
--- a/crates/core/src/scheduler/takeover.rs
+++ b/crates/core/src/scheduler/takeover.rs
@@ -1,18 +1,23 @@
 //! What passes from one owner of a worker to the next.
 
+use super::admission::refuse;
 use super::state::{Permit, Scheduler};
 use crate::ids::{AdapterVersion, Now, WorkerId};
-use crate::messages::{HandedPermit, Handover};
+use crate::messages::{HandedBar, HandedPermit, Handover, PermitReason};
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 impl Scheduler {
     /// What the next owner has to know. The caller must have stopped granting
     /// and ordering under this ownership: nothing may change afterwards.
+    ///
+    /// `None` while an order is under way, and until this owner's own takeover
+    /// is over: the next owner would not wait for the one before this.
     #[must_use]
     pub fn hand_over(&self, worker: &WorkerId, now: Now) -> Option<Handover> {
         let engine = self.engine.as_ref()?;
-        if !self.orders.is_empty() {
+        let taking_over = now < self.open_from.max(self.evict_from);
+        if taking_over || !self.orders.is_empty() {
             return None;
         }
         let uncertain = self.residents.iter().filter(|(_, r)| r.uncertain.is_some());
@@ -22,11 +27,16 @@
             class: permit.class,
             remaining: permit.until.saturating_sub(now),
         });
+        let barred = self.barred.iter().map(|(target, until)| HandedBar {
+            target: target.clone(),
+            remaining: until.saturating_sub(now),
+        });
         Some(Handover {
             worker: worker.clone(),
             epoch: self.epoch,
             boot_id: engine.boot_id.clone(),
             uncertain: uncertain.map(|(target, _)| target.clone()).collect(),
+            barred: barred.collect(),
             permits: permits.collect(),
         })
     }
@@ -47,17 +57,23 @@
             };
             self.permits.insert(handed.id, permit);
         }
+        for bar in handover.barred {
+            self.bar(BTreeSet::from([bar.target]), now + bar.remaining);
+        }
         for resident in self.residents.values_mut() {
             resident.uncertain = resident.uncertain.map(|_| now);
         }
     }
 
-    /// Never grants on `targets` here: an eviction that an old owner may still
-    /// order could hit them at any time until `until`.
+    /// Neither grants on `targets` nor loads them before `until`: an eviction
+    /// whose end is unknown could hit them at any time before.
     pub fn bar(&mut self, targets: BTreeSet<AdapterVersion>, until: Now) {
         for target in targets {
-            self.barred.insert(target, until);
+            self.refuse_waiting(&target, refuse(PermitReason::NotOwner, Duration::ZERO));
+            let bar = self.barred.entry(target).or_insert(until);
+            *bar = until.max(*bar);
         }
+        self.withdraw_unwanted();
     }
 
     /// Whether nothing that an old owner may have done has to be waited for.
