Stand-in programs: catch SIGTERM before they say that they listen

Cause: the engine and plain programs logged event=listening and only then installed their handlers, so a signal sent on reading that line could end them by default, without event=stopped and with a failing exit code (starts_and_stops_cleanly was seen to be flaky). Ruled out: the platform's program already caught signals first.

--- a/crates/standins/src/bin/reedford-engine-standin.rs
+++ b/crates/standins/src/bin/reedford-engine-standin.rs
@@ -1,7 +1,7 @@
 //! Runs the stand-in of a model engine until it is told to stop.
 
 use reedford_standins::engine::EngineStandin;
-use reedford_standins::target_program::{init_log, read_config, terminated};
+use reedford_standins::target_program::{StopSignals, init_log, read_config};
 use std::path::PathBuf;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -16,9 +16,10 @@
         required --config file: PathBuf
     };
     init_log()?;
+    let mut signals = StopSignals::catch()?;
     let engine = EngineStandin::start(read_config(&flags.config)?).await?;
     tracing::info!(event = "listening", addr = %engine.addr());
-    terminated().await?;
+    signals.next().await;
     let drained = timeout(DRAIN_TIMEOUT, engine.drain()).await.is_ok();
     engine.shutdown().await;
     tracing::info!(event = "stopped", drained);
--- a/crates/standins/src/bin/reedford-plain-standin.rs
+++ b/crates/standins/src/bin/reedford-plain-standin.rs
@@ -1,7 +1,7 @@
 //! Runs the stand-in of a plain service until it is told to stop.
 
 use reedford_standins::plain::PlainStandin;
-use reedford_standins::target_program::{init_log, read_config, terminated};
+use reedford_standins::target_program::{StopSignals, init_log, read_config};
 use std::path::PathBuf;
 
 #[tokio::main]
@@ -11,9 +11,10 @@
         required --config file: PathBuf
     };
     init_log()?;
+    let mut signals = StopSignals::catch()?;
     let service = PlainStandin::start(read_config(&flags.config)?).await?;
     tracing::info!(event = "listening", addr = %service.addr());
-    terminated().await?;
+    signals.next().await;
     service.shutdown().await;
     tracing::info!(event = "stopped");
     Ok(())
--- a/crates/standins/src/target_program.rs
+++ b/crates/standins/src/target_program.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time::timeout;
 use tracing_subscriber::EnvFilter;
 use tracing_subscriber::layer::SubscriberExt as _;
@@ -48,18 +48,34 @@
         .wrap_err("set up logs")
 }
 
-/// Waits for SIGTERM or SIGINT.
-///
-/// # Errors
-/// When signals can't be received.
-pub async fn terminated() -> eyre::Result<()> {
-    let mut term = signal(SignalKind::terminate())?;
-    let mut int = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
+/// The signals that stop a program, caught from the time this is made.
+#[derive(Debug)]
+pub struct StopSignals {
+    interrupt: Signal,
+    terminate: Signal,
+}
+
+impl StopSignals {
+    /// Catches SIGTERM and SIGINT from now on. A program does so before it
+    /// says that it listens: whoever reads that line may send the signal at
+    /// once.
+    ///
+    /// # Errors
+    /// When signals can't be received.
+    pub fn catch() -> eyre::Result<Self> {
+        Ok(Self {
+            interrupt: signal(SignalKind::interrupt())?,
+            terminate: signal(SignalKind::terminate())?,
+        })
+    }
+
+    /// Waits for one of them.
+    pub async fn next(&mut self) {
+        tokio::select! {
+            _ = self.interrupt.recv() => {}
+            _ = self.terminate.recv() => {}
+        }
     }
-    Ok(())
 }
 
 /// Puts an instance into the platform's list.
