Stand-ins: runs note their prompt and when they started

The records named attempts only, and a call may have several; the prompt ties every run to the call that caused it, and the time lets a check tell work begun before from work begun after a target was marked leaving.

--- a/crates/standins/src/engine/record.rs
+++ b/crates/standins/src/engine/record.rs
@@ -23,8 +23,12 @@
     pub adapter: Box<str>,
     /// Version of the adapter that ran.
     pub version: Box<str>,
+    /// Text of the request's last message.
+    pub prompt: Box<str>,
     /// Position among all noted events of this engine.
     pub started_seq: u64,
+    /// Time of the start in milliseconds of Unix time.
+    pub started_unix_ms: u64,
     /// Whether all tokens were generated.
     pub finished: bool,
 }
--- a/crates/standins/src/engine/run.rs
+++ b/crates/standins/src/engine/run.rs
@@ -2,6 +2,7 @@
 
 use super::record::RunRecord;
 use super::slots::SlotKey;
+use crate::target_http::unix_ms;
 use reedford_wire::chat::{
     ChatChunk, ChatRequest, ChatResponse, Choice, ChunkChoice, Delta, Message, Usage,
 };
@@ -39,6 +40,8 @@
     pub(crate) recorded: Option<usize>,
     /// Tokens generated.
     pub(crate) tokens: u32,
+    /// Text of the last message.
+    prompt: Box<str>,
     prompt_tokens: u32,
     /// Tokens that the whole answer has.
     total: u32,
@@ -71,6 +74,7 @@
             priority,
             recorded: None,
             tokens: 0,
+            prompt: chat.messages.last().map_or("", |m| &m.content).into(),
             prompt_tokens,
             total: limit.unwrap_or(derived),
             finish: if limit.is_some() { "length" } else { "stop" },
@@ -88,7 +92,9 @@
             attempt: self.attempt.clone(),
             adapter: self.key.adapter.clone(),
             version: self.key.version.clone(),
+            prompt: self.prompt.clone(),
             started_seq,
+            started_unix_ms: unix_ms(),
             finished: false,
         }
     }
--- a/crates/standins/src/plain.rs
+++ b/crates/standins/src/plain.rs
@@ -5,9 +5,11 @@
 //! |---|---|
 //! | `POST /control/faults` with [`PlainFaults`] | switches faults on or off |
 //! | `GET /control/record` | list of [`Receipt`] |
+//! | `GET /control/runs` | list of [`PlainRun`] |
 
 use crate::target_http::{
     self, Body, ConnectionNumber, Cut, Silence, field, json, read_body, read_json, refusal, refuse,
+    unix_ms,
 };
 use crate::target_program::{register, register_patiently};
 use eyre::WrapErr as _;
@@ -70,6 +72,15 @@
     pub silent_connections: Option<bool>,
 }
 
+/// A call that ran.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PlainRun {
+    /// The call.
+    pub receipt: Receipt,
+    /// Time of its start in milliseconds of Unix time.
+    pub started_unix_ms: u64,
+}
+
 /// A running plain service stand-in.
 #[derive(Debug)]
 pub struct PlainStandin {
@@ -117,6 +128,12 @@
     /// The calls that ran.
     #[must_use]
     pub fn record(&self) -> Vec<Receipt> {
+        self.service.receipts()
+    }
+
+    /// The calls that ran and when they began.
+    #[must_use]
+    pub fn runs(&self) -> Vec<PlainRun> {
         self.service.state().record.clone()
     }
 
@@ -148,7 +165,7 @@
     delay: Duration,
     leaving: bool,
     lose_answers: u32,
-    record: Vec<Receipt>,
+    record: Vec<PlainRun>,
 }
 
 impl Service {
@@ -173,6 +190,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn receipts(&self) -> Vec<Receipt> {
+        let state = self.state();
+        state.record.iter().map(|run| run.receipt.clone()).collect()
+    }
+
     async fn set_faults(&self, faults: &PlainFaults, from: Option<ConnectionNumber>) {
         self.state().apply(faults);
         if faults.silent_connections == Some(true) {
@@ -221,7 +243,8 @@
 
 async fn route(service: Arc<Service>, req: Request<Incoming>) -> Result<Response<Body>, Cut> {
     match (req.method(), req.uri().path()) {
-        (&Method::GET, "/control/record") => json(StatusCode::OK, &service.state().record),
+        (&Method::GET, "/control/record") => json(StatusCode::OK, &service.receipts()),
+        (&Method::GET, "/control/runs") => json(StatusCode::OK, &service.state().record),
         (&Method::POST, "/control/faults") => faults(&service, req).await,
         (&Method::POST, _) => run(&service, req).await,
         _ => json(StatusCode::NOT_FOUND, &serde_json::json!({})),
@@ -250,7 +273,10 @@
     }
     let delay = {
         let mut state = service.state();
-        state.record.push(receipt.clone());
+        state.record.push(PlainRun {
+            receipt: receipt.clone(),
+            started_unix_ms: unix_ms(),
+        });
         state.delay
     };
     if !delay.is_zero() {
--- a/crates/standins/src/target_http.rs
+++ b/crates/standins/src/target_http.rs
@@ -23,6 +23,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll};
+use std::time::SystemTime;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
@@ -256,3 +257,9 @@
     let (status, _ended) = tokio::join!(exchange, driver);
     Ok(status?)
 }
+
+/// Milliseconds of Unix time, for records that are compared between programs.
+pub(crate) fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    now.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+}
