History of a whole run and a check of its promises

Callers record what they asked and were told, targets what they ran; the check leads every run back to its call by a marker and says which promises the two together break.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod caller;
 pub mod engine;
+pub mod history;
 pub mod load;
 pub mod plain;
 pub mod platform;
