Failure tests of whole sites: faults one and two together, retries, operators

A site of 4 entry instances in 2 zones, 4 engines (2 ignore fencing numbers) and 2 plain services runs under load; faults are induced and the history is checked. Keys are tried again through other entry instances throughout.

--- /dev/null
+++ b/crates/standins/tests/failures/main.rs
@@ -0,0 +1,9 @@
+//! Whole sites with faults induced, one and two together, and their histories
+//! checked.
+
+mod faults;
+mod operators;
+mod retries;
+mod scene;
+mod table;
+mod traffic;
