Spans of a request's hops, joined by the trace context

The traceparent header was only passed through, and the exporter could not have worked: the batch processor's thread has no runtime, which the HTTP client of the exporter needs. Exports now run on the process's runtime. tarpc's own spans were ruled out: every summary between instances would begin a trace. The asker's context travels as an argument of the permit call. Spans have a target of their own, so that without an endpoint no layer takes them.

--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -7,6 +7,7 @@
 //! | `traffic` | the way of a request |
 //! | `peer` | the protocol between entry instances |
 //! | `operators` | the operators' interface |
+//! | `spans` | the spans of a request's hops |
 //! | [`telemetry`] | logs and traces |
 
 mod clients;
@@ -18,6 +19,7 @@
 mod operators;
 mod peer;
 mod retention;
+mod spans;
 pub mod telemetry;
 mod traffic;
 
--- a/crates/serve/src/peer.rs
+++ b/crates/serve/src/peer.rs
@@ -23,7 +23,8 @@
 #[tarpc::service]
 pub(crate) trait Peer {
     /// Asks the owner of a worker for a permit; answers once it is decided.
-    async fn permit(req: PermitRequest) -> PermitAnswer;
+    /// `traceparent` is the asker's span, when it is traced.
+    async fn permit(req: PermitRequest, traceparent: Option<Box<str>>) -> PermitAnswer;
     /// Gives a permit back.
     async fn release(release: Release);
     /// Tells what the sender owns and knows.
--- a/crates/serve/src/peer/server.rs
+++ b/crates/serve/src/peer/server.rs
@@ -3,6 +3,7 @@
 
 use super::{Peer, RulesText};
 use crate::control::{Command, CommandTx};
+use crate::spans;
 use futures::StreamExt as _;
 use reedford_core::broker::LoadKey;
 use reedford_core::messages::{
@@ -20,6 +21,7 @@
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
+use tracing::Instrument as _;
 
 /// The server's side of one connection.
 #[derive(Clone, Debug)]
@@ -92,8 +94,15 @@
 }
 
 impl Peer for PeerServer {
-    async fn permit(self, _: Context, req: PermitRequest) -> PermitAnswer {
-        let answer = self.ask(|reply| Command::Permit { req, reply }).await;
+    async fn permit(
+        self,
+        _: Context,
+        req: PermitRequest,
+        traceparent: Option<Box<str>>,
+    ) -> PermitAnswer {
+        let span = spans::owner_permit(&req.worker, traceparent.as_deref());
+        let deciding = self.ask(|reply| Command::Permit { req, reply });
+        let answer = deciding.instrument(span).await;
         answer.unwrap_or(PermitAnswer::Refused(PermitRefusal {
             reason: PermitReason::NotOwner,
             retry_after: Duration::ZERO,
--- a/crates/serve/src/telemetry.rs
+++ b/crates/serve/src/telemetry.rs
@@ -1,14 +1,22 @@
 //! Logs as one key=value line an event, and traces sent by OTLP over HTTP.
+//!
+//! Spans go to the traces and events to the logs; where no traces are sent, no
+//! layer takes spans and they cost next to nothing.
 
+mod exporter;
+
+use crate::spans;
+use exporter::RuntimeExporter;
 use eyre::{Result, WrapErr as _};
 use opentelemetry::trace::TracerProvider as _;
 use opentelemetry_otlp::{Protocol, SpanExporter, WithExportConfig as _};
 use opentelemetry_sdk::Resource;
 use opentelemetry_sdk::trace::SdkTracerProvider;
 use reedford_settings::Settings;
+use tracing_subscriber::filter::{FilterExt as _, filter_fn};
 use tracing_subscriber::layer::SubscriberExt as _;
 use tracing_subscriber::util::SubscriberInitExt as _;
-use tracing_subscriber::{EnvFilter, Registry};
+use tracing_subscriber::{EnvFilter, Layer as _, Registry};
 
 /// Name of the service in traces.
 const SERVICE: &str = "reedford";
@@ -27,6 +35,9 @@
     ///
     /// # Errors
     /// When the endpoint can't be used or logs were set up before.
+    ///
+    /// # Panics
+    /// When called outside a runtime.
     pub fn start(cfg: &Settings) -> Result<Self> {
         let filter =
             EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new(DEFAULT_FILTER));
@@ -36,10 +47,18 @@
             .map(|url| provider(cfg, url))
             .transpose()?;
         let tracer = provider.as_ref().map(|p| p.tracer(SERVICE));
-        let traces = tracer.map(|tracer| tracing_opentelemetry::layer().with_tracer(tracer));
+        let traces = tracer.map(|tracer| {
+            let layer = tracing_opentelemetry::layer()
+                .with_location(false)
+                .with_threads(false)
+                .with_target(false);
+            layer
+                .with_tracer(tracer)
+                .with_filter(filter_fn(|m| m.target() == spans::TARGET))
+        });
+        let events = filter_fn(|m| m.target() != spans::TARGET);
         Registry::default()
-            .with(filter)
-            .with(tracing_logfmt::layer())
+            .with(tracing_logfmt::layer().with_filter(filter.and(events)))
             .with(traces)
             .try_init()
             .wrap_err("logs can't be set up")?;
@@ -68,7 +87,7 @@
         .with_service_name(format!("{SERVICE}/{}", cfg.instance))
         .build();
     Ok(SdkTracerProvider::builder()
-        .with_batch_exporter(exporter)
+        .with_batch_exporter(RuntimeExporter::new(exporter))
         .with_resource(resource)
         .build())
 }
--- a/crates/serve/src/traffic/attempts.rs
+++ b/crates/serve/src/traffic/attempts.rs
@@ -4,6 +4,7 @@
 use super::permits::{Permit, permit};
 use super::refusals::{fault, no_permit};
 use super::{Traffic, lock};
+use crate::spans;
 use bytes::Bytes;
 use reedford_front::{Refused, RefusedCode};
 use reedford_rules::Class;
@@ -12,6 +13,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Instant;
+use tracing::Instrument as _;
 
 /// Priority of a class at the engines; higher runs sooner.
 const fn priority(class: Class) -> i32 {
@@ -68,7 +70,9 @@
             Err(refusal) => return Err(no_permit(refusal)),
         };
         let worker = permit.worker.clone();
-        match dispatch(traffic, job, request, permit).await {
+        let span = spans::dispatch(&worker, &permit.id);
+        let dispatched = dispatch(traffic, job, request, permit).instrument(span);
+        match dispatched.await {
             Ok(answered) => return Ok(answered),
             Err(Failed::NotRun) => {}
             Err(Failed::Lost) => may_have_run = true,
@@ -96,7 +100,7 @@
     let options = DispatchOptions {
         attempt: permit.id.to_string().into(),
         priority: priority(job.class),
-        traceparent: job.traceparent.clone(),
+        traceparent: spans::current_traceparent().or_else(|| job.traceparent.clone()),
         deadline: Some(job.remaining()),
     };
     let started = Instant::now();
--- a/crates/serve/src/traffic/chat.rs
+++ b/crates/serve/src/traffic/chat.rs
@@ -8,6 +8,7 @@
 use super::relay::{CALLER_QUEUE, Relay, recorded};
 use super::{Running, Traffic};
 use crate::metrics::class_name;
+use crate::spans;
 use bytes::Bytes;
 use hyper::StatusCode;
 use reedford_core::claims::RecordedAnswer;
@@ -15,6 +16,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
+use tracing::Instrument as _;
 
 /// Content type of whole answers.
 const JSON: &str = "application/json";
@@ -25,11 +27,16 @@
 /// away, so that its outcome is recorded.
 pub(super) async fn handle(traffic: &Arc<Traffic>, call: ChatCall) -> Answer {
     let class = class_name(call.options.class);
-    let answer = match serve(traffic, call).await {
+    let model = format!("{}@{}", call.adapter, call.version);
+    let traceparent = call.options.traceparent.as_deref();
+    let span = spans::request(&model, call.options.class, traceparent);
+    let answer = match serve(traffic, call).instrument(span.clone()).await {
         Ok(answer) => answer,
         Err(refused) => Answer::Refused(refused),
     };
-    traffic.metrics.outcome(class, outcome_name(&answer));
+    let outcome = outcome_name(&answer);
+    spans::request_ended(&span, &answer, outcome);
+    traffic.metrics.outcome(class, outcome);
     answer
 }
 
@@ -52,7 +59,7 @@
         return execute(traffic, job, call, None, running).await;
     }
     let task = once(Arc::clone(traffic), job, call, running);
-    let joined = traffic.tasks.spawn(task).await;
+    let joined = traffic.tasks.spawn(task.in_current_span()).await;
     joined.unwrap_or_else(|e| panic!("a request's task failed: {e}"))
 }
 
@@ -77,7 +84,10 @@
     call: ChatCall,
     running: Running,
 ) -> Result<Answer, Refused> {
-    let claim = match claim(&traffic, &call.options, &call.body_digest).await? {
+    let claim = match claim(&traffic, &call.options, &call.body_digest)
+        .instrument(spans::claim())
+        .await?
+    {
         Claimed::Held(claim) => claim,
         Claimed::Replay(answer) => return Ok(replay(answer, job.revision)),
     };
@@ -110,10 +120,11 @@
                 claim,
                 tx,
             };
-            tasks.spawn(async move {
+            let relaying = async move {
                 relay.run(first).await;
                 drop(running);
-            });
+            };
+            tasks.spawn(relaying.instrument(spans::relay()));
             Ok(Answer::Stream { body: rx, meta })
         }
         Err(refused) => {
--- a/crates/serve/src/traffic/permits.rs
+++ b/crates/serve/src/traffic/permits.rs
@@ -4,6 +4,7 @@
 use super::check::Job;
 use crate::control::Command;
 use crate::peer::PeerClient;
+use crate::spans;
 use reedford_core::messages::{PermitAnswer, PermitReason, PermitRefusal, PermitRequest, Release};
 use reedford_core::placement::{Candidates, PlacementRequest, View, WorkerView, candidates};
 use reedford_core::{InstanceId, PermitId, WorkerId};
@@ -15,6 +16,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
+use tracing::Instrument as _;
 
 /// Workers asked for one request.
 const ASK_MOST: usize = 4;
@@ -224,16 +226,17 @@
             repeatable: ask.job.repeatable,
             ended: true,
         };
-        match self
-            .ask_owner(ask.worker, req, remaining + ANSWER_SLACK)
-            .await
-        {
+        let span = spans::permit(&req.worker, &ask.worker.owner);
+        let asking = self.ask_owner(ask.worker, req, remaining + ANSWER_SLACK);
+        match asking.instrument(span.clone()).await {
             PermitAnswer::Granted { load_stall } => {
+                span.record("answer", "granted");
                 permit.load_stall = load_stall;
                 self.metrics.permit(started.elapsed(), load_stall);
                 Ok(permit)
             }
             PermitAnswer::Refused(refusal) => {
+                span.record("answer", refusal.reason.name());
                 permit.forget();
                 Err(refusal)
             }
@@ -247,18 +250,12 @@
         limit: Duration,
     ) -> PermitAnswer {
         if worker.owner == self.me.instance {
-            let (reply, rx) = oneshot::channel();
-            if self
-                .control
-                .send(Command::Permit { req, reply })
-                .await
-                .is_err()
-            {
-                return not_owner();
-            }
-            return rx.await.unwrap_or_else(|_| not_owner());
+            let span = spans::owner_permit(&req.worker, None);
+            return self.ask_control(req).instrument(span).await;
         }
-        let asking = |client: PeerClient, cx| async move { client.permit(cx, req).await };
+        let traceparent = spans::current_traceparent();
+        let asking =
+            |client: PeerClient, cx| async move { client.permit(cx, req, traceparent).await };
         self.metrics.peer_call("permit");
         let answer = self
             .clients
@@ -271,6 +268,16 @@
         })
     }
 
+    /// Asks the control thread of this instance, the owner.
+    async fn ask_control(&self, req: PermitRequest) -> PermitAnswer {
+        let (reply, rx) = oneshot::channel();
+        let sent = self.control.send(Command::Permit { req, reply }).await;
+        if sent.is_err() {
+            return not_owner();
+        }
+        rx.await.unwrap_or_else(|_| not_owner())
+    }
+
     async fn release(&self, release: Release) {
         let view = self.view();
         let Some(worker) = view.workers.get(&release.worker) else {
--- a/crates/serve/src/traffic/plain.rs
+++ b/crates/serve/src/traffic/plain.rs
@@ -6,6 +6,7 @@
 use super::refusals::fault;
 use super::{Running, Traffic, lock};
 use crate::metrics::class_name;
+use crate::spans;
 use hyper::StatusCode;
 use reedford_core::claims::RecordedAnswer;
 use reedford_front::{Answer, AnswerMeta, Outcome, PlainCall, Refused, RefusedCode};
@@ -14,6 +15,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Instant;
+use tracing::Instrument as _;
 
 /// Content type of an answer that names none.
 const BYTES: &str = "application/octet-stream";
@@ -38,11 +40,15 @@
 /// away, so that its outcome is recorded.
 pub(super) async fn handle(traffic: &Arc<Traffic>, call: PlainCall) -> Answer {
     let class = class_name(call.options.class);
-    let answer = match serve(traffic, call).await {
+    let traceparent = call.options.traceparent.as_deref();
+    let span = spans::request(&call.service, call.options.class, traceparent);
+    let answer = match serve(traffic, call).instrument(span.clone()).await {
         Ok(answer) => answer,
         Err(refused) => Answer::Refused(refused),
     };
-    traffic.metrics.outcome(class, outcome_name(&answer));
+    let outcome = outcome_name(&answer);
+    spans::request_ended(&span, &answer, outcome);
+    traffic.metrics.outcome(class, outcome);
     answer
 }
 
@@ -53,7 +59,7 @@
         return execute(traffic, &job, &call, None).await;
     }
     let task = once(Arc::clone(traffic), job, call, running);
-    let joined = traffic.tasks.spawn(task).await;
+    let joined = traffic.tasks.spawn(task.in_current_span()).await;
     joined.unwrap_or_else(|e| panic!("a call's task failed: {e}"))
 }
 
@@ -91,7 +97,10 @@
     call: PlainCall,
     running: Running,
 ) -> Result<Answer, Refused> {
-    let claim = match claim(&traffic, &call.options, &call.body_digest).await? {
+    let claim = match claim(&traffic, &call.options, &call.body_digest)
+        .instrument(spans::claim())
+        .await?
+    {
         Claimed::Held(claim) => claim,
         Claimed::Replay(answer) => return Ok(replay(answer, job.revision)),
     };
@@ -162,20 +171,24 @@
     call: &PlainCall,
     target: &Instance,
 ) -> Result<Answered, DispatchError> {
-    let attempt: Box<str> = traffic.next_id().to_string().into();
+    let id = traffic.next_id();
+    let span = spans::dispatch(&target.id, &id);
+    let attempt: Box<str> = id.to_string().into();
+    let traceparent = span.in_scope(spans::current_traceparent);
     let outgoing = reedford_targets::PlainCall {
         path_and_query: job.path.clone(),
         content_type: call.content_type.clone(),
         body: call.body.clone(),
         attempt: attempt.clone(),
         key: call.options.idempotency_key.clone(),
-        traceparent: call.options.traceparent.clone(),
+        traceparent: traceparent.or_else(|| call.options.traceparent.clone()),
         deadline: Some(job.deadline.saturating_duration_since(Instant::now())),
     };
     let reply = traffic
         .clients
         .targets
         .plain(target.address, outgoing)
+        .instrument(span)
         .await?;
     Ok(Answered {
         reply,
--- a/crates/standins/src/engine/record.rs
+++ b/crates/standins/src/engine/record.rs
@@ -2,6 +2,7 @@
 
 use reedford_wire::engine::RefusalCode;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 
 /// Everything noted since the program started, across restarts of the engine.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -10,6 +11,9 @@
     pub runs: Vec<RunRecord>,
     /// Orders that came.
     pub orders: Vec<OrderRecord>,
+    /// W3C trace context of the requests that came with one, by attempt.
+    #[serde(default)]
+    pub traceparents: BTreeMap<Box<str>, Box<str>>,
     /// What must never happen.
     pub violations: Vec<Violation>,
 }
--- a/crates/standins/src/engine/routes.rs
+++ b/crates/standins/src/engine/routes.rs
@@ -60,6 +60,7 @@
         let missing = refusal(RefusalCode::BadRequest, "no attempt id");
         return refuse(&missing, None);
     };
+    let traceparent = field(&req, headers::TRACEPARENT).map(Box::<str>::from);
     let priority = field(&req, headers::PRIORITY).and_then(|p| p.parse().ok());
     let chat: ChatRequest = match read_json(req.into_body()).await? {
         Ok(chat) => chat,
@@ -74,6 +75,13 @@
             return refuse(&refusal, Some(&attempt));
         }
     }
+    if let Some(traceparent) = traceparent {
+        engine
+            .core()
+            .record
+            .traceparents
+            .insert(attempt.clone(), traceparent);
+    }
     hold_back(&engine).await;
     if chat.stream {
         streams::streamed(&engine, &attempt, 0)
