--- /dev/null
+++ b/crates/front/tests/refusals_page.rs
@@ -0,0 +1,69 @@
+//! The operators' page of refusals and the codes agree.
+
+use reedford_front::{Outcome, Refused, RefusedCode};
+use serde::de::DeserializeOwned;
+use std::collections::BTreeSet;
+
+const PAGE: &str = include_str!("../../../docs/operators/refusals.md");
+
+/// A row of the page's table of codes.
+struct Row {
+    code: String,
+    status: u16,
+    outcome: Outcome,
+}
+
+fn parse<T>(name: &str) -> T
+where
+    T: DeserializeOwned,
+{
+    serde_json::from_value(name.into()).expect("a known name")
+}
+
+fn rows() -> Vec<Row> {
+    let (_, table) = PAGE.split_once("## Codes").expect("a table of codes");
+    let lines = table.lines().filter(|line| line.starts_with("| `"));
+    let cells = |line: &str| -> Vec<String> {
+        let cells = line.trim_matches('|').split('|');
+        cells.map(|c| c.trim().replace('`', "")).collect()
+    };
+    let rows = lines.map(|line| {
+        let cells = cells(line);
+        assert_eq!(cells.len(), 6, "{line}");
+        Row {
+            code: cells[0].clone(),
+            status: cells[1].parse().expect("a status"),
+            outcome: parse(&cells[2]),
+        }
+    });
+    rows.collect()
+}
+
+/// All codes, as the error for a wrong one lists them.
+fn codes() -> BTreeSet<String> {
+    let error = serde_json::from_str::<RefusedCode>("\"?\"").expect_err("no such code");
+    let message = error.to_string();
+    let (_, listed) = message.split_once("expected one of ").expect("a list");
+    let names = listed.split('`').skip(1).step_by(2);
+    names.map(str::to_owned).collect()
+}
+
+#[test]
+fn the_page_lists_each_code_once() {
+    let listed: Vec<String> = rows().into_iter().map(|row| row.code).collect();
+    assert_eq!(listed.iter().cloned().collect::<BTreeSet<_>>(), codes());
+    assert_eq!(listed.len(), codes().len(), "a code stands twice");
+}
+
+#[test]
+fn the_page_names_the_status_of_each_code() {
+    for row in rows() {
+        let refused = Refused {
+            outcome: row.outcome,
+            code: parse(&row.code),
+            message: "".into(),
+            retry_after: None,
+        };
+        assert_eq!(refused.status().as_u16(), row.status, "{}", row.code);
+    }
+}
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -4,12 +4,11 @@
 use reedford_platform::{
     ApplyOutcome, Document, DocumentError, DocumentStore, Endpoint, EndpointConfig, HttpKeyValue,
 };
+use reedford_serve::RULES_PREFIX;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
-/// Where the rules are kept.
-const RULES_PREFIX: &str = "reedford/rules";
 /// Time to connect to an address of the platform.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for one call to the platform.
