Metrics: batch and queue of owned workers, and the page of all metrics

Batch efficiency could not be read from the metrics. The control thread sets three gauges a worker when it publishes its view, and drops them with the ownership, so that sums over instances count a worker once.

--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -2,9 +2,9 @@
 
 use prometheus::{
     Encoder as _, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
-    Opts, Registry, TextEncoder,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
-use reedford_core::messages::PermitReason;
+use reedford_core::messages::{PermitReason, WorkerSummary};
 use reedford_core::scheduler::LoadFault;
 use reedford_rules::Class;
 use std::time::Duration;
@@ -31,6 +31,9 @@
     requests: IntGauge,
     workers: IntGauge,
     revision: IntGauge,
+    batch_running: IntGaugeVec,
+    batch_limit: IntGaugeVec,
+    queue: IntGaugeVec,
 }
 
 impl Metrics {
@@ -66,6 +69,9 @@
             requests: IntGauge::new("reedford_requests_running", "Requests in this instance")?,
             workers: IntGauge::new("reedford_workers_known", "Workers that can be asked")?,
             revision: IntGauge::new("reedford_rules_revision", "Rules revision in force")?,
+            batch_running: by_worker("reedford_batch_running", "Permits out on an owned worker")?,
+            batch_limit: by_worker("reedford_batch_limit", "Most requests that run at once")?,
+            queue: by_worker("reedford_queue", "Requests that wait for a permit")?,
             registry,
         };
         metrics.register()?;
@@ -86,7 +92,10 @@
         registry.register(Box::new(self.peer_calls.clone()))?;
         registry.register(Box::new(self.requests.clone()))?;
         registry.register(Box::new(self.workers.clone()))?;
-        registry.register(Box::new(self.revision.clone()))
+        registry.register(Box::new(self.revision.clone()))?;
+        registry.register(Box::new(self.batch_running.clone()))?;
+        registry.register(Box::new(self.batch_limit.clone()))?;
+        registry.register(Box::new(self.queue.clone()))
     }
 
     /// All metrics as text.
@@ -157,6 +166,25 @@
         self.workers.set(known as i64);
     }
 
+    /// Sets the gauges of an owned worker.
+    pub(crate) fn worker(&self, summary: &WorkerSummary) {
+        let labels = [&*summary.worker];
+        let running = self.batch_running.with_label_values(&labels);
+        running.set(summary.running.into());
+        let limit = self.batch_limit.with_label_values(&labels);
+        limit.set(summary.batch_limit.into());
+        let queue = self.queue.with_label_values(&labels);
+        queue.set(summary.waiting.into());
+    }
+
+    /// Drops the gauges of a worker that is no longer owned.
+    pub(crate) fn worker_gone(&self, worker: &str) {
+        for gauges in [&self.batch_running, &self.batch_limit, &self.queue] {
+            // Fails for a worker of which nothing was set yet.
+            drop(gauges.remove_label_values(&[worker]));
+        }
+    }
+
     pub(crate) fn revision(&self, revision: u64) {
         self.revision.set(revision as i64);
     }
@@ -178,3 +206,7 @@
 fn counters(name: &str, help: &str, labels: &[&str]) -> Result<IntCounterVec, prometheus::Error> {
     IntCounterVec::new(Opts::new(name, help), labels)
 }
+
+fn by_worker(name: &str, help: &str) -> Result<IntGaugeVec, prometheus::Error> {
+    IntGaugeVec::new(Opts::new(name, help), &["worker"])
+}
--- a/tests/operators.rs
+++ b/tests/operators/commands.rs
@@ -1,81 +1,14 @@
-//! The operators' commands against entry instances of a whole site.
+//! The operators' commands, and what is told without the token.
 
+use crate::support::{ENTRIES, RULES, ZONES, file, operators, reedford, site};
 use reedford_operator::{OperatorRpcClient as _, client};
-use reedford_settings::{Bounds, Timeouts};
 use reedford_standins::caller::{Call, Caller};
-use reedford_standins::engine::EngineConfig;
-use reedford_standins::platform::PlatformConfig;
-use reedford_standins::site::{OPERATOR_TOKEN, Site, SiteConfig};
-use std::path::{Path, PathBuf};
-use std::process::Command;
+use reedford_standins::site::OPERATOR_TOKEN;
 use std::time::Duration;
 use test_case::test_case;
 
-const ZONES: [&str; 2] = ["zone-a", "zone-b"];
-const ENTRIES: [&str; 2] = ["entry-1", "entry-2"];
 const TIMEOUT: Duration = Duration::from_secs(5);
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
-const RULES: &str = "\
-group engines kind=engine base=base-7b # asked by Ada
-adapter costing group=engines versions=1 repeatable=yes # asked by Ada
-";
-
-struct Ran {
-    code: Option<i32>,
-    stdout: String,
-    stderr: String,
-}
-
-async fn reedford(args: &[&str]) -> Ran {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_reedford"));
-    command.args(args);
-    let output = tokio::task::spawn_blocking(move || command.output()).await;
-    let output = output.expect("not cancelled").expect("the program runs");
-    Ran {
-        code: output.status.code(),
-        stdout: String::from_utf8_lossy(&output.stdout).into_owned(),
-        stderr: String::from_utf8_lossy(&output.stderr).into_owned(),
-    }
-}
-
-fn file(name: &str, text: &str) -> PathBuf {
-    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
-    std::fs::write(&path, text).expect("a writable directory");
-    path
-}
-
-/// Two entries in two zones, with an engine each.
-async fn site() -> Site {
-    let engine = |zone: &str| EngineConfig {
-        id: format!("engine-{zone}").into(),
-        group: "engines".into(),
-        zone: zone.into(),
-        base: "base-7b".into(),
-        ..EngineConfig::default()
-    };
-    let cfg = SiteConfig {
-        zones: ZONES.map(Into::into).to_vec(),
-        engines: ZONES.map(engine).to_vec(),
-        plains: Vec::new(),
-        timeouts: Timeouts::default(),
-        bounds: Bounds::default(),
-        platform: PlatformConfig::default(),
-        rules: RULES.into(),
-    };
-    let mut site = Site::start(cfg).await.expect("a site");
-    for (entry, zone) in ENTRIES.iter().zip(ZONES) {
-        site.start_entry(entry, zone).await.expect("an entry");
-    }
-    site.wait_until_open(ZONES.len())
-        .await
-        .expect("open workers");
-    site
-}
-
-fn operators(site: &Site) -> String {
-    let addresses = ENTRIES.map(|name| site.entries[name].operators().to_string());
-    addresses.join(",")
-}
 
 #[tokio::test(flavor = "multi_thread")]
 async fn status_and_adapters_show_the_site() {
--- /dev/null
+++ b/tests/operators/main.rs
@@ -0,0 +1,5 @@
+//! What operators see of entry instances of a whole site.
+
+mod commands;
+mod metrics;
+mod support;
