--- a/crates/core/tests/scheduler/main.rs
+++ b/crates/core/tests/scheduler/main.rs
@@ -3,6 +3,9 @@
 mod admission;
 mod engine;
 mod loads;
+mod property;
 mod restart;
+mod steps;
 mod support;
 mod takeover;
+mod world;
