Scheduler: first-come loads come in order, and are asked for once

Cause: under load-ordering fifo every load has the value 0. The next load was then the first by name, not the one asked for first, and as 0 is never below 1.25 times 0, each load was asked of the broker again with every event of its worker, a call to the peer each time.

Of equal values the load whose requests came first goes first, and a value that has not grown is not told again.

--- a/crates/core/src/scheduler/loads.rs
+++ b/crates/core/src/scheduler/loads.rs
@@ -34,6 +34,13 @@
     OldFence,
 }
 
+/// A load that requests wait for.
+struct Wanted {
+    value: f64,
+    /// When the first of them came.
+    since: Now,
+}
+
 impl Scheduler {
     /// The broker gave the turn to load `target`.
     pub fn on_turn(&mut self, target: &AdapterVersion, cx: &Cx<'_>) {
@@ -112,7 +119,7 @@
         let mut room = (self.open_slots() as usize).saturating_sub(self.asked.len());
         for (target, value) in self.wanted_loads(cx) {
             match self.asked.get(&target) {
-                Some(known) if value < known * REVALUE_FACTOR => continue,
+                Some(known) if !has_grown(*known, value) => continue,
                 Some(_) => {}
                 None if room == 0 => continue,
                 None => room -= 1,
@@ -182,22 +189,29 @@
     }
 
     /// Adapter versions that requests wait for and nothing loads yet, with the
-    /// value of loading them, highest first.
+    /// value of loading them: highest first, and of equal value the one that
+    /// was asked for first.
     fn wanted_loads(&self, cx: &Cx<'_>) -> Vec<(AdapterVersion, f64)> {
-        let mut values: BTreeMap<&AdapterVersion, f64> = BTreeMap::new();
+        let mut wanted: BTreeMap<&AdapterVersion, Wanted> = BTreeMap::new();
         for waiting in self.waiting.values() {
             let target = &waiting.target;
             if self.residents.contains_key(target) || self.orders.contains_key(target) {
                 continue;
             }
-            *values.entry(target).or_default() += self.value(waiting, cx.now);
+            let load = wanted.entry(target).or_insert(Wanted {
+                value: 0.0,
+                since: waiting.since,
+            });
+            load.value += self.value(waiting, cx.now);
+            load.since = load.since.min(waiting.since);
         }
-        let mut wanted: Vec<(AdapterVersion, f64)> = values
-            .into_iter()
-            .map(|(target, value)| (target.clone(), value))
-            .collect();
-        wanted.sort_by(|a, b| b.1.total_cmp(&a.1));
-        wanted
+        let mut wanted: Vec<(&AdapterVersion, Wanted)> = wanted.into_iter().collect();
+        wanted.sort_by(|(_, a), (_, b)| {
+            let by_value = b.value.total_cmp(&a.value);
+            by_value.then(a.since.cmp(&b.since))
+        });
+        let loads = wanted.into_iter();
+        loads.map(|(target, w)| (target.clone(), w.value)).collect()
     }
 
     fn value(&self, waiting: &Waiting, now: Now) -> f64 {
@@ -242,3 +256,8 @@
         loads.map(|(target, _)| target.clone()).collect()
     }
 }
+
+/// Whether the broker is told of the new value of a load.
+fn has_grown(known: f64, value: f64) -> bool {
+    value > known && value >= known * REVALUE_FACTOR
+}
--- a/crates/core/tests/scheduler/loads.rs
+++ b/crates/core/tests/scheduler/loads.rs
@@ -6,9 +6,14 @@
 use reedford_core::lease::LeaseState;
 use reedford_core::messages::PermitReason;
 use reedford_core::scheduler::{Action, LoadFault, Policy, Scheduler};
-use reedford_rules::{Class, Eviction, Objective};
+use reedford_rules::{Class, Eviction, LoadOrdering, Objective};
 use test_case::test_case;
 
+const FIFO: Policy = Policy {
+    load_ordering: LoadOrdering::Fifo,
+    ..POLICY
+};
+
 #[test]
 fn one_load_serves_all_that_wait() {
     let mut bench = Bench::open(POLICY, 2, 8, &[]);
@@ -213,3 +218,25 @@
     let grants = |actions: &[Action]| actions.iter().any(|a| matches!(a, Action::Grant { .. }));
     assert!(grants(&bench.request("a").1));
 }
+
+#[test]
+fn first_come_loads_go_in_the_order_of_their_requests() {
+    let mut bench = Bench::open(FIFO, 2, 8, &["x", "y"]);
+    let pins = ["x", "y"].map(|name| bench.request(name).0);
+    for name in ["c", "a", "b"] {
+        bench.advance(1);
+        assert_eq!(asked(&bench.request(name).1), Vec::<&str>::new());
+    }
+    assert_eq!(asked(&bench.release(&pins[0], true)), ["c"]);
+    assert_eq!(asked(&bench.release(&pins[1], true)), ["a"]);
+}
+
+#[test_case(POLICY; "by value")]
+#[test_case(FIFO; "first come")]
+fn an_unchanged_value_is_told_once(policy: Policy) {
+    let mut bench = Bench::open(policy, 1, 8, &[]);
+    assert_eq!(asked(&bench.request("a").1), ["a"]);
+    for _ in 0..3 {
+        assert_eq!(bench.act(Scheduler::on_tick), []);
+    }
+}
