Scheduler: room that comes after a deadline is not granted

Cause: late requests were given up at each tick only. A release or a load that ended after a deadline and before the tick granted the late request, and its permit took room in the batch for nothing.

They are now given up before anything is granted, on every event.

New test: failed before, passes now.

--- a/crates/core/src/scheduler/state.rs
+++ b/crates/core/src/scheduler/state.rs
@@ -254,7 +254,6 @@
     /// Ends what has run out of time and starts what can be started.
     pub fn on_tick(&mut self, cx: &Cx<'_>) {
         self.end_permits(cx.now);
-        self.give_up_late(cx);
         self.barred.retain(|_, until| *until > cx.now);
         match cx.lease {
             LeaseState::Held => {}
@@ -379,8 +378,10 @@
         self.actions.push(Action::Refuse { id, refusal });
     }
 
-    /// Grants what can be granted, then asks for the loads still wanted.
+    /// Gives up what is late, grants what can be granted, then asks for the
+    /// loads still wanted.
     pub(super) fn pump(&mut self, cx: &Cx<'_>) {
+        self.give_up_late(cx);
         if !self.is_open(cx.now) || cx.lease == LeaseState::Lapsed {
             return;
         }
--- a/crates/core/tests/scheduler/admission.rs
+++ b/crates/core/tests/scheduler/admission.rs
@@ -150,6 +150,19 @@
     assert_eq!(bench.loaded("a").len(), 1, "only the end of the turn");
 }
 
+#[test]
+fn room_that_comes_after_the_deadline_is_not_granted() {
+    let mut bench = Bench::open(POLICY, 1, 1, &["a"]);
+    let (running, _) = bench.request("a");
+    let mut req = bench.permit("a");
+    req.remaining = ms(2_000);
+    assert_eq!(refused(&bench.ask(&req)), None);
+    bench.now += ms(2_000);
+    let actions = bench.release(&running, true);
+    assert_eq!(refused(&actions), Some(PermitReason::DeadlineUnreachable));
+    assert_eq!(bench.scheduler.running(), 0);
+}
+
 #[test]
 fn a_withdrawn_request_is_never_granted() {
     let mut bench = Bench::open(POLICY, 2, 8, &[]);
