--- /dev/null
+++ b/crates/core/tests/claims.rs
@@ -0,0 +1,64 @@
+//! Whether a non-idempotent request may run, for every state of its key.
+
+use reedford_core::claims::{ClaimDecision, ClaimRecord, ClaimState, RecordedAnswer, decide};
+use test_case::test_case;
+
+fn answer() -> RecordedAnswer {
+    RecordedAnswer {
+        status: 200,
+        content_type: "application/json".into(),
+        body: "{}".into(),
+        model: "a@1".into(),
+        target: "worker-1".into(),
+        attempt: "attempt-1".into(),
+    }
+}
+
+struct Case {
+    state: ClaimState,
+    token: &'static str,
+    digest: &'static str,
+    decided: ClaimDecision,
+}
+
+fn case(state: ClaimState, token: &'static str, decided: ClaimDecision) -> Case {
+    Case {
+        state,
+        token,
+        digest: "same",
+        decided,
+    }
+}
+
+fn reused(state: ClaimState, token: &'static str) -> Case {
+    Case {
+        digest: "other",
+        ..case(state, token, ClaimDecision::KeyReused)
+    }
+}
+
+#[test_case(case(ClaimState::Started, "own", ClaimDecision::Dispatch))]
+#[test_case(case(ClaimState::Started, "other", ClaimDecision::InProgress))]
+#[test_case(case(ClaimState::Aborted, "own", ClaimDecision::InProgress); "an aborted attempt never sends")]
+#[test_case(case(ClaimState::Aborted, "other", ClaimDecision::TakeOver))]
+#[test_case(case(ClaimState::Done(answer()), "own", ClaimDecision::Replay(answer())))]
+#[test_case(case(ClaimState::Done(answer()), "other", ClaimDecision::Replay(answer())))]
+#[test_case(reused(ClaimState::Started, "own"))]
+#[test_case(reused(ClaimState::Started, "other"))]
+#[test_case(reused(ClaimState::Aborted, "own"))]
+#[test_case(reused(ClaimState::Aborted, "other"))]
+#[test_case(reused(ClaimState::Done(answer()), "own"))]
+#[test_case(reused(ClaimState::Done(answer()), "other"))]
+fn a_claim_decides_what_an_attempt_does(case: Case) {
+    let record = ClaimRecord {
+        token: case.token.into(),
+        digest: case.digest.into(),
+        state: case.state,
+    };
+    assert_eq!(decide(Some(&record), "own", "same"), case.decided);
+}
+
+#[test]
+fn a_key_without_record_is_claimed_first() {
+    assert_eq!(decide(None, "own", "same"), ClaimDecision::Create);
+}
--- /dev/null
+++ b/crates/core/tests/table.rs
@@ -0,0 +1,116 @@
+//! Changes of the ownership table.
+
+use reedford_core::table::{Member, Ownership, Previous, ZoneTable};
+use reedford_core::{InstanceId, WorkerId};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddr};
+
+const PEERS: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 7_000);
+const WORKERS: usize = 200;
+
+fn set(names: &[&str]) -> BTreeSet<Box<str>> {
+    names.iter().map(|name| (*name).into()).collect()
+}
+
+fn members(names: &[&str]) -> ZoneTable {
+    names.iter().fold(ZoneTable::default(), |table, name| {
+        table.joined(&(*name).into(), 1, PEERS)
+    })
+}
+
+fn ownership(
+    owner: &str,
+    incarnation: u64,
+    epoch: u64,
+    previous: Option<(&str, u64)>,
+) -> Ownership {
+    Ownership {
+        owner: owner.into(),
+        incarnation,
+        epoch,
+        previous: previous.map(|(owner, incarnation)| Previous {
+            owner: owner.into(),
+            incarnation,
+        }),
+    }
+}
+
+#[test]
+fn each_change_raises_the_sequence_by_one() {
+    let joined = ZoneTable::default().joined(&"a".into(), 1, PEERS);
+    let claimed = joined.claimed(&"a".into(), 1, &set(&["w"]));
+    let left = claimed.without(&"a".into());
+    assert_eq!(
+        [joined.sequence, claimed.sequence, left.sequence],
+        [1, 2, 3]
+    );
+    assert_eq!(joined.members["a"].joined, 1);
+}
+
+#[test]
+fn a_claim_raises_the_epoch_and_names_the_owner_before() {
+    let first = members(&["a", "b"]).claimed(&"a".into(), 1, &set(&["w"]));
+    assert_eq!(first.workers["w"], ownership("a", 1, 1, None));
+    let second = first.claimed(&"b".into(), 1, &set(&["w"]));
+    assert_eq!(second.workers["w"], ownership("b", 1, 2, Some(("a", 1))));
+    let third = second.claimed(&"a".into(), 2, &set(&["w", "v"]));
+    assert_eq!(third.workers["w"], ownership("a", 2, 3, Some(("b", 1))));
+    assert_eq!(third.workers["v"], ownership("a", 2, 1, None));
+}
+
+#[test]
+fn a_new_run_owns_nothing_of_the_old_one() {
+    let old = members(&["a"]).claimed(&"a".into(), 1, &set(&["w"]));
+    let new = old.joined(&"a".into(), 2, PEERS);
+    let joined = Member {
+        incarnation: 2,
+        peers: PEERS,
+        joined: new.sequence,
+    };
+    assert_eq!(new.members, BTreeMap::from([("a".into(), joined)]));
+    assert!(new.has_member(&"a".into(), 2) && !new.has_member(&"a".into(), 1));
+    assert!(!new.owner_is_member(&"w".into()));
+    assert_eq!(new.owned_by(&"a".into(), 2), BTreeMap::new());
+    assert_eq!(
+        new.owned_by(&"a".into(), 1),
+        BTreeMap::from([("w".into(), 1)])
+    );
+}
+
+#[test]
+fn workers_of_one_who_left_stay_listed_under_its_name() {
+    let owned = members(&["a", "b"]).claimed(&"a".into(), 1, &set(&["w"]));
+    assert!(owned.owner_is_member(&"w".into()));
+    let left = owned.without(&"a".into());
+    assert!(!left.owner_is_member(&"w".into()));
+    assert_eq!(left.workers, owned.workers);
+    assert!(!left.owner_is_member(&"unknown".into()));
+}
+
+#[test]
+fn only_members_that_count_can_be_a_home() {
+    let table = members(&["a", "b", "c"]);
+    let home = |candidates: &[&str]| table.home(&"w".into(), &set(candidates));
+    assert_eq!(home(&["b"]), Some("b".into()));
+    assert_eq!(home(&["d"]), None);
+    assert_eq!(home(&[]), None);
+}
+
+#[test]
+fn homes_spread_and_only_those_of_a_lost_member_move() {
+    let table = members(&["a", "b", "c"]);
+    let workers: Vec<WorkerId> = (0..WORKERS).map(|n| format!("w-{n}").into()).collect();
+    let homes = |alive: &[&str]| -> Vec<InstanceId> {
+        let homes = workers.iter().map(|w| table.home(w, &set(alive)));
+        homes.map(|home| home.expect("some are alive")).collect()
+    };
+    let before = homes(&["a", "b", "c"]);
+    let after = homes(&["a", "c"]);
+    for (before, after) in before.iter().zip(&after) {
+        assert!(&**before == "b" || before == after);
+    }
+    for member in ["a", "b", "c"] {
+        let share = before.iter().filter(|home| &***home == member).count();
+        assert!(share > WORKERS / 5, "{member} has {share}");
+    }
+}
