Limits: a request is counted under all its limits or under none

Cause: a request that its class's limit refused had already taken a token of its adapter, so that refused lookups used up the adapter's allowance for other classes.

Both buckets are looked at before either is drawn from, and the wait named is the longer one.

--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -36,9 +36,15 @@
         self.at = self.at.max(now);
     }
 
+    /// Whether there is a token to take.
+    #[must_use]
+    pub fn has_token(&self) -> bool {
+        self.tokens >= 1.0
+    }
+
     /// Takes one token; answers whether there was one.
     pub fn take(&mut self) -> bool {
-        if self.tokens < 1.0 {
+        if !self.has_token() {
             return false;
         }
         self.tokens -= 1.0;
@@ -75,23 +81,22 @@
         self.rules.clone_from(rules);
     }
 
-    /// Takes room for one request.
+    /// Takes room for one request, under all limits on it or under none.
     pub fn admit(&mut self, adapter: &str, class: Class, now: Now) -> Limited {
         let adapter_rule = self.adapter_rule(adapter);
         let class_rule = self.rules.get(&LimitScope::Class(class)).copied();
-        if let Some(rule) = adapter_rule {
-            let full = Bucket::new(f64::from(rule.burst), now);
-            let bucket = self.adapters.entry(adapter.into()).or_insert(full);
-            if let Limited::Wait(wait) = take(bucket, rule, now) {
-                return Limited::Wait(wait);
+        let by_adapter =
+            adapter_rule.map(|rule| limit(&mut self.adapters, adapter.into(), rule, now));
+        let by_class = class_rule.map(|rule| limit(&mut self.classes, class, rule, now));
+        let limits: Vec<Limit<'_>> = by_adapter.into_iter().chain(by_class).collect();
+        if limits.iter().all(|limit| limit.bucket.has_token()) {
+            for limit in limits {
+                limit.bucket.take();
             }
+            return Limited::Admitted;
         }
-        if let Some(rule) = class_rule {
-            let full = Bucket::new(f64::from(rule.burst), now);
-            let bucket = self.classes.entry(class).or_insert(full);
-            return take(bucket, rule, now);
-        }
-        Limited::Admitted
+        let waits = limits.iter().map(|limit| limit.bucket.wait(limit.per_s));
+        Limited::Wait(waits.max().unwrap_or(Duration::ZERO))
     }
 
     /// Forgets buckets that are full again.
@@ -116,12 +121,20 @@
     }
 }
 
-fn take(bucket: &mut Bucket, rule: LimitRule, now: Now) -> Limited {
+/// A limit that a request falls under.
+struct Limit<'a> {
+    bucket: &'a mut Bucket,
+    per_s: f64,
+}
+
+/// The bucket under `key`, with all that has come in; a new one is full.
+fn limit<K>(buckets: &mut BTreeMap<K, Bucket>, key: K, rule: LimitRule, now: Now) -> Limit<'_>
+where
+    K: Ord,
+{
     let per_s = f64::from(rule.rate);
-    bucket.refill(now, per_s, f64::from(rule.burst));
-    if bucket.take() {
-        Limited::Admitted
-    } else {
-        Limited::Wait(bucket.wait(per_s))
-    }
+    let burst = f64::from(rule.burst);
+    let bucket = buckets.entry(key).or_insert(Bucket::new(burst, now));
+    bucket.refill(now, per_s, burst);
+    Limit { bucket, per_s }
 }
--- /dev/null
+++ b/crates/core/tests/limits.rs
@@ -0,0 +1,133 @@
+//! Limits on requests, the retry budget, and request counts.
+
+use reedford_core::Now;
+use reedford_core::frequency::Frequency;
+use reedford_core::limits::{Limited, Limits};
+use reedford_core::retry::RetryBudget;
+use reedford_rules::{Class, LimitRule, LimitScope};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use test_case::test_case;
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn limits(rules: &[(LimitScope, u32, u32)]) -> Limits {
+    let mut limits = Limits::default();
+    limits.set_rules(&rule_map(rules));
+    limits
+}
+
+fn rule_map(rules: &[(LimitScope, u32, u32)]) -> BTreeMap<LimitScope, LimitRule> {
+    let rules = rules.iter().map(|(scope, rate, burst)| {
+        let rule = LimitRule {
+            rate: *rate,
+            burst: *burst,
+        };
+        (scope.clone(), rule)
+    });
+    rules.collect()
+}
+
+/// Requests for `a` admitted at once, in the class of lookups.
+fn admitted(limits: &mut Limits, now: Now) -> u32 {
+    let admit = |limits: &mut Limits| limits.admit("a", Class::Lookup, now) == Limited::Admitted;
+    (0..100).take_while(|_| admit(limits)).count() as u32
+}
+
+#[test_case(&[], 100; "no rule")]
+#[test_case(&[(LimitScope::EachAdapter, 1, 5)], 5; "each adapter")]
+#[test_case(&[(LimitScope::EachAdapter, 1, 5), (LimitScope::Adapter("a".into()), 1, 9)], 9;
+    "its own rule goes first")]
+#[test_case(&[(LimitScope::Adapter("b".into()), 1, 5)], 100; "a rule for another adapter")]
+#[test_case(&[(LimitScope::Class(Class::Lookup), 1, 4)], 4; "its class")]
+#[test_case(&[(LimitScope::Class(Class::Writing), 1, 4)], 100; "another class")]
+#[test_case(&[(LimitScope::EachAdapter, 1, 5), (LimitScope::Class(Class::Lookup), 1, 4)], 4;
+    "the lower of both")]
+fn a_burst_is_admitted_up_to_the_rule(rules: &[(LimitScope, u32, u32)], burst: u32) {
+    assert_eq!(admitted(&mut limits(rules), ms(0)), burst);
+}
+
+#[test]
+fn room_comes_back_at_the_rate_and_the_wait_says_when() {
+    let mut limits = limits(&[(LimitScope::EachAdapter, 4, 2)]);
+    assert_eq!(admitted(&mut limits, ms(0)), 2);
+    let said = limits.admit("a", Class::Lookup, ms(100));
+    assert_eq!(said, Limited::Wait(ms(150)));
+    assert_eq!(admitted(&mut limits, ms(250)), 1);
+    assert_eq!(
+        admitted(&mut limits, ms(60_000)),
+        2,
+        "never more than the burst"
+    );
+    assert_eq!(
+        limits.admit("b", Class::Lookup, ms(60_000)),
+        Limited::Admitted
+    );
+}
+
+#[test]
+fn a_request_that_its_class_refuses_takes_nothing_from_its_adapter() {
+    let class = LimitScope::Class(Class::Lookup);
+    let mut limits = limits(&[(LimitScope::EachAdapter, 1, 5), (class, 1, 2)]);
+    assert_eq!(admitted(&mut limits, ms(0)), 2);
+    for _ in 0..10 {
+        let said = limits.admit("a", Class::Lookup, ms(0));
+        assert_eq!(said, Limited::Wait(ms(1_000)));
+    }
+    let others = (0..10).filter(|_| limits.admit("a", Class::Standard, ms(0)) == Limited::Admitted);
+    assert_eq!(others.count(), 3);
+}
+
+#[test]
+fn what_is_used_up_stays_so_through_new_rules_and_pruning() {
+    let mut limits = limits(&[(LimitScope::EachAdapter, 1, 5)]);
+    assert_eq!(admitted(&mut limits, ms(0)), 5);
+    limits.set_rules(&rule_map(&[(LimitScope::EachAdapter, 1, 9)]));
+    limits.prune(ms(0));
+    assert_eq!(admitted(&mut limits, ms(2_000)), 2);
+    limits.prune(ms(60_000));
+    assert_eq!(admitted(&mut limits, ms(60_000)), 9);
+}
+
+/// Retries that so many requests pay for, beyond the first reserve.
+#[test_case(10, 20, 100, 10)]
+#[test_case(100, 200, 7, 7)]
+#[test_case(0, 0, 1_000, 0; "none are allowed")]
+fn retries_are_a_share_of_requests(percent: u32, reserve: u32, requests: u32, retries: u32) {
+    let mut budget = RetryBudget::new(percent);
+    let spend = |budget: &mut RetryBudget| (0..1_000).take_while(|_| budget.take()).count() as u32;
+    assert_eq!(spend(&mut budget), reserve);
+    for _ in 0..requests {
+        budget.on_request();
+    }
+    assert!(spend(&mut budget).abs_diff(retries) <= 1);
+    for _ in 0..10_000 {
+        budget.on_request();
+    }
+    assert!(
+        spend(&mut budget).abs_diff(reserve) <= 1,
+        "no more is saved up"
+    );
+}
+
+#[test]
+fn counts_halve_in_the_half_life_and_are_forgotten() {
+    let mut frequency = Frequency::new(ms(10_000));
+    for _ in 0..4 {
+        frequency.record("a", ms(0));
+    }
+    frequency.record("b", ms(0));
+    let score = |f: &Frequency, name: &str, now| (f.score(name, now) * 100.0).round() as u32;
+    assert_eq!(score(&frequency, "a", ms(0)), 400);
+    assert_eq!(score(&frequency, "a", ms(10_000)), 200);
+    assert_eq!(score(&frequency, "a", ms(20_000)), 100);
+    assert_eq!(score(&frequency, "c", ms(0)), 0);
+    frequency.prune(ms(70_000));
+    assert_eq!(frequency.len(), 1, "one below the limit is forgotten");
+    frequency.record("a", ms(80_000));
+    assert_eq!(score(&frequency, "a", ms(80_000)), 102);
+    frequency.prune(ms(1_000_000));
+    assert!(frequency.is_empty());
+}
