--- a/crates/core/src/broker.rs
+++ b/crates/core/src/broker.rs
@@ -19,6 +19,9 @@
 const LOAD_FORGOTTEN: Duration = Duration::from_secs(10);
 /// Loads that may start at once after a quiet time.
 const BURST_LOADS: f64 = 1.0;
+/// Part of a load's time that is kept while loads wait: what has passed of it
+/// between two calls of [`Broker::start`] would be lost to the share otherwise.
+const CARRIED_LOADS: f64 = 0.25;
 
 /// A load: the worker and what it loads.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -92,7 +95,7 @@
 
     /// Notes how many zones are in reach, the own one included.
     pub fn set_reached(&mut self, zones: usize, now: Now) {
-        self.bucket.refill(now, self.rate(), BURST_LOADS);
+        self.bucket.refill(now, self.rate(), self.burst());
         self.reached = zones.clamp(1, self.zones);
     }
 
@@ -124,7 +127,7 @@
     pub fn start(&mut self, now: Now) -> Vec<LoadKey> {
         self.running
             .retain(|_, since| *since + LOAD_FORGOTTEN > now);
-        self.bucket.refill(now, self.rate(), BURST_LOADS);
+        self.bucket.refill(now, self.rate(), self.burst());
         let mut started = Vec::new();
         while self.running.len() < self.in_flight() {
             let Some(key) = self.best() else {
@@ -198,10 +201,18 @@
             return Duration::MAX;
         }
         let mut bucket = self.bucket;
-        bucket.refill(now, rate, BURST_LOADS);
+        bucket.refill(now, rate, self.burst());
         bucket.wait(rate) + Duration::from_secs_f64(ahead as f64 / rate)
     }
 
+    fn burst(&self) -> f64 {
+        if self.waiting.is_empty() {
+            BURST_LOADS
+        } else {
+            BURST_LOADS + CARRIED_LOADS
+        }
+    }
+
     fn in_flight(&self) -> usize {
         (self.rule.in_flight as usize * self.reached / self.zones).max(1)
     }
--- a/crates/core/src/scheduler/loads.rs
+++ b/crates/core/src/scheduler/loads.rs
@@ -1,7 +1,7 @@
 //! Which adapter versions the worker asks to load, and what it evicts.
 
 use super::admission::{LOAD_TIME, refuse};
-use super::state::{Backoff, OrderKind, Resident, Scheduler, Waiting};
+use super::state::{Backoff, Order, OrderKind, Resident, Scheduler, TurnAsk, Waiting};
 use super::{Action, Cx};
 use crate::frequency::Frequency;
 use crate::ids::{AdapterVersion, Now, PermitId};
@@ -57,16 +57,21 @@
         }
         let evict = if self.free_slots() > 0 { None } else { victim };
         if let Some(victim) = &evict {
-            self.orders.insert(victim.clone(), OrderKind::Evict);
+            self.note_order(victim, OrderKind::Evict, cx.now);
         }
-        self.orders.insert(target.clone(), OrderKind::Load);
-        self.orders_changed = cx.now;
+        self.note_order(target, OrderKind::Load, cx.now);
         self.actions.push(Action::Order {
             evict,
             load: target.clone(),
         });
     }
 
+    fn note_order(&mut self, target: &AdapterVersion, kind: OrderKind, now: Now) {
+        self.orders
+            .insert(target.clone(), Order { kind, since: now });
+        self.orders_changed = now;
+    }
+
     /// The ask for the turn to load `target` was lost; it is asked again.
     pub fn on_turn_lost(&mut self, target: &AdapterVersion) {
         self.asked.remove(target);
@@ -90,7 +95,7 @@
         outcome: Result<(), LoadFault>,
         cx: &Cx<'_>,
     ) {
-        let kind = self.orders.remove(target);
+        let kind = self.orders.remove(target).map(|order| order.kind);
         self.orders_changed = cx.now;
         self.actions.push(Action::TurnEnded {
             target: target.clone(),
@@ -154,13 +159,17 @@
     pub(super) fn ask_loads(&mut self, cx: &Cx<'_>) {
         let mut room = (self.open_slots() as usize).saturating_sub(self.asked.len());
         for (target, value) in self.wanted_loads(cx) {
-            match self.asked.get(&target) {
-                Some(known) if !has_grown(*known, value) => continue,
+            let known = self.asked.get(&target).copied();
+            match known {
+                Some(known) if !has_grown(known.value, value) => continue,
                 Some(_) => {}
                 None if room == 0 => continue,
                 None => room -= 1,
             }
-            self.asked.insert(target.clone(), value);
+            let outlook = cx.load_outlook.of(self.most_urgent(&target));
+            let expected = known.map_or(cx.now + outlook, |known| known.expected);
+            self.asked
+                .insert(target.clone(), TurnAsk { value, expected });
             let patience = self.patience(&target, cx.now);
             self.actions.push(Action::AskTurn {
                 target,
@@ -194,6 +203,12 @@
         spare.max().unwrap_or_default()
     }
 
+    /// Class of the most urgent request for `target`.
+    fn most_urgent(&self, target: &AdapterVersion) -> Class {
+        let waiting = self.waiting.values().filter(|w| w.target == *target);
+        waiting.map(|w| w.class).min().unwrap_or_default()
+    }
+
     fn is_wanted(&self, target: &AdapterVersion) -> bool {
         !self.is_resident(target) && self.waiting.values().any(|w| w.target == *target)
     }
@@ -235,7 +250,7 @@
         let Some(engine) = &self.engine else {
             return 0;
         };
-        let loading = self.orders.values().filter(|kind| kind.is_load()).count();
+        let loading = self.orders.values().filter(|order| order.is_load()).count();
         let taken = self.residents.len() + loading;
         engine.slots.saturating_sub(taken as u32)
     }
--- /dev/null
+++ b/crates/core/tests/broker.rs
@@ -0,0 +1,207 @@
+//! Which load goes next, and how many start.
+
+use reedford_core::broker::{Broker, LoadKey};
+use reedford_core::messages::TurnRequest;
+use reedford_core::scheduler::class_weight;
+use reedford_core::{AdapterVersion, Now};
+use reedford_rules::{Class, LoadsRule};
+use std::time::Duration;
+use test_case::test_case;
+
+const RULE: LoadsRule = LoadsRule {
+    per_1000_s: 3_000,
+    in_flight: 8,
+};
+/// More than any queue here takes.
+const PATIENCE: Duration = ms(10_000_000);
+/// A quiet time after which the first load may start at once.
+const READY: Now = ms(10_000);
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn turn(name: &str, value: f64) -> TurnRequest {
+    TurnRequest {
+        worker: "worker-1".into(),
+        target: AdapterVersion::new(name, "1"),
+        value,
+        patience: PATIENCE,
+    }
+}
+
+fn key(name: &str) -> LoadKey {
+    (&turn(name, 0.0)).into()
+}
+
+fn broker(zones: usize) -> Broker {
+    Broker::new(zones, RULE, Duration::ZERO)
+}
+
+/// Time that a load of little value would wait.
+fn wait(broker: &Broker, now: Now) -> Duration {
+    broker.outlook(now).writing
+}
+
+fn started(broker: &mut Broker, now: Now) -> Vec<Box<str>> {
+    let keys = broker.start(now).into_iter();
+    keys.map(|key| key.target.adapter).collect()
+}
+
+#[test]
+fn the_highest_value_goes_first_and_the_oldest_of_equals() {
+    let mut broker = broker(1);
+    let asks = [("a", 1.0), ("b", 2.0), ("c", 1.0), ("d", 0.5)];
+    for (name, value) in asks {
+        broker.ask(&turn(name, value), Duration::ZERO);
+    }
+    broker.ask(&turn("d", 3.0), Duration::ZERO);
+    broker.ask(&turn("a", 1.0), Duration::ZERO);
+    broker.withdraw(&key("b"));
+    let mut order = Vec::new();
+    for second in 10..13 {
+        order.extend(started(&mut broker, ms(second * 1_000)));
+    }
+    assert_eq!(order, ["d".into(), "a".into(), Box::<str>::from("c")]);
+    assert_eq!(broker.waiting(), 0);
+}
+
+/// Loads under way at most, in a zone of so many.
+#[test_case(1, 8)]
+#[test_case(3, 2; "rounded down")]
+#[test_case(4, 2)]
+#[test_case(9, 1; "at least one")]
+fn loads_under_way_are_bounded(zones: usize, most: usize) {
+    let mut broker = broker(zones);
+    for n in 0..20 {
+        broker.ask(&turn(&format!("a-{n}"), 1.0), Duration::ZERO);
+    }
+    let mut under_way = 0;
+    for step in 0..90 {
+        under_way += broker.start(READY + ms(step * 100)).len();
+    }
+    assert_eq!(under_way, most);
+}
+
+#[test]
+fn a_load_that_ends_or_is_forgotten_makes_room() {
+    let mut broker = broker(4);
+    for name in ["a", "b", "c", "d"] {
+        broker.ask(&turn(name, 1.0), Duration::ZERO);
+    }
+    assert_eq!(started(&mut broker, READY), ["a".into()]);
+    assert_eq!(started(&mut broker, READY + ms(2_000)), ["b".into()]);
+    assert!(started(&mut broker, READY + ms(4_000)).is_empty());
+    broker.ended(&key("b"));
+    assert_eq!(started(&mut broker, READY + ms(4_000)), ["c".into()]);
+    assert!(started(&mut broker, READY + ms(9_999)).is_empty());
+    assert_eq!(started(&mut broker, READY + ms(10_000)), ["d".into()]);
+}
+
+/// Thousandths of a load a second, and loads under way, that the broker of a
+/// region of four zones may start when it reaches so many.
+#[test_case(1, 750, 2)]
+#[test_case(2, 1_500, 4)]
+#[test_case(3, 2_250, 6)]
+#[test_case(4, 3_000, 8)]
+#[test_case(5, 3_000, 8; "never more than the whole")]
+#[test_case(0, 750, 2; "never less than the own share")]
+fn a_broker_has_the_shares_of_the_zones_in_reach(reached: usize, rate: u64, under_way: usize) {
+    let mut broker = broker(4);
+    broker.set_reached(reached, READY);
+    assert_eq!((broker.rate() * 1_000.0).round() as u64, rate);
+    for n in 0..20 {
+        broker.ask(&turn(&format!("a-{n}"), 1.0), READY);
+    }
+    let started: usize = (0..90)
+        .map(|step| broker.start(READY + ms(step * 100)).len())
+        .sum();
+    assert_eq!(started, under_way);
+}
+
+/// Loads given up, of five of equal value asked for in this order at three a
+/// second, when each is of use for so long.
+#[test_case([10_000; 5], &[]; "all in time")]
+#[test_case([10_000, 10_000, 10_000, 900, 10_000], &["a-3"]; "the fourth starts after a second")]
+#[test_case([10_000, 200, 10_000, 900, 10_000], &["a-1"]; "what is given up makes room")]
+#[test_case([0; 5], &["a-1", "a-2", "a-3", "a-4"]; "the first can start at once")]
+fn loads_that_would_come_too_late_are_given_up(patience: [u64; 5], expected: &[&str]) {
+    let mut broker = broker(1);
+    broker.start(READY);
+    for (n, patience) in patience.into_iter().enumerate() {
+        let mut req = turn(&format!("a-{n}"), 1.0);
+        req.patience = ms(patience);
+        broker.ask(&req, READY);
+    }
+    let late = broker.take_too_late(READY);
+    let names: Vec<&str> = late.iter().map(|l| &*l.key.target.adapter).collect();
+    assert_eq!(names, expected);
+    assert_eq!(broker.waiting(), 5 - expected.len());
+}
+
+#[test]
+fn urgent_loads_have_the_shorter_outlook() {
+    let mut broker = broker(1);
+    broker.start(READY);
+    for (name, class) in [("a", Class::Standard), ("b", Class::Writing)] {
+        broker.ask(&turn(name, class_weight(class)), READY);
+    }
+    let outlook = broker.outlook(READY);
+    let waits = [outlook.lookup, outlook.standard, outlook.writing];
+    assert_eq!(waits.map(|w| w.as_millis()), [0, 333, 666]);
+}
+
+/// Loads started in a time by all zones together, none of which hears another.
+#[test_case(1)]
+#[test_case(3)]
+#[test_case(4)]
+fn zones_that_hear_nothing_keep_to_the_rule_together(zones: usize) {
+    const SECONDS: u64 = 60;
+    let mut total = 0;
+    for _ in 0..zones {
+        let mut broker = broker(zones);
+        broker.start(READY);
+        for n in 0..500 {
+            broker.ask(&turn(&format!("a-{n}"), 1.0), Duration::ZERO);
+        }
+        for step in 1..=SECONDS * 40 {
+            for key in broker.start(READY + ms(step * 25)) {
+                broker.ended(&key);
+                total += 1;
+            }
+        }
+    }
+    let allowed = 3 * SECONDS as usize;
+    assert!(total <= allowed + zones, "{total} loads started");
+    assert!(total * 100 >= allowed * 99, "only {total} loads started");
+}
+
+#[test]
+fn the_outlook_counts_what_waits() {
+    let mut broker = broker(3);
+    assert!(broker.start(READY).is_empty());
+    assert_eq!(wait(&broker, READY), ms(0));
+    broker.ask(&turn("a", 1.0), Duration::ZERO);
+    broker.ask(&turn("b", 1.0), Duration::ZERO);
+    assert_eq!(wait(&broker, READY), ms(2_000));
+    broker.start(READY);
+    assert_eq!(
+        wait(&broker, READY),
+        ms(2_000),
+        "the next token and one load"
+    );
+}
+
+#[test]
+fn a_new_rule_holds_at_once() {
+    let mut broker = broker(1);
+    let slow = LoadsRule {
+        per_1000_s: 1,
+        in_flight: 1,
+    };
+    broker.set_rule(slow);
+    assert_eq!(wait(&broker, ms(0)), ms(1_000_000));
+    broker.ask(&turn("a", 1.0), Duration::ZERO);
+    assert!(broker.start(ms(999_999)).is_empty());
+    assert_eq!(broker.start(ms(1_000_000)).len(), 1);
+}
