Failure tests of real programs: killed, frozen and woken, stopped, replaced

Platform, two engines (one ignores fencing numbers), a plain service and three entry instances run as programs; an owner is killed, or frozen past its lease and woken, an instance drains on SIGTERM with exit code 0, a second signal ends it at once with 1, and the fleet is replaced one by one under load. Histories are checked as in the tests within one process. Callers give up after 6 s, or a frozen instance would hold them for good.

--- a/crates/standins/src/history.rs
+++ b/crates/standins/src/history.rs
@@ -61,6 +61,8 @@
     NotConnected,
     /// The connection ended before the answer did.
     Cut,
+    /// Nothing came for long, and the caller gave up.
+    NoAnswer,
     /// The answer can't be read.
     Unreadable,
 }
--- a/crates/standins/src/history/check.rs
+++ b/crates/standins/src/history/check.rs
@@ -157,7 +157,7 @@
 
 /// A call that the instance never took is no call that it cut.
 fn check_stop(call: &CallRecord) -> Option<Broken> {
-    let cut = matches!(call.told, Told::Cut | Told::Unknown);
+    let cut = matches!(call.told, Told::Cut | Told::NoAnswer | Told::Unknown);
     cut.then(|| Broken::CutByStop(call.asked.marker.clone()))
 }
 
--- a/crates/standins/src/history/recorder.rs
+++ b/crates/standins/src/history/recorder.rs
@@ -20,6 +20,9 @@
 /// Tokens asked for; [`Call::chat`] asks for as many.
 const TOKENS: u32 = 8;
 
+/// Time for which a caller waits for the end of its answer.
+const PATIENCE: Duration = Duration::from_secs(6);
+
 /// Records calls.
 #[derive(Debug, Default)]
 pub struct Recorder {
@@ -43,9 +46,11 @@
     pub async fn call(&self, entry: SocketAddr, asked: Asked) -> CallRecord {
         let began = self.next_position();
         let call = call_of(&asked);
-        let reading = match self.caller.send(entry, &call).await {
-            Ok(answer) => read(&asked, &answer),
-            Err(error) => {
+        let sent = tokio::time::timeout(PATIENCE, self.caller.send(entry, &call)).await;
+        let reading = match sent {
+            Err(_) => Reading::no_answer(Told::NoAnswer),
+            Ok(Ok(answer)) => read(&asked, &answer),
+            Ok(Err(error)) => {
                 let connect = error.downcast_ref::<ClientError>();
                 let refused = connect.is_some_and(ClientError::is_connect);
                 Reading::no_answer(if refused {
@@ -75,6 +80,12 @@
         self.calls().clone()
     }
 
+    /// The position of what begins next.
+    #[must_use]
+    pub fn position(&self) -> Position {
+        self.position.load(Ordering::SeqCst)
+    }
+
     fn calls(&self) -> MutexGuard<'_, Vec<CallRecord>> {
         self.calls.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/standins/tests/failures/main.rs
+++ b/crates/standins/tests/failures/main.rs
@@ -2,7 +2,9 @@
 //! checked.
 
 mod faults;
+mod fleet;
 mod operators;
+mod processes;
 mod retries;
 mod scene;
 mod table;
--- a/crates/standins/tests/failures/scene.rs
+++ b/crates/standins/tests/failures/scene.rs
@@ -11,7 +11,7 @@
 use reedford_standins::site::{Site, SiteConfig};
 use reedford_wire::instances::Instance;
 use std::collections::BTreeSet;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime};
 
 /// Availability zones.
@@ -23,7 +23,7 @@
 /// Interval at which conditions are looked at again.
 const LOOK_AGAIN: Duration = Duration::from_millis(10);
 /// Time for a condition; a run that needs it has failed.
-const PATIENCE: Duration = Duration::from_secs(60);
+const PATIENCE: Duration = Duration::from_secs(30);
 /// Time after which a target that is marked leaving may get nothing new: its
 /// list is read once a second, and a call takes at most this long to come out.
 pub const LEAVING_CLOSED: Duration = Duration::from_millis(3_000);
@@ -65,7 +65,10 @@
     pub fn load(&self) -> Load {
         let entries = self.site.entries.iter();
         let entries = entries.map(|(name, entry)| (name.clone(), entry.callers()));
-        Load::start(Arc::clone(&self.recorder), entries.collect())
+        Load::start(
+            Arc::clone(&self.recorder),
+            &Arc::new(Mutex::new(entries.collect())),
+        )
     }
 
     /// One call, recorded.
--- a/crates/standins/tests/failures/traffic.rs
+++ b/crates/standins/tests/failures/traffic.rs
@@ -3,8 +3,8 @@
 use reedford_standins::history::{Asked, CallRecord, Kind, Recorder, Told};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
@@ -25,8 +25,8 @@
 
 pub const CLASSES: [Class; 3] = [Class::Repeatable, Class::OnceModel, Class::OncePlain];
 
-/// Entry instances by name.
-pub type Entries = BTreeMap<Box<str>, SocketAddr>;
+/// Entry instances by name, as callers know them at the time.
+pub type Entries = Arc<Mutex<BTreeMap<Box<str>, SocketAddr>>>;
 
 /// A running load.
 pub struct Load {
@@ -38,13 +38,13 @@
 struct CallerTask {
     number: usize,
     recorder: Arc<Recorder>,
-    entries: Vec<(Box<str>, SocketAddr)>,
+    entries: Entries,
     ended: Arc<AtomicUsize>,
     first: usize,
 }
 
 impl Load {
-    pub fn start(recorder: Arc<Recorder>, entries: Entries) -> Self {
+    pub fn start(recorder: Arc<Recorder>, entries: &Entries) -> Self {
         let stop = CancellationToken::new();
         let ended = Arc::new(AtomicUsize::new(0));
         let first = recorder.recorded().len();
@@ -53,7 +53,7 @@
             let task = CallerTask {
                 number,
                 recorder: Arc::clone(&recorder),
-                entries: entries.clone().into_iter().collect(),
+                entries: Arc::clone(entries),
                 ended: Arc::clone(&ended),
                 first,
             };
@@ -96,16 +96,23 @@
         let number = self.number * 3 + count;
         let marker = format!("c{}-{}-{count}", self.first, self.number);
         for turn in 0..TRIES {
-            let at = (self.number + count / 8 + turn) % self.entries.len();
-            let (entry, address) = &self.entries[at];
-            let asked = asked(number, &marker, entry);
+            let (entry, address) = self.entry(self.number + count / 8 + turn);
+            let asked = asked(number, &marker, &entry);
             let once = asked.key.is_some();
-            let record = self.recorder.call(*address, asked).await;
+            let record = self.recorder.call(address, asked).await;
             if record.told == Told::Done || !(once || is_gone(&record)) {
                 return;
             }
         }
     }
+
+    /// One of the entry instances in turn.
+    fn entry(&self, number: usize) -> (Box<str>, SocketAddr) {
+        let entries = self.entries.lock().unwrap();
+        let at = number % entries.len();
+        let (name, address) = entries.iter().nth(at).unwrap();
+        (name.clone(), *address)
+    }
 }
 
 fn is_gone(record: &CallRecord) -> bool {
