Trace test: wait until the engine's home owns it

The test took whichever entry owned the engine first; the ownership then moved to the engine's home and the spans came from another instance than expected.

--- a/tests/traces/main.rs
+++ b/tests/traces/main.rs
@@ -17,6 +17,11 @@
 use std::time::Duration;
 
 const ZONE: &str = "zone-a";
+/// The entry that is called.
+const ENTRY: &str = "entry-1";
+/// The home of the engine by rendezvous hashing. The other entry may own it at
+/// first and then hands it over.
+const OWNER: &str = "entry-2";
 const CALLER_SPAN: &str = "00f067aa0ba902b7";
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 const RULES: &str = "\
@@ -57,7 +62,7 @@
 const REQUEST: Hop = hop("request", At::Entry, None);
 const CLAIM: Hop = hop("claim", At::Entry, Some("request"));
 const PERMIT: Hop = hop("permit", At::Entry, Some("request"));
-const OWNER: Hop = hop("owner_permit", At::Owner, Some("permit"));
+const OWNER_PERMIT: Hop = hop("owner_permit", At::Owner, Some("permit"));
 const DISPATCH: Hop = hop("dispatch", At::Entry, Some("request"));
 const RELAY: Hop = hop("relay", At::Entry, Some("request"));
 
@@ -66,17 +71,17 @@
         Case {
             number: 1,
             call: Call::chat("costing@1", "What does it cost?", false),
-            hops: &[REQUEST, PERMIT, OWNER, DISPATCH],
+            hops: &[REQUEST, PERMIT, OWNER_PERMIT, DISPATCH],
         },
         Case {
             number: 2,
             call: Call::chat("costing@1", "What does it cost?", true),
-            hops: &[REQUEST, PERMIT, OWNER, DISPATCH, RELAY],
+            hops: &[REQUEST, PERMIT, OWNER_PERMIT, DISPATCH, RELAY],
         },
         Case {
             number: 3,
             call: Call::chat("booking@1", "Book it.", false).once("key-3"),
-            hops: &[REQUEST, CLAIM, PERMIT, OWNER, DISPATCH],
+            hops: &[REQUEST, CLAIM, PERMIT, OWNER_PERMIT, DISPATCH],
         },
         Case {
             number: 4,
@@ -90,26 +95,24 @@
 async fn the_hops_of_a_request_are_one_trace() {
     let collector = Collector::start().await;
     let site = Site::start(site()).await.expect("a site");
-    let entries = ["entry-1", "entry-2"].map(|name| {
+    let entries = [ENTRY, OWNER].map(|name| {
         let settings = settings(name, &site, &collector.url());
-        (name, Program::start(name, &settings))
+        Program::start(name, &settings)
     });
-    let owner = owner(&entries).await;
-    let other = entries.iter().find(|(name, _)| *name != owner);
-    let (other, entry) = other.expect("two entries");
-    let other = *other;
+    wait_until_settled(&entries).await;
+    let callers = entries[0].callers;
     let mut attempts = Vec::new();
     for case in cases() {
         let call = case.call.with(TRACEPARENT, &traceparent(case.number));
-        let answer = Caller::default().send(entry.callers, &call).await;
+        let answer = Caller::default().send(callers, &call).await;
         let answer = answer.expect("an answer");
         assert_eq!(answer.status, 200, "{}", answer.body);
         attempts.push(answer.header(ATTEMPT_ID).to_owned());
     }
     let untraced = Call::chat("costing@1", "And now?", false);
-    let answer = Caller::default().send(entry.callers, &untraced).await;
+    let answer = Caller::default().send(callers, &untraced).await;
     let untraced = answer.expect("an answer").header(ATTEMPT_ID).to_owned();
-    for (_, program) in entries {
+    for program in entries {
         let stopping = tokio::task::spawn_blocking(|| program.stop());
         stopping.await.expect("it stops");
     }
@@ -117,7 +120,7 @@
     for (case, attempt) in cases().iter().zip(&attempts) {
         let spans = collector.trace(&trace_id(case.number));
         print_trace(&spans);
-        check(case, &spans, other, &owner);
+        check(case, &spans);
         let dispatch = find(&spans, "dispatch");
         assert_eq!(dispatch.fields["attempt"], *attempt);
         assert_eq!(find(&spans, "request").fields["attempt"], *attempt);
@@ -142,15 +145,15 @@
     assert_eq!(roots[0].fields["attempt"], attempt);
 }
 
-fn check(case: &Case, spans: &[Received], entry: &str, owner: &str) {
+fn check(case: &Case, spans: &[Received]) {
     assert_eq!(spans.len(), case.hops.len(), "{spans:#?}");
     for hop in case.hops {
         let span = find(spans, hop.name);
         let parent = hop.parent.map(|name| find(spans, name).id.as_str());
         assert_eq!(span.parent, parent.unwrap_or(CALLER_SPAN), "{hop:?}");
         let at = match hop.at {
-            At::Entry => entry,
-            At::Owner => owner,
+            At::Entry => ENTRY,
+            At::Owner => OWNER,
         };
         assert_eq!(span.service, format!("reedford/{at}"), "{hop:?}");
     }
@@ -161,36 +164,30 @@
     span.unwrap_or_else(|| panic!("no span {name} in {spans:#?}"))
 }
 
-/// Waits until both entries take requests and name the same owner of the
-/// engine.
-async fn owner(entries: &[(&str, Program); 2]) -> String {
-    loop {
-        let mut owners = Vec::new();
-        for (_, program) in entries {
-            let client = client(program.operators, OPERATOR_TOKEN, Duration::from_secs(5));
-            let status = client.expect("a client").status().await.expect("a status");
-            let engine = status
-                .workers
-                .into_iter()
-                .find(|w| &*w.worker == "engine-1");
-            owners.push(engine.and_then(|w| w.owner).filter(|_| status.ready));
-        }
-        if let [Some(one), Some(two)] = &owners[..]
-            && one == two
-            && is_served(entries).await
-        {
-            return one.to_string();
-        }
+/// Waits until both entries take requests and know the engine's home as its
+/// owner.
+async fn wait_until_settled(entries: &[Program; 2]) {
+    while !(knows_owner(&entries[0]).await
+        && knows_owner(&entries[1]).await
+        && is_served(entries).await)
+    {
         tokio::time::sleep(LOOK_AGAIN).await;
     }
 }
 
+async fn knows_owner(program: &Program) -> bool {
+    let client = client(program.operators, OPERATOR_TOKEN, Duration::from_secs(5));
+    let status = client.expect("a client").status().await.expect("a status");
+    let mut engines = status.workers.iter();
+    status.ready && engines.any(|w| w.owner.as_deref() == Some(OWNER))
+}
+
 /// Whether both entries answer a request that is not traced.
-async fn is_served(entries: &[(&str, Program); 2]) -> bool {
+async fn is_served(entries: &[Program; 2]) -> bool {
     let call = Call::chat("costing@1", "Ready?", false);
     let untraced = "00-ffffffffffffffffffffffffffffffff-00f067aa0ba902b7-00";
     let call = call.with(TRACEPARENT, untraced);
-    for (_, program) in entries {
+    for program in entries {
         let answer = Caller::default().send(program.callers, &call).await;
         if answer.expect("an answer").status != 200 {
             return false;
