Slopes: a tool that measures what the capacity page is worked out from

The capacity page has to rest on measured slopes, and nothing measured one step of control at several sizes. reedford-slopes measures the public parts in processor time of its thread and in bytes, and writes deployments of chosen sizes; watch-entries.sh reads processor time of each thread, memory, calls and bytes of whole instances under site.sh. Wall time was ruled out, since other work shares the machine. The private parts of the control thread (view, choice of the broker) are measured as the same steps over public types, and checked against whole instances.

No figure yet.

--- /dev/null
+++ b/crates/standins/src/bin/reedford-slopes.rs
@@ -0,0 +1,66 @@
+//! `reedford-slopes`: measures what the capacity page is worked out from.
+
+use eyre::{Result, WrapErr as _};
+use reedford_standins::slopes::layout::Layout;
+use reedford_standins::slopes::meter::Row;
+use reedford_standins::slopes::{exchange, schedule, stored};
+use std::io::Write as _;
+
+mod flags {
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Measures what the capacity page is worked out from.
+        cmd reedford-slopes {
+            /// Summaries between peers, the view, the choice of the broker.
+            cmd exchange {}
+            /// Permits, placement, the order of loads.
+            cmd schedule {}
+            /// Rules, zone tables, the list of instances.
+            cmd stored {}
+            /// Writes a deployment for scripts/site.sh.
+            cmd layout {
+                /// Directory to write to.
+                required dir: PathBuf
+                /// Entry instances.
+                required --entries count: u16
+                /// Model engines.
+                required --engines count: u16
+                /// Adapters in the rules. Default: 100.
+                optional --adapters count: usize
+                /// Port of the platform; the others follow. Default: 17000.
+                optional --port port: u16
+            }
+        }
+    }
+}
+
+/// Adapters in the rules of a layout.
+const ADAPTERS: usize = 100;
+/// Port of the platform of a layout.
+const PORT: u16 = 17_000;
+
+fn main() -> Result<()> {
+    match flags::ReedfordSlopes::from_env_or_exit().subcommand {
+        flags::ReedfordSlopesCmd::Exchange(_) => print(&exchange::rows()?),
+        flags::ReedfordSlopesCmd::Schedule(_) => print(&schedule::rows()),
+        flags::ReedfordSlopesCmd::Stored(_) => print(&stored::rows()?),
+        flags::ReedfordSlopesCmd::Layout(flags) => {
+            let layout = Layout {
+                entries: flags.entries,
+                engines: flags.engines,
+                adapters: flags.adapters.unwrap_or(ADAPTERS),
+                port: flags.port.unwrap_or(PORT),
+            };
+            layout.write(&flags.dir)
+        }
+    }
+}
+
+fn print(rows: &[Row]) -> Result<()> {
+    let mut out = std::io::stdout().lock();
+    for row in rows {
+        writeln!(out, "{row}").wrap_err("printing")?;
+    }
+    Ok(())
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod plain;
 pub mod platform;
 pub mod site;
+pub mod slopes;
 mod target_http;
 pub mod target_program;
--- /dev/null
+++ b/crates/standins/src/slopes/layout.rs
@@ -0,0 +1,143 @@
+//! Writes deployments of chosen sizes, in the form that `scripts/site.sh`
+//! starts.
+
+use super::stored::rules_text;
+use eyre::{Result, WrapErr as _};
+use std::fmt::Write as _;
+use std::fs;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
+
+/// Availability zones of a deployment.
+const ZONES: u16 = 2;
+/// First port of the engines, after that of the platform.
+const ENGINES: u16 = 100;
+/// First port of the entry instances for callers.
+const CALLERS: u16 = 200;
+/// The same for peers.
+const PEERS: u16 = 300;
+/// The same for operators.
+const OPERATORS: u16 = 400;
+/// Adapters that requests name; they fit the slots of one engine, so that a
+/// run that has warmed up loads none.
+const ADAPTERS_ASKED: usize = 8;
+/// Token of the operators.
+const TOKEN: &str = "token-of-the-slopes";
+
+/// Sizes of a deployment.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Layout {
+    /// Entry instances.
+    pub entries: u16,
+    /// Model engines.
+    pub engines: u16,
+    /// Adapters in the rules.
+    pub adapters: usize,
+    /// Port of the platform; the others follow.
+    pub port: u16,
+}
+
+impl Layout {
+    /// Writes the files into `dir`, which is made.
+    ///
+    /// # Errors
+    /// When a file can't be written.
+    pub fn write(&self, dir: &Path) -> Result<()> {
+        fs::create_dir_all(dir).wrap_err_with(|| format!("making {}", dir.display()))?;
+        let write = |name: &str, text: &str| {
+            let path = dir.join(name);
+            fs::write(&path, text).wrap_err_with(|| format!("writing {}", path.display()))
+        };
+        write("rules.txt", &rules_text(self.adapters, 1))?;
+        write("platform.yaml", &self.platform())?;
+        write("load.yaml", &self.load())?;
+        for entry in 0..self.entries {
+            write(&format!("entry-{entry:02}.yaml"), &self.entry(entry))?;
+        }
+        Ok(())
+    }
+
+    fn platform(&self) -> String {
+        let mut text = format!("control: {}\nzones:\n", self.address(0));
+        for zone in 0..ZONES {
+            line(
+                &mut text,
+                format_args!("  zone-{zone}: {}", self.address(1 + zone)),
+            );
+        }
+        text.push_str("lag_ms: 2000\ninstances:\n");
+        for engine in 0..self.engines {
+            let address = self.address(ENGINES + engine);
+            let zone = engine % ZONES;
+            line(
+                &mut text,
+                format_args!(
+                    "  - {{id: engine-{engine:02}, group: model-0, kind: engine, zone: zone-{zone}, \
+                     address: '{address}', state: live, checks_fence: true}}"
+                ),
+            );
+        }
+        text
+    }
+
+    fn entry(&self, entry: u16) -> String {
+        let zone = entry % ZONES;
+        let zones: Vec<String> = (0..ZONES).map(|zone| format!("zone-{zone}")).collect();
+        format!(
+            "instance: entry-{entry:02}\nzone: zone-{zone}\nzones: [{}]\ncallers: {}\npeers: {}\n\
+             operators: {}\noperator_token: {TOKEN}\nplatform: [{}]\n",
+            zones.join(", "),
+            self.address(CALLERS + entry),
+            self.address(PEERS + entry),
+            self.address(OPERATORS + entry),
+            self.address(1 + zone),
+        )
+    }
+
+    fn load(&self) -> String {
+        let mut text =
+            "name: slopes\nseed: 1\nnames:\n  rules: rules.txt\nspread: zone\nentries:\n"
+                .to_owned();
+        for entry in 0..self.entries {
+            let (address, zone) = (self.address(CALLERS + entry), entry % ZONES);
+            line(
+                &mut text,
+                format_args!("  - {{ address: \"{address}\", zone: zone-{zone} }}"),
+            );
+        }
+        text.push_str("engines:\n");
+        for engine in 0..self.engines {
+            line(
+                &mut text,
+                format_args!("  - \"{}\"", self.address(ENGINES + engine)),
+            );
+        }
+        line(
+            &mut text,
+            format_args!(
+                "limits: {{ slots: {}, per_s: 3, load_ms: 250, in_flight: 8 }}",
+                self.engines * 8
+            ),
+        );
+        line(
+            &mut text,
+            format_args!(
+                "workload:\n  duration_s: 30\n  warmup_s: 10\n  rate: 8\n  adapters: {ADAPTERS_ASKED}\n  \
+                 zipf_exponent: 1.0\n  churn_per_hour: 0\n  classes:\n    - name: lookup\n      \
+                 class: lookup\n      share: 1.0\n      \
+                 tokens: {{ median: 24, sigma: 0.5, min: 8, max: 96 }}\n      stream: true\n      \
+                 deadline_ms: 20000\n      repeatable: true"
+            ),
+        );
+        text
+    }
+
+    fn address(&self, offset: u16) -> SocketAddr {
+        (Ipv4Addr::LOCALHOST, self.port + offset).into()
+    }
+}
+
+fn line(text: &mut String, args: std::fmt::Arguments<'_>) {
+    // Writing to a string does not fail.
+    let _ = writeln!(text, "{args}");
+}
--- /dev/null
+++ b/crates/standins/src/slopes/stored.rs
@@ -0,0 +1,148 @@
+//! What is kept at the platform: rules, zone tables, the list of instances.
+
+use super::fleet;
+use super::meter::{Row, resident_bytes, time_of};
+use eyre::{Result, eyre};
+use reedford_core::table::{Member, Ownership, Previous, ZoneTable};
+use reedford_rules::{AdapterRule, Admission, GroupRule, Rules, RulesDocument, render};
+use reedford_wire::instances::{Instance, InstanceKind, InstanceList, InstanceState};
+use std::collections::BTreeSet;
+
+/// Adapters of a file of rules.
+const ADAPTERS: [usize; 3] = [3_000, 7_500, 15_000];
+/// Entry instances and workers of one zone.
+const ZONES: [(usize, usize); 3] = [(3, 4), (50, 75), (105, 150)];
+/// Entry instances and workers in the list of instances.
+const LISTS: [(usize, usize); 3] = [(8, 15), (210, 300), (420, 600)];
+/// Versions of each adapter.
+const VERSIONS: [&str; 2] = ["2", "3"];
+
+/// All figures of this module.
+///
+/// # Errors
+/// When what was written can't be read.
+pub fn rows() -> Result<Vec<Row>> {
+    let mut rows = Vec::new();
+    for adapters in ADAPTERS {
+        rows.extend(rules_rows(adapters)?);
+    }
+    for (instances, workers) in ZONES {
+        rows.extend(table_rows(instances, workers)?);
+    }
+    for (instances, workers) in LISTS {
+        rows.extend(list_rows(instances, workers)?);
+    }
+    Ok(rows)
+}
+
+fn rules_rows(adapters: usize) -> Result<[Row; 3]> {
+    let text = rules_text(adapters, fleet::GROUPS);
+    let parse = time_of(|| RulesDocument::read(1, &text));
+    // Kept for good, so that the next size does not reuse the memory.
+    let before = resident_bytes();
+    let doc = RulesDocument::read(1, &text).map_err(|faults| eyre!("{faults}"))?;
+    let taken = resident_bytes().saturating_sub(before);
+    std::mem::forget(doc);
+    let size = || format!("{adapters} adapters");
+    Ok([
+        Row::bytes("rules: text", size(), text.len() as u64),
+        Row::time("rules: parse", size(), parse),
+        Row::bytes("rules: resident memory", size(), taken),
+    ])
+}
+
+/// A file of rules with `adapters` adapters over `groups` groups.
+#[must_use]
+pub fn rules_text(adapters: usize, groups: usize) -> String {
+    let mut rules = Rules::default();
+    for number in 0..groups {
+        let rule = GroupRule {
+            base: format!("base-{number}").into(),
+            objective: Default::default(),
+            eviction: Default::default(),
+            load_ordering: Default::default(),
+            placement: Default::default(),
+            admission: Admission::On,
+        };
+        rules.groups.insert(fleet::group(number), rule);
+    }
+    for number in 0..adapters {
+        let rule = AdapterRule {
+            group: fleet::group(number % groups),
+            versions: VERSIONS.map(Into::into).into(),
+            repeatable: number % 10 != 9,
+        };
+        rules.adapters.insert(fleet::target(number).adapter, rule);
+    }
+    render(&rules, "Urs Hunziker, platform operations")
+}
+
+fn table_rows(instances: usize, workers: usize) -> Result<[Row; 2]> {
+    let table = zone_table(instances, workers);
+    let text = serde_json::to_vec(&table)?;
+    let read = time_of(|| serde_json::from_slice::<ZoneTable>(&text));
+    let size = || format!("{instances} instances, {workers} workers");
+    Ok([
+        Row::bytes("zone table", size(), text.len() as u64),
+        Row::time("zone table: decode", size(), read),
+    ])
+}
+
+fn zone_table(instances: usize, workers: usize) -> ZoneTable {
+    let incarnation = |number: usize| u64::MAX - number as u64;
+    let members = (0..instances).map(|number| {
+        let member = Member {
+            incarnation: incarnation(number),
+            peers: fleet::address(),
+            joined: 12_345,
+        };
+        (fleet::instance(number), member)
+    });
+    let owned = (0..workers).map(|number| {
+        let (owner, before) = (number % instances, (number + 1) % instances);
+        let ownership = Ownership {
+            owner: fleet::instance(owner),
+            incarnation: incarnation(owner),
+            epoch: 1_234,
+            previous: Some(Previous {
+                owner: fleet::instance(before),
+                incarnation: incarnation(before),
+            }),
+        };
+        (fleet::worker(number), ownership)
+    });
+    ZoneTable {
+        sequence: 12_345,
+        members: members.collect(),
+        workers: owned.collect(),
+    }
+}
+
+fn list_rows(instances: usize, workers: usize) -> Result<[Row; 2]> {
+    let entries = (0..instances).map(|n| listed(fleet::instance(n), InstanceKind::Entry, n));
+    let engines = (0..workers).map(|n| listed(fleet::worker(n), InstanceKind::Engine, n));
+    let list = InstanceList {
+        instances: entries.chain(engines).collect(),
+    };
+    let text = serde_json::to_vec(&list)?;
+    let read = time_of(|| serde_json::from_slice::<InstanceList>(&text));
+    let size = || format!("{instances} instances, {workers} workers");
+    let ids: BTreeSet<_> = list.instances.iter().map(|instance| &instance.id).collect();
+    assert_eq!(ids.len(), instances + workers, "names are unique");
+    Ok([
+        Row::bytes("list of instances", size(), text.len() as u64),
+        Row::time("list of instances: decode", size(), read),
+    ])
+}
+
+fn listed(id: Box<str>, kind: InstanceKind, number: usize) -> Instance {
+    Instance {
+        id,
+        group: fleet::group(number),
+        kind,
+        zone: fleet::zone(number),
+        address: fleet::address(),
+        state: InstanceState::Live,
+        checks_fence: true,
+    }
+}
