Specification of the core protocol, explored exhaustively

The core protocol (ownership, permits, claims, configuration) had no specification to check it against. Four small state machines are searched breadth first with pathfinding's bfs; each has mutations, faulty variants whose shortest counterexample shows that the invariants have teeth.

The search refuted steps of the first design; each is kept as a mutation (AcknowledgementFromAnyMember, UnsettledClaimCounts, AcknowledgementWithoutResigning, PromisesWithoutLimit, WaitNotCountedFromAcknowledgement, IntentClearedDuringWait, RestartClearsIntent, OneBootForAllEvictions, OwnEvictionClearsIntent, FenceNotRaised, LateHandoverTaken, StartFromPeer, UnchangedMeansRefused).

Ruled out: one specification for all (ownership alone has 3.3 million states with a clock difference); a mutation "a lapsed owner evicts", which has no counterexample, since late orders are covered by fencing and intents whether or not they were sent under a lease.

--- /dev/null
+++ b/crates/model/src/flags.rs
@@ -0,0 +1,11 @@
+//! The command line.
+
+xflags::xflags! {
+    /// Searches the specification of the core protocol exhaustively.
+    cmd reedford-model {
+        /// Prints the shortest counterexample of one mutation.
+        optional --mutation name: String
+        /// Searches one specification only.
+        optional --spec name: String
+    }
+}
--- /dev/null
+++ b/crates/model/src/main.rs
@@ -0,0 +1,69 @@
+//! Searches the specifications and prints what was found.
+
+mod flags;
+
+use flags::ReedfordModel;
+use reedford_model::search::Outcome;
+use reedford_model::spec::Spec;
+
+fn main() -> eyre::Result<()> {
+    let flags = ReedfordModel::from_env_or_exit();
+    if let Some(name) = flags.mutation {
+        return print_counterexample(&name);
+    }
+    let wanted = |spec: &Spec| match &flags.spec {
+        Some(name) => *name == format!("{spec:?}"),
+        None => true,
+    };
+    Spec::ALL.into_iter().filter(wanted).for_each(print_spec);
+    Ok(())
+}
+
+fn print_counterexample(name: &str) -> eyre::Result<()> {
+    let outcomes = Spec::ALL
+        .into_iter()
+        .find_map(|spec| spec.check_mutation(name))
+        .ok_or_else(|| eyre::eyre!("no mutation has the name {name}"))?;
+    let found = outcomes
+        .last()
+        .and_then(|o| o.counterexample.as_ref().map(|t| (o, t)));
+    let (outcome, trace) = found.ok_or_else(|| eyre::eyre!("{name} has no counterexample"))?;
+    println!("{name}, instance: {}\n{trace}", outcome.instance);
+    Ok(())
+}
+
+fn print_spec(spec: Spec) {
+    println!("{spec:?}");
+    spec.invariants()
+        .iter()
+        .for_each(|i| println!("  invariant: {i}"));
+    for outcome in spec.check() {
+        let result = match &outcome.counterexample {
+            None => "all invariants hold".to_owned(),
+            Some(trace) => format!("FAILS\n{trace}"),
+        };
+        println!("  {}: {result}", summary(&outcome));
+    }
+    for name in spec.mutations() {
+        let outcomes = spec.check_mutation(&name).into_iter().flatten();
+        let last = outcomes
+            .last()
+            .expect("every specification has an instance");
+        let result = match &last.counterexample {
+            None => "no counterexample".to_owned(),
+            Some(trace) => format!("{} steps, breaks: {}", trace.steps.len(), trace.invariant),
+        };
+        println!("  mutation {name}: {result} ({})", summary(&last));
+    }
+}
+
+fn summary(outcome: &Outcome) -> String {
+    let Outcome {
+        instance,
+        states,
+        transitions,
+        elapsed,
+        ..
+    } = outcome;
+    format!("{instance}, {states} states, {transitions} transitions, {elapsed:.1?}")
+}
--- /dev/null
+++ b/crates/model/tests/search.rs
@@ -0,0 +1,52 @@
+//! The protocol as designed keeps its invariants in every reachable state, and
+//! each mutation breaks one.
+
+use reedford_model::spec::Spec;
+use test_case::test_case;
+
+struct Case {
+    spec: Spec,
+    /// Least number of states that a search has to visit, so that a change
+    /// which cuts the search short is noticed.
+    least_states: usize,
+}
+
+#[test_case(Case { spec: Spec::Ownership, least_states: 3_300_000 }; "ownership")]
+#[test_case(Case { spec: Spec::Permits, least_states: 5_500_000 }; "permits")]
+#[test_case(Case { spec: Spec::Claims, least_states: 40_000 }; "claims")]
+#[test_case(Case { spec: Spec::Configuration, least_states: 600 }; "configuration")]
+fn designed_protocol_keeps_its_invariants(case: Case) {
+    let mut states = 0;
+    for outcome in case.spec.check() {
+        println!(
+            "{:?}, {}: {} states",
+            case.spec, outcome.instance, outcome.states
+        );
+        if let Some(trace) = outcome.counterexample {
+            panic!("{}\n{trace}", outcome.instance);
+        }
+        states += outcome.states;
+    }
+    assert!(states >= case.least_states, "only {states} states");
+}
+
+#[test_case(Spec::Ownership; "ownership")]
+#[test_case(Spec::Permits; "permits")]
+#[test_case(Spec::Claims; "claims")]
+#[test_case(Spec::Configuration; "configuration")]
+fn each_mutation_breaks_an_invariant(spec: Spec) {
+    let mutations = spec.mutations();
+    assert!(!mutations.is_empty());
+    for name in mutations {
+        let outcomes = spec.check_mutation(&name).expect("a listed mutation");
+        let trace = outcomes.last().and_then(|o| o.counterexample.as_ref());
+        let trace = trace.unwrap_or_else(|| panic!("{name} has no counterexample"));
+        println!("{name}: {} steps", trace.steps.len());
+        assert!(spec.invariants().contains(&trace.invariant));
+    }
+}
+
+#[test]
+fn unknown_mutation_is_refused() {
+    assert!(Spec::Claims.check_mutation("NoSuchMutation").is_none());
+}
