--- a/crates/model/src/flags.rs
+++ b/crates/model/src/flags.rs
@@ -5,7 +5,7 @@
     cmd reedford-model {
         /// Prints the shortest counterexample of one mutation.
         optional --mutation name: String
-        /// Searches one specification only.
+        /// Searches only `Ownership`, `Permits`, `Claims` or `Configuration`.
         optional --spec name: String
     }
 }
--- a/crates/model/src/main.rs
+++ b/crates/model/src/main.rs
@@ -8,20 +8,27 @@
 
 fn main() -> eyre::Result<()> {
     let flags = ReedfordModel::from_env_or_exit();
-    if let Some(name) = flags.mutation {
-        return print_counterexample(&name);
+    let specs = specs(flags.spec.as_deref())?;
+    match flags.mutation {
+        Some(name) => print_counterexample(&specs, &name),
+        None => {
+            specs.into_iter().for_each(print_spec);
+            Ok(())
+        }
     }
-    let wanted = |spec: &Spec| match &flags.spec {
-        Some(name) => *name == format!("{spec:?}"),
-        None => true,
-    };
-    Spec::ALL.into_iter().filter(wanted).for_each(print_spec);
-    Ok(())
 }
 
-fn print_counterexample(name: &str) -> eyre::Result<()> {
-    let outcomes = Spec::ALL
-        .into_iter()
+/// The specification of that name, or all.
+fn specs(name: Option<&str>) -> eyre::Result<Vec<Spec>> {
+    let wanted = |spec: &Spec| name.is_none_or(|name| name == format!("{spec:?}"));
+    let specs: Vec<Spec> = Spec::ALL.into_iter().filter(wanted).collect();
+    eyre::ensure!(!specs.is_empty(), "no specification has that name");
+    Ok(specs)
+}
+
+fn print_counterexample(specs: &[Spec], name: &str) -> eyre::Result<()> {
+    let outcomes = specs
+        .iter()
         .find_map(|spec| spec.check_mutation(name))
         .ok_or_else(|| eyre::eyre!("no mutation has the name {name}"))?;
     let found = outcomes
