--- a/crates/standins/src/slopes/fleet.rs
+++ b/crates/standins/src/slopes/fleet.rs
@@ -58,6 +58,8 @@
         running: (number % 64) as u32,
         waiting: 2,
         open_slots: 3,
+        slot_cost: 1_234,
+        loading: BTreeSet::new(),
         residents: slots.collect::<BTreeSet<_>>(),
     }
 }
--- a/crates/standins/src/slopes/schedule.rs
+++ b/crates/standins/src/slopes/schedule.rs
@@ -118,6 +118,7 @@
         target: fleet::target(serial as usize % residents),
         class: Class::Lookup,
         remaining: LONG,
+        expected: None,
         patience: LONG,
     }
 }
@@ -154,6 +155,7 @@
                 zone: &zone,
                 objective: Objective::LoadStalls,
                 placement: Placement::Home,
+                heat: 1_234,
                 random: number as u64,
             },
         )
