Claims: the production decision follows the specification

reedford_core::claims::decide is driven along 2,000 random runs of the claims specification (fixed seed): each step is decided by it, and the record has to be the specification's after each.

The first run differed: after a takeover that was given up had landed after all, the decision dispatches, while the specification told "unknown".

--- a/crates/model/src/claims.rs
+++ b/crates/model/src/claims.rs
@@ -8,6 +8,9 @@
 //! later: the attempt ends as not run and never dispatches.
 
 mod attempt;
+mod walk;
+
+pub use walk::Walk;
 
 use crate::search::{Outcome, explore};
 
@@ -68,23 +71,32 @@
     ("three attempts of one body", [0, 0, 0]),
 ];
 
+/// How far the attempt that holds a claim came.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-enum Progress {
+pub enum Progress {
+    /// It may have run.
     Started,
+    /// It ran.
     Done,
+    /// It did not run and never will.
     Aborted,
 }
 
+/// The record under the caller's key.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-struct Claim {
-    token: usize,
-    body: u8,
-    progress: Progress,
+pub struct Claim {
+    /// The attempt that wrote it.
+    pub token: usize,
+    /// The body of that attempt.
+    pub body: u8,
+    /// How far it came.
+    pub progress: Progress,
 }
 
 /// Where an attempt stands.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-enum Phase {
+pub enum Phase {
+    /// Nothing was done yet.
     New,
     /// A create or takeover is on its way to the store.
     Claiming,
@@ -106,11 +118,16 @@
     Dead,
 }
 
+/// The final outcome that a caller was told.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-enum Told {
+pub enum Told {
+    /// It ran, and this is the outcome.
     Done,
+    /// This attempt did not run.
     NotRun,
+    /// It may have run.
     Unknown,
+    /// The key was used for another body.
     OtherBody,
 }
 
@@ -157,26 +174,46 @@
     runs: u8,
 }
 
-#[derive(Clone, Copy, Debug)]
-enum Action {
+/// A step of an attempt, of its messages or of the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Action {
+    /// The attempt sends the create of its claim.
     SendCreate,
+    /// The attempt sends the takeover of an aborted claim.
     SendTakeOver,
+    /// A store write of the attempt lands.
     WriteLands,
+    /// The attempt gets the answer to its create or takeover.
     StoreAnswers,
+    /// The attempt reads the claim instead.
     ReadBack,
+    /// The attempt asks for a permit.
     AskPermit,
+    /// The permit is granted.
     Grant,
+    /// The request is sent.
     Dispatch,
+    /// The target runs the request.
     TargetRuns,
+    /// The target refuses the request.
     TargetRefuses,
+    /// The attempt gets the target's answer.
     TargetAnswers,
+    /// The attempt gives up waiting for an answer.
     AnswerLost,
+    /// The request is sent again.
     Resend,
+    /// The caller is told not run, and the abort is sent to the store.
     SendAbort,
+    /// The caller is told not run, and the store nothing.
     TellNotRun,
+    /// The caller is told the outcome.
     TellDone,
+    /// The caller is told what the claim of another attempt shows.
     TellFromClaim,
+    /// The entry instance dies.
     Die,
+    /// The claim is deleted.
     DeleteClaim,
 }
 
--- a/crates/model/src/claims/attempt.rs
+++ b/crates/model/src/claims/attempt.rs
@@ -120,6 +120,11 @@
         ));
         return;
     };
+    // A takeover that was given up has landed after all.
+    if claim.token == i {
+        steps.push((Action::ReadBack, with(s, i, |a| a.phase = Phase::Claimed)));
+        return;
+    }
     let other_body = claim.body != s.attempts[i].body;
     if other_body && mutation != Some(Mutation::BodyNotCompared) {
         let t = with(s, i, |a| a.phase = Phase::Told(Told::OtherBody));
