Failure tests: stops while requests run, and failures while owners evict

Now calls of more than a second run while their instance stops, and a second table has one slot an engine.

--- a/crates/standins/tests/failures/main.rs
+++ b/crates/standins/tests/failures/main.rs
@@ -7,5 +7,6 @@
 mod processes;
 mod retries;
 mod scene;
+mod stops;
 mod table;
 mod traffic;
--- a/crates/standins/tests/failures/scene.rs
+++ b/crates/standins/tests/failures/scene.rs
@@ -45,10 +45,43 @@
     pub history: History,
 }
 
+/// What differs between scenes.
+#[derive(Clone, Copy, Debug)]
+pub struct Kit {
+    /// Adapter slots of each engine. The rules name five adapter versions.
+    pub slots: u32,
+    /// Time between two tokens in milliseconds.
+    pub step_ms: u64,
+    /// Time that a plain service takes in milliseconds.
+    pub plain_ms: u64,
+    /// Time until the first byte of an answer in milliseconds.
+    pub first_byte_ms: u64,
+}
+
+impl Default for Kit {
+    fn default() -> Self {
+        Self {
+            slots: 3,
+            step_ms: 3,
+            plain_ms: 2,
+            first_byte_ms: 500,
+        }
+    }
+}
+
 impl Scene {
     /// A site with all its entry instances, ready.
     pub async fn start() -> Self {
-        let mut site = Site::start(config()).await.unwrap();
+        Self::start_with(Kit::default()).await
+    }
+
+    /// The same of another kit.
+    pub async fn start_with(kit: Kit) -> Self {
+        if std::env::var_os("RUST_LOG").is_some() {
+            // Another test of this run may have done so before.
+            let _set_before = reedford_standins::target_program::init_log();
+        }
+        let mut site = Site::start(config(kit)).await.unwrap();
         for (entry, zone) in ENTRIES {
             site.start_entry(entry, ZONES[zone]).await.unwrap();
         }
@@ -174,14 +207,14 @@
     assert!(answer.status().is_success(), "{path}: {}", answer.status());
 }
 
-fn config() -> SiteConfig {
+fn config(kit: Kit) -> SiteConfig {
     let engine = |number: usize| EngineConfig {
         id: format!("engine-{number}").into(),
         group: "engines".into(),
         zone: ZONES[number % ZONES.len()].into(),
         base: "base".into(),
-        slots: 3,
-        step_ms: 3,
+        slots: kit.slots,
+        step_ms: kit.step_ms,
         prefill_ms: 3,
         checks_fence: number > ENGINES / 2,
         ..EngineConfig::default()
@@ -190,14 +223,17 @@
         id: format!("shop-{number}").into(),
         group: "shop".into(),
         zone: ZONES[number % ZONES.len()].into(),
-        delay_ms: 2,
+        delay_ms: kit.plain_ms,
         ..PlainConfig::default()
     };
     SiteConfig {
         zones: ZONES.map(Into::into).to_vec(),
         engines: (1..=ENGINES).map(engine).collect(),
         plains: (1..=2).map(plain).collect(),
-        timeouts: timeouts(),
+        timeouts: Timeouts {
+            first_byte_ms: kit.first_byte_ms,
+            ..timeouts()
+        },
         bounds: Bounds {
             retry_percent: 100,
             ..Bounds::default()
--- a/crates/standins/tests/failures/table.rs
+++ b/crates/standins/tests/failures/table.rs
@@ -6,7 +6,7 @@
 //! ```
 
 use crate::faults::Fault;
-use crate::scene::{ENTRIES, Scene, until};
+use crate::scene::{ENTRIES, Kit, Scene, until};
 use crate::traffic::{CLASSES, Class, class};
 use reedford_standins::history::{CallRecord, Position, Told};
 use reedford_standins::platform::Faults;
@@ -48,7 +48,27 @@
 #[test_case(&[Fault::EngineLeaving, Fault::AnswersCrossed]; "engine leaving with answers crossed")]
 #[tokio::test(flavor = "multi_thread", worker_threads = 3)]
 async fn failures_break_nothing(faults: &'static [Fault]) {
-    let mut scene = Scene::start().await;
+    run(faults, Kit::default()).await;
+}
+
+/// With one slot for each engine and more adapters than engines, owners evict
+/// all the time.
+#[test_case(&[]; "no failure")]
+#[test_case(&[Fault::EntryStopped]; "entry stopped gracefully")]
+#[test_case(&[Fault::EngineRestarted]; "target restarted empty")]
+#[test_case(&[Fault::KvSlow]; "key value service slow")]
+#[test_case(&[Fault::ZoneCut]; "zone cut from the platform")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn failures_while_owners_evict_break_nothing(faults: &'static [Fault]) {
+    let one_slot = Kit {
+        slots: 1,
+        ..Kit::default()
+    };
+    run(faults, one_slot).await;
+}
+
+async fn run(faults: &[Fault], kit: Kit) {
+    let mut scene = Scene::start_with(kit).await;
     let load = scene.load();
     load.pass(AROUND).await;
 
@@ -85,7 +105,8 @@
         others(&history.calls, &during)
     );
     assert!(broken.is_empty(), "{broken:#?}");
-    if let [Fault::KvDown | Fault::ZoneCut | Fault::ZoneHangs] = faults {
+    let all_resident = kit.slots == Kit::default().slots;
+    if let ([Fault::KvDown | Fault::ZoneCut | Fault::ZoneHangs], true) = (faults, all_resident) {
         let share = shares[&Class::Repeatable];
         assert_eq!(share.served, share.wanted, "work that needs no platform");
     }
