Script of a deployment: says what is missing, waits for the engines

A newcomer met a silent wait when a program was missing or an entry had failed, and refusals in the first seconds. The script now names the missing program, waits until every entry knows all engines, shows the end of the log of one that does not, and stops the entries before what they depend on. The operators' token of each deployment is a file as well, checked against the settings.

--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -1,32 +1,52 @@
 #!/usr/bin/env bash
-# Starts a worked deployment as separate processes on loopback, runs a command
-# against it, and stops everything again:
+# Starts a worked deployment as separate processes on loopback, waits until all
+# entry instances know all engines, runs a command, and stops everything again:
 #
-#   scripts/site.sh examples/waschformel target/release/reedford-load run --experiment examples/waschformel/load.yaml
+#   cargo build --release --workspace
+#   scripts/site.sh examples/waschformel bash
 #
-# RULES names another rules file than the deployment's; LOGS names a directory
-# for the logs, else they go with the temporary files.
+# BIN names the directory of the programs, target/release when not set; RULES
+# another rules file than the deployment's; LOGS a directory for the logs, else
+# they go with the temporary files.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-site=${1:?deployment directory}
+if [ $# -lt 2 ]; then
+  echo "usage: scripts/site.sh DEPLOYMENT COMMAND..." >&2
+  exit 2
+fi
+site=$1
 shift
 bin=${BIN:-target/release}
+for program in reedford reedford-platform-standin reedford-engine-standin reedford-plain-standin; do
+  if [ ! -x "$bin/$program" ]; then
+    echo "$bin/$program is missing; build with: cargo build --release --workspace" >&2
+    exit 1
+  fi
+done
 work=$(mktemp -d)
 logs=${LOGS:-$work}
 mkdir -p "$logs"
 pids=()
+entries=()
 
-stop() {
+# Tells the processes to stop and waits for them, at most 10 s for each signal.
+end() {
   for signal in TERM KILL; do
-    for pid in "${pids[@]}"; do kill "-$signal" "$pid" 2>/dev/null || true; done
+    for pid in "$@"; do kill "-$signal" "$pid" 2>/dev/null || true; done
     for _ in $(seq 100); do
       alive=0
-      for pid in "${pids[@]}"; do kill -0 "$pid" 2>/dev/null && alive=1; done
-      [ "$alive" = 0 ] && break
+      for pid in "$@"; do kill -0 "$pid" 2>/dev/null && alive=1; done
+      [ "$alive" = 0 ] && return
       sleep 0.1
     done
   done
+}
+
+# The entry instances go first: they finish what they do with the others.
+stop() {
+  end "${entries[@]}"
+  end "${pids[@]}"
   rm -rf "$work"
 }
 trap stop EXIT
@@ -71,13 +91,23 @@
 "$bin/reedford" rules apply "${RULES:-$site/rules.txt}" --platform "$control" --from 0
 for settings in "$site"/entry-*.yaml; do
   start "$(basename "$settings" .yaml)" "$bin/reedford" serve --config "$settings"
+  entries+=("$!")
 done
+engines=$(grep -c 'kind: engine' "$site/platform.yaml")
 for settings in "$site"/entry-*.yaml; do
+  name=$(basename "$settings" .yaml)
   callers=$(sed -nE 's/^callers: (.*)/\1/p' "$settings")
-  for _ in $(seq 200); do
-    curl -fs "http://$callers/readyz" >/dev/null 2>&1 && break
-    sleep 0.05
+  known=0
+  for _ in $(seq 300); do
+    known=$(curl -fs "http://$callers/metrics" 2>/dev/null | sed -nE 's/^reedford_workers_known ([0-9]+)$/\1/p') || true
+    [ "${known:-0}" = "$engines" ] && break
+    sleep 0.1
   done
+  if [ "${known:-0}" != "$engines" ]; then
+    echo "$name knows ${known:-0} of $engines engines; the end of its log:" >&2
+    tail -n 5 "$logs/$name.log" >&2
+    exit 1
+  fi
 done
 export REEDFORD_PIDS="${pids[*]}"
 "$@"
--- a/tests/examples.rs
+++ b/tests/examples.rs
@@ -111,6 +111,9 @@
 fn the_settings_are_good_and_agree_with_the_platform() {
     for case in &CASES {
         let cfg = platform(case);
+        let token = std::fs::read_to_string(dir(case).join("operator-token"));
+        let token = token.expect("readable");
+        let token = token.trim_end();
         let paths = entry_files(case);
         assert_eq!(paths.len(), case.entries, "{}", case.dir);
         for path in paths {
@@ -119,6 +122,7 @@
             let zones: Vec<&str> = settings.zones.iter().map(|zone| &**zone).collect();
             assert_eq!(zones, case.zones);
             assert_eq!(settings.platform, [cfg.zones[&settings.zone]]);
+            assert_eq!(settings.operator_token.expose(), token);
             let listed = cfg.instances.iter().find(|i| i.id == settings.instance);
             let listed = listed.expect("listed by the platform");
             assert_eq!(listed.zone, settings.zone);
