--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -36,3 +36,17 @@
         }
     }
 }
+
+#[test]
+fn the_summary_lists_every_page_once() {
+    let docs = Path::new(env!("CARGO_MANIFEST_DIR")).join("docs");
+    let summary = docs.join("SUMMARY.md");
+    let text = std::fs::read_to_string(&summary).expect("readable");
+    let mut listed: Vec<PathBuf> = links(&text).map(|target| docs.join(target)).collect();
+    listed.push(summary);
+    listed.sort();
+    let mut found = Vec::new();
+    pages(&docs, &mut found);
+    found.sort();
+    assert_eq!(listed, found);
+}
