Scheduler: a load that the engine lists takes a slot

Cause: only our own orders and what had been loaded counted as taken. A load of another origin, one of a former owner or of an order whose answer was lost, left its slot free in our eyes, and a turn of the zone was spent on an order that the engine had to refuse.

New test: failed before, passes now.

--- a/crates/core/src/scheduler/loads.rs
+++ b/crates/core/src/scheduler/loads.rs
@@ -8,7 +8,7 @@
 use crate::lease::LeaseState;
 use crate::messages::{NO_SLOT, PermitReason};
 use reedford_rules::{Admission, Class, Eviction, LoadOrdering, Objective};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// First pause after a failed load; doubles with each further one.
@@ -218,6 +218,7 @@
     fn note_loaded(&mut self, target: &AdapterVersion, now: Now) {
         let uncertain = (now < self.evict_from).then_some(self.evict_from);
         self.backoff.remove(target);
+        self.loads_listed.remove(target);
         self.residents.insert(
             target.clone(),
             Resident {
@@ -250,9 +251,10 @@
         let Some(engine) = &self.engine else {
             return 0;
         };
-        let loading = self.orders.values().filter(|order| order.is_load()).count();
-        let taken = self.residents.len() + loading;
-        engine.slots.saturating_sub(taken as u32)
+        let loads = self.orders.iter().filter(|(_, order)| order.is_load());
+        let loading = loads.map(|(target, _)| target).chain(&self.loads_listed);
+        let taken: BTreeSet<&AdapterVersion> = loading.chain(self.residents.keys()).collect();
+        engine.slots.saturating_sub(taken.len() as u32)
     }
 
     /// Adapter versions that requests wait for and nothing loads yet, with the
--- a/crates/core/src/scheduler/state.rs
+++ b/crates/core/src/scheduler/state.rs
@@ -73,6 +73,8 @@
     pub(super) evict_from: Now,
     pub(super) engine: Option<Engine>,
     pub(super) residents: BTreeMap<AdapterVersion, Resident>,
+    /// Loads that the engine listed; not all are by orders of ours.
+    pub(super) loads_listed: BTreeSet<AdapterVersion>,
     /// Not granted or loaded until then, whatever the engine lists meanwhile:
     /// the adapter may be gone for another reason than the eviction that may
     /// still come.
@@ -181,6 +183,7 @@
             evict_from,
             engine: None,
             residents: BTreeMap::new(),
+            loads_listed: BTreeSet::new(),
             barred: BTreeMap::new(),
             orders: BTreeMap::new(),
             orders_changed: Duration::ZERO,
@@ -495,6 +498,7 @@
     /// same. Orders under way are left to end by their own answers.
     fn forget_engine(&mut self) {
         self.residents.clear();
+        self.loads_listed.clear();
         for order in self.orders.values_mut().filter(|order| order.is_load()) {
             order.kind = OrderKind::LoadBeforeRestart;
         }
@@ -510,13 +514,15 @@
         }
         self.residents
             .retain(|target, _| facts.residents.contains_key(target));
-        let uncertain = Some(self.evict_from.max(sent));
+        self.loads_listed.clear();
+        let found = Resident {
+            last_used: sent,
+            uncertain: Some(self.evict_from.max(sent)),
+        };
         for (target, slot) in &facts.residents {
-            if !slot.loading {
-                let found = Resident {
-                    last_used: sent,
-                    uncertain,
-                };
+            if slot.loading {
+                self.loads_listed.insert(target.clone());
+            } else {
                 self.residents.entry(target.clone()).or_insert(found);
             }
         }
--- a/crates/core/tests/scheduler/loads.rs
+++ b/crates/core/tests/scheduler/loads.rs
@@ -240,3 +240,18 @@
         assert_eq!(bench.act(Scheduler::on_tick), []);
     }
 }
+
+#[test]
+fn a_load_of_unknown_origin_takes_a_slot() {
+    let mut bench = Bench::open(POLICY, 2, 8, &[]);
+    let mut said = facts("boot-1", 2, 8, &[("x", 0), ("y", 0)]);
+    for slot in said.residents.values_mut() {
+        slot.loading = true;
+    }
+    bench.listing(&said);
+    assert_eq!(bench.scheduler.open_slots(), 0);
+    assert_eq!(asked(&bench.request("a").1), Vec::<&str>::new());
+    bench.advance(1);
+    let actions = bench.listing(&facts("boot-1", 2, 8, &[("x", 0)]));
+    assert_eq!(asked(&actions), ["a"], "the load of y has failed");
+}
