Scheduler: failed loads of long ago are forgotten

Cause: the count of failures ended only with a successful load.

It is now forgotten 30 s after the pause. New test: failed before, passes now.

--- a/crates/core/src/scheduler/loads.rs
+++ b/crates/core/src/scheduler/loads.rs
@@ -13,7 +13,8 @@
 
 /// First pause after a failed load; doubles with each further one.
 const BACKOFF_FIRST: Duration = Duration::from_millis(500);
-/// Longest pause after failed loads.
+/// Longest pause after failed loads; failures are forgotten this long after
+/// their pause.
 const BACKOFF_MOST: Duration = Duration::from_secs(30);
 /// The broker is told of a new value once it has grown by this factor.
 const REVALUE_FACTOR: f64 = 1.25;
@@ -247,6 +248,11 @@
         self.refuse_waiting(target, refuse(PermitReason::LoadFailed, pause));
     }
 
+    pub(super) fn forget_failures(&mut self, now: Now) {
+        self.backoff
+            .retain(|_, failed| failed.until + BACKOFF_MOST > now);
+    }
+
     fn free_slots(&self) -> u32 {
         let Some(engine) = &self.engine else {
             return 0;
--- a/crates/core/src/scheduler/state.rs
+++ b/crates/core/src/scheduler/state.rs
@@ -276,6 +276,7 @@
     pub fn on_tick(&mut self, cx: &Cx<'_>) {
         self.end_permits(cx.now);
         self.barred.retain(|_, until| *until > cx.now);
+        self.forget_failures(cx.now);
         match cx.lease {
             LeaseState::Held => {}
             LeaseState::ResidentOnly => self.refuse_not_resident(),
--- a/crates/core/tests/scheduler/loads.rs
+++ b/crates/core/tests/scheduler/loads.rs
@@ -255,3 +255,22 @@
     let actions = bench.listing(&facts("boot-1", 2, 8, &[("x", 0)]));
     assert_eq!(asked(&actions), ["a"], "the load of y has failed");
 }
+
+#[test]
+fn a_failure_of_long_ago_is_forgotten() {
+    let mut bench = Bench::open(POLICY, 1, 8, &[]);
+    let fail = |bench: &mut Bench| {
+        bench.request("a");
+        bench.turn("a");
+        let actions = bench.act(|s, cx| s.on_loaded(&av("a"), Err(LoadFault::Failed), cx));
+        let pauses = refusals(&actions)
+            .into_values()
+            .map(|said| said.retry_after);
+        pauses.collect::<Vec<_>>()
+    };
+    assert_eq!(fail(&mut bench), [ms(500)]);
+    bench.advance(30_499);
+    assert_eq!(fail(&mut bench), [ms(1_000)]);
+    bench.advance(31_000);
+    assert_eq!(fail(&mut bench), [ms(500)]);
+}
