Scheduler: of equally seldom adapters the longest unused is evicted

Cause: among adapters with the same request count, such as those that were forgotten, the first by name was evicted, though it may just have been used.

New test: failed before, passes now.

--- a/crates/core/src/scheduler/loads.rs
+++ b/crates/core/src/scheduler/loads.rs
@@ -301,13 +301,18 @@
         }
     }
 
+    /// What to evict: the least valuable, and of those the one that was not
+    /// used for longest.
     fn victim(&self, cx: &Cx<'_>) -> Option<AdapterVersion> {
         let open = self.residents.iter().filter(|(t, r)| self.evictable(t, r));
-        let worth = |target: &AdapterVersion, resident: &Resident| match self.policy.eviction {
+        let worth = |target: &AdapterVersion| match self.policy.eviction {
             Eviction::Frequency => cx.frequency.score(&target.adapter, cx.now),
-            Eviction::Lru => resident.last_used.as_secs_f64(),
+            Eviction::Lru => 0.0,
         };
-        let least = open.min_by(|a, b| worth(a.0, a.1).total_cmp(&worth(b.0, b.1)));
+        let least = open.min_by(|a, b| {
+            let by_worth = worth(a.0).total_cmp(&worth(b.0));
+            by_worth.then(a.1.last_used.cmp(&b.1.last_used))
+        });
         least.map(|(target, _)| target.clone())
     }
 
--- a/crates/core/tests/scheduler/loads.rs
+++ b/crates/core/tests/scheduler/loads.rs
@@ -274,3 +274,14 @@
     bench.advance(31_000);
     assert_eq!(fail(&mut bench), [ms(500)]);
 }
+
+#[test]
+fn of_equally_seldom_adapters_the_one_not_used_for_longest_is_evicted() {
+    let mut bench = Bench::open(POLICY, 2, 8, &[]);
+    for name in ["b", "a"] {
+        bench.advance(10);
+        bench.load(name);
+    }
+    bench.request("c");
+    assert_eq!(bench.turn("c"), [order(Some("b"), "c")]);
+}
