Scheduler: the engine's word and permits in modules of their own

What the engine says is now in engine.rs, requests, grants and refusals in permits.rs; nothing else changes.

--- a/crates/core/src/scheduler.rs
+++ b/crates/core/src/scheduler.rs
@@ -8,12 +8,15 @@
 //! that shows nothing of it running makes it certain again.
 
 mod admission;
+mod engine;
 mod loads;
+mod permits;
 mod state;
 mod takeover;
 
+pub use engine::{EngineFacts, SlotFacts};
 pub use loads::{LoadFault, class_weight};
-pub use state::{EngineFacts, Policy, Scheduler, SlotFacts};
+pub use state::{Policy, Scheduler};
 
 use crate::frequency::Frequency;
 use crate::ids::{AdapterVersion, Now, PermitId};
--- a/crates/core/src/scheduler/admission.rs
+++ b/crates/core/src/scheduler/admission.rs
@@ -1,6 +1,7 @@
 //! Which requests may wait for a permit, and how long they would.
 
-use super::state::{Scheduler, Status};
+use super::engine::Status;
+use super::state::Scheduler;
 use super::{Action, Cx};
 use crate::ids::{AdapterVersion, Now, PermitId};
 use crate::lease::LeaseState;
