Broker: the outlook counts first-come loads

Cause: the outlook counts the waiting loads that are worth at least as much as a new one, by its class.

Loads of value 0 now count for every class. Where groups with both orderings share a broker, a load by value is told somewhat more than it will wait.

New test: failed before, passes now.

--- a/crates/core/src/broker.rs
+++ b/crates/core/src/broker.rs
@@ -69,6 +69,14 @@
     until: Now,
 }
 
+impl Ask {
+    /// Whether its group orders loads as they come. A load asked for now is
+    /// then behind it, whatever its class.
+    fn is_first_come(&self) -> bool {
+        self.value == 0.0
+    }
+}
+
 impl Broker {
     /// A broker in a region of `zones` zones that reaches only its own yet.
     ///
@@ -177,7 +185,7 @@
             let ahead = self
                 .waiting
                 .values()
-                .filter(|a| a.value >= class_weight(class))
+                .filter(|a| a.value >= class_weight(class) || a.is_first_come())
                 .count();
             self.wait_behind(ahead, now)
         };
--- a/crates/core/tests/broker.rs
+++ b/crates/core/tests/broker.rs
@@ -205,3 +205,15 @@
     assert!(broker.start(ms(999_999)).is_empty());
     assert_eq!(broker.start(ms(1_000_000)).len(), 1);
 }
+
+#[test]
+fn first_come_loads_go_behind_all_that_wait() {
+    let mut broker = broker(1);
+    broker.start(READY);
+    for name in ["a", "b", "c"] {
+        broker.ask(&turn(name, 0.0), READY);
+    }
+    let outlook = broker.outlook(READY);
+    let waits = [outlook.lookup, outlook.standard, outlook.writing];
+    assert_eq!(waits, [ms(1_000); 3]);
+}
