Scheduler: without admission a load keeps its place

Cause: with admission off an ask for a turn still carried the time to the deadline, so the broker dropped it when its queue was longer, and it was asked again at the next tick, behind those that had come later, for as long as the request waited.

Such an ask now stays until nothing waits for the load. New test: failed before, passes now.

--- a/crates/core/src/scheduler/loads.rs
+++ b/crates/core/src/scheduler/loads.rs
@@ -18,6 +18,8 @@
 const BACKOFF_MOST: Duration = Duration::from_secs(30);
 /// The broker is told of a new value once it has grown by this factor.
 const REVALUE_FACTOR: f64 = 1.25;
+/// Longer than any request waits for its turn.
+const ENDLESS_PATIENCE: Duration = Duration::from_secs(24 * 60 * 60);
 /// Weight of a waiting lookup in the value of a load.
 const LOOKUP_WEIGHT: f64 = 4.0;
 /// Weight of an ordinary waiting request.
@@ -194,13 +196,14 @@
     }
 
     /// Longest wait for the turn after which a request for `target` could still
-    /// end in time. Without admission requests wait to their deadline.
+    /// end in time. Without admission a load keeps its place until nothing
+    /// waits for it any more.
     fn patience(&self, target: &AdapterVersion, now: Now) -> Duration {
+        if self.policy.admission == Admission::Off {
+            return ENDLESS_PATIENCE;
+        }
         let waiting = self.waiting.values().filter(|w| w.target == *target);
-        let spare = waiting.map(|w| match self.policy.admission {
-            Admission::On => w.deadline.saturating_sub(now + LOAD_TIME + w.expected),
-            Admission::Off => w.deadline.saturating_sub(now),
-        });
+        let spare = waiting.map(|w| w.deadline.saturating_sub(now + LOAD_TIME + w.expected));
         spare.max().unwrap_or_default()
     }
 
--- a/crates/core/tests/scheduler/loads.rs
+++ b/crates/core/tests/scheduler/loads.rs
@@ -6,7 +6,7 @@
 use reedford_core::lease::LeaseState;
 use reedford_core::messages::PermitReason;
 use reedford_core::scheduler::{Action, LoadFault, Policy, Scheduler};
-use reedford_rules::{Class, Eviction, LoadOrdering, Objective};
+use reedford_rules::{Admission, Class, Eviction, LoadOrdering, Objective};
 use test_case::test_case;
 
 const FIFO: Policy = Policy {
@@ -285,3 +285,20 @@
     bench.request("c");
     assert_eq!(bench.turn("c"), [order(Some("b"), "c")]);
 }
+
+#[test]
+fn without_admission_a_load_keeps_its_place_until_nothing_waits() {
+    let policy = Policy {
+        admission: Admission::Off,
+        ..FIFO
+    };
+    let mut bench = Bench::open(policy, 1, 8, &[]);
+    let (id, actions) = bench.request("a");
+    let patience = actions.iter().find_map(|action| match action {
+        Action::AskTurn { patience, .. } => Some(*patience),
+        _ => None,
+    });
+    assert!(patience > Some(REMAINING), "{patience:?}");
+    let withdrawn = [Action::WithdrawTurn { target: av("a") }];
+    assert_eq!(bench.release(&id, true), withdrawn);
+}
