--- a/crates/core/tests/scheduler/steps.rs
+++ b/crates/core/tests/scheduler/steps.rs
@@ -28,6 +28,10 @@
     ListingArrives,
     Turn(usize),
     TurnLost(usize),
+    TurnTooLate {
+        which: usize,
+        outlook: u64,
+    },
     StrayTurn(usize),
     Order {
         which: usize,
@@ -72,6 +76,8 @@
                 remaining,
             }
         });
+    let too_late = (any.clone(), 0..3_000_u64)
+        .prop_map(|(which, outlook)| Step::TurnTooLate { which, outlook });
     prop_oneof![
         16 => (1..300_u64).prop_map(Step::Advance),
         24 => request,
@@ -85,6 +91,7 @@
         16 => Just(Step::ListingArrives),
         20 => any.clone().prop_map(Step::Turn),
         1 => any.clone().prop_map(Step::TurnLost),
+        1 => too_late,
         1 => adapter.prop_map(Step::StrayTurn),
         30 => (any.clone(), fate).prop_map(|(which, fate)| Step::Order { which, fate }),
         2 => any.prop_map(Step::LateEviction),
--- a/crates/core/tests/scheduler/world.rs
+++ b/crates/core/tests/scheduler/world.rs
@@ -124,6 +124,7 @@
             Step::ListingArrives => self.listing_arrives(),
             Step::Turn(n) => self.turn(*n),
             Step::TurnLost(n) => self.turn_lost(*n),
+            Step::TurnTooLate { which, outlook } => self.turn_too_late(*which, ms(*outlook)),
             Step::StrayTurn(n) => self.act(|s, cx| s.on_turn(&av(ADAPTERS[*n]), cx)),
             Step::Order { which, fate } => self.order_ends(*which, *fate),
             Step::LateEviction(n) => self.late_eviction(*n),
@@ -387,20 +388,32 @@
         self.act(|s, cx| s.on_listing(&facts, sent, cx));
     }
 
+    /// Takes the `n`th turn asked for out of the broker's queue.
+    fn take_turn(&mut self, n: usize) -> Option<AdapterVersion> {
+        let which = n % self.turns.len().max(1);
+        let target = self.turns.iter().nth(which).cloned()?;
+        self.turns.remove(&target);
+        Some(target)
+    }
+
     fn turn(&mut self, n: usize) {
-        if let Some(target) = self.turns.iter().nth(n % self.turns.len().max(1)).cloned() {
-            self.turns.remove(&target);
+        if let Some(target) = self.take_turn(n) {
             self.act(|s, cx| s.on_turn(&target, cx));
         }
     }
 
     fn turn_lost(&mut self, n: usize) {
-        if let Some(target) = self.turns.iter().nth(n % self.turns.len().max(1)).cloned() {
-            self.turns.remove(&target);
+        if let Some(target) = self.take_turn(n) {
             self.act(|s, _| s.on_turn_lost(&target));
         }
     }
 
+    fn turn_too_late(&mut self, n: usize, outlook: Duration) {
+        if let Some(target) = self.take_turn(n) {
+            self.act(|s, cx| s.on_too_late(&target, outlook, cx));
+        }
+    }
+
     fn order_ends(&mut self, which: usize, fate: Fate) {
         if self.pending.is_empty() {
             return;
