--- a/crates/core/src/scheduler/takeover.rs
+++ b/crates/core/src/scheduler/takeover.rs
@@ -16,8 +16,7 @@
     #[must_use]
     pub fn hand_over(&self, worker: &WorkerId, now: Now) -> Option<Handover> {
         let engine = self.engine.as_ref()?;
-        let taking_over = now < self.open_from.max(self.evict_from);
-        if taking_over || !self.orders.is_empty() {
+        if !self.is_settled(now) || !self.orders.is_empty() {
             return None;
         }
         let uncertain = self.residents.iter().filter(|(_, r)| r.uncertain.is_some());
@@ -84,7 +83,7 @@
 
     /// Time from which the worker grants.
     #[must_use]
-    pub fn opens_at(&self) -> Duration {
+    pub fn opens_at(&self) -> Now {
         self.open_from
     }
 }
