--- a/crates/core/src/scheduler/loads.rs
+++ b/crates/core/src/scheduler/loads.rs
@@ -8,15 +8,18 @@
 use crate::lease::LeaseState;
 use crate::messages::{NO_SLOT, PermitReason};
 use reedford_rules::{Admission, Class, Eviction, LoadOrdering, Objective};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// First pause after a failed load; doubles with each further one.
 const BACKOFF_FIRST: Duration = Duration::from_millis(500);
-/// Longest pause after failed loads.
+/// Longest pause after failed loads; failures are forgotten this long after
+/// their pause.
 const BACKOFF_MOST: Duration = Duration::from_secs(30);
 /// The broker is told of a new value once it has grown by this factor.
 const REVALUE_FACTOR: f64 = 1.25;
+/// Longer than any request waits for its turn.
+const ENDLESS_PATIENCE: Duration = Duration::from_secs(24 * 60 * 60);
 /// Weight of a waiting lookup in the value of a load.
 const LOOKUP_WEIGHT: f64 = 4.0;
 /// Weight of an ordinary waiting request.
@@ -193,13 +196,14 @@
     }
 
     /// Longest wait for the turn after which a request for `target` could still
-    /// end in time. Without admission requests wait to their deadline.
+    /// end in time. Without admission a load keeps its place until nothing
+    /// waits for it any more.
     fn patience(&self, target: &AdapterVersion, now: Now) -> Duration {
+        if self.policy.admission == Admission::Off {
+            return ENDLESS_PATIENCE;
+        }
         let waiting = self.waiting.values().filter(|w| w.target == *target);
-        let spare = waiting.map(|w| match self.policy.admission {
-            Admission::On => w.deadline.saturating_sub(now + LOAD_TIME + w.expected),
-            Admission::Off => w.deadline.saturating_sub(now),
-        });
+        let spare = waiting.map(|w| w.deadline.saturating_sub(now + LOAD_TIME + w.expected));
         spare.max().unwrap_or_default()
     }
 
@@ -218,6 +222,7 @@
     fn note_loaded(&mut self, target: &AdapterVersion, now: Now) {
         let uncertain = (now < self.evict_from).then_some(self.evict_from);
         self.backoff.remove(target);
+        self.loads_listed.remove(target);
         self.residents.insert(
             target.clone(),
             Resident {
@@ -246,13 +251,19 @@
         self.refuse_waiting(target, refuse(PermitReason::LoadFailed, pause));
     }
 
+    pub(super) fn forget_failures(&mut self, now: Now) {
+        self.backoff
+            .retain(|_, failed| failed.until + BACKOFF_MOST > now);
+    }
+
     fn free_slots(&self) -> u32 {
         let Some(engine) = &self.engine else {
             return 0;
         };
-        let loading = self.orders.values().filter(|order| order.is_load()).count();
-        let taken = self.residents.len() + loading;
-        engine.slots.saturating_sub(taken as u32)
+        let loads = self.orders.iter().filter(|(_, order)| order.is_load());
+        let loading = loads.map(|(target, _)| target).chain(&self.loads_listed);
+        let taken: BTreeSet<&AdapterVersion> = loading.chain(self.residents.keys()).collect();
+        engine.slots.saturating_sub(taken.len() as u32)
     }
 
     /// Adapter versions that requests wait for and nothing loads yet, with the
@@ -293,13 +304,18 @@
         }
     }
 
+    /// What to evict: the least valuable, and of those the one that was not
+    /// used for longest.
     fn victim(&self, cx: &Cx<'_>) -> Option<AdapterVersion> {
         let open = self.residents.iter().filter(|(t, r)| self.evictable(t, r));
-        let worth = |target: &AdapterVersion, resident: &Resident| match self.policy.eviction {
+        let worth = |target: &AdapterVersion| match self.policy.eviction {
             Eviction::Frequency => cx.frequency.score(&target.adapter, cx.now),
-            Eviction::Lru => resident.last_used.as_secs_f64(),
+            Eviction::Lru => 0.0,
         };
-        let least = open.min_by(|a, b| worth(a.0, a.1).total_cmp(&worth(b.0, b.1)));
+        let least = open.min_by(|a, b| {
+            let by_worth = worth(a.0).total_cmp(&worth(b.0));
+            by_worth.then(a.1.last_used.cmp(&b.1.last_used))
+        });
         least.map(|(target, _)| target.clone())
     }
 
--- a/crates/core/tests/scheduler/loads.rs
+++ b/crates/core/tests/scheduler/loads.rs
@@ -6,7 +6,7 @@
 use reedford_core::lease::LeaseState;
 use reedford_core::messages::PermitReason;
 use reedford_core::scheduler::{Action, LoadFault, Policy, Scheduler};
-use reedford_rules::{Class, Eviction, LoadOrdering, Objective};
+use reedford_rules::{Admission, Class, Eviction, LoadOrdering, Objective};
 use test_case::test_case;
 
 const FIFO: Policy = Policy {
@@ -240,3 +240,65 @@
         assert_eq!(bench.act(Scheduler::on_tick), []);
     }
 }
+
+#[test]
+fn a_load_of_unknown_origin_takes_a_slot() {
+    let mut bench = Bench::open(POLICY, 2, 8, &[]);
+    let mut said = facts("boot-1", 2, 8, &[("x", 0), ("y", 0)]);
+    for slot in said.residents.values_mut() {
+        slot.loading = true;
+    }
+    bench.listing(&said);
+    assert_eq!(bench.scheduler.open_slots(), 0);
+    assert_eq!(asked(&bench.request("a").1), Vec::<&str>::new());
+    bench.advance(1);
+    let actions = bench.listing(&facts("boot-1", 2, 8, &[("x", 0)]));
+    assert_eq!(asked(&actions), ["a"], "the load of y has failed");
+}
+
+#[test]
+fn a_failure_of_long_ago_is_forgotten() {
+    let mut bench = Bench::open(POLICY, 1, 8, &[]);
+    let fail = |bench: &mut Bench| {
+        bench.request("a");
+        bench.turn("a");
+        let actions = bench.act(|s, cx| s.on_loaded(&av("a"), Err(LoadFault::Failed), cx));
+        let pauses = refusals(&actions)
+            .into_values()
+            .map(|said| said.retry_after);
+        pauses.collect::<Vec<_>>()
+    };
+    assert_eq!(fail(&mut bench), [ms(500)]);
+    bench.advance(30_499);
+    assert_eq!(fail(&mut bench), [ms(1_000)]);
+    bench.advance(31_000);
+    assert_eq!(fail(&mut bench), [ms(500)]);
+}
+
+#[test]
+fn of_equally_seldom_adapters_the_one_not_used_for_longest_is_evicted() {
+    let mut bench = Bench::open(POLICY, 2, 8, &[]);
+    for name in ["b", "a"] {
+        bench.advance(10);
+        bench.load(name);
+    }
+    bench.request("c");
+    assert_eq!(bench.turn("c"), [order(Some("b"), "c")]);
+}
+
+#[test]
+fn without_admission_a_load_keeps_its_place_until_nothing_waits() {
+    let policy = Policy {
+        admission: Admission::Off,
+        ..FIFO
+    };
+    let mut bench = Bench::open(policy, 1, 8, &[]);
+    let (id, actions) = bench.request("a");
+    let patience = actions.iter().find_map(|action| match action {
+        Action::AskTurn { patience, .. } => Some(*patience),
+        _ => None,
+    });
+    assert!(patience > Some(REMAINING), "{patience:?}");
+    let withdrawn = [Action::WithdrawTurn { target: av("a") }];
+    assert_eq!(bench.release(&id, true), withdrawn);
+}
