--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -184,9 +184,6 @@
     /// Whether it promises, for the lease time, to take over no worker of the
     /// sender.
     pub promise: bool,
-    /// Members named in a table that they had read, to whom the answering
-    /// instance promises nothing any more.
-    pub released: BTreeSet<InstanceId>,
 }
 
 /// What an old owner hands to the next one.
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -41,12 +41,12 @@
     pub incarnation: Incarnation,
     /// Rises with each change of owner.
     pub epoch: Epoch,
-    /// Owner before this one, and its run.
-    pub previous: Option<Previous>,
+    /// Owners before this one that it may still have to wait for.
+    pub previous: BTreeSet<Previous>,
 }
 
-/// The owner before the present one.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+/// An owner before the present one.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Previous {
     /// The instance.
     pub owner: InstanceId,
@@ -54,6 +54,18 @@
     pub incarnation: Incarnation,
 }
 
+impl Ownership {
+    /// This owner and those before it that it may not have waited for.
+    fn with_previous(&self) -> BTreeSet<Previous> {
+        let mut previous = self.previous.clone();
+        previous.insert(Previous {
+            owner: self.owner.clone(),
+            incarnation: self.incarnation,
+        });
+        previous
+    }
+}
+
 impl ZoneTable {
     /// The table after `id` joined, or took its place with a new run.
     ///
@@ -82,7 +94,8 @@
         next
     }
 
-    /// The table in which `id` owns `workers`.
+    /// The table in which `id` owns `workers`. An owner that did not finish its
+    /// own wait leaves its previous owners to the next one.
     #[must_use]
     pub fn claimed(
         &self,
@@ -94,10 +107,7 @@
         for worker in workers {
             let before = next.workers.get(worker);
             let epoch = before.map_or(1, |o| o.epoch + 1);
-            let previous = before.map(|o| Previous {
-                owner: o.owner.clone(),
-                incarnation: o.incarnation,
-            });
+            let previous = before.map(Ownership::with_previous).unwrap_or_default();
             let ownership = Ownership {
                 owner: id.clone(),
                 incarnation,
@@ -118,7 +128,7 @@
             .iter_mut()
             .filter(|(id, _)| workers.contains(*id))
         {
-            ownership.previous = None;
+            ownership.previous.clear();
         }
         next
     }
--- a/crates/core/tests/table.rs
+++ b/crates/core/tests/table.rs
@@ -18,20 +18,18 @@
     })
 }
 
-fn ownership(
-    owner: &str,
-    incarnation: u64,
-    epoch: u64,
-    previous: Option<(&str, u64)>,
-) -> Ownership {
+fn ownership(owner: &str, incarnation: u64, epoch: u64, previous: &[(&str, u64)]) -> Ownership {
     Ownership {
         owner: owner.into(),
         incarnation,
         epoch,
-        previous: previous.map(|(owner, incarnation)| Previous {
-            owner: owner.into(),
-            incarnation,
-        }),
+        previous: previous
+            .iter()
+            .map(|(owner, incarnation)| Previous {
+                owner: (*owner).into(),
+                incarnation: *incarnation,
+            })
+            .collect(),
     }
 }
 
@@ -50,12 +48,29 @@
 #[test]
 fn a_claim_raises_the_epoch_and_names_the_owner_before() {
     let first = members(&["a", "b"]).claimed(&"a".into(), 1, &set(&["w"]));
-    assert_eq!(first.workers["w"], ownership("a", 1, 1, None));
+    assert_eq!(first.workers["w"], ownership("a", 1, 1, &[]));
     let second = first.claimed(&"b".into(), 1, &set(&["w"]));
-    assert_eq!(second.workers["w"], ownership("b", 1, 2, Some(("a", 1))));
+    assert_eq!(second.workers["w"], ownership("b", 1, 2, &[("a", 1)]));
     let third = second.claimed(&"a".into(), 2, &set(&["w", "v"]));
-    assert_eq!(third.workers["w"], ownership("a", 2, 3, Some(("b", 1))));
-    assert_eq!(third.workers["v"], ownership("a", 2, 1, None));
+    assert_eq!(
+        third.workers["w"],
+        ownership("a", 2, 3, &[("a", 1), ("b", 1)])
+    );
+    assert_eq!(third.workers["v"], ownership("a", 2, 1, &[]));
+}
+
+#[test]
+fn only_a_settled_owner_leaves_no_previous_owners() {
+    let unsettled = members(&["a", "b", "c"])
+        .claimed(&"a".into(), 1, &set(&["v", "w"]))
+        .claimed(&"b".into(), 1, &set(&["v", "w"]));
+    let settled = unsettled.settled(&set(&["w"]));
+    let next = settled.claimed(&"c".into(), 1, &set(&["v", "w"]));
+    assert_eq!(next.workers["w"], ownership("c", 1, 3, &[("b", 1)]));
+    assert_eq!(
+        next.workers["v"],
+        ownership("c", 1, 3, &[("a", 1), ("b", 1)])
+    );
 }
 
 #[test]
--- a/crates/serve/src/control.rs
+++ b/crates/serve/src/control.rs
@@ -81,6 +81,13 @@
                 self.on_evicted(&worker, epoch, &target, eviction);
             }
             Event::Exchanged { peer, sent, answer } => self.on_exchanged(&peer, sent, answer),
+            Event::FenceRaised {
+                worker,
+                epoch,
+                raised,
+            } => {
+                self.on_fence_raised(&worker, epoch, raised);
+            }
             Event::Instances(result) => self.on_instances(result),
             Event::Intent {
                 worker,
--- a/crates/serve/src/control/command.rs
+++ b/crates/serve/src/control/command.rs
@@ -11,6 +11,7 @@
 use reedford_platform::{DocumentError, KvError, Listing, Swapped};
 use reedford_rules::RulesDocument;
 use reedford_wire::instances::InstanceList;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use tokio::sync::{mpsc, oneshot};
 
@@ -64,6 +65,11 @@
         sent: Now,
         answer: Option<SummaryAnswer>,
     },
+    FenceRaised {
+        worker: WorkerId,
+        epoch: Epoch,
+        raised: bool,
+    },
     Instances(Result<InstanceList, KvError>),
     Intent {
         worker: WorkerId,
@@ -114,11 +120,11 @@
     Unknown,
 }
 
-/// The eviction intent found when a worker was taken over.
+/// The eviction intents found when a worker was taken over.
 #[derive(Debug)]
 pub(crate) struct IntentTaken {
     pub(crate) revision: i64,
-    pub(crate) evicting: Option<AdapterVersion>,
+    pub(crate) evicting: BTreeSet<AdapterVersion>,
 }
 
 /// Why rules could not be read.
--- a/crates/serve/src/control/exchange.rs
+++ b/crates/serve/src/control/exchange.rs
@@ -36,12 +36,8 @@
     pub(super) fn on_exchanged(&mut self, peer: &Peer, sent: Now, answer: Option<SummaryAnswer>) {
         self.timers.exchanging.remove(&peer.instance);
         let Some(answer) = answer else {
-            self.membership.released.remove(&peer.instance);
             return;
         };
-        self.membership
-            .released
-            .insert(peer.instance.clone(), answer.released);
         if answer.promise {
             self.membership
                 .lease
@@ -53,16 +49,15 @@
         let now = self.clock.now();
         let same_zone = summary.zone == self.me.zone;
         let times = self.membership.times;
-        let promise = same_zone
-            && self
-                .membership
-                .promises
-                .give(&summary.instance, now, &times);
-        let released = self.released_members(now);
+        // Whoever has not read our claim of its workers may go on by promises,
+        // so it gets none from us.
+        let knows = self.membership.claimed_from.get(&summary.instance);
+        let knows_all = knows.is_none_or(|claim| summary.table >= *claim);
+        let promises = &mut self.membership.promises;
+        let promise = same_zone && knows_all && promises.give(&summary.instance, now, &times);
         let said = SummaryAnswer {
             incarnation: self.me.incarnation,
             promise,
-            released,
         };
         answer(reply, said);
         self.take_summary(summary, now);
@@ -135,7 +130,9 @@
         if !newest {
             return;
         }
-        if summary.revision > self.revision() {
+        // The first revision comes from the store: a peer may not yet have one
+        // that an earlier run of this instance had put in force.
+        if self.rules.is_some() && summary.revision > self.revision() {
             self.fetch_rules(summary.peers);
         }
         let heard = Heard { at: now, summary };
--- a/crates/serve/src/control/orders.rs
+++ b/crates/serve/src/control/orders.rs
@@ -8,7 +8,7 @@
 use reedford_core::lease::LeaseState;
 use reedford_core::scheduler::LoadFault;
 use reedford_core::{AdapterVersion, Epoch, Now, WorkerId};
-use reedford_platform::{KeyValue as _, Swapped};
+use reedford_platform::{Entry, KeyValue as _, Swapped};
 use reedford_targets::OrderError;
 use reedford_wire::engine::{LoadOrder, RefusalCode};
 use serde::{Deserialize, Serialize};
@@ -17,6 +17,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Times that an intent is written, when the answer to an earlier write was
+/// lost.
+const INTENT_TRIES: u32 = 2;
 /// Longest time that a load may take.
 const LOAD_LIMIT: Duration = Duration::from_secs(10);
 
@@ -26,7 +29,41 @@
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 struct IntentRecord {
     epoch: Epoch,
-    evicting: Option<AdapterVersion>,
+    evicting: BTreeSet<AdapterVersion>,
+}
+
+/// The record of a worker as its owner knows it. It names every eviction whose
+/// order may still take effect.
+#[derive(Debug)]
+pub(super) struct IntentLog {
+    /// Revision of the record in the store.
+    revision: i64,
+    /// Evictions of this owner that may still take effect.
+    own: BTreeSet<AdapterVersion>,
+    /// Evictions of old owners, kept until then.
+    inherited: BTreeSet<AdapterVersion>,
+    inherited_until: Now,
+}
+
+impl IntentLog {
+    pub(super) fn new(taken: &IntentTaken, inherited_until: Now) -> Self {
+        Self {
+            revision: taken.revision,
+            own: BTreeSet::new(),
+            inherited: taken.evicting.clone(),
+            inherited_until,
+        }
+    }
+
+    /// The record that adds an eviction of `target`.
+    fn with(&self, target: &AdapterVersion, epoch: Epoch, now: Now) -> IntentRecord {
+        let mut evicting = self.own.clone();
+        evicting.insert(target.clone());
+        if now < self.inherited_until {
+            evicting.extend(self.inherited.iter().cloned());
+        }
+        IntentRecord { epoch, evicting }
+    }
 }
 
 /// All that an eviction needs.
@@ -125,6 +162,20 @@
         });
     }
 
+    /// Makes an engine refuse late orders of old owners.
+    pub(super) fn raise_fence(&mut self, worker: &WorkerId, address: SocketAddr, epoch: Epoch) {
+        let clients = Arc::clone(&self.clients);
+        let worker = worker.clone();
+        self.tasks.spawn(async move {
+            let raised = raise_fence(&clients, address, epoch).await;
+            Event::FenceRaised {
+                worker,
+                epoch,
+                raised,
+            }
+        });
+    }
+
     fn start_eviction(&mut self, worker: &WorkerId, evict: AdapterVersion, load: AdapterVersion) {
         let address = self.instances.get(worker).map(|i| i.address);
         let proved_until = self.membership.lease.proved_until().unwrap_or_default();
@@ -195,8 +246,17 @@
         }
         // Writing the intent took time: the lease has to be proved still.
         if self.clock.now() >= self.proved_until {
+            self.settle_intent().await;
             return Eviction::Kept;
         }
+        let eviction = self.unload().await;
+        if eviction != Eviction::Unknown {
+            self.settle_intent().await;
+        }
+        eviction
+    }
+
+    async fn unload(&self) -> Eviction {
         let order = load_order(&self.target, self.epoch);
         match self.clients.targets.unload(self.address, &order).await {
             Ok(_) => Eviction::Gone,
@@ -211,35 +271,40 @@
     async fn write_intent(&self) -> bool {
         let known = match &self.fence {
             Fence::Checked => return true,
-            Fence::IntentUnknown => return false,
+            Fence::IntentUnknown | Fence::Unraised => return false,
             Fence::Intent(known) => known,
         };
-        let record = IntentRecord {
-            epoch: self.epoch,
-            evicting: Some(self.target.clone()),
-        };
-        let Ok(value) = serde_json::to_vec(&record) else {
-            return false;
-        };
-        let mut revision = known.lock().await;
-        let swapped = self
-            .clients
-            .kv
-            .swap(&self.intent_key, *revision, value.clone())
-            .await;
-        match swapped {
-            Ok(Swapped::Done { revision: new }) => {
-                *revision = new;
-                true
+        let mut log = known.lock().await;
+        for _ in 0..INTENT_TRIES {
+            let record = log.with(&self.target, self.epoch, self.clock.now());
+            match swap_intent(&self.clients, &self.intent_key, log.revision, &record).await {
+                Some(Swapped::Done { revision }) => {
+                    log.revision = revision;
+                    log.own.insert(self.target.clone());
+                    return true;
+                }
+                // Only this owner writes under its epoch: the answer to an
+                // earlier write of ours was lost.
+                Some(Swapped::Lost {
+                    current: Some(current),
+                }) if self.is_own(&current) => {
+                    log.revision = current.revision;
+                }
+                Some(Swapped::Lost { .. }) | None => return false,
             }
-            Ok(Swapped::Lost {
-                current: Some(current),
-            }) if current.value == value => {
-                // The answer to an earlier, identical write was lost.
-                *revision = current.revision;
-                true
-            }
-            Ok(Swapped::Lost { .. }) | Err(_) => false,
+        }
+        false
+    }
+
+    fn is_own(&self, entry: &Entry) -> bool {
+        let record: Result<IntentRecord, _> = serde_json::from_slice(&entry.value);
+        record.is_ok_and(|record| record.epoch == self.epoch)
+    }
+
+    /// Takes an eviction that can no longer take effect out of the next record.
+    async fn settle_intent(&self) {
+        if let Fence::Intent(log) = &self.fence {
+            log.lock().await.own.remove(&self.target);
         }
     }
 }
@@ -250,19 +315,49 @@
         Some(entry) => (entry.revision, serde_json::from_slice(&entry.value).ok()?),
         None => (0, IntentRecord::default()),
     };
-    // Taking an intent twice must not forget it: it is kept in the new record.
-    let evicting = record.evicting;
-    let value = serde_json::to_vec(&IntentRecord {
+    // Taking the record twice must not forget what it names.
+    let record = IntentRecord {
         epoch,
-        evicting: evicting.clone(),
-    })
-    .ok()?;
-    match clients.kv.swap(key, known, value).await {
-        Ok(Swapped::Done { revision }) => Some(IntentTaken { revision, evicting }),
-        Ok(Swapped::Lost { .. }) | Err(_) => None,
+        evicting: record.evicting,
+    };
+    match swap_intent(clients, key, known, &record).await? {
+        Swapped::Done { revision } => Some(IntentTaken {
+            revision,
+            evicting: record.evicting,
+        }),
+        Swapped::Lost { .. } => None,
     }
 }
 
+async fn swap_intent(
+    clients: &Clients,
+    key: &str,
+    expected: i64,
+    record: &IntentRecord,
+) -> Option<Swapped> {
+    let value = serde_json::to_vec(record).ok()?;
+    clients.kv.swap(key, expected, value).await.ok()
+}
+
+/// Makes an engine that checks fencing numbers see `epoch`, by an order to load
+/// what it holds already. An order of an old owner that comes later is refused.
+/// An engine that holds nothing has nothing that a late order could evict.
+async fn raise_fence(clients: &Clients, address: SocketAddr, epoch: Epoch) -> bool {
+    let Ok(listing) = clients.targets.listing(address).await else {
+        return false;
+    };
+    let Some(slot) = listing.adapters.iter().find(|slot| !slot.loading) else {
+        return listing.adapters.is_empty();
+    };
+    let target = AdapterVersion::new(&slot.adapter, &slot.version);
+    let order = load_order(&target, epoch);
+    clients
+        .targets
+        .load(address, &order, LOAD_LIMIT)
+        .await
+        .is_ok()
+}
+
 fn refused_eviction(code: RefusalCode) -> Eviction {
     match code {
         RefusalCode::AdapterNotLoaded => Eviction::Gone,
--- a/crates/serve/src/control/ownership.rs
+++ b/crates/serve/src/control/ownership.rs
@@ -3,7 +3,7 @@
 use super::command::Event;
 use super::state::{Control, PendingSwap};
 use reedford_core::messages::Handover;
-use reedford_core::table::{Ownership, ZoneTable};
+use reedford_core::table::{Ownership, Previous, ZoneTable};
 use reedford_core::{Epoch, InstanceId, Now, WorkerId, ZoneId};
 use reedford_platform::{Entry, KeyValue as _, KvError, Listing, Swapped};
 use reedford_settings::ms;
@@ -14,6 +14,13 @@
 /// Where the tables of all zones are kept.
 const TABLES_PREFIX: &str = "reedford/zones/";
 
+/// How long a claimant waits for an old owner.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+struct Wait {
+    evict: Duration,
+    open: Duration,
+}
+
 /// From when on a claimed worker may be used.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 struct Opening {
@@ -132,16 +139,6 @@
         });
     }
 
-    /// Members to whom this instance promises nothing any more and whose last
-    /// read table named it: their promises can't be unanimous.
-    pub(super) fn released_members(&self, now: Now) -> BTreeSet<InstanceId> {
-        let members = self.membership.table.members.keys();
-        members
-            .filter(|id| self.membership.promises.free(id, now) && self.knew_me(id))
-            .cloned()
-            .collect()
-    }
-
     fn take_table(&mut self, entry: &Entry) {
         let Some(zone) = entry.key.strip_prefix(TABLES_PREFIX) else {
             return;
@@ -241,59 +238,57 @@
     /// The old owner proves its ownership for the lease time, either by a read
     /// that was ordered before our swap, or by promises of all members of the
     /// table that it last read. We claim only after our own promise to it has
-    /// ended. If that table named us, or names another member that has
-    /// stopped promising, its promises are not unanimous and the lease time is
-    /// all there is to wait for. Otherwise it may go on by promises for as
-    /// long as they may stand in for reads, and we wait for that.
+    /// ended, and give none until it has read our claim. If that table named
+    /// us, its promises are not unanimous and the lease time is all there is to
+    /// wait for. Otherwise it may go on by promises for as long as they may
+    /// stand in for reads, and we wait for that.
     fn opening(&self, worker: &WorkerId, now: Now) -> Opening {
+        let ownership = self.membership.table.workers.get(worker);
+        let previous = ownership.into_iter().flat_map(|o| &o.previous);
+        let waits = previous.map(|previous| self.wait_for(previous));
+        let wait = waits.max().unwrap_or_default();
+        Opening {
+            open_from: now + wait.open,
+            evict_from: now + wait.evict,
+        }
+    }
+
+    /// How long to wait for an old owner.
+    ///
+    /// A member's process has ended when the table no longer names its run: it
+    /// left by itself, or its name joined with a new run.
+    fn wait_for(&self, previous: &Previous) -> Wait {
         let times = &self.membership.times;
-        let previous = self
-            .membership
-            .table
-            .workers
-            .get(worker)
-            .and_then(|o| o.previous.as_ref());
-        let Some(previous) = previous else {
-            return Opening {
-                open_from: now,
-                evict_from: now,
-            };
-        };
         if !self
             .membership
             .table
             .has_member(&previous.owner, previous.incarnation)
         {
-            return Opening {
-                open_from: now,
-                evict_from: now + times.dispatch,
+            return Wait {
+                open: Duration::ZERO,
+                evict: times.dispatch,
             };
         }
-        if !self.is_vouched(&previous.owner) {
-            let from = now + times.joiner_wait();
-            return Opening {
-                open_from: from,
-                evict_from: from,
+        if self.knew(&previous.owner, &self.me.instance) {
+            return Wait {
+                open: times.claim_wait(),
+                evict: times.evict_wait(),
             };
         }
-        Opening {
-            open_from: now + times.claim_wait(),
-            evict_from: now + times.evict_wait(),
+        Wait {
+            open: times.joiner_wait(),
+            evict: times.joiner_wait(),
         }
     }
 
-    fn is_vouched(&self, old: &InstanceId) -> bool {
-        let others = self.membership.released.values();
-        self.knew_me(old) || others.into_iter().any(|released| released.contains(old))
-    }
-
-    /// Whether `id` had read a table that names this instance.
-    fn knew_me(&self, id: &InstanceId) -> bool {
-        let Some(me) = self.membership.table.members.get(&self.me.instance) else {
+    /// Whether `id`, when it was last heard of, had read a table that names
+    /// `member`: then it can't go on by promises without that member's.
+    fn knew(&self, id: &InstanceId, member: &InstanceId) -> bool {
+        let Some(member) = self.membership.table.members.get(member) else {
             return false;
         };
         let heard = self.membership.heard.get(id);
-        heard.is_some_and(|h| h.summary.table >= me.joined)
+        heard.is_some_and(|h| h.summary.table >= member.joined)
     }
 
     /// Joins the table, or claims what this instance should own, or hands over
@@ -322,6 +317,7 @@
                 .membership
                 .table
                 .claimed(&me.instance, me.incarnation, &claims);
+            self.note_claims(&claims, claimed.sequence);
             let claimed = self.without_failed(claimed, now);
             self.swap_table(&claimed, Vec::new());
             return;
@@ -353,14 +349,57 @@
         // otherwise keep a failed member in the table for ever.
         let known = self.membership.table.workers.keys();
         let workers: BTreeSet<&WorkerId> = listed.map(|i| &i.id).chain(known).collect();
-        let own = workers.into_iter().filter(|id| {
-            self.membership.table.home(id, &alive).as_ref() == Some(&self.me.instance)
-        });
+        let own = workers
+            .into_iter()
+            .filter(|id| self.is_claimant(id, &alive));
         own.filter(|id| self.may_claim(id, &alive, now))
             .cloned()
             .collect()
     }
 
+    /// Whether this instance is the one that claims a worker: its home among
+    /// the members that the old owner knew, because they need not wait long.
+    /// When none of those is left it is the home among the others, but only
+    /// once this instance would itself have heard of the old owner.
+    fn is_claimant(&self, worker: &WorkerId, alive: &BTreeSet<InstanceId>) -> bool {
+        let table = &self.membership.table;
+        let owner = table.workers.get(worker).map(|o| &o.owner);
+        let owner = owner.filter(|_| table.owner_is_member(worker));
+        let known = owner.map(|owner| alive.iter().filter(|id| self.knew(owner, id)));
+        let known: BTreeSet<InstanceId> = known.into_iter().flatten().cloned().collect();
+        let candidates = if known.is_empty() {
+            self.oldest(alive)
+        } else {
+            known
+        };
+        let candidates = if owner.is_none() { alive } else { &candidates };
+        table.home(worker, candidates).as_ref() == Some(&self.me.instance)
+    }
+
+    /// The members that joined first: of all that did not know an old owner,
+    /// they are the likeliest to have heard of it.
+    fn oldest(&self, alive: &BTreeSet<InstanceId>) -> BTreeSet<InstanceId> {
+        let members = &self.membership.table.members;
+        let joined = |id: &InstanceId| members.get(id).map(|m| m.joined);
+        let first = alive.iter().filter_map(joined).min();
+        alive
+            .iter()
+            .filter(|id| joined(id) == first)
+            .cloned()
+            .collect()
+    }
+
+    /// Notes from whom workers are claimed: they get no promise until they
+    /// have read the claim.
+    fn note_claims(&mut self, claims: &BTreeSet<WorkerId>, sequence: u64) {
+        let workers = &self.membership.table.workers;
+        for ownership in claims.iter().filter_map(|id| workers.get(id)) {
+            self.membership
+                .claimed_from
+                .insert(ownership.owner.clone(), sequence);
+        }
+    }
+
     /// Own workers whose old owner no longer matters: everything that it may
     /// still have done has been waited for.
     fn settled_workers(&self, now: Now) -> BTreeSet<WorkerId> {
@@ -408,8 +447,8 @@
     /// A claimant tells from the member list whether the old owner's process
     /// has ended, so an old owner stays listed while it is named as one.
     fn is_previous_owner(&self, table: &ZoneTable, id: &InstanceId) -> bool {
-        let previous = table.workers.values().filter_map(|o| o.previous.as_ref());
-        previous.into_iter().any(|p| p.owner == *id)
+        let mut previous = table.workers.values().flat_map(|o| &o.previous);
+        previous.any(|p| p.owner == *id)
     }
 
     /// Hands one worker over whose home is another live member.
--- a/crates/serve/src/control/state.rs
+++ b/crates/serve/src/control/state.rs
@@ -1,6 +1,7 @@
 //! The control thread's state.
 
 use super::command::Event;
+use super::orders::IntentLog;
 use crate::clients::Clients;
 use crate::clock::Clock;
 use crate::metrics::Metrics;
@@ -84,8 +85,9 @@
     pub(super) lease: Lease,
     pub(super) promises: Promises,
     pub(super) heard: BTreeMap<InstanceId, Heard>,
-    /// What each member said about whom it promises nothing any more.
-    pub(super) released: BTreeMap<InstanceId, BTreeSet<InstanceId>>,
+    /// Sequence of the table by which this instance last claimed workers of a
+    /// member.
+    pub(super) claimed_from: BTreeMap<InstanceId, u64>,
     /// When this instance first saw itself in the table.
     pub(super) joined_at: Option<Now>,
     pub(super) swap: Option<PendingSwap>,
@@ -122,13 +124,16 @@
 /// How the engine is protected from orders of an old owner.
 #[derive(Clone, Debug)]
 pub(super) enum Fence {
-    /// The engine refuses old fencing numbers.
+    /// The engine refuses old fencing numbers, and has seen this owner's.
     Checked,
+    /// The engine refuses old fencing numbers, but an order of an old owner
+    /// that comes late would still be the newest that it has seen.
+    Unraised,
     /// The engine ignores them; the intents of old owners are not yet known.
     IntentUnknown,
     /// The engine ignores them; evictions are written down before they are
-    /// ordered, by a swap from this revision.
-    Intent(Arc<tokio::sync::Mutex<i64>>),
+    /// ordered.
+    Intent(Arc<tokio::sync::Mutex<IntentLog>>),
 }
 
 /// A request for a permit that is not yet answered.
@@ -233,7 +238,7 @@
                 lease: Lease::new(times),
                 promises: Promises::default(),
                 heard: BTreeMap::new(),
-                released: BTreeMap::new(),
+                claimed_from: BTreeMap::new(),
                 joined_at: None,
                 swap: None,
                 swap_ended: Duration::ZERO,
--- a/crates/serve/src/control/workers.rs
+++ b/crates/serve/src/control/workers.rs
@@ -1,6 +1,7 @@
 //! Driving the schedulers of the workers that this instance owns.
 
 use super::command::{Event, IntentTaken};
+use super::orders::IntentLog;
 use super::state::{Control, Fence, Owned, Poll, Reply, answer};
 use reedford_core::messages::{
     PermitAnswer, PermitReason, PermitRefusal, PermitRequest, Release, TurnRequest,
@@ -9,7 +10,7 @@
 use reedford_core::{AdapterVersion, Epoch, Now, PermitId, WorkerId};
 use reedford_wire::engine::Listing;
 use reedford_wire::instances::Instance;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -37,7 +38,7 @@
             return false;
         };
         let fence = if instance.checks_fence {
-            Fence::Checked
+            Fence::Unraised
         } else {
             Fence::IntentUnknown
         };
@@ -158,9 +159,20 @@
             return;
         };
         owned.listing.due = now;
-        owned.fence = Fence::Intent(Arc::new(tokio::sync::Mutex::new(taken.revision)));
-        if let Some(target) = taken.evicting {
-            owned.scheduler.bar(BTreeSet::from([target]), bar_until);
+        let log = IntentLog::new(&taken, bar_until);
+        owned.fence = Fence::Intent(Arc::new(tokio::sync::Mutex::new(log)));
+        owned.scheduler.bar(taken.evicting, bar_until);
+    }
+
+    pub(super) fn on_fence_raised(&mut self, worker: &WorkerId, epoch: Epoch, raised: bool) {
+        let now = self.clock.now();
+        let Some(owned) = owned_at(&mut self.workers, worker, epoch) else {
+            return;
+        };
+        owned.listing.pending = false;
+        if raised {
+            owned.fence = Fence::Checked;
+            owned.listing.due = now;
         }
     }
 
@@ -259,9 +271,10 @@
             return;
         };
         let epoch = owned.scheduler.epoch();
-        if matches!(owned.fence, Fence::IntentUnknown) {
-            self.take_intent(worker, epoch);
-            return;
+        match owned.fence {
+            Fence::Checked | Fence::Intent(_) => {}
+            Fence::IntentUnknown => return self.take_intent(worker, epoch),
+            Fence::Unraised => return self.raise_fence(worker, address, epoch),
         }
         let targets = Arc::clone(&self.clients.targets);
         let worker = worker.clone();
--- a/crates/serve/src/peer/server.rs
+++ b/crates/serve/src/peer/server.rs
@@ -11,7 +11,6 @@
     SummaryAnswer, TurnAnswer, TurnRequest,
 };
 use reedford_core::{AdapterVersion, WorkerId};
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tarpc::context::Context;
@@ -118,7 +117,6 @@
         answer.unwrap_or(SummaryAnswer {
             incarnation: self.incarnation,
             promise: false,
-            released: BTreeSet::new(),
         })
     }
 
--- a/crates/standins/src/slopes/stored.rs
+++ b/crates/standins/src/slopes/stored.rs
@@ -98,10 +98,11 @@
             owner: fleet::instance(owner),
             incarnation: incarnation(owner),
             epoch: 1_234,
-            previous: Some(Previous {
+            previous: [Previous {
                 owner: fleet::instance(before),
                 incarnation: incarnation(before),
-            }),
+            }]
+            .into(),
         };
         (fleet::worker(number), ownership)
     });
