Messages: a refusal's constructor names the least wait

The floor of 100 ms was the scheduler's own; the places of the entry instance that refuse without a scheduler name a wait of zero and can now use the same constructor.

--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -9,6 +9,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// Least wait named in a refusal.
+const LEAST_RETRY_AFTER: Duration = Duration::from_millis(100);
+
 /// Asks the owner of a worker for leave to send one request to it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PermitRequest {
@@ -49,6 +52,18 @@
     pub retry_after: Duration,
 }
 
+impl PermitRefusal {
+    /// A refusal that names `wait`, but never less than 100 ms: those who are
+    /// refused must not come back at once.
+    #[must_use]
+    pub fn new(reason: PermitReason, wait: Duration) -> Self {
+        Self {
+            reason,
+            retry_after: wait.max(LEAST_RETRY_AFTER),
+        }
+    }
+}
+
 /// Reasons of a [`PermitRefusal`].
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum PermitReason {
--- a/crates/core/src/scheduler/admission.rs
+++ b/crates/core/src/scheduler/admission.rs
@@ -15,26 +15,24 @@
 pub(super) const LOAD_TIME: Duration = Duration::from_millis(250);
 /// Expected wait for a load that should have ended.
 const LEAST_LOAD_WAIT: Duration = Duration::from_millis(50);
-/// Least wait named in a refusal.
-const LEAST_RETRY_AFTER: Duration = Duration::from_millis(100);
 
 impl Scheduler {
     /// Why a request can't wait here, if it can't.
     pub(super) fn refusal(&self, req: &PermitRequest, cx: &Cx<'_>) -> Option<PermitRefusal> {
         if let Some(reason) = self.closed(&req.target, cx) {
-            return Some(refuse(reason, Duration::ZERO));
+            return Some(PermitRefusal::new(reason, Duration::ZERO));
         }
         if let Some(left) = self.backoff_left(&req.target, cx.now) {
-            return Some(refuse(PermitReason::LoadFailed, left));
+            return Some(PermitRefusal::new(PermitReason::LoadFailed, left));
         }
         let wait = self.expected_wait(&req.target, req.class, cx);
         if wait > req.patience {
-            return Some(refuse(PermitReason::Busy, wait));
+            return Some(PermitRefusal::new(PermitReason::Busy, wait));
         }
         let expected = req.expected.unwrap_or_else(|| self.hold(req.class));
         let late = wait + expected >= req.remaining;
         let admission = self.policy.admission == Admission::On;
-        (late && admission).then(|| refuse(PermitReason::DeadlineUnreachable, wait))
+        (late && admission).then(|| PermitRefusal::new(PermitReason::DeadlineUnreachable, wait))
     }
 
     /// Gives up requests that can no longer end in time.
@@ -48,7 +46,7 @@
         for id in late {
             if let Some(waiting) = self.waiting.remove(&id) {
                 let wait = self.expected_wait(&waiting.target, waiting.class, cx);
-                let refusal = refuse(PermitReason::DeadlineUnreachable, wait);
+                let refusal = PermitRefusal::new(PermitReason::DeadlineUnreachable, wait);
                 self.actions.push(Action::Refuse { id, refusal });
             }
         }
@@ -138,14 +136,6 @@
     }
 }
 
-/// A refusal that names a wait of at least [`LEAST_RETRY_AFTER`].
-pub(super) fn refuse(reason: PermitReason, wait: Duration) -> PermitRefusal {
-    PermitRefusal {
-        reason,
-        retry_after: wait.max(LEAST_RETRY_AFTER),
-    }
-}
-
 /// Time until a load is expected to end that may be late by now.
 fn wait_until(end: Now, now: Now) -> Duration {
     end.saturating_sub(now).max(LEAST_LOAD_WAIT)
--- a/crates/core/src/scheduler/loads.rs
+++ b/crates/core/src/scheduler/loads.rs
@@ -1,12 +1,12 @@
 //! Which adapter versions the worker asks to load, and what it evicts.
 
-use super::admission::{LOAD_TIME, refuse};
+use super::admission::LOAD_TIME;
 use super::state::{Backoff, Order, OrderKind, Resident, Scheduler, TurnAsk, Waiting};
 use super::{Action, Cx};
 use crate::frequency::Frequency;
 use crate::ids::{AdapterVersion, Now, PermitId};
 use crate::lease::LeaseState;
-use crate::messages::{NO_SLOT, PermitReason};
+use crate::messages::{NO_SLOT, PermitReason, PermitRefusal};
 use reedford_rules::{Admission, Class, Eviction, LoadOrdering, Objective};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -141,7 +141,10 @@
             .collect();
         for id in late {
             self.waiting.remove(&id);
-            self.refuse(id, refuse(PermitReason::DeadlineUnreachable, wait));
+            self.refuse(
+                id,
+                PermitRefusal::new(PermitReason::DeadlineUnreachable, wait),
+            );
         }
     }
 
@@ -248,7 +251,7 @@
                 until: now + pause,
             },
         );
-        self.refuse_waiting(target, refuse(PermitReason::LoadFailed, pause));
+        self.refuse_waiting(target, PermitRefusal::new(PermitReason::LoadFailed, pause));
     }
 
     pub(super) fn forget_failures(&mut self, now: Now) {
--- a/crates/core/src/scheduler/permits.rs
+++ b/crates/core/src/scheduler/permits.rs
@@ -1,6 +1,5 @@
 //! Permits: requests for them, grants, releases and refusals.
 
-use super::admission::refuse;
 use super::state::{Permit, Scheduler, Waiting};
 use super::{Action, Cx};
 use crate::ids::{AdapterVersion, Now, PermitId};
@@ -48,7 +47,7 @@
     /// Refuses everything that waits.
     pub fn refuse_all(&mut self, reason: PermitReason) {
         for (id, _) in std::mem::take(&mut self.waiting) {
-            self.refuse(id, refuse(reason, Duration::ZERO));
+            self.refuse(id, PermitRefusal::new(reason, Duration::ZERO));
         }
         self.withdraw_unwanted();
     }
@@ -58,7 +57,10 @@
         let targets = self.waiting_by_target().into_keys();
         let missing: Vec<AdapterVersion> = targets.filter(|t| !self.is_resident(t)).collect();
         for target in missing {
-            self.refuse_waiting(&target, refuse(PermitReason::NotOwner, Duration::ZERO));
+            self.refuse_waiting(
+                &target,
+                PermitRefusal::new(PermitReason::NotOwner, Duration::ZERO),
+            );
         }
         self.withdraw_unwanted();
     }
--- a/crates/core/src/scheduler/takeover.rs
+++ b/crates/core/src/scheduler/takeover.rs
@@ -1,9 +1,8 @@
 //! What passes from one owner of a worker to the next.
 
-use super::admission::refuse;
 use super::state::{Permit, Scheduler};
 use crate::ids::{AdapterVersion, Now, WorkerId};
-use crate::messages::{HandedBar, HandedPermit, Handover, PermitReason};
+use crate::messages::{HandedBar, HandedPermit, Handover, PermitReason, PermitRefusal};
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -68,7 +67,10 @@
     /// whose end is unknown could hit them at any time before.
     pub fn bar(&mut self, targets: BTreeSet<AdapterVersion>, until: Now) {
         for target in targets {
-            self.refuse_waiting(&target, refuse(PermitReason::NotOwner, Duration::ZERO));
+            self.refuse_waiting(
+                &target,
+                PermitRefusal::new(PermitReason::NotOwner, Duration::ZERO),
+            );
             let bar = self.barred.entry(target).or_insert(until);
             *bar = until.max(*bar);
         }
