--- a/crates/serve/src/control.rs
+++ b/crates/serve/src/control.rs
@@ -6,6 +6,7 @@
 //! state, so that a decision and the check of the lease that it rests on are
 //! never interleaved with anything else.
 
+mod claiming;
 mod command;
 mod exchange;
 mod instances;
--- a/crates/serve/src/control/exchange.rs
+++ b/crates/serve/src/control/exchange.rs
@@ -13,6 +13,9 @@
 /// Least time between two summaries, the later of which tells a change.
 const EARLY_EXCHANGE: Duration = Duration::from_millis(100);
 
+/// How long an instance is remembered that no table names.
+const REMEMBERED: Duration = Duration::from_secs(600);
+
 impl Control {
     /// Sends a summary to every peer, at intervals, and soon after a change of
     /// what is resident.
@@ -81,6 +84,26 @@
         });
     }
 
+    /// Forgets instances that were last heard of long ago, and what concerns
+    /// members that have left.
+    pub(super) fn forget_members(&mut self, now: Now) {
+        let membership = &mut self.membership;
+        let members = &membership.table.members;
+        membership
+            .heard
+            .retain(|id, h| members.contains_key(id) || h.at + REMEMBERED > now);
+        membership
+            .claimed_from
+            .retain(|id, _| members.contains_key(id));
+        let workers = &membership.table.workers;
+        let current = |h: &Handover| {
+            workers
+                .get(&h.worker)
+                .is_none_or(|o| o.epoch <= h.epoch + 1)
+        };
+        self.handovers.retain(|_, handover| current(handover));
+    }
+
     /// Peers of all zones, by the tables last read and by what was heard.
     pub(super) fn peers(&self) -> BTreeMap<InstanceId, Peer> {
         let own = self.membership.table.members.iter();
--- a/crates/serve/src/control/workers.rs
+++ b/crates/serve/src/control/workers.rs
@@ -184,6 +184,7 @@
         if decision.now >= self.timers.prune {
             self.timers.prune = decision.now + PRUNE_INTERVAL;
             self.frequency.prune(decision.now);
+            self.forget_members(decision.now);
         }
     }
 
--- a/crates/serve/src/traffic.rs
+++ b/crates/serve/src/traffic.rs
@@ -9,6 +9,7 @@
 mod chat;
 mod check;
 mod claims;
+mod ends;
 mod pace;
 mod permits;
 mod plain;
--- a/crates/serve/src/traffic/chat.rs
+++ b/crates/serve/src/traffic/chat.rs
@@ -3,8 +3,8 @@
 use super::attempts::{Answered, run};
 use super::check::{Job, check_chat};
 use super::claims::{Claim, Claimed, claim};
+use super::ends::{enter, finish};
 use super::permits::Permit;
-use super::refusals::not_run;
 use super::relay::{CALLER_QUEUE, Relay, recorded};
 use super::{Running, Traffic};
 use crate::metrics::class_name;
@@ -12,16 +12,13 @@
 use bytes::Bytes;
 use hyper::StatusCode;
 use reedford_core::claims::RecordedAnswer;
-use reedford_front::{Answer, AnswerMeta, ChatCall, Outcome, Refused, RefusedCode};
+use reedford_front::{Answer, AnswerMeta, ChatCall, Outcome, Refused};
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::sync::mpsc;
 use tracing::Instrument as _;
 
 /// Content type of whole answers.
 const JSON: &str = "application/json";
-/// When to come back to an instance that holds as many requests as it may.
-const FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Handles a call. A call that may run only once goes on when its caller goes
 /// away, so that its outcome is recorded.
@@ -30,26 +27,8 @@
     let model = format!("{}@{}", call.adapter, call.version);
     let traceparent = call.options.traceparent.as_deref();
     let span = spans::request(&model, call.options.class, traceparent);
-    let answer = match serve(traffic, call).instrument(span.clone()).await {
-        Ok(answer) => answer,
-        Err(refused) => Answer::Refused(refused),
-    };
-    let outcome = outcome_name(&answer);
-    spans::request_ended(&span, &answer, outcome);
-    traffic.metrics.outcome(class, outcome);
-    answer
-}
-
-/// Name of an outcome in metrics.
-pub(super) fn outcome_name(answer: &Answer) -> &'static str {
-    match answer {
-        Answer::Whole { .. } | Answer::Stream { .. } => "done",
-        Answer::Refused(refused) => match refused.outcome {
-            Outcome::NotRun => "not_run",
-            Outcome::Unknown => "unknown",
-            Outcome::BadRequest => "bad_request",
-        },
-    }
+    let answer = serve(traffic, call).instrument(span.clone()).await;
+    finish(traffic, class, &span, answer)
 }
 
 async fn serve(traffic: &Arc<Traffic>, call: ChatCall) -> Result<Answer, Refused> {
@@ -63,21 +42,6 @@
     joined.unwrap_or_else(|e| panic!("a request's task failed: {e}"))
 }
 
-/// Counts the request.
-///
-/// # Errors
-/// When the instance holds as many as it may.
-pub(super) fn enter(traffic: &Arc<Traffic>) -> Result<Running, Refused> {
-    let full = || {
-        not_run(
-            RefusedCode::Overloaded,
-            "this instance is full",
-            FULL_RETRY_AFTER,
-        )
-    };
-    traffic.enter().ok_or_else(full)
-}
-
 async fn once(
     traffic: Arc<Traffic>,
     job: Job,
--- a/crates/serve/src/traffic/plain.rs
+++ b/crates/serve/src/traffic/plain.rs
@@ -1,8 +1,9 @@
 //! Calls to plain services.
 
-use super::chat::{enter, outcome_name, replay};
+use super::chat::replay;
 use super::check::{admit, deadline, require_key, rules};
 use super::claims::{Claim, Claimed, claim};
+use super::ends::{enter, finish};
 use super::refusals::fault;
 use super::{Running, Traffic, lock};
 use crate::metrics::class_name;
@@ -42,14 +43,8 @@
     let class = class_name(call.options.class);
     let traceparent = call.options.traceparent.as_deref();
     let span = spans::request(&call.service, call.options.class, traceparent);
-    let answer = match serve(traffic, call).instrument(span.clone()).await {
-        Ok(answer) => answer,
-        Err(refused) => Answer::Refused(refused),
-    };
-    let outcome = outcome_name(&answer);
-    spans::request_ended(&span, &answer, outcome);
-    traffic.metrics.outcome(class, outcome);
-    answer
+    let answer = serve(traffic, call).instrument(span.clone()).await;
+    finish(traffic, class, &span, answer)
 }
 
 async fn serve(traffic: &Arc<Traffic>, call: PlainCall) -> Result<Answer, Refused> {
--- a/crates/serve/src/traffic/relay.rs
+++ b/crates/serve/src/traffic/relay.rs
@@ -116,9 +116,11 @@
     }
 
     async fn send(&mut self, item: CallerItem) -> Caller {
-        match self.tx.send(item).await {
-            Ok(()) => Caller::Listening,
-            Err(_) => Caller::Gone,
+        // A caller that stops reading counts as gone at its deadline.
+        let sending = self.tx.send(item);
+        match tokio::time::timeout(self.job.remaining(), sending).await {
+            Ok(Ok(())) => Caller::Listening,
+            Ok(Err(_)) | Err(_) => Caller::Gone,
         }
     }
 
