--- a/crates/core/src/frequency.rs
+++ b/crates/core/src/frequency.rs
@@ -30,9 +30,9 @@
         }
     }
 
-    /// Counts one request.
-    pub fn record(&mut self, adapter: &str, now: Now) {
-        let score = self.score(adapter, now) + 1.0;
+    /// Counts requests.
+    pub fn record(&mut self, adapter: &str, requests: u32, now: Now) {
+        let score = self.score(adapter, now) + f64::from(requests);
         self.counts.insert(adapter.into(), Count { score, at: now });
     }
 
--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -129,10 +129,22 @@
     pub stopping: bool,
     /// Workers that the sender owns.
     pub workers: Vec<WorkerSummary>,
+    /// Requests that the sender was asked permits for since its last summary,
+    /// the adapters asked for most.
+    pub recent: Vec<RecentRequests>,
     /// How long loads wait for their turn, when the sender orders them.
     pub load_outlook: Option<LoadOutlook>,
 }
 
+/// How often an adapter was asked for in a short time.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RecentRequests {
+    /// The adapter.
+    pub adapter: Box<str>,
+    /// Number of requests.
+    pub requests: u32,
+}
+
 /// Time that a load asked for now would wait for its turn, by the class of
 /// the request that waits for it.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
--- a/crates/core/tests/limits.rs
+++ b/crates/core/tests/limits.rs
@@ -116,9 +116,9 @@
 fn counts_halve_in_the_half_life_and_are_forgotten() {
     let mut frequency = Frequency::new(ms(10_000));
     for _ in 0..4 {
-        frequency.record("a", ms(0));
+        frequency.record("a", 1, ms(0));
     }
-    frequency.record("b", ms(0));
+    frequency.record("b", 1, ms(0));
     let score = |f: &Frequency, name: &str, now| (f.score(name, now) * 100.0).round() as u32;
     assert_eq!(score(&frequency, "a", ms(0)), 400);
     assert_eq!(score(&frequency, "a", ms(10_000)), 200);
@@ -126,7 +126,7 @@
     assert_eq!(score(&frequency, "c", ms(0)), 0);
     frequency.prune(ms(70_000));
     assert_eq!(frequency.len(), 1, "one below the limit is forgotten");
-    frequency.record("a", ms(80_000));
+    frequency.record("a", 1, ms(80_000));
     assert_eq!(score(&frequency, "a", ms(80_000)), 102);
     frequency.prune(ms(1_000_000));
     assert!(frequency.is_empty());
--- a/crates/core/tests/scheduler/loads.rs
+++ b/crates/core/tests/scheduler/loads.rs
@@ -124,7 +124,7 @@
         bench.advance(10);
         bench.load(name);
         for _ in 0..times {
-            bench.frequency.record(name, bench.now);
+            bench.frequency.record(name, 1, bench.now);
         }
     }
     bench.request("c");
--- a/crates/core/tests/scheduler/world.rs
+++ b/crates/core/tests/scheduler/world.rs
@@ -276,7 +276,7 @@
         let mut req = self.bench.permit(name);
         req.class = class;
         req.remaining = remaining;
-        self.bench.frequency.record(name, self.bench.now);
+        self.bench.frequency.record(name, 1, self.bench.now);
         let asked = Asked {
             req: req.clone(),
             deadline: self.bench.now + remaining,
--- a/crates/serve/src/control/exchange.rs
+++ b/crates/serve/src/control/exchange.rs
@@ -158,6 +158,11 @@
         if self.rules.is_some() && summary.revision > self.revision() {
             self.fetch_rules(summary.peers);
         }
+        // An adapter's requests move with it from owner to owner: each counts
+        // them all, so that it evicts by what all have seen.
+        for recent in &summary.recent {
+            self.frequency.record(&recent.adapter, recent.requests, now);
+        }
         let heard = Heard { at: now, summary };
         self.membership
             .heard
--- a/crates/serve/src/control/state.rs
+++ b/crates/serve/src/control/state.rs
@@ -62,6 +62,8 @@
     pub(super) membership: Membership,
     pub(super) workers: BTreeMap<WorkerId, Owned>,
     pub(super) frequency: Frequency,
+    /// Requests by adapter since the last summary.
+    pub(super) recent: BTreeMap<Box<str>, u32>,
     pub(super) broker: Broker,
     pub(super) replies: BTreeMap<PermitId, Reply>,
     pub(super) turn_replies: BTreeMap<LoadKey, oneshot::Sender<TurnAnswer>>,
@@ -246,6 +248,7 @@
             },
             workers: BTreeMap::new(),
             frequency: Frequency::new(FREQUENCY_HALF_LIFE),
+            recent: BTreeMap::new(),
             broker: Broker::new(cfg.zones.len(), LoadsRule::default(), clock.now()),
             cfg,
             replies: BTreeMap::new(),
--- a/crates/serve/src/control/view.rs
+++ b/crates/serve/src/control/view.rs
@@ -2,12 +2,15 @@
 
 use super::state::{Control, Owned};
 use reedford_core::lease::LeaseState;
-use reedford_core::messages::{Summary, WorkerSummary};
+use reedford_core::messages::{RecentRequests, Summary, WorkerSummary};
 use reedford_core::placement::{View, WorkerView};
 use reedford_core::{Now, WorkerId};
 use reedford_settings::ms;
 use std::sync::Arc;
 
+/// Adapters whose recent requests a summary tells.
+const RECENT_MOST: usize = 64;
+
 impl Control {
     /// Tells traffic which workers can be asked.
     pub(super) fn publish_view(&mut self) {
@@ -34,10 +37,22 @@
             revision: self.revision(),
             stopping: self.is_stopping(),
             workers: self.worker_summaries(now),
+            recent: self.take_recent(),
             load_outlook: self.own_load_outlook(),
         }
     }
 
+    /// The adapters asked for most since the last call.
+    fn take_recent(&mut self) -> Vec<RecentRequests> {
+        let recent = std::mem::take(&mut self.recent).into_iter();
+        let mut recent: Vec<RecentRequests> = recent
+            .map(|(adapter, requests)| RecentRequests { adapter, requests })
+            .collect();
+        recent.sort_by_key(|r| std::cmp::Reverse(r.requests));
+        recent.truncate(RECENT_MOST);
+        recent
+    }
+
     pub(super) fn view(&self) -> View {
         let now = self.clock.now();
         let mut view = View::default();
--- a/crates/serve/src/control/workers.rs
+++ b/crates/serve/src/control/workers.rs
@@ -82,7 +82,8 @@
             answer(reply, PermitAnswer::Refused(refusal));
             return;
         };
-        self.frequency.record(&req.target.adapter, decision.now);
+        self.frequency.record(&req.target.adapter, 1, decision.now);
+        *self.recent.entry(req.target.adapter.clone()).or_default() += 1;
         let waiting = Reply {
             worker: req.worker.clone(),
             tx: reply,
--- a/crates/serve/src/traffic/check.rs
+++ b/crates/serve/src/traffic/check.rs
@@ -55,7 +55,7 @@
     let repeatable = adapter.repeatable && options.repeatable.unwrap_or(true);
     require_key(repeatable, options)?;
     admit(traffic, &doc, &call.adapter, options.class)?;
-    lock(&traffic.frequency).record(&call.adapter, traffic.clock.now());
+    lock(&traffic.frequency).record(&call.adapter, 1, traffic.clock.now());
     Ok(Job {
         target: AdapterVersion::new(&call.adapter, &call.version),
         group: adapter.group.clone(),
--- a/crates/standins/src/slopes/fleet.rs
+++ b/crates/standins/src/slopes/fleet.rs
@@ -77,6 +77,7 @@
         revision: 1_440,
         stopping: false,
         workers: workers.collect(),
+        recent: Vec::new(),
         load_outlook: None,
     }
 }
