--- a/crates/standins/tests/failures/fleet.rs
+++ b/crates/standins/tests/failures/fleet.rs
@@ -1,6 +1,6 @@
 //! A site of real programs. They are ended, by process id, when it is dropped.
 
-use crate::scene::{RULES, until};
+use crate::scene::{RULES, platform_faults, until};
 use crate::traffic::{Entries, Load};
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Empty};
@@ -10,6 +10,7 @@
 use reedford_platform::{ApplyOutcome, DocumentStore, Endpoint, EndpointConfig, HttpKeyValue};
 use reedford_serve::RULES_PREFIX;
 use reedford_standins::history::{Broken, History, Recorder, check, collect_runs};
+use reedford_standins::platform::Faults;
 use serde::de::DeserializeOwned;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs::File;
@@ -165,6 +166,11 @@
         self.entries.lock().unwrap().insert(name.into(), callers);
     }
 
+    /// Replaces the faults of the platform.
+    pub async fn platform_faults(&self, faults: &Faults) {
+        platform_faults(self.platform, faults).await;
+    }
+
     /// A load on the entry instances.
     pub fn load(&self) -> Load {
         Load::start(Arc::clone(&self.recorder), &self.entries)
--- a/crates/standins/tests/failures/table.rs
+++ b/crates/standins/tests/failures/table.rs
@@ -67,6 +67,18 @@
     run(faults, one_slot).await;
 }
 
+/// The platform's list shows changes 1.5 s late.
+#[test_case(&[Fault::TargetsLeave]; "targets leave")]
+#[test_case(&[Fault::TargetsLeave, Fault::EntryStopped]; "targets and an entry leave")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn failures_while_the_list_lags_break_nothing(faults: &'static [Fault]) {
+    let lagging = Kit {
+        lag_ms: 1_500,
+        ..Kit::default()
+    };
+    run(faults, lagging).await;
+}
+
 async fn run(faults: &[Fault], kit: Kit) {
     let mut scene = Scene::start_with(kit).await;
     let load = scene.load();
