Model: reedford_rules::adopt walks the configuration specification

The decision which revision an instance keeps had no comparison with its specification. A random run of the specification now offers every revision to every instance after each step, and adopt must take exactly those that the specification lets it take. What a starting instance may take is the reader's rule and not adopt's, so it is left out.

Trial with adopt taking an older revision: fails at '0 over 1, Adopted instead of Older'. Model tests before 10, after 11, all pass.

--- a/crates/model/src/configuration.rs
+++ b/crates/model/src/configuration.rs
@@ -5,6 +5,10 @@
 //! The store's value carries the tokens of the applies it includes, so that a
 //! lost answer can be settled even after somebody else applied on top.
 
+mod walk;
+
+pub use walk::Walk;
+
 use crate::search::{Outcome, explore};
 
 /// Checked in every state.
@@ -80,36 +84,81 @@
     highest: [u8; INSTANCES],
 }
 
-#[derive(Clone, Copy, Debug)]
-#[expect(dead_code, reason = "the fields are shown in traces")]
-enum Action {
-    SendApply { operator: usize },
-    LandApply { operator: usize },
-    AnswerApply { operator: usize },
-    LoseAnswer { operator: usize },
-    ReadBack { operator: usize },
-    Deliver { instance: usize, revision: u8 },
-    Replace { instance: usize },
-    StartFromStore { instance: usize, revision: u8 },
-    StartFromPeer { instance: usize, revision: u8 },
+/// A step of the specification.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Action {
+    /// An operator sends an apply.
+    SendApply {
+        /// The operator.
+        operator: usize,
+    },
+    /// The write of an apply reaches the store.
+    LandApply {
+        /// The operator.
+        operator: usize,
+    },
+    /// The operator gets the store's answer.
+    AnswerApply {
+        /// The operator.
+        operator: usize,
+    },
+    /// The store's answer is lost.
+    LoseAnswer {
+        /// The operator.
+        operator: usize,
+    },
+    /// The operator reads back what became of the apply.
+    ReadBack {
+        /// The operator.
+        operator: usize,
+    },
+    /// An instance hears of a revision, from any source, and takes it.
+    Deliver {
+        /// The instance.
+        instance: usize,
+        /// The revision.
+        revision: u8,
+    },
+    /// A new instance takes the place of one.
+    Replace {
+        /// The instance.
+        instance: usize,
+    },
+    /// A new instance takes its first revision from the store.
+    StartFromStore {
+        /// The instance.
+        instance: usize,
+        /// The revision.
+        revision: u8,
+    },
+    /// A new instance takes its first revision from a peer.
+    StartFromPeer {
+        /// The instance.
+        instance: usize,
+        /// The revision.
+        revision: u8,
+    },
 }
 
 /// Searches the specification.
 pub fn check(mutation: Option<Mutation>) -> Vec<Outcome> {
-    let start = State {
+    vec![explore(
+        "two operators, two instances",
+        &start(),
+        |s| next(s, mutation),
+        broken,
+    )]
+}
+
+fn start() -> State {
+    State {
         included: vec![0],
         author: vec![u8::MAX],
         operators: [Apply::Idle; OPERATORS],
         writes: [None; OPERATORS],
         in_force: [Some(0); INSTANCES],
         highest: [0; INSTANCES],
-    };
-    vec![explore(
-        "two operators, two instances",
-        &start,
-        |s| next(s, mutation),
-        broken,
-    )]
+    }
 }
 
 fn broken(s: &State) -> Option<&'static str> {
