Scheduler: a load answered late leaves its adapter uncertain until listed

A walk of the scheduler along the permits specification showed a claimant that evicts an adapter which the old owner may use: the claimant's load takes effect before the old owner's last request can have arrived, that request starts on the adapter, and the load's answer comes after that time. The adapter then counted as certain at once. The time of the answer says nothing; only a listing asked for late enough does. The scheduler now remembers whether it took such a listing in, and which adapters, not known as resident, that listing showed in use or whose permits ended without word.

The case of a permit that ends without word while its adapter is not known as resident has no test of its own. Not run: the tests of the other crates.

--- a/crates/core/src/scheduler/engine.rs
+++ b/crates/core/src/scheduler/engine.rs
@@ -21,6 +21,14 @@
     pub residents: BTreeMap<AdapterVersion, SlotFacts>,
 }
 
+impl EngineFacts {
+    /// Whether nothing of an adapter version runs.
+    fn is_idle(&self, target: &AdapterVersion) -> bool {
+        let slot = self.residents.get(target);
+        slot.is_none_or(|slot| slot.running == 0)
+    }
+}
+
 /// An occupied slot, as the engine said.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct SlotFacts {
@@ -128,13 +136,16 @@
     fn clear_uncertain(&mut self, facts: &EngineFacts, sent: Now) {
         for (target, resident) in &mut self.residents {
             let late_enough = resident.uncertain.is_some_and(|from| sent >= from);
-            let idle = facts
-                .residents
-                .get(target)
-                .is_none_or(|slot| slot.running == 0);
-            if late_enough && idle {
+            if late_enough && facts.is_idle(target) {
                 resident.uncertain = None;
             }
         }
+        self.doubts
+            .retain(|target, from| sent < *from || !facts.is_idle(target));
+        self.settled |= sent >= self.evict_from;
+        let running = facts.residents.keys().filter(|t| !facts.is_idle(t));
+        for target in running.filter(|t| !self.residents.contains_key(*t)) {
+            self.doubts.insert(target.clone(), sent);
+        }
     }
 }
--- a/crates/core/src/scheduler/loads.rs
+++ b/crates/core/src/scheduler/loads.rs
@@ -221,9 +221,11 @@
     }
 
     /// A former owner that missed an engine's restart may take the adapter for
-    /// resident already, and send to it until `evict_from`.
+    /// resident already, and send to it until `evict_from`. What it sent may
+    /// run since the load took effect, however late the load's answer comes.
     fn note_loaded(&mut self, target: &AdapterVersion, now: Now) {
-        let uncertain = (now < self.evict_from).then_some(self.evict_from);
+        let inherited = (!self.settled).then_some(self.evict_from);
+        let uncertain = self.doubts.remove(target).max(inherited);
         self.backoff.remove(target);
         self.loads_listed.remove(target);
         self.residents.insert(
--- a/crates/core/src/scheduler/permits.rs
+++ b/crates/core/src/scheduler/permits.rs
@@ -137,6 +137,9 @@
             if uncertain {
                 resident.uncertain = resident.uncertain.max(Some(now));
             }
+        } else if uncertain {
+            // Its load may have taken effect already, and the answer be late.
+            self.doubts.insert(target.clone(), now);
         }
     }
 
--- a/crates/core/src/scheduler/state.rs
+++ b/crates/core/src/scheduler/state.rs
@@ -42,6 +42,12 @@
     pub(super) evict_from: Now,
     pub(super) engine: Option<Engine>,
     pub(super) residents: BTreeMap<AdapterVersion, Resident>,
+    /// Adapter versions not known to be resident that may be in use all the
+    /// same: a listing asked for then or later has to show that they are not.
+    pub(super) doubts: BTreeMap<AdapterVersion, Now>,
+    /// Whether a listing asked for at `evict_from` or later was taken in. What
+    /// a former owner sent has then ended or is in that listing.
+    pub(super) settled: bool,
     /// Loads that the engine listed; not all are by orders of ours.
     pub(super) loads_listed: BTreeSet<AdapterVersion>,
     /// Not granted or loaded until then, whatever the engine lists meanwhile:
@@ -137,6 +143,8 @@
             evict_from,
             engine: None,
             residents: BTreeMap::new(),
+            doubts: BTreeMap::new(),
+            settled: false,
             loads_listed: BTreeSet::new(),
             barred: BTreeMap::new(),
             orders: BTreeMap::new(),
--- a/crates/core/tests/scheduler/takeover.rs
+++ b/crates/core/tests/scheduler/takeover.rs
@@ -1,9 +1,9 @@
 //! What passes from one owner to the next.
 
 use super::support::{Bench, POLICY, av, facts, granted, ms, order, refused, turn_ended};
-use reedford_core::messages::{HandedPermit, Handover, PermitReason};
+use reedford_core::messages::{HandedPermit, Handover, PermitReason, Release};
 use reedford_core::scheduler::{Action, Scheduler};
-use reedford_core::{AdapterVersion, Now};
+use reedford_core::{AdapterVersion, Now, PermitId};
 use std::collections::BTreeSet;
 use std::time::Duration;
 use test_case::test_case;
@@ -195,3 +195,34 @@
     next.act(Scheduler::on_tick);
     assert_eq!(refused(&next.request("a").1), None);
 }
+
+/// A load that took effect before 2,000 ms, and whose answer comes after. The
+/// old owner may have sent to the adapter in between.
+#[test_case(None, false; "nothing was listed since")]
+#[test_case(Some(1), false; "a request of the old owner runs")]
+#[test_case(Some(0), true; "listed idle")]
+fn a_load_answered_late_leaves_its_adapter_uncertain(running: Option<u32>, evicts: bool) {
+    let mut bench = Bench::unheard(POLICY, ms(1_000), ms(2_000));
+    bench.now = ms(1);
+    bench.listing(&facts("boot-1", 1, 8, &[]));
+    bench.now = ms(1_000);
+    let (id, _) = bench.request("a");
+    bench.turn("a");
+    bench.act(|s, cx| s.release(&ended(id), cx));
+    bench.now = ms(2_500);
+    bench.act(|s, cx| s.on_loaded(&av("a"), Ok(()), cx));
+    if let Some(running) = running {
+        bench.listing(&facts("boot-1", 1, 8, &[("a", running)]));
+    }
+    bench.request("b");
+    let actions = bench.turn("b");
+    assert_eq!(actions == [order(Some("a"), "b")], evicts, "{actions:?}");
+}
+
+fn ended(id: PermitId) -> Release {
+    Release {
+        id,
+        worker: "worker-1".into(),
+        ended: true,
+    }
+}
