Ownership: a woken or rejoined instance gives the others time before it claims

Cause: after a pause an owner took everybody for silent and claimed from live owners; a claimant that had itself owned the worker before waited 607 s for itself; and a worker was handed to a member whose first summary after its pause had been sent before it. The failure test of a frozen owner waited in vain in 2 to 3 of its 4 cases, each of 4 runs. Change: a pause of the control loop and a new joining start the settling time again, which now is the lease time and the time to take a peer for failed; a previous ownership of this very run is not waited for; a worker is handed only to a member heard of steadily. Measured: an_owner_is_frozen_past_its_lease_and_woken, 4 of 4 cases in 32 s (before 1 or 2 of 4 in 79 to 148 s).

--- a/crates/serve/src/control.rs
+++ b/crates/serve/src/control.rs
@@ -121,6 +121,7 @@
     }
 
     fn on_tick(&mut self) {
+        self.note_pause();
         self.poll_platform();
         self.survey();
         self.exchange_summaries();
--- a/crates/serve/src/control/claiming.rs
+++ b/crates/serve/src/control/claiming.rs
@@ -51,7 +51,7 @@
 
     /// Workers that this instance claims now.
     fn claims(&self, now: Now) -> BTreeSet<WorkerId> {
-        let settle = ms(self.cfg.timeouts.peer_failed_ms);
+        let settle = self.settle_time();
         let settled = self
             .membership
             .joined_at
@@ -171,7 +171,8 @@
 
     /// Hands one worker over whose home is another live member.
     fn rebalance(&mut self, now: Now) {
-        let alive = self.alive_members(now);
+        let mut alive = self.alive_members(now);
+        alive.retain(|id| self.is_steady(id, now));
         let settled = self.settled_workers(now);
         let moved = settled.iter().find_map(|worker| {
             let home = self.membership.table.home(worker, &alive)?;
@@ -182,6 +183,14 @@
         }
     }
 
+    /// Whether a member has been heard of for a while. The first that is heard
+    /// of one that was paused may have been sent before its pause.
+    fn is_steady(&self, id: &InstanceId, now: Now) -> bool {
+        let while_ms = ms(self.cfg.timeouts.peer_failed_ms);
+        let heard = self.membership.heard.get(id);
+        *id == self.me.instance || heard.is_some_and(|h| h.since + while_ms <= now)
+    }
+
     /// Hands workers over, those with an order under way left out.
     ///
     /// The scheduler is dropped before the swap is sent: from then on nothing
--- a/crates/serve/src/control/exchange.rs
+++ b/crates/serve/src/control/exchange.rs
@@ -163,7 +163,15 @@
         for recent in &summary.recent {
             self.frequency.record(&recent.adapter, recent.requests, now);
         }
-        let heard = Heard { at: now, summary };
+        let silence = ms(self.cfg.timeouts.peer_failed_ms);
+        let known = self.membership.heard.get(&summary.instance);
+        let steady = known.filter(|known| known.at + silence > now);
+        let since = steady.map_or(now, |known| known.since);
+        let heard = Heard {
+            at: now,
+            since,
+            summary,
+        };
         self.membership
             .heard
             .insert(heard.summary.instance.clone(), heard);
--- a/crates/serve/src/control/ownership.rs
+++ b/crates/serve/src/control/ownership.rs
@@ -101,6 +101,27 @@
         }
     }
 
+    /// After a pause of this process nothing can be said of the others: what
+    /// they sent meanwhile has yet to be read. They get the time anew that a
+    /// member has at the start, before they are taken for failed.
+    pub(super) fn note_pause(&mut self) {
+        let now = self.clock.now();
+        let silence = ms(self.cfg.timeouts.peer_failed_ms);
+        let paused = now > self.timers.ticked + silence / 2;
+        self.timers.ticked = now;
+        if paused && self.membership.joined_at.is_some() {
+            tracing::warn!(event = "paused");
+            self.membership.joined_at = Some(now);
+        }
+    }
+
+    /// Time after joining, or after a pause, in which this instance takes no
+    /// silent member for failed: the others have to read that it joined, and
+    /// then to reach it.
+    pub(super) fn settle_time(&self) -> Duration {
+        ms(self.cfg.timeouts.lease_ms) + ms(self.cfg.timeouts.peer_failed_ms)
+    }
+
     /// Refuses promises to members that went silent, so that their workers can
     /// be claimed, and gives them again to those that came back.
     pub(super) fn watch_members(&mut self) {
@@ -108,7 +129,7 @@
         let Some(joined_at) = self.membership.joined_at else {
             return;
         };
-        if now < joined_at + ms(self.cfg.timeouts.peer_failed_ms) {
+        if now < joined_at + self.settle_time() {
             return;
         }
         let alive = self.alive_members(now);
@@ -162,6 +183,7 @@
         let membership = &mut self.membership;
         if !membership.table.has_member(&me.instance, me.incarnation) {
             membership.lease.on_lost();
+            membership.joined_at = None;
             return;
         }
         let others = membership
@@ -258,11 +280,12 @@
     /// left by itself, or its name joined with a new run.
     fn wait_for(&self, previous: &Previous) -> Wait {
         let times = &self.membership.times;
-        if !self
-            .membership
-            .table
-            .has_member(&previous.owner, previous.incarnation)
-        {
+        // What this run itself did as an owner is over, but for requests that
+        // it granted and whose pins it has handed on.
+        let own = previous.owner == self.me.instance;
+        let table = &self.membership.table;
+        let ended = own || !table.has_member(&previous.owner, previous.incarnation);
+        if ended {
             return Wait {
                 open: Duration::ZERO,
                 evict: times.dispatch,
--- a/crates/serve/src/control/state.rs
+++ b/crates/serve/src/control/state.rs
@@ -105,6 +105,8 @@
 #[derive(Debug)]
 pub(super) struct Heard {
     pub(super) at: Now,
+    /// Since when it has been heard of without a gap.
+    pub(super) since: Now,
     pub(super) summary: Summary,
 }
 
@@ -180,6 +182,7 @@
     /// Loads for which a turn was asked of a broker elsewhere.
     pub(super) turns: BTreeSet<LoadKey>,
     pub(super) prune: Now,
+    pub(super) ticked: Now,
     /// When what concerns all peers and workers is next looked at.
     pub(super) survey: Now,
 }
