--- a/crates/standins/src/site.rs
+++ b/crates/standins/src/site.rs
@@ -6,8 +6,10 @@
 use crate::plain::{PlainConfig, PlainStandin};
 use crate::platform::{PlatformConfig, PlatformStandin};
 use eyre::{OptionExt as _, Result, WrapErr as _, bail};
+use reedford_core::rendezvous;
+use reedford_operator::WorkerStatus;
 use reedford_platform::{ApplyOutcome, DocumentStore, Endpoint, EndpointConfig, HttpKeyValue};
-use reedford_serve::{Drained, Entry, RULES_PREFIX};
+use reedford_serve::{Drained, Entry, EntryReport, RULES_PREFIX};
 use reedford_settings::{Bounds, Secret, Settings, Timeouts};
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -145,20 +147,35 @@
         self.entries[name].callers()
     }
 
-    /// Waits until every entry instance is ready and knows `workers` workers
-    /// that take requests.
+    /// Waits until every entry instance knows `workers` workers that take
+    /// requests, each with the owner that it has once all have joined.
     ///
     /// # Errors
     /// When an instance can't be asked.
     pub async fn wait_until_open(&self, workers: usize) -> Result<()> {
-        for entry in self.entries.values() {
-            while entry.report().await?.open_workers < workers {
-                tokio::time::sleep(LOOK_AGAIN).await;
-            }
+        while !self.is_open(workers).await? {
+            tokio::time::sleep(LOOK_AGAIN).await;
         }
         Ok(())
     }
 
+    async fn is_open(&self, workers: usize) -> Result<bool> {
+        let mut reports = Vec::new();
+        for entry in self.entries.values() {
+            reports.push(entry.report().await?);
+        }
+        let home = |worker: &WorkerStatus| {
+            let zone = reports.iter().filter(|r| r.status.zone == worker.zone);
+            let home = rendezvous::first(&worker.worker, zone.map(|r| &*r.status.instance));
+            home.map(Box::from)
+        };
+        let settled = |report: &EntryReport| {
+            let at_home = report.status.workers.iter().all(|w| w.owner == home(w));
+            at_home && report.open_workers >= workers
+        };
+        Ok(reports.iter().all(settled))
+    }
+
     /// Stops everything, the entry instances first.
     ///
     /// # Errors
