--- a/crates/standins/tests/failures/table.rs
+++ b/crates/standins/tests/failures/table.rs
@@ -113,7 +113,8 @@
         .map(|s| format!("{}/{}", s.served, s.wanted));
     let texts = texts.collect::<Vec<_>>().join(" | ");
     println!(
-        "| {faults:?} | {texts} | {} |",
+        "| {faults:?} | {} | {texts} | {} |",
+        kit.slots,
         others(&history.calls, &during)
     );
     assert!(broken.is_empty(), "{broken:#?}");
