--- /dev/null
+++ b/crates/fleet/src/scheduler/estimate.rs
@@ -0,0 +1,84 @@
+//! Estimates learned from what calls and orders took.
+
+use crate::Now;
+use std::time::Duration;
+
+/// Prompt tokens a millisecond that an engine is taken to read before anything
+/// is known of it; a middle value of the engines in use.
+const FIRST_RATE: f64 = 14.0;
+/// Range of believable rates.
+const RATE_RANGE: (f64, f64) = (3.0, 30.0);
+/// Weight of a new sample.
+const NEWEST: f64 = 0.12;
+/// Load of an adapter from the store before any was seen.
+const FIRST_COLD: Duration = Duration::from_millis(270);
+/// Part of a load's time when the engine held the adapter recently.
+const WARM_PART: f64 = 0.1;
+/// Allowance for the way of an order and the end of a load.
+const LOAD_MARGIN: Duration = Duration::from_millis(8);
+/// Longest estimate of a load.
+const LONGEST_LOAD: Duration = Duration::from_secs(2);
+
+/// A duration from milliseconds, which may be out of range.
+pub(super) fn millis(ms: f64) -> Duration {
+    Duration::try_from_secs_f64(ms.max(0.0) / 1e3).unwrap_or(Duration::MAX)
+}
+
+/// Milliseconds of a duration.
+pub(super) fn as_millis(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1e3
+}
+
+/// Speed at which an engine reads prompts, in tokens a millisecond.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ReadRate {
+    rate: f64,
+}
+
+impl Default for ReadRate {
+    fn default() -> Self {
+        Self { rate: FIRST_RATE }
+    }
+}
+
+impl ReadRate {
+    pub(super) const fn per_ms(self) -> f64 {
+        self.rate
+    }
+
+    /// Learns from `tokens` that took the time from `from` to `to`.
+    pub(super) fn learn(&mut self, tokens: f64, from: Now, to: Now) {
+        let ms = as_millis(to.saturating_sub(from)).max(1.0);
+        let sample = (tokens / ms).clamp(RATE_RANGE.0, RATE_RANGE.1);
+        self.rate += NEWEST * (sample - self.rate);
+    }
+}
+
+/// How long loads of adapters take.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LoadTimes {
+    cold: Duration,
+}
+
+impl Default for LoadTimes {
+    fn default() -> Self {
+        Self { cold: FIRST_COLD }
+    }
+}
+
+impl LoadTimes {
+    pub(super) fn expected(self, warm: bool) -> Duration {
+        let part = if warm { WARM_PART } else { 1.0 };
+        self.cold.mul_f64(part) + LOAD_MARGIN
+    }
+
+    /// Learns that a load was not done after its expected time.
+    pub(super) fn too_short(&mut self) {
+        self.cold = self.cold.mul_f64(1.05).min(LONGEST_LOAD);
+    }
+
+    /// Learns that a load was done after its expected time.
+    pub(super) fn long_enough(&mut self) {
+        self.cold = self.cold.mul_f64(0.995).max(FIRST_COLD.mul_f64(0.5));
+    }
+}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -12,6 +12,7 @@
 //! | `GET /readyz` | [`Handler::ready`] |
 //! | `GET /metrics` | [`Handler::metrics`] |
 
+mod accept;
 mod answer;
 mod body;
 mod chat;
@@ -24,8 +25,9 @@
 mod serve;
 mod stream;
 
+pub use accept::{Answer as AnswerRequests, ConnectionLimits, Stop, serve_connections};
 pub use answer::{Answer, AnswerMeta, AnswerStream, StreamFault};
 pub use handler::{BodyDigest, CallOptions, ChatCall, Handler, PlainCall, Readiness};
 pub use options::TENANT;
 pub use refused::{ErrorBody, ErrorDetail, Outcome, Refused, RefusedCode};
-pub use serve::{Bounds, Stop, serve};
+pub use serve::{Bounds, serve};
--- a/crates/front/src/respond.rs
+++ b/crates/front/src/respond.rs
@@ -17,8 +17,10 @@
 use reedford_wire::headers;
 use std::time::Duration;
 
+/// Body of a response of the entry instance.
+pub(crate) type ReplyBody = UnsyncBoxBody<Bytes, StreamCut>;
 /// A response of the entry instance.
-pub(crate) type Reply = Response<UnsyncBoxBody<Bytes, StreamCut>>;
+pub(crate) type Reply = Response<ReplyBody>;
 
 const JSON: HeaderValue = HeaderValue::from_static("application/json");
 const EVENTS: HeaderValue = HeaderValue::from_static("text/event-stream");
--- /dev/null
+++ b/crates/gateway/src/coordinator.rs
@@ -0,0 +1,338 @@
+//! The task that drives a zone's scheduler while this node is the zone's
+//! coordinator. It alone touches the scheduler; everything reaches it as a
+//! [`Command`].
+
+mod carry_out;
+mod commands;
+
+pub(crate) use commands::{Command, CommandTx, Commands, queue};
+
+use crate::metrics::Metrics;
+use crate::peer::{PeerClients, PlaceAnswer, PlaceRequest, ZoneLoad};
+use crate::ports::Dialect;
+use crate::settings::GatewaySettings;
+use crate::state::{Neighbour, Shared};
+use reedford_fleet::Now;
+use reedford_fleet::ownership::Fence;
+use reedford_fleet::scheduler::{CallId, Limits, Outlook, Scheduler};
+use reedford_targets::Pool;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::sleep_until;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// Work that an engine is given ahead; covers a few steps of its batch.
+const WORK_AHEAD: Duration = Duration::from_millis(260);
+/// Wait for a first token, in parts of the objective, from which a call is
+/// refused on arrival.
+const PATIENCE: f64 = 1.6;
+/// Expected wait from which other zones are looked at.
+const SPILL_FROM: Duration = Duration::from_millis(350);
+/// Amount by which another zone's wait has to be shorter: the way there and
+/// a load of the adapter.
+const SPILL_GAIN: Duration = Duration::from_millis(320);
+/// Age at which another zone's load is no longer believed.
+const LOAD_LIFE: Duration = Duration::from_millis(1_200);
+/// Pause between two words on the own zone's load.
+const LOAD_PAUSE: Duration = Duration::from_millis(250);
+/// Commands taken between two decisions.
+const BATCH: usize = 64;
+
+/// What the task needs of the node.
+#[derive(Debug)]
+pub(crate) struct Parts<D> {
+    pub(crate) cfg: Arc<GatewaySettings>,
+    pub(crate) dialect: Arc<D>,
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) pool: Arc<Pool>,
+    pub(crate) peers: Arc<PeerClients>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) tasks: TaskTracker,
+    pub(crate) stop: CancellationToken,
+}
+
+/// The coordinator's task.
+#[derive(Debug)]
+pub(crate) struct Coordinator<D> {
+    parts: Parts<D>,
+    commands: Commands,
+    tx: CommandTx,
+    term: Option<Term>,
+    replies: BTreeMap<CallId, oneshot::Sender<PlaceAnswer>>,
+    next_load: Now,
+}
+
+/// The time for which this node is the coordinator.
+#[derive(Debug)]
+struct Term {
+    fence: Fence,
+    scheduler: Scheduler,
+}
+
+impl<D> Coordinator<D>
+where
+    D: Dialect,
+{
+    pub(crate) fn new(parts: Parts<D>, tx: CommandTx, commands: Commands) -> Self {
+        Self {
+            parts,
+            commands,
+            tx,
+            term: None,
+            replies: BTreeMap::new(),
+            next_load: Now::ZERO,
+        }
+    }
+
+    /// Runs until the node stops.
+    pub(crate) async fn run(mut self) {
+        let stop = self.parts.stop.clone();
+        loop {
+            let look = self.next_look();
+            tokio::select! {
+                biased;
+                () = stop.cancelled() => return,
+                command = self.commands.next() => match command {
+                    Some(command) => self.take_all(command),
+                    None => return,
+                },
+                () = sleep_until(self.parts.shared.clock.instant(look)) => {}
+            }
+            self.step();
+        }
+    }
+
+    fn next_look(&self) -> Now {
+        let now = self.parts.shared.now();
+        let scheduler = self.term.as_ref().and_then(|t| t.scheduler.next_look(now));
+        let latest = now + LOAD_PAUSE;
+        scheduler.map_or(latest, |at| at.clamp(now, latest))
+    }
+
+    fn take_all(&mut self, first: Command) {
+        self.take(first);
+        for _ in 0..BATCH {
+            let Some(command) = self.commands.try_next() else {
+                return;
+            };
+            self.take(command);
+        }
+    }
+
+    fn step(&mut self) {
+        self.follow_role();
+        let now = self.parts.shared.now();
+        let actions = match &mut self.term {
+            Some(term) => term.scheduler.poll(now),
+            None => return,
+        };
+        for action in actions {
+            self.carry_out(action);
+        }
+        self.tell_load(now);
+    }
+
+    /// Begins or ends a term as the role says.
+    fn follow_role(&mut self) {
+        let held = self.parts.shared.lock().role.held();
+        if held == self.term.as_ref().map(|t| t.fence) {
+            return;
+        }
+        self.refuse_waiting();
+        tracing::info!(event = "role", zone = %self.parts.cfg.zone, fence = held.unwrap_or(0),
+            coordinator = held.is_some());
+        self.term = held.map(|fence| Term {
+            fence,
+            scheduler: self.new_scheduler(),
+        });
+    }
+
+    fn new_scheduler(&self) -> Scheduler {
+        let mut scheduler = Scheduler::new(Limits {
+            work_ahead: WORK_AHEAD,
+            patience: PATIENCE,
+            load_share: 1.0 / self.parts.cfg.zones.len().max(1) as f64,
+        });
+        self.refresh(&mut scheduler);
+        scheduler
+    }
+
+    /// Brings a scheduler up to date with configuration, directory and versions.
+    fn refresh(&self, scheduler: &mut Scheduler) {
+        let now = self.parts.shared.now();
+        let state = self.parts.shared.lock();
+        if let Some(routes) = &state.routes {
+            for (name, service) in &routes.config().services {
+                if let Some(engine) = &service.engine {
+                    scheduler.set_spec(name, engine.clone());
+                }
+            }
+        }
+        let own = |zone: &str| zone == &*self.parts.cfg.zone;
+        for instance in state.directory.all().filter(|i| own(&i.zone)) {
+            scheduler.on_instance(instance, now);
+        }
+        let gone: Vec<_> = scheduler
+            .residents()
+            .into_keys()
+            .filter(|id| state.directory.get(id).is_none())
+            .collect();
+        for id in gone {
+            scheduler.forget(&id);
+        }
+        for (key, version) in &state.versions {
+            scheduler.on_version(key.clone(), *version);
+        }
+    }
+
+    fn take(&mut self, command: Command) {
+        let now = self.parts.shared.now();
+        match command {
+            Command::Place { req, reply } => self.place(req, reply, now),
+            Command::ZoneLoad(load) => self.on_zone_load(&load, now),
+            Command::Refresh => self.on_refresh(),
+            Command::Progress { call, step } => {
+                self.with_scheduler(|s| s.progress(&call, step, now))
+            }
+            Command::Withdraw { call } => {
+                self.replies.remove(&call);
+                self.with_scheduler(|s| s.withdraw(&call, now));
+            }
+            Command::OrderAnswered {
+                fence,
+                instance,
+                answer,
+            } => self.on_order_answer(fence, &instance, answer, now),
+            Command::Reported {
+                fence,
+                instance,
+                report,
+            } => {
+                if self.term.as_ref().is_some_and(|t| t.fence == fence) {
+                    self.with_scheduler(|s| s.on_report(&instance, report.as_ref(), now));
+                }
+            }
+        }
+    }
+
+    fn on_refresh(&mut self) {
+        self.follow_role();
+        if let Some(mut term) = self.term.take() {
+            self.refresh(&mut term.scheduler);
+            self.term = Some(term);
+        }
+    }
+
+    fn with_scheduler<F>(&mut self, f: F)
+    where
+        F: FnOnce(&mut Scheduler),
+    {
+        if let Some(term) = &mut self.term {
+            f(&mut term.scheduler);
+        }
+    }
+
+    fn place(&mut self, req: PlaceRequest, reply: oneshot::Sender<PlaceAnswer>, now: Now) {
+        self.follow_role();
+        let passed_on = req.passed_on;
+        let Some(term) = &mut self.term else {
+            answer(reply, PlaceAnswer::NotCoordinator);
+            return;
+        };
+        let ask = req.clone().into_ask(now);
+        let expected = term.scheduler.expected_wait(&ask, now);
+        if !passed_on && let Some(addr) = self.better_zone(expected, now) {
+            self.pass_on(req, reply, addr);
+            return;
+        }
+        let call = ask.call.clone();
+        let Some(term) = &mut self.term else { return };
+        match term.scheduler.ask(ask, now) {
+            Some(refusal) => {
+                tracing::info!(event = "place_refused", id = %refusal.call,
+                    reason = refusal.reason.name(), expected_ms = expected.as_millis() as u64,
+                    waiting = term.scheduler.waiting());
+                self.parts.metrics.refused(refusal.reason.name());
+                answer(reply, PlaceAnswer::Refused(refusal));
+            }
+            None => {
+                self.replies.insert(call, reply);
+            }
+        }
+    }
+
+    /// The coordinator of a zone where a call would start much sooner.
+    fn better_zone(&self, expected: Duration, now: Now) -> Option<SocketAddr> {
+        if expected < SPILL_FROM {
+            return None;
+        }
+        let state = self.parts.shared.lock();
+        let best = state
+            .neighbours
+            .values()
+            .filter_map(|n| {
+                let (outlook, at) = n.outlook.as_ref()?;
+                let fresh = now.saturating_sub(*at) < LOAD_LIFE;
+                (fresh && outlook.engines > 0 && outlook.free_places > 0)
+                    .then_some((outlook.wait, n.addr))
+            })
+            .min()?;
+        (best.0 + SPILL_GAIN < expected).then_some(best.1)
+    }
+
+    fn on_zone_load(&self, load: &ZoneLoad, now: Now) {
+        let outlook = Outlook {
+            wait: load.wait,
+            engines: load.engines,
+            free_places: load.free_places,
+        };
+        let mut state = self.parts.shared.lock();
+        if let Some(neighbour) = state.neighbours.get_mut(&load.zone) {
+            neighbour.outlook = Some((outlook, now));
+        }
+    }
+
+    fn tell_load(&mut self, now: Now) {
+        let Some(term) = &self.term else { return };
+        if now < self.next_load {
+            return;
+        }
+        self.next_load = now + LOAD_PAUSE;
+        let outlook = term.scheduler.outlook(now);
+        self.parts.metrics.waiting(term.scheduler.waiting());
+        let load = ZoneLoad {
+            zone: self.parts.cfg.zone.clone(),
+            wait: outlook.wait.min(Duration::from_secs(60)),
+            engines: outlook.engines,
+            free_places: outlook.free_places,
+        };
+        let addrs: Vec<SocketAddr> = {
+            let state = self.parts.shared.lock();
+            state
+                .neighbours
+                .values()
+                .map(|n: &Neighbour| n.addr)
+                .collect()
+        };
+        for addr in addrs {
+            self.send_load(addr, load.clone());
+        }
+    }
+
+    fn refuse_waiting(&mut self) {
+        for (_, reply) in std::mem::take(&mut self.replies) {
+            answer(reply, PlaceAnswer::NotCoordinator);
+        }
+    }
+}
+
+/// Sends an answer to whoever still waits for it.
+fn answer(reply: oneshot::Sender<PlaceAnswer>, with: PlaceAnswer) {
+    if reply.send(with).is_err() {
+        tracing::debug!(event = "place_unclaimed");
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,160 @@
+//! Metrics of a node, in the text form that Prometheus reads.
+
+use prometheus::{
+    Encoder as _, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+use reedford_fleet::scheduler::OrderAnswer;
+use std::time::Duration;
+
+/// Bounds of the histograms, in seconds.
+const SECONDS: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0,
+];
+
+/// The metrics of a node.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    calls: IntCounterVec,
+    duration: HistogramVec,
+    first_event: HistogramVec,
+    place_wait: HistogramVec,
+    refused: IntCounterVec,
+    repeats: IntCounterVec,
+    orders: IntCounterVec,
+    store_calls: IntCounterVec,
+    log_lines_dropped: IntGauge,
+    waiting: IntGauge,
+}
+
+impl Metrics {
+    /// All metrics, at zero.
+    ///
+    /// # Errors
+    /// When a metric can't be registered, which is a fault of this module.
+    pub(crate) fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let metrics = Self {
+            calls: counters(
+                "reedford_calls_total",
+                "Calls by end",
+                &["route", "outcome"],
+            )?,
+            duration: histogram("reedford_call_seconds", "Time of whole calls", "route")?,
+            first_event: histogram(
+                "reedford_first_event_seconds",
+                "Time to the first event",
+                "route",
+            )?,
+            place_wait: histogram("reedford_place_wait_seconds", "Wait for a place", "route")?,
+            refused: counters("reedford_places_refused_total", "By reason", &["reason"])?,
+            repeats: counters(
+                "reedford_repeats_total",
+                "Further sendings by cause",
+                &["cause"],
+            )?,
+            orders: counters(
+                "reedford_orders_total",
+                "Orders to engines by answer",
+                &["answer"],
+            )?,
+            store_calls: counters(
+                "reedford_store_failures_total",
+                "Failed store calls",
+                &["call"],
+            )?,
+            log_lines_dropped: IntGauge::new(
+                "reedford_log_lines_dropped",
+                "Log lines dropped because the output was too slow",
+            )?,
+            waiting: IntGauge::new("reedford_places_waiting", "Calls that wait for a place")?,
+            registry,
+        };
+        metrics.register()?;
+        Ok(metrics)
+    }
+
+    fn register(&self) -> Result<(), prometheus::Error> {
+        let registry = &self.registry;
+        for counters in [
+            &self.calls,
+            &self.refused,
+            &self.repeats,
+            &self.orders,
+            &self.store_calls,
+        ] {
+            registry.register(Box::new(counters.clone()))?;
+        }
+        for histogram in [&self.duration, &self.first_event, &self.place_wait] {
+            registry.register(Box::new(histogram.clone()))?;
+        }
+        registry.register(Box::new(self.log_lines_dropped.clone()))?;
+        registry.register(Box::new(self.waiting.clone()))
+    }
+
+    /// All metrics as text.
+    pub(crate) fn text(&self, dropped: u64) -> String {
+        self.log_lines_dropped
+            .set(i64::try_from(dropped).unwrap_or(i64::MAX));
+        let mut buf = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut buf) {
+            tracing::warn!(event = "metrics_unreadable", %error);
+        }
+        String::from_utf8_lossy(&buf).into_owned()
+    }
+
+    pub(crate) fn call(&self, route: &str, outcome: &str, took: Duration) {
+        self.calls.with_label_values(&[route, outcome]).inc();
+        let seconds = took.as_secs_f64();
+        self.duration.with_label_values(&[route]).observe(seconds);
+    }
+
+    pub(crate) fn first_event(&self, route: &str, took: Duration) {
+        let seconds = took.as_secs_f64();
+        self.first_event
+            .with_label_values(&[route])
+            .observe(seconds);
+    }
+
+    pub(crate) fn place_wait(&self, route: &str, took: Duration) {
+        let seconds = took.as_secs_f64();
+        self.place_wait.with_label_values(&[route]).observe(seconds);
+    }
+
+    pub(crate) fn refused(&self, reason: &str) {
+        self.refused.with_label_values(&[reason]).inc();
+    }
+
+    pub(crate) fn repeat(&self, cause: &str) {
+        self.repeats.with_label_values(&[cause]).inc();
+    }
+
+    pub(crate) fn order(&self, answer: OrderAnswer) {
+        let name = match answer {
+            OrderAnswer::Accepted | OrderAnswer::Done => "accepted",
+            OrderAnswer::Conflict => "conflict",
+            OrderAnswer::Fenced => "fenced",
+            OrderAnswer::Refused => "refused",
+            OrderAnswer::Unknown => "unknown",
+            OrderAnswer::NotSent => "not_sent",
+        };
+        self.orders.with_label_values(&[name]).inc();
+    }
+
+    pub(crate) fn store_failure(&self, call: &str) {
+        self.store_calls.with_label_values(&[call]).inc();
+    }
+
+    pub(crate) fn waiting(&self, calls: usize) {
+        self.waiting.set(i64::try_from(calls).unwrap_or(i64::MAX));
+    }
+}
+
+fn counters(name: &str, help: &str, labels: &[&str]) -> Result<IntCounterVec, prometheus::Error> {
+    IntCounterVec::new(Opts::new(name, help), labels)
+}
+
+fn histogram(name: &str, help: &str, label: &str) -> Result<HistogramVec, prometheus::Error> {
+    let options = HistogramOpts::new(name, help).buckets(SECONDS.to_vec());
+    HistogramVec::new(options, &[label])
+}
--- /dev/null
+++ b/crates/gateway/src/peer.rs
@@ -0,0 +1,99 @@
+//! The protocol between nodes, over tarpc.
+
+use futures::FutureExt as _;
+use futures::future::BoxFuture;
+use reedford_fleet::scheduler::{Ask, CallId, Grant, Progress, Refusal};
+use reedford_fleet::{AdapterName, InstanceId, ModelName, Now, ServiceName, ZoneId};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tarpc::client::Config;
+use tarpc::serde_transport::tcp;
+use tarpc::tokio_serde::formats::Json;
+
+/// Connections to other nodes.
+pub(crate) type PeerClients = reedford_rpc::PeerClients<PeerClient>;
+
+/// A call that needs a place; times are spans from now, because nodes' clocks
+/// differ.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct PlaceRequest {
+    pub(crate) call: CallId,
+    pub(crate) service: ServiceName,
+    pub(crate) model: ModelName,
+    pub(crate) adapter: Option<AdapterName>,
+    pub(crate) tokens: u32,
+    pub(crate) output: u32,
+    pub(crate) priority: u8,
+    /// Time until the first token is due; `None` when it was due before.
+    pub(crate) due_in: Option<Duration>,
+    pub(crate) patience: Duration,
+    pub(crate) avoid: BTreeSet<InstanceId>,
+    /// Whether a coordinator passed it on; it is not passed on again.
+    pub(crate) passed_on: bool,
+}
+
+/// What a coordinator answers.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) enum PlaceAnswer {
+    /// Send it there; tell `coordinator` what becomes of it.
+    Granted {
+        grant: Grant,
+        coordinator: SocketAddr,
+    },
+    Refused(Refusal),
+    /// The node asked is not the coordinator.
+    NotCoordinator,
+}
+
+/// Load of a zone, for the coordinators of the others.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct ZoneLoad {
+    pub(crate) zone: ZoneId,
+    pub(crate) wait: Duration,
+    pub(crate) engines: usize,
+    pub(crate) free_places: usize,
+}
+
+/// What nodes ask of each other.
+#[tarpc::service]
+pub(crate) trait Peer {
+    /// Asks the coordinator of a zone for a place; answers once it is decided.
+    async fn place(req: PlaceRequest) -> PlaceAnswer;
+    /// Tells what became of granted calls.
+    async fn progress(steps: Vec<(CallId, Progress)>);
+    /// Tells the load of the sender's zone.
+    async fn load(load: ZoneLoad);
+}
+
+impl PlaceRequest {
+    /// The call as the scheduler takes it.
+    pub(crate) fn into_ask(self, now: Now) -> Ask {
+        Ask {
+            call: self.call,
+            service: self.service,
+            model: self.model,
+            adapter: self.adapter,
+            tokens: self.tokens,
+            output: self.output,
+            priority: self.priority,
+            objective: now + self.due_in.unwrap_or_default(),
+            deadline: now + self.patience,
+            avoid: self.avoid,
+        }
+    }
+}
+
+impl reedford_rpc::Client for PeerClient {
+    fn open(addr: SocketAddr) -> BoxFuture<'static, io::Result<(Self, BoxFuture<'static, ()>)>> {
+        async move {
+            let transport = tcp::connect(addr, Json::default).await?;
+            let new = Self::new(Config::default(), transport);
+            let dispatch = new.dispatch.map(|_ended| ()).boxed();
+            Ok((new.client, dispatch))
+        }
+        .boxed()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peer_server.rs
@@ -0,0 +1,73 @@
+//! Serves other nodes: each call becomes a command to the coordinator's task.
+
+use crate::coordinator::{Command, CommandTx};
+use crate::peer::{Peer, PeerRequest, PeerResponse, PlaceAnswer, PlaceRequest, ZoneLoad};
+use futures::StreamExt as _;
+use reedford_fleet::scheduler::{CallId, Progress};
+use std::net::SocketAddr;
+use tarpc::context::Context;
+use tarpc::serde_transport::tcp;
+use tarpc::server::{BaseChannel, Channel as _};
+use tarpc::tokio_serde::formats::Json;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// The server's side of one connection.
+#[derive(Clone, Debug)]
+pub(crate) struct PeerServer {
+    pub(crate) commands: CommandTx,
+}
+
+impl PeerServer {
+    /// Binds `addr` and serves until `stop`.
+    pub(crate) async fn start(
+        self,
+        addr: SocketAddr,
+        tasks: &TaskTracker,
+        stop: CancellationToken,
+    ) -> std::io::Result<SocketAddr> {
+        let mut incoming = tcp::listen(addr, Json::default).await?;
+        let bound = incoming.local_addr();
+        let connections = tasks.clone();
+        tasks.spawn(async move {
+            while let Some(Some(next)) = stop.run_until_cancelled(incoming.next()).await {
+                match next {
+                    Ok(transport) => {
+                        let serving = self.clone().connection(transport, stop.clone());
+                        connections.spawn(serving);
+                    }
+                    Err(error) => tracing::debug!(event = "peer_accept_failed", %error),
+                }
+            }
+        });
+        Ok(bound)
+    }
+
+    async fn connection<T>(self, transport: T, stop: CancellationToken)
+    where
+        T: tarpc::Transport<tarpc::Response<PeerResponse>, tarpc::ClientMessage<PeerRequest>>
+            + Send
+            + 'static,
+        T::Error: Send + Sync,
+    {
+        let calls = BaseChannel::with_defaults(transport).execute(self.serve());
+        let serving = calls.for_each_concurrent(None, |call| call);
+        stop.run_until_cancelled(serving).await;
+    }
+}
+
+impl Peer for PeerServer {
+    async fn place(self, _: Context, req: PlaceRequest) -> PlaceAnswer {
+        self.commands.place(req).await
+    }
+
+    async fn progress(self, _: Context, steps: Vec<(CallId, Progress)>) {
+        for (call, step) in steps {
+            self.commands.send(Command::Progress { call, step });
+        }
+    }
+
+    async fn load(self, _: Context, load: ZoneLoad) {
+        self.commands.send(Command::ZoneLoad(load));
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/places.rs
@@ -0,0 +1,227 @@
+//! Finds the instance that a call is sent to.
+
+use crate::call::Call;
+use crate::coordinator::CommandTx;
+use crate::peer::{PeerClients, PlaceAnswer, PlaceRequest};
+use crate::state::{Shared, State};
+use reedford_fleet::directory::{Instance, InstanceState};
+use reedford_fleet::scheduler::{CallId, Grant, Refusal, RefusalReason};
+use reedford_fleet::spread::Candidate;
+use reedford_fleet::{InstanceId, Now};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Longest time without a coordinator for which a call is held.
+const LEADERLESS_PATIENCE: Duration = Duration::from_millis(1_200);
+/// Pause between two looks for a coordinator.
+const LEADERLESS_PAUSE: Duration = Duration::from_millis(40);
+/// After this time without a coordinator, a call goes where its adapter ran
+/// last.
+const LAST_PLACE_AFTER: Duration = Duration::from_millis(80);
+/// Time after which a caller is asked to come back when no coordinator is
+/// known; claims take about that long.
+const LEADERLESS_RETRY: Duration = Duration::from_millis(700);
+
+/// Finds places for calls.
+#[derive(Clone, Debug)]
+pub(crate) struct Places {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) commands: CommandTx,
+    pub(crate) peers: Arc<PeerClients>,
+    pub(crate) own: SocketAddr,
+    pub(crate) zone: Box<str>,
+}
+
+/// Where a call goes.
+#[derive(Clone, Debug)]
+pub(crate) struct Placed {
+    pub(crate) grant: Grant,
+    /// Who has to hear what becomes of it, for a model call.
+    pub(crate) coordinator: Option<SocketAddr>,
+}
+
+impl Places {
+    /// A place for a model call, from the zone's coordinator.
+    pub(crate) async fn engine(
+        &self,
+        call: &Call,
+        sending: CallId,
+        avoid: &BTreeSet<InstanceId>,
+    ) -> Result<Placed, Refusal> {
+        let started = self.shared.now();
+        loop {
+            let now = self.shared.now();
+            if let Some(answer) = self.ask(call, &sending, avoid, now).await {
+                match answer {
+                    PlaceAnswer::Granted { grant, coordinator } => {
+                        self.remember(call, &grant);
+                        return Ok(Placed {
+                            grant,
+                            coordinator: Some(coordinator),
+                        });
+                    }
+                    PlaceAnswer::Refused(refusal) => return Err(refusal),
+                    PlaceAnswer::NotCoordinator => {}
+                }
+            }
+            let now = self.shared.now();
+            let waited = now.saturating_sub(started);
+            if waited >= LAST_PLACE_AFTER
+                && let Some(grant) = self.last_place(call, &sending, avoid)
+            {
+                tracing::info!(event = "placed_without_coordinator", id = %call.id,
+                    instance = %grant.instance);
+                return Ok(Placed {
+                    grant,
+                    coordinator: None,
+                });
+            }
+            if waited >= LEADERLESS_PATIENCE || call.left(now) < LEADERLESS_PAUSE {
+                return Err(Refusal {
+                    call: sending,
+                    reason: RefusalReason::NoEngine,
+                    retry_after: LEADERLESS_RETRY.min(call.left(now) / 3),
+                });
+            }
+            sleep(LEADERLESS_PAUSE).await;
+        }
+    }
+
+    async fn ask(
+        &self,
+        call: &Call,
+        sending: &CallId,
+        avoid: &BTreeSet<InstanceId>,
+        now: Now,
+    ) -> Option<PlaceAnswer> {
+        let holder = self.shared.lock().role.holder().cloned();
+        let holder = holder?;
+        let req = place_request(call, sending, avoid, now)?;
+        if holder.addr == self.own {
+            return Some(self.commands.place(req).await);
+        }
+        let patience = req.patience;
+        let asked = self
+            .peers
+            .call(holder.addr, patience, |peer, cx| async move {
+                peer.place(cx, req).await
+            })
+            .await;
+        match asked {
+            Ok(answer) => Some(answer),
+            Err(error) => {
+                tracing::info!(event = "coordinator_unreachable", id = %call.id,
+                    node = %holder.node, fence = holder.fence, %error);
+                None
+            }
+        }
+    }
+
+    fn remember(&self, call: &Call, grant: &Grant) {
+        let Some(key) = call.adapter() else { return };
+        let now = self.shared.now();
+        self.shared.lock().remember(key, grant, now);
+    }
+
+    /// Where the adapter ran last; any engine for the base model itself.
+    fn last_place(
+        &self,
+        call: &Call,
+        sending: &CallId,
+        avoid: &BTreeSet<InstanceId>,
+    ) -> Option<Grant> {
+        let now = self.shared.now();
+        let state = self.shared.lock();
+        let (instance, version) = match call.adapter() {
+            Some(key) => {
+                let place = state.places.get(&key)?;
+                if state.versions.get(&key).copied() > place.version {
+                    return None;
+                }
+                (state.usable(&place.instance)?, place.version)
+            }
+            None => (any_engine(&state, call, &self.zone, now)?, None),
+        };
+        let usable = !avoid.contains(&instance.id) && !state.health.is_out(&instance.id, now);
+        usable.then(|| Grant {
+            call: sending.clone(),
+            instance: instance.id.clone(),
+            addr: instance.addr,
+            version,
+        })
+    }
+
+    /// An instance of a plain service.
+    pub(crate) fn plain(
+        &self,
+        call: &Call,
+        sending: CallId,
+        avoid: &BTreeSet<InstanceId>,
+    ) -> Option<Placed> {
+        let now = self.shared.now();
+        let state = self.shared.lock();
+        let ready: Vec<&Instance> = state
+            .directory
+            .ready(&call.service)
+            .filter(|i| !avoid.contains(&i.id))
+            .collect();
+        let usable = state.health.usable(ready.iter().map(|i| &*i.id), now);
+        let candidates: Vec<Candidate<'_>> = ready
+            .iter()
+            .filter(|i| usable.contains(&&*i.id))
+            .map(|i| Candidate {
+                id: &i.id,
+                near: i.zone == self.zone,
+                slots: i.slots,
+            })
+            .collect();
+        let id = state.spread.choose(&candidates, call.draw(), now)?;
+        let instance = state.directory.get(id)?;
+        Some(Placed {
+            grant: Grant {
+                call: sending,
+                instance: instance.id.clone(),
+                addr: instance.addr,
+                version: None,
+            },
+            coordinator: None,
+        })
+    }
+}
+
+fn any_engine<'a>(state: &'a State, call: &Call, zone: &str, now: Now) -> Option<&'a Instance> {
+    let near = state
+        .directory
+        .all()
+        .filter(|i| i.service == call.service && i.state == InstanceState::Ready);
+    let usable: Vec<&Instance> = near
+        .filter(|i| &*i.zone == zone && !state.health.is_out(&i.id, now))
+        .collect();
+    let index = call.draw() as usize % usable.len().max(1);
+    usable.get(index).copied()
+}
+
+fn place_request(
+    call: &Call,
+    sending: &CallId,
+    avoid: &BTreeSet<InstanceId>,
+    now: Now,
+) -> Option<PlaceRequest> {
+    let (model, adapter) = call.head.model.clone()?;
+    Some(PlaceRequest {
+        call: sending.clone(),
+        service: call.service.clone(),
+        model,
+        adapter,
+        tokens: call.head.prompt_tokens,
+        output: call.head.output_tokens,
+        priority: call.route.priority,
+        due_in: call.due.checked_sub(now),
+        patience: call.left(now),
+        avoid: avoid.clone(),
+        passed_on: false,
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/probes.rs
@@ -0,0 +1,53 @@
+//! The small servers beside the callers': readiness and metrics.
+
+use crate::log::Log;
+use crate::metrics::Metrics;
+use crate::reply::{self, Reply, ReplyBody};
+use crate::state::Shared;
+use hyper::body::Incoming;
+use hyper::{Request, StatusCode};
+use reedford_front::AnswerRequests;
+use std::sync::Arc;
+
+/// Says whether this node is ready.
+#[derive(Debug)]
+pub(crate) struct Readiness {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) path: Box<str>,
+}
+
+impl AnswerRequests for Readiness {
+    type Body = ReplyBody;
+
+    async fn answer(&self, req: Request<Incoming>) -> Reply {
+        if req.uri().path() != &*self.path {
+            return reply::own(StatusCode::NOT_FOUND, "no such path");
+        }
+        if self.shared.lock().ready() {
+            reply::own(StatusCode::OK, "ready")
+        } else {
+            reply::own(StatusCode::SERVICE_UNAVAILABLE, "not ready")
+        }
+    }
+}
+
+/// Serves the metrics.
+#[derive(Debug)]
+pub(crate) struct MetricsPage {
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) log: Arc<Log>,
+}
+
+impl AnswerRequests for MetricsPage {
+    type Body = ReplyBody;
+
+    async fn answer(&self, req: Request<Incoming>) -> Reply {
+        if req.uri().path() != "/metrics" {
+            return reply::own(StatusCode::NOT_FOUND, "no such path");
+        }
+        let text = self.metrics.text(self.log.dropped());
+        let mut reply = reply::own(StatusCode::OK, "");
+        *reply.body_mut() = reply::whole(text.into());
+        reply
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/state.rs
@@ -0,0 +1,122 @@
+//! What a node believes, shared by its tasks.
+//!
+//! Everything is changed by one task at a time under one lock that is never
+//! held over an await.
+
+use crate::clock::Clock;
+use reedford_fleet::budget::{RetryBudget, RetryLimits};
+use reedford_fleet::config::RouteTable;
+use reedford_fleet::directory::{Directory, Instance};
+use reedford_fleet::health::Health;
+use reedford_fleet::ownership::Role;
+use reedford_fleet::scheduler::{AdapterKey, Grant, Outlook};
+use reedford_fleet::spread::Spread;
+use reedford_fleet::{InstanceId, Now, WeightVersion, ZoneId};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// Most adapters whose last place is remembered.
+const PLACES_KEPT: usize = 4_096;
+
+/// State of a node behind its lock.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) clock: Clock,
+    state: Mutex<State>,
+}
+
+/// State of a node.
+#[derive(Debug)]
+pub(crate) struct State {
+    pub(crate) routes: Option<Arc<RouteTable>>,
+    pub(crate) directory: Directory,
+    /// Whether the store has told the instances at least once.
+    pub(crate) listed: bool,
+    pub(crate) versions: BTreeMap<AdapterKey, WeightVersion>,
+    pub(crate) health: Health,
+    pub(crate) spread: Spread,
+    pub(crate) budget: RetryBudget,
+    pub(crate) role: Role,
+    /// Coordinators of the other availability zones.
+    pub(crate) neighbours: BTreeMap<ZoneId, Neighbour>,
+    /// Nodes that registered, by key.
+    pub(crate) nodes: BTreeSet<Box<str>>,
+    /// Where adapters ran last, for times without a coordinator.
+    pub(crate) places: BTreeMap<AdapterKey, Place>,
+    pub(crate) stopping: bool,
+}
+
+/// The coordinator of another availability zone.
+#[derive(Clone, Debug)]
+pub(crate) struct Neighbour {
+    pub(crate) addr: SocketAddr,
+    pub(crate) outlook: Option<(Outlook, Now)>,
+}
+
+/// Where an adapter ran last.
+#[derive(Clone, Debug)]
+pub(crate) struct Place {
+    pub(crate) instance: InstanceId,
+    pub(crate) version: Option<WeightVersion>,
+    pub(crate) at: Now,
+}
+
+impl Shared {
+    pub(crate) fn new(role: Role, retries: RetryLimits) -> Self {
+        Self {
+            clock: Clock::start(),
+            state: Mutex::new(State {
+                routes: None,
+                directory: Directory::default(),
+                listed: false,
+                versions: BTreeMap::new(),
+                health: Health::default(),
+                spread: Spread::default(),
+                budget: RetryBudget::new(retries),
+                role,
+                neighbours: BTreeMap::new(),
+                nodes: BTreeSet::new(),
+                places: BTreeMap::new(),
+                stopping: false,
+            }),
+        }
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn now(&self) -> Now {
+        self.clock.now()
+    }
+}
+
+impl State {
+    /// Whether the node can serve callers.
+    pub(crate) fn ready(&self) -> bool {
+        self.routes.is_some() && self.listed && !self.stopping
+    }
+
+    /// Remembers where an adapter runs.
+    pub(crate) fn remember(&mut self, key: AdapterKey, grant: &Grant, now: Now) {
+        if self.places.len() >= PLACES_KEPT && !self.places.contains_key(&key) {
+            let oldest = self.places.iter().min_by_key(|(_, p)| p.at);
+            if let Some(oldest) = oldest.map(|(key, _)| key.clone()) {
+                self.places.remove(&oldest);
+            }
+        }
+        let place = Place {
+            instance: grant.instance.clone(),
+            version: grant.version,
+            at: now,
+        };
+        self.places.insert(key, place);
+    }
+
+    /// An instance that may be used, by its id.
+    pub(crate) fn usable(&self, id: &str) -> Option<&Instance> {
+        let instance = self.directory.get(id)?;
+        (instance.state == reedford_fleet::directory::InstanceState::Ready).then_some(instance)
+    }
+}
--- a/crates/serve/src/peer/clients.rs
+++ b/crates/rpc/src/clients.rs
@@ -1,14 +1,13 @@
-//! Connections to other entry instances.
+//! Connections to other nodes.
 
-use super::PeerClient;
+use futures::future::BoxFuture;
 use std::collections::BTreeMap;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
-use tarpc::client::{Config, RpcError};
+use tarpc::client::RpcError;
 use tarpc::context::{self, Context};
-use tarpc::serde_transport::tcp;
-use tarpc::tokio_serde::formats::Json;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -17,7 +16,7 @@
 
 /// Why a call to a peer gave no answer.
 #[derive(Debug, thiserror::Error)]
-pub(crate) enum PeerError {
+pub enum PeerError {
     /// The peer could not be reached; nothing was sent.
     #[error("connect failed")]
     Connect,
@@ -26,41 +25,56 @@
     Lost(#[from] RpcError),
 }
 
+/// A client of one service, as its definition generates it.
+pub trait Client: Clone + Send + 'static {
+    /// Connects to `addr`. The second part of the answer carries the calls out
+    /// and ends with the connection.
+    fn open(addr: SocketAddr) -> BoxFuture<'static, io::Result<(Self, BoxFuture<'static, ()>)>>;
+}
+
 /// One connection to each peer, opened when first used and dropped when a call
 /// on it fails, so that a connection that went silent is not used again.
 #[derive(Debug)]
-pub(crate) struct PeerClients {
+pub struct PeerClients<C> {
     connect: Duration,
-    open: Mutex<BTreeMap<SocketAddr, Connection>>,
+    open: Mutex<BTreeMap<SocketAddr, Connection<C>>>,
     tasks: TaskTracker,
     stop: CancellationToken,
 }
 
 #[derive(Clone, Debug)]
-struct Connection {
-    client: PeerClient,
+struct Connection<C> {
+    client: C,
     stop: CancellationToken,
 }
 
-impl PeerClients {
-    pub(crate) fn new(connect: Duration) -> Self {
+impl<C> PeerClients<C>
+where
+    C: Client,
+{
+    /// No connections; each takes at most `connect` to open.
+    #[must_use]
+    pub fn new(connect: Duration) -> Self {
         Self {
             connect,
-            open: Mutex::default(),
+            open: Mutex::new(BTreeMap::new()),
             tasks: TaskTracker::new(),
             stop: CancellationToken::new(),
         }
     }
 
     /// Makes a call that has to end within `limit`.
-    pub(crate) async fn call<T, F, Fut>(
+    ///
+    /// # Errors
+    /// When the peer can't be reached or gives no answer.
+    pub async fn call<T, F, Fut>(
         &self,
         addr: SocketAddr,
         limit: Duration,
         call: F,
     ) -> Result<T, PeerError>
     where
-        F: FnOnce(PeerClient, Context) -> Fut,
+        F: FnOnce(C, Context) -> Fut,
         Fut: Future<Output = Result<T, RpcError>>,
     {
         let conn = self.connection(addr).await?;
@@ -74,46 +88,42 @@
     }
 
     /// Closes all connections and joins their tasks.
-    pub(crate) async fn close(&self) {
+    pub async fn close(&self) {
         self.stop.cancel();
         self.tasks.close();
         self.tasks.wait().await;
     }
 
-    async fn connection(&self, addr: SocketAddr) -> Result<Connection, PeerError> {
+    async fn connection(&self, addr: SocketAddr) -> Result<Connection<C>, PeerError> {
         if let Some(conn) = self.known(addr) {
             return Ok(conn);
         }
-        let connecting = tcp::connect(addr, Json::default);
-        let transport = match tokio::time::timeout(self.connect, connecting).await {
-            Ok(Ok(transport)) => transport,
+        let connecting = C::open(addr);
+        let (client, dispatch) = match tokio::time::timeout(self.connect, connecting).await {
+            Ok(Ok(open)) => open,
             Ok(Err(_)) | Err(_) => return Err(PeerError::Connect),
         };
-        let new = PeerClient::new(Config::default(), transport);
         let stop = self.stop.child_token();
         let stopped = stop.clone();
         self.tasks.spawn(async move {
             tokio::select! {
-                _ = new.dispatch => (),
+                () = dispatch => (),
                 () = stopped.cancelled() => (),
             }
             stopped.cancel();
         });
-        let conn = Connection {
-            client: new.client,
-            stop,
-        };
+        let conn = Connection { client, stop };
         self.lock().insert(addr, conn.clone());
         Ok(conn)
     }
 
-    fn known(&self, addr: SocketAddr) -> Option<Connection> {
+    fn known(&self, addr: SocketAddr) -> Option<Connection<C>> {
         let mut open = self.lock();
         open.retain(|_, conn| !conn.stop.is_cancelled());
         open.get(&addr).cloned()
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<SocketAddr, Connection>> {
+    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<SocketAddr, Connection<C>>> {
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/serve/src/clients.rs
+++ b/crates/serve/src/clients.rs
@@ -1,8 +1,8 @@
 //! Clients of everything outside this process, made from the settings.
 
 use crate::peer::PeerClients;
-use reedford_platform::{DocumentStore, Endpoint, EndpointConfig, HttpKeyValue, InstanceDirectory};
 use reedford_settings::{Settings, ms};
+use reedford_store::{DocumentStore, Endpoint, EndpointConfig, HttpKeyValue, InstanceDirectory};
 use reedford_targets::{TargetClient, Timeouts};
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/serve/src/control/command.rs
+++ b/crates/serve/src/control/command.rs
@@ -8,8 +8,8 @@
 };
 use reedford_core::scheduler::{EngineFacts, LoadFault};
 use reedford_core::{AdapterVersion, Epoch, InstanceId, Now, WorkerId};
-use reedford_platform::{DocumentError, KvError, Listing, Swapped};
 use reedford_rules::RulesDocument;
+use reedford_store::{DocumentError, KvError, Listing, Swapped};
 use reedford_wire::instances::InstanceList;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
--- a/crates/serve/src/control/instances.rs
+++ b/crates/serve/src/control/instances.rs
@@ -2,8 +2,8 @@
 
 use super::command::Event;
 use super::state::Control;
-use reedford_platform::KvError;
 use reedford_settings::ms;
+use reedford_store::KvError;
 use reedford_wire::instances::{InstanceList, InstanceState};
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/crates/serve/src/control/orders.rs
+++ b/crates/serve/src/control/orders.rs
@@ -8,7 +8,7 @@
 use reedford_core::lease::LeaseState;
 use reedford_core::scheduler::LoadFault;
 use reedford_core::{AdapterVersion, Epoch, Now, WorkerId};
-use reedford_platform::{Entry, KeyValue as _, Swapped};
+use reedford_store::{Entry, KeyValue as _, Swapped};
 use reedford_targets::OrderError;
 use reedford_wire::engine::{LoadOrder, RefusalCode};
 use serde::{Deserialize, Serialize};
--- a/crates/serve/src/control/ownership.rs
+++ b/crates/serve/src/control/ownership.rs
@@ -6,8 +6,8 @@
 use reedford_core::messages::Handover;
 use reedford_core::table::{Previous, ZoneTable};
 use reedford_core::{Epoch, InstanceId, Now, WorkerId, ZoneId};
-use reedford_platform::{Entry, KeyValue as _, KvError, Listing, Swapped};
 use reedford_settings::ms;
+use reedford_store::{Entry, KeyValue as _, KvError, Listing, Swapped};
 use std::time::Duration;
 
 /// Where the tables of all zones are kept.
--- a/crates/serve/src/peer.rs
+++ b/crates/serve/src/peer.rs
@@ -1,16 +1,21 @@
 //! The protocol between entry instances, over tarpc.
 
-mod clients;
 mod server;
 
-pub(crate) use clients::PeerClients;
 pub(crate) use server::PeerServer;
 
+use futures::FutureExt as _;
+use futures::future::BoxFuture;
 use reedford_core::messages::{
     Handover, PermitAnswer, PermitRequest, Release, Summary, SummaryAnswer, TurnAnswer, TurnRequest,
 };
 use reedford_core::{AdapterVersion, WorkerId};
 use serde::{Deserialize, Serialize};
+use std::io;
+use std::net::SocketAddr;
+use tarpc::client::Config;
+use tarpc::serde_transport::tcp;
+use tarpc::tokio_serde::formats::Json;
 
 /// A revision of the rules, as peers pass it on.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -40,3 +45,18 @@
     /// The rules in force.
     async fn rules() -> Option<RulesText>;
 }
+
+/// Connections to other entry instances.
+pub(crate) type PeerClients = reedford_rpc::PeerClients<PeerClient>;
+
+impl reedford_rpc::Client for PeerClient {
+    fn open(addr: SocketAddr) -> BoxFuture<'static, io::Result<(Self, BoxFuture<'static, ()>)>> {
+        async move {
+            let transport = tcp::connect(addr, Json::default).await?;
+            let new = Self::new(Config::default(), transport);
+            let dispatch = new.dispatch.map(|_ended| ()).boxed();
+            Ok((new.client, dispatch))
+        }
+        .boxed()
+    }
+}
--- a/crates/serve/src/retention.rs
+++ b/crates/serve/src/retention.rs
@@ -2,7 +2,7 @@
 //! service, which deletes them when the lease ends.
 
 use crate::clients::Clients;
-use reedford_platform::{KeyValue as _, LeaseId};
+use reedford_store::{KeyValue as _, LeaseId};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
--- a/crates/serve/src/traffic/claims.rs
+++ b/crates/serve/src/traffic/claims.rs
@@ -4,7 +4,7 @@
 use super::refusals::fault;
 use reedford_core::claims::{ClaimDecision, ClaimRecord, ClaimState, RecordedAnswer, decide};
 use reedford_front::{CallOptions, Refused, RefusedCode};
-use reedford_platform::{Entry, Expect, KeyValue as _, KvError, Put, Swapped, Transaction};
+use reedford_store::{Entry, Expect, KeyValue as _, KvError, Put, Swapped, Transaction};
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/crates/standins/tests/failures/operators.rs
+++ b/crates/standins/tests/failures/operators.rs
@@ -2,10 +2,10 @@
 //! everywhere.
 
 use crate::scene::{RULES, Scene, ZONES, until};
-use reedford_platform::{ApplyOutcome, DocumentStore, Endpoint, EndpointConfig, HttpKeyValue};
 use reedford_serve::RULES_PREFIX;
 use reedford_standins::history::{CasOperation, revisions_linearizable};
 use reedford_standins::platform::Faults;
+use reedford_store::{ApplyOutcome, DocumentStore, Endpoint, EndpointConfig, HttpKeyValue};
 use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
--- a/crates/standins/tests/platform/document.rs
+++ b/crates/standins/tests/platform/document.rs
@@ -1,10 +1,10 @@
 //! Texts that are larger than a value, and operators who race.
 
 use crate::support::Bench;
-use reedford_platform::{
+use reedford_standins::platform::Faults;
+use reedford_store::{
     ApplyOutcome, Document, DocumentError, DocumentStore, HttpKeyValue, KeyValue, KvError,
 };
-use reedford_standins::platform::Faults;
 use std::sync::Arc;
 use test_case::test_case;
 
--- a/crates/standins/tests/platform/faults.rs
+++ b/crates/standins/tests/platform/faults.rs
@@ -2,8 +2,8 @@
 
 use crate::support::{Bench, LONG, OTHER_ZONE, ZONE, endpoint, put, read};
 use futures::StreamExt;
-use reedford_platform::{HttpKeyValue, KeyValue, KvError};
 use reedford_standins::platform::{Faults, PlatformConfig, PlatformStandin};
+use reedford_store::{HttpKeyValue, KeyValue, KvError};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use test_case::test_case;
--- a/crates/standins/tests/platform/key_value.rs
+++ b/crates/standins/tests/platform/key_value.rs
@@ -2,7 +2,7 @@
 
 use crate::support::{Bench, put, read};
 use futures::StreamExt;
-use reedford_platform::{
+use reedford_store::{
     ChangeKind, Delete, Entry, Expect, KeyValue, KvError, Put, Swapped, Transaction, Watch,
 };
 use std::time::Duration;
--- a/crates/standins/tests/platform/outside.rs
+++ b/crates/standins/tests/platform/outside.rs
@@ -2,8 +2,8 @@
 
 use crate::support::Bench;
 use hyper::{Method, StatusCode};
-use reedford_platform::InstanceDirectory;
 use reedford_standins::platform::{Faults, PlatformConfig, SetInstances};
+use reedford_store::InstanceDirectory;
 use reedford_wire::instances::{Instance, InstanceKind, InstanceState};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
--- a/crates/platform/src/http.rs
+++ b/crates/store/src/http.rs
@@ -139,17 +139,57 @@
         decode(&self.whole(&call).await?)
     }
 
-    pub(crate) async fn get<Res>(&self, path: &str) -> Result<Res, KvError>
+    /// Posts a call that may change something.
+    ///
+    /// # Errors
+    /// Any [`KvError`].
+    pub async fn write<Req, Res>(&self, path: &str, req: &Req) -> Result<Res, KvError>
     where
+        Req: Serialize,
         Res: DeserializeOwned,
     {
+        self.post(path, Effect::Write, req).await
+    }
+
+    /// Posts a call without a body that may be made any number of times.
+    ///
+    /// # Errors
+    /// Any [`KvError`].
+    pub async fn repeatable<Res>(&self, path: &str) -> Result<Res, KvError>
+    where
+        Res: DeserializeOwned,
+    {
+        decode(&self.bare(Method::POST, path, Effect::Read).await?)
+    }
+
+    /// Makes a DELETE call.
+    ///
+    /// # Errors
+    /// Any [`KvError`].
+    pub async fn delete(&self, path: &str) -> Result<(), KvError> {
+        self.bare(Method::DELETE, path, Effect::Write).await?;
+        Ok(())
+    }
+
+    /// Makes a GET call.
+    ///
+    /// # Errors
+    /// Any [`KvError`].
+    pub async fn get<Res>(&self, path: &str) -> Result<Res, KvError>
+    where
+        Res: DeserializeOwned,
+    {
+        decode(&self.bare(Method::GET, path, Effect::Read).await?)
+    }
+
+    async fn bare(&self, method: Method, path: &str, effect: Effect) -> Result<Bytes, KvError> {
         let call = Call {
-            method: Method::GET,
+            method,
             path,
             body: Bytes::new(),
-            effect: Effect::Read,
+            effect,
         };
-        decode(&self.whole(&call).await?)
+        self.whole(&call).await
     }
 
     /// Sends a call and reads its answer to the end.
--- a/crates/targets/src/exchange.rs
+++ b/crates/targets/src/exchange.rs
@@ -5,7 +5,7 @@
 //! not sent: it never reached the encoder, so none of its bytes left.
 
 use crate::error::{CallError, LostReason, NotSentReason};
-use crate::pool::{Connection, Pool};
+use crate::pool::{Connection, IDLE_LIMIT, Pool};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
@@ -20,7 +20,7 @@
 
 /// Which connections may carry a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Reuse {
+pub enum Reuse {
     /// An unused one if there is one.
     Allowed,
     /// A new one.
@@ -29,16 +29,16 @@
 
 /// When an answer must begin.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct HeadLimit {
+pub struct HeadLimit {
     /// The limit.
-    pub(crate) at: Instant,
+    pub at: Instant,
     /// What is reported when it passes.
-    pub(crate) reason: LostReason,
+    pub reason: LostReason,
 }
 
 impl HeadLimit {
     /// A limit by the first-byte timeout or the deadline, whichever is sooner.
-    pub(crate) fn sooner(first_byte: Duration, deadline: Option<Instant>) -> Self {
+    pub fn sooner(first_byte: Duration, deadline: Option<Instant>) -> Self {
         let at = Instant::now() + first_byte;
         match deadline {
             Some(deadline) if deadline < at => Self::deadline(deadline),
@@ -50,7 +50,7 @@
     }
 
     /// A limit by the deadline, or by the first-byte timeout when there is none.
-    pub(crate) fn deadline_or(first_byte: Duration, deadline: Option<Instant>) -> Self {
+    pub fn deadline_or(first_byte: Duration, deadline: Option<Instant>) -> Self {
         deadline.map_or_else(|| Self::sooner(first_byte, None), Self::deadline)
     }
 
@@ -64,27 +64,40 @@
 
 /// The head of an answer, with the connection that its body comes on.
 #[derive(Debug)]
-pub(crate) struct Exchange {
-    pub(crate) body: Incoming,
-    pub(crate) conn: Connection,
-    pub(crate) headers: HeaderMap,
-    pub(crate) status: StatusCode,
+pub struct Exchange {
+    /// The body, not yet read.
+    pub body: Incoming,
+    /// The connection that it comes on.
+    pub conn: Connection,
+    /// Header fields.
+    pub headers: HeaderMap,
+    /// Status.
+    pub status: StatusCode,
 }
 
 /// A whole answer. The connection goes back to the pool only through
 /// [`Answer::accept`]; dropped with the answer, it is closed.
 #[derive(Debug)]
-pub(crate) struct Answer {
-    pub(crate) body: Bytes,
-    pub(crate) headers: HeaderMap,
-    pub(crate) status: StatusCode,
+pub struct Answer {
+    /// The whole body.
+    pub body: Bytes,
+    /// Header fields.
+    pub headers: HeaderMap,
+    /// Status.
+    pub status: StatusCode,
     conn: Connection,
 }
 
 impl Answer {
     /// Gives the connection back and yields the body.
-    pub(crate) fn accept(self, pool: &Pool) -> Bytes {
-        pool.put(self.conn);
+    pub fn accept(self, pool: &Pool) -> Bytes {
+        self.accept_for(pool, IDLE_LIMIT)
+    }
+
+    /// Gives the connection back, to be kept unused for at most `idle`, and
+    /// yields the body.
+    pub fn accept_for(self, pool: &Pool, idle: Duration) -> Bytes {
+        pool.put_for(self.conn, idle);
         self.body
     }
 }
@@ -93,7 +106,7 @@
 ///
 /// # Errors
 /// [`CallError::NotSent`] only if the request never reached the encoder.
-pub(crate) async fn start(
+pub async fn start(
     pool: &Pool,
     addr: SocketAddr,
     req: Request<Full<Bytes>>,
@@ -123,7 +136,7 @@
 ///
 /// # Errors
 /// When it stalls, is cut, or is too long.
-pub(crate) async fn read_whole(
+pub async fn read_whole(
     pool: &Pool,
     exchange: Exchange,
     progress: Duration,
@@ -157,7 +170,9 @@
     mut req: Request<Full<Bytes>>,
     limit: HeadLimit,
 ) -> Result<Exchange, SendError> {
-    if let Ok(host) = conn.addr.to_string().parse() {
+    if !req.headers().contains_key(header::HOST)
+        && let Ok(host) = conn.addr.to_string().parse()
+    {
         req.headers_mut().insert(header::HOST, host);
     }
     let sent = timeout_at(limit.at, conn.sender.try_send_request(req)).await;
--- a/crates/targets/src/lib.rs
+++ b/crates/targets/src/lib.rs
@@ -24,8 +24,11 @@
     CallError, DispatchError, LostReason, Mismatch, NotSentReason, OrderError, ResumeError,
     StreamError,
 };
+pub use exchange::{Answer, Exchange, HeadLimit, Reuse, read_whole, start};
 pub use options::{DispatchOptions, PlainCall, Timeouts};
+pub use pool::{Connection, Pool};
 pub use reply::{Cancellation, PlainReply, Reply};
+pub use sse::{Event, EventReader, Unreadable};
 pub use status::refusal_status;
 pub use stream::{TokenEvent, TokenStream};
 
--- a/crates/targets/src/pool.rs
+++ b/crates/targets/src/pool.rs
@@ -20,27 +20,29 @@
 use tokio_util::task::TaskTracker;
 
 /// Time after which an unused connection is dropped.
-const IDLE_LIMIT: Duration = Duration::from_secs(10);
+pub(crate) const IDLE_LIMIT: Duration = Duration::from_secs(10);
 /// Most unused connections kept for one target.
 const IDLE_MAX: usize = 64;
 
 /// An open connection, closed when dropped.
 #[derive(Debug)]
-pub(crate) struct Connection {
-    pub(crate) addr: SocketAddr,
-    pub(crate) sender: SendRequest<Full<Bytes>>,
+pub struct Connection {
+    /// Where it leads.
+    pub addr: SocketAddr,
+    /// Takes requests.
+    pub sender: SendRequest<Full<Bytes>>,
     _task: DropGuard,
 }
 
 #[derive(Debug)]
 struct Idle {
     conn: Connection,
-    since: Instant,
+    until: Instant,
 }
 
 /// The connections that no exchange uses, and all connection tasks.
 #[derive(Debug)]
-pub(crate) struct Pool {
+pub struct Pool {
     idle: Mutex<BTreeMap<SocketAddr, Vec<Idle>>>,
     closing: CancellationToken,
     connect_timeout: Duration,
@@ -49,7 +51,7 @@
 
 impl Pool {
     /// An empty pool.
-    pub(crate) fn new(connect_timeout: Duration) -> Self {
+    pub fn new(connect_timeout: Duration) -> Self {
         Self {
             idle: Mutex::default(),
             closing: CancellationToken::new(),
@@ -59,7 +61,7 @@
     }
 
     /// Takes an unused connection that is still open and ready.
-    pub(crate) async fn take(&self, addr: SocketAddr) -> Option<Connection> {
+    pub async fn take(&self, addr: SocketAddr) -> Option<Connection> {
         while let Some(mut conn) = self.pop(addr) {
             let ready = timeout(self.connect_timeout, conn.sender.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
@@ -70,7 +72,10 @@
     }
 
     /// Opens a connection.
-    pub(crate) async fn connect(&self, addr: SocketAddr) -> Result<Connection, NotSentReason> {
+    ///
+    /// # Errors
+    /// When it is not open in time, or the pool is closed.
+    pub async fn connect(&self, addr: SocketAddr) -> Result<Connection, NotSentReason> {
         if self.closing.is_cancelled() {
             return Err(NotSentReason::ClientClosed);
         }
@@ -80,29 +85,35 @@
     }
 
     /// Gives back a connection whose answer has been read to its end.
-    pub(crate) fn put(&self, conn: Connection) {
+    pub fn put(&self, conn: Connection) {
+        self.put_for(conn, IDLE_LIMIT);
+    }
+
+    /// Gives back a connection that may stay unused for at most `idle`.
+    pub fn put_for(&self, conn: Connection, idle: Duration) {
         if self.closing.is_cancelled() || conn.sender.is_closed() {
             return;
         }
         let now = Instant::now();
-        let mut idle = self.lock();
-        idle.retain(|_, conns| {
-            conns.retain(|c| now.duration_since(c.since) < IDLE_LIMIT);
+        let until = now + idle.min(IDLE_LIMIT);
+        let mut unused = self.lock();
+        unused.retain(|_, conns| {
+            conns.retain(|c| now < c.until);
             !conns.is_empty()
         });
-        let conns = idle.entry(conn.addr).or_default();
+        let conns = unused.entry(conn.addr).or_default();
         if conns.len() < IDLE_MAX {
-            conns.push(Idle { conn, since: now });
+            conns.push(Idle { conn, until });
         }
     }
 
     /// Drops the unused connections to a target, after one to it went silent.
-    pub(crate) fn purge(&self, addr: SocketAddr) {
+    pub fn purge(&self, addr: SocketAddr) {
         self.lock().remove(&addr);
     }
 
     /// Runs a task that `close` joins; it is dropped when the pool closes.
-    pub(crate) fn spawn<F>(&self, task: F)
+    pub fn spawn<F>(&self, task: F)
     where
         F: Future<Output = ()> + Send + 'static,
     {
@@ -113,7 +124,7 @@
     }
 
     /// Closes all connections and joins all tasks.
-    pub(crate) async fn close(&self) {
+    pub async fn close(&self) {
         self.closing.cancel();
         self.lock().clear();
         self.tasks.close();
@@ -124,7 +135,7 @@
         let now = Instant::now();
         let mut idle = self.lock();
         let conns = idle.get_mut(&addr)?;
-        conns.retain(|c| now.duration_since(c.since) < IDLE_LIMIT && !c.conn.sender.is_closed());
+        conns.retain(|c| now < c.until && !c.conn.sender.is_closed());
         Some(conns.pop()?.conn)
     }
 
--- a/crates/targets/src/sse.rs
+++ b/crates/targets/src/sse.rs
@@ -7,22 +7,22 @@
 
 /// One event.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub(crate) struct Event {
+pub struct Event {
     /// The `data:` lines, joined by line feeds.
-    pub(crate) data: String,
+    pub data: String,
     /// The `id:` line.
-    pub(crate) id: Option<String>,
+    pub id: Option<String>,
     /// The bytes of the event with the blank line that ends it.
-    pub(crate) raw: Bytes,
+    pub raw: Bytes,
 }
 
 /// The input is not a stream of events.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) struct Unreadable;
+pub struct Unreadable;
 
 /// Collects bytes and yields events.
 #[derive(Debug, Default)]
-pub(crate) struct EventReader {
+pub struct EventReader {
     buf: BytesMut,
     /// Bytes of `buf` known to hold no end of an event.
     scanned: usize,
@@ -30,15 +30,21 @@
 
 impl EventReader {
     /// Adds bytes that came.
-    pub(crate) fn push(&mut self, bytes: &[u8]) {
+    pub fn push(&mut self, bytes: &[u8]) {
         self.buf.extend_from_slice(bytes);
     }
 
+    /// Whether bytes of an event wait whose end has not come.
+    #[must_use]
+    pub fn has_partial(&self) -> bool {
+        !self.buf.is_empty()
+    }
+
     /// Takes the next complete event, skipping comments.
     ///
     /// # Errors
     /// When an event is too long or not UTF-8.
-    pub(crate) fn next_event(&mut self) -> Result<Option<Event>, Unreadable> {
+    pub fn next_event(&mut self) -> Result<Option<Event>, Unreadable> {
         loop {
             let Some(len) = self.event_len()? else {
                 return Ok(None);
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,7 +1,7 @@
 //! Messages of the published protocols of the outside systems: model engines,
 //! plain services, and the platform.
 //!
-//! Both the clients (`reedford-targets`, `reedford-platform`) and the
+//! Both the clients (`reedford-targets`, `reedford-store`) and the
 //! stand-ins use these types, so that the two sides can't drift apart.
 
 pub mod chat;
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -1,6 +1,7 @@
 //! The commands, one module each.
 
 mod adapters;
+mod gateway;
 mod rules;
 mod serve;
 mod status;
@@ -16,6 +17,7 @@
 pub(crate) fn run(command: ReedfordCmd) -> eyre::Result<Outcome> {
     match command {
         ReedfordCmd::Adapters(flags) => block_on(adapters::run(flags)),
+        ReedfordCmd::Gateway(flags) => gateway::run(&flags),
         ReedfordCmd::Rules(flags) => rules::run(flags.subcommand),
         ReedfordCmd::Serve(flags) => serve::run(&flags),
         ReedfordCmd::Status(flags) => block_on(status::run(flags)),
--- a/src/commands/rules/apply.rs
+++ b/src/commands/rules/apply.rs
@@ -11,7 +11,7 @@
 use crate::rollout::{Instances, instances};
 use eyre::WrapErr as _;
 use reedford_operator::OperatorRpcClient;
-use reedford_platform::ApplyOutcome;
+use reedford_store::ApplyOutcome;
 use std::path::Path;
 use std::time::Duration;
 use tokio::time::Instant;
--- a/src/flags.rs
+++ b/src/flags.rs
@@ -14,6 +14,13 @@
             /// Only checks the settings.
             optional --check
         }
+        /// Runs a node on the users' platform.
+        cmd gateway {
+            /// Settings file; the variable REEDFORD_CONFIG names it otherwise.
+            optional --config file: PathBuf
+            /// Only checks the settings.
+            optional --check
+        }
         /// The rules file.
         cmd rules {
             /// Reports all faults of a file.
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -1,10 +1,10 @@
 //! The rules as the platform's service holds them.
 
 use crate::flags::Addresses;
-use reedford_platform::{
+use reedford_serve::RULES_PREFIX;
+use reedford_store::{
     ApplyOutcome, Document, DocumentError, DocumentStore, Endpoint, EndpointConfig, HttpKeyValue,
 };
-use reedford_serve::RULES_PREFIX;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
