Scheduler: homes of adapters, places to wait for, fewer loads from the store

Cause: 1,096 loads for about 1,300 model calls; an adapter was loaded at several engines while its first load was under way, engines refused a fifth arriving adapter, and every early call stopped an engine's orders for 350 ms.

--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 /// Weight of the newest outcome in the decayed share of failures.
-const NEWEST: f64 = 0.25;
+const NEWEST: f64 = 0.15;
 /// Share of failures from which an instance is left out.
 const FAILING: f64 = 0.4;
 /// How long it is left out the first time; doubles up to [`LONGEST`].
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -31,6 +31,7 @@
 use estimate::LoadTimes;
 use reedford_core::frequency::Frequency;
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -166,15 +167,23 @@
 
     /// Takes word of an adapter's newest version.
     pub fn on_version(&mut self, key: AdapterKey, version: WeightVersion) {
-        let known = self.versions.entry(key).or_insert(version);
-        *known = (*known).max(version);
+        let known = self.versions.entry(key.clone()).or_insert(0);
+        if *known >= version {
+            return;
+        }
+        *known = version;
+        // What was loaded as the newest is so no longer.
+        let copies = self.engines.values_mut().filter_map(|e| e.copies.get_mut(&key));
+        for copy in copies {
+            copy.version.get_or_insert(0);
+        }
     }
 
     /// Queues a call, or refuses it when it would surely come too late.
     pub fn ask(&mut self, ask: Ask, now: Now) -> Option<Refusal> {
         let key = ask.key();
         if let Some(key) = &key {
-            self.popularity.record(&key.popularity_name(), 1, now);
+            self.popularity.record(&key.to_string(), 1, now);
         }
         self.serial += 1;
         let waiting = Waiting {
@@ -259,6 +268,14 @@
         outlook
     }
 
+    /// Whether an engine has an adapter, or will, in a version that serves.
+    #[must_use]
+    pub fn holds(&self, key: &AdapterKey) -> bool {
+        let version = self.versions.get(key).copied();
+        let serves = |e: &Engine| e.copies.get(key).is_some_and(|c| c.serves(version));
+        self.engines.values().any(|e| e.ready && serves(e))
+    }
+
     /// Calls that wait.
     #[must_use]
     pub fn waiting(&self) -> usize {
@@ -292,9 +309,8 @@
     }
 }
 
-impl AdapterKey {
-    /// Name under which requests are counted.
-    fn popularity_name(&self) -> String {
-        format!("{}/{}", self.model, self.adapter)
+impl fmt::Display for AdapterKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.model, self.adapter)
     }
 }
--- a/crates/fleet/src/scheduler/engine.rs
+++ b/crates/fleet/src/scheduler/engine.rs
@@ -44,6 +44,10 @@
     pub(super) list_at: Option<Now>,
     pub(super) listing: bool,
     pub(super) last_order: Now,
+    /// Conflicts of the next order so far.
+    pub(super) conflicts: u32,
+    /// No order goes out before.
+    pub(super) orders_from: Now,
     runs: BTreeMap<CallId, Run>,
     paused_until: Now,
     last_start: Now,
@@ -109,6 +113,8 @@
             list_at: Some(now),
             listing: false,
             last_order: Now::ZERO,
+            conflicts: 0,
+            orders_from: Now::ZERO,
             runs: BTreeMap::new(),
             paused_until: Now::ZERO,
             last_start: Now::ZERO,
@@ -160,6 +166,12 @@
         free + self.copies.values().filter(|c| c.evictable()).count()
     }
 
+    /// Adapters on their way.
+    pub(super) fn arriving(&self) -> usize {
+        let arriving = |c: &&Copy| matches!(c.state, CopyState::Ordered | CopyState::Loading(_));
+        self.copies.values().filter(arriving).count()
+    }
+
     pub(super) fn grant(&mut self, ask: &Ask, key: Option<&AdapterKey>, now: Now) {
         if let Some(copy) = key.and_then(|k| self.copies.get_mut(k)) {
             copy.runs += 1;
@@ -218,6 +230,7 @@
             && let Some(copy) = key.and_then(|k| self.copies.get_mut(&k))
         {
             copy.state = CopyState::Loading(now + LONGER);
+            return;
         }
         self.list_at.get_or_insert(now);
     }
@@ -260,7 +273,8 @@
             ModelState::Loading(at) => Some(*at),
             ModelState::Held => None,
         });
-        loads.chain(models).chain(self.list_at).min()
+        let orders = (!self.order_queue.is_empty()).then_some(self.orders_from);
+        loads.chain(models).chain(self.list_at).chain(orders).min()
     }
 
     pub(super) fn evicted(&mut self, key: &AdapterKey) {
@@ -327,6 +341,11 @@
         self.state == CopyState::Held && self.runs == 0
     }
 
+    /// Whether calls can run on it, now or once it has arrived.
+    pub(super) fn serves(&self, wanted: Option<WeightVersion>) -> bool {
+        self.state != CopyState::Leaving && !self.is_stale(wanted)
+    }
+
     /// Whether its version is older than the one wanted.
     pub(super) fn is_stale(&self, wanted: Option<WeightVersion>) -> bool {
         matches!((self.version, wanted), (Some(held), Some(wanted)) if held < wanted)
--- a/crates/fleet/src/scheduler/placing.rs
+++ b/crates/fleet/src/scheduler/placing.rs
@@ -2,7 +2,7 @@
 
 use super::ask::{Ask, Grant, Refusal, RefusalReason};
 use super::engine::{CopyState, Engine, ModelState};
-use super::estimate::{as_millis, millis};
+use super::estimate::millis;
 use super::order::OrderKind;
 use super::{Action, AdapterKey, Scheduler, Waiting};
 use crate::{InstanceId, Now};
@@ -13,6 +13,21 @@
 /// Most that the rendezvous order of engines adds to a cost, in milliseconds.
 /// It only separates engines that are about equal.
 const HOME_BIAS_MS: f64 = 30.0;
+/// What a load from the store must gain besides its time: it uses a share of
+/// the store, and the adapter loses its home.
+const COLD_COST: Duration = Duration::from_millis(250);
+/// The same for a load from an engine's own memory.
+const WARM_COST: Duration = Duration::from_millis(40);
+/// Adapters on their way to one engine; engines refuse more.
+const MOST_ARRIVING: usize = 4;
+/// Loads from the store at full speed, for each engine of the zone, while the
+/// other zones load less; more at once would only slow each other down.
+const FULL_SPEED_LOADS: f64 = 1.0;
+/// Time after which the next place for an adapter comes free at an engine that
+/// has none: the time of a call over the number of places.
+const PLACE_WAIT: Duration = Duration::from_millis(120);
+/// Expected wait of a call that no engine can take now.
+const UNPLACED_WAIT: Duration = Duration::from_millis(1_000);
 /// Share of the time left that a caller is asked to wait at most; callers wait
 /// no longer than a third.
 const RETRY_SHARE: f64 = 0.3;
@@ -23,6 +38,9 @@
 #[derive(Clone, Debug)]
 struct Choice {
     engine: InstanceId,
+    /// Expected time until the first token.
+    wait: Duration,
+    /// What it is compared by.
     cost: Duration,
     need: Need,
 }
@@ -32,14 +50,22 @@
 enum Need {
     /// Nothing.
     Nothing,
-    /// The load under way has to end.
+    /// The load under way has to end, or a place to come free.
     Wait,
     /// The adapter has to be loaded, into the place of another if named.
     Load { evict: Option<AdapterKey> },
 }
 
-/// Work given to engines in one round but not granted.
-type Planned = BTreeMap<InstanceId, f64>;
+/// Calls given to an engine in one round but not granted.
+#[derive(Clone, Debug, Default)]
+struct Planned {
+    tokens: f64,
+    /// Adapters that wait for a place.
+    places: BTreeSet<AdapterKey>,
+}
+
+/// Plans by engine.
+type Plans = BTreeMap<InstanceId, Planned>;
 
 impl Scheduler {
     /// Expected time until the first token of a call that is asked for now.
@@ -55,14 +81,14 @@
     }
 
     fn expected(&self, waiting: &Waiting, now: Now) -> Duration {
-        let mut planned = Planned::new();
+        let mut plans = Plans::new();
         let priority = waiting.ask.priority;
         for ahead in self.queue.iter().filter(|w| w.ask.priority <= priority) {
-            self.plan_evenly(ahead, &mut planned, now);
+            self.plan_evenly(ahead, &mut plans, now);
         }
         let wanted = self.wanted();
-        let choice = self.best(waiting, &planned, &wanted, now);
-        choice.map_or_else(|| self.cost_without_choice(&planned), |c| c.cost)
+        let choice = self.best(waiting, &plans, &wanted, now);
+        choice.map_or(UNPLACED_WAIT, |c| c.wait)
     }
 
     /// Refuses a call at once whose first token would come far too late.
@@ -94,14 +120,14 @@
         let mut queue = std::mem::take(&mut self.queue);
         queue.sort_by_key(|w| (w.ask.objective < now, w.ask.priority, w.serial));
         let mut wanted: BTreeSet<AdapterKey> = queue.iter().filter_map(|w| w.key.clone()).collect();
-        let mut planned = Planned::new();
+        let mut plans = Plans::new();
         let mut actions = Vec::new();
         for waiting in queue {
             if let Some(refusal) = self.too_late(&waiting, now) {
                 actions.push(Action::Refuse(refusal));
                 continue;
             }
-            match self.place(&waiting, &mut planned, &mut wanted, now) {
+            match self.place(&waiting, &mut plans, &mut wanted, now) {
                 Some(grant) => actions.push(Action::Grant(grant)),
                 None => self.queue.push(waiting),
             }
@@ -112,11 +138,11 @@
     fn place(
         &mut self,
         waiting: &Waiting,
-        planned: &mut Planned,
+        plans: &mut Plans,
         wanted: &mut BTreeSet<AdapterKey>,
         now: Now,
     ) -> Option<Grant> {
-        let choice = self.best(waiting, planned, wanted, now)?;
+        let choice = self.best(waiting, plans, wanted, now)?;
         let work_ahead = self.limits.work_ahead;
         let wanted_version = waiting
             .key
@@ -125,7 +151,7 @@
             .copied();
         let engine = self.engines.get_mut(&choice.engine)?;
         let tokens = f64::from(waiting.ask.tokens);
-        match choice.need {
+        match choice.need.clone() {
             Need::Nothing if engine.wait() <= work_ahead => {
                 engine.grant(&waiting.ask, waiting.key.as_ref(), now);
                 let copy = waiting.key.as_ref().and_then(|k| engine.copies.get(k));
@@ -145,7 +171,11 @@
             }
             Need::Nothing | Need::Wait | Need::Load { .. } => {}
         }
-        *planned.entry(choice.engine).or_default() += tokens;
+        let plan = plans.entry(choice.engine).or_default();
+        plan.tokens += tokens;
+        if let (Need::Wait, Some(key)) = (choice.need, &waiting.key) {
+            plan.places.insert(key.clone());
+        }
         None
     }
 
@@ -153,7 +183,7 @@
     fn best(
         &self,
         waiting: &Waiting,
-        planned: &Planned,
+        plans: &Plans,
         wanted: &BTreeSet<AdapterKey>,
         now: Now,
     ) -> Option<Choice> {
@@ -164,7 +194,7 @@
             .filter(|e| !waiting.ask.avoid.contains(&e.id))
             .filter(|e| matches!(e.models.get(&waiting.ask.model), Some(ModelState::Held)))
             .filter(|e| e.has_room(&waiting.ask, spec.slots, spec.kv_tokens))
-            .filter_map(|e| self.choice(e, waiting, planned, wanted, spec.adapter_slots, now))
+            .filter_map(|e| self.choice(e, waiting, plans, wanted, spec.adapter_slots, now))
             .min_by_key(|c| c.cost)
     }
 
@@ -172,55 +202,62 @@
         &self,
         engine: &Engine,
         waiting: &Waiting,
-        planned: &Planned,
+        plans: &Plans,
         wanted: &BTreeSet<AdapterKey>,
         adapter_slots: u32,
         now: Now,
     ) -> Option<Choice> {
-        let ahead = planned.get(&engine.id).copied().unwrap_or_default();
-        let reading = (ahead + f64::from(waiting.ask.tokens)) / engine.rate();
-        let (need, load) = match &waiting.key {
-            None => (Need::Nothing, Duration::ZERO),
-            Some(key) => self.need(engine, key, wanted, adapter_slots, now)?,
+        let plan = plans.get(&engine.id);
+        let ahead = plan.map_or(0.0, |p| p.tokens);
+        let reading = millis((ahead + f64::from(waiting.ask.tokens)) / engine.rate());
+        let Some(key) = &waiting.key else {
+            let wait = engine.wait() + reading;
+            return Some(Choice {
+                engine: engine.id.clone(),
+                wait,
+                cost: wait,
+                need: Need::Nothing,
+            });
         };
-        let bias = waiting
-            .key
-            .as_ref()
-            .map_or(0.0, |k| home_bias(&k.popularity_name(), &engine.id));
+        let (need, load) = self.need(engine, key, plan, wanted, adapter_slots, now)?;
         // A load runs beside the work ahead.
-        let before = engine.wait().max(load);
-        let cost = before + millis(reading + bias);
+        let wait = engine.wait().max(load) + reading;
+        let bias = millis(home_bias(&key.to_string(), &engine.id));
+        let cost = wait + bias + self.load_cost(engine, key);
         Some(Choice {
             engine: engine.id.clone(),
+            wait,
             cost,
             need,
         })
     }
 
     /// What an adapter needs at an engine, and how long that takes; `None`
-    /// when it has no place there now.
+    /// when it can't be used there until calls on an old version have ended.
     fn need(
         &self,
         engine: &Engine,
         key: &AdapterKey,
+        plan: Option<&Planned>,
         wanted: &BTreeSet<AdapterKey>,
         adapter_slots: u32,
         now: Now,
     ) -> Option<(Need, Duration)> {
         let version = self.versions.get(key).copied();
-        let warm = engine.warm.contains(key);
-        let load = self.load_times.expected(warm);
+        let load = self.load_time(engine, key);
         let Some(copy) = engine.copies.get(key) else {
-            if engine.copies.len() < adapter_slots as usize {
-                return Some((Need::Load { evict: None }, load));
+            if engine.arriving() < MOST_ARRIVING && self.may_load(engine, key) {
+                if engine.copies.len() < adapter_slots as usize {
+                    return Some((Need::Load { evict: None }, load));
+                }
+                if let Some(victim) = self.victim(engine, wanted, now) {
+                    let evict = Some(victim);
+                    return Some((Need::Load { evict }, load));
+                }
             }
-            let victim = self.victim(engine, wanted, now)?;
-            return Some((
-                Need::Load {
-                    evict: Some(victim),
-                },
-                load,
-            ));
+            let others = plan.map_or(0, |p| p.places.iter().filter(|k| *k != key).count());
+            let turns = u32::try_from(others + 1).unwrap_or(u32::MAX);
+            return Some((Need::Wait, PLACE_WAIT.saturating_mul(turns) + load));
         };
         match copy.state {
             CopyState::Held if !copy.is_stale(version) => Some((Need::Nothing, Duration::ZERO)),
@@ -234,6 +271,29 @@
         }
     }
 
+    /// Expected time of a load; loads from the store share its speed.
+    pub(super) fn load_time(&self, engine: &Engine, key: &AdapterKey) -> Duration {
+        self.load_times.expected(engine.warm.contains(key))
+    }
+
+    /// Whether one more load would not slow those under way down.
+    fn may_load(&self, engine: &Engine, key: &AdapterKey) -> bool {
+        let arriving: usize = self.engines.values().map(Engine::arriving).sum();
+        let most = (self.engines.len() as f64 * FULL_SPEED_LOADS).max(2.0);
+        engine.warm.contains(key) || (arriving as f64) < most
+    }
+
+    /// What a load at an engine must gain besides its time.
+    fn load_cost(&self, engine: &Engine, key: &AdapterKey) -> Duration {
+        if engine.copies.contains_key(key) {
+            Duration::ZERO
+        } else if engine.warm.contains(key) {
+            WARM_COST
+        } else {
+            COLD_COST
+        }
+    }
+
     /// The least asked-for adapter that nothing uses or waits for.
     fn victim(
         &self,
@@ -246,7 +306,7 @@
             .iter()
             .filter(|(key, copy)| copy.evictable() && !wanted.contains(*key))
             .min_by(|a, b| {
-                let score = |key: &AdapterKey| self.popularity.score(&key.popularity_name(), now);
+                let score = |key: &AdapterKey| self.popularity.score(&key.to_string(), now);
                 let by_score = score(a.0).total_cmp(&score(b.0));
                 by_score.then(a.1.used.cmp(&b.1.used))
             })
@@ -277,35 +337,16 @@
     }
 
     /// Adds a waiting call to the engine with the least work.
-    fn plan_evenly(&self, waiting: &Waiting, planned: &mut Planned, now: Now) {
+    fn plan_evenly(&self, waiting: &Waiting, plans: &mut Plans, now: Now) {
+        let ahead = |e: &Engine| plans.get(&e.id).map_or(0.0, |p| p.tokens);
         let least = self
             .engines
             .values()
             .filter(|e| e.usable(now))
-            .min_by_key(|e| {
-                e.wait() + millis(planned.get(&e.id).copied().unwrap_or(0.0) / e.rate())
-            });
+            .min_by_key(|e| e.wait() + millis(ahead(e) / e.rate()));
         if let Some(engine) = least {
-            *planned.entry(engine.id.clone()).or_default() += f64::from(waiting.ask.tokens);
-        }
-    }
-
-    /// Expected wait when no engine has a place for the adapter now: places
-    /// come free as calls end, about as fast as work is done.
-    fn cost_without_choice(&self, planned: &Planned) -> Duration {
-        const PLACE_WAIT: Duration = Duration::from_millis(300);
-        let most = self
-            .engines
-            .values()
-            .map(|e| {
-                let ahead = planned.get(&e.id).copied().unwrap_or(0.0) / e.rate();
-                as_millis(e.wait()) + ahead
-            })
-            .fold(f64::INFINITY, f64::min);
-        if most.is_finite() {
-            PLACE_WAIT + millis(most)
-        } else {
-            Duration::from_secs(1)
+            let plan = plans.entry(engine.id.clone()).or_default();
+            plan.tokens += f64::from(waiting.ask.tokens);
         }
     }
 }
--- a/crates/fleet/src/scheduler/synchronize.rs
+++ b/crates/fleet/src/scheduler/synchronize.rs
@@ -13,6 +13,10 @@
 const REPORT_LAG: Duration = Duration::from_millis(350);
 /// Pause between two listings of an engine that does not answer.
 const LISTING_PAUSE: Duration = Duration::from_millis(600);
+/// Conflicts of one order after which an engine is listed.
+const CONFLICTS_BORNE: u32 = 3;
+/// Pause after a conflict.
+const CONFLICT_PAUSE: Duration = Duration::from_millis(60);
 /// Base model loads that may start at once after a quiet time.
 const LOAD_BURST: usize = 2;
 /// Time over which base model loads are counted.
@@ -70,7 +74,8 @@
             let Some(after) = engine.orders_seen else {
                 continue;
             };
-            if engine.order.is_some() || engine.list_at.is_some() || engine.listing {
+            let waits = engine.order.is_some() || now < engine.orders_from;
+            if waits || engine.list_at.is_some() || engine.listing {
                 continue;
             }
             let Some(kind) = engine.order_queue.pop_front() else {
@@ -90,10 +95,10 @@
 
     /// Takes the answer to an order.
     pub fn on_order_answer(&mut self, id: &str, answer: OrderAnswer, now: Now) {
-        let load_times = self.load_times;
         let Some(order) = self.engines.get_mut(id).and_then(|e| e.order.take()) else {
             return;
         };
+        let adapter_time = self.adapter_load_time(id, &order.kind);
         let model_time = match &order.kind {
             OrderKind::LoadModel { model } => self.model_load_time(id, model),
             OrderKind::LoadAdapter { .. } | OrderKind::UnloadAdapter { .. } => Duration::ZERO,
@@ -105,6 +110,7 @@
         match answer {
             OrderAnswer::Accepted | OrderAnswer::Done => {
                 engine.orders_seen = Some(order.after + 1);
+                engine.conflicts = 0;
                 let done = answer == OrderAnswer::Done;
                 match order.kind {
                     OrderKind::LoadModel { model } => {
@@ -113,9 +119,8 @@
                     }
                     OrderKind::LoadAdapter { model, adapter, .. } => {
                         let key = AdapterKey { model, adapter };
-                        let warm = engine.warm.contains(&key);
-                        let time = load_times.expected(warm);
-                        engine.load_accepted(&key, if done { Duration::ZERO } else { time }, now);
+                        let time = if done { Duration::ZERO } else { adapter_time };
+                        engine.load_accepted(&key, time, now);
                     }
                     OrderKind::UnloadAdapter { model, adapter } => {
                         engine.evicted(&AdapterKey { model, adapter });
@@ -127,6 +132,12 @@
                 }
             }
             OrderAnswer::NotSent => engine.order_queue.push_front(order.kind),
+            OrderAnswer::Conflict if engine.conflicts < CONFLICTS_BORNE => {
+                // Mostly an adapter that arrives later than expected.
+                engine.conflicts += 1;
+                engine.order_queue.push_front(order.kind);
+                engine.orders_from = now + CONFLICT_PAUSE;
+            }
             OrderAnswer::Conflict
             | OrderAnswer::Fenced
             | OrderAnswer::Refused
@@ -180,6 +191,19 @@
         true
     }
 
+    fn adapter_load_time(&self, id: &str, kind: &OrderKind) -> Duration {
+        match (self.engines.get(id), kind) {
+            (Some(engine), OrderKind::LoadAdapter { model, adapter, .. }) => {
+                let key = AdapterKey {
+                    model: model.clone(),
+                    adapter: adapter.clone(),
+                };
+                self.load_time(engine, &key)
+            }
+            _ => Duration::ZERO,
+        }
+    }
+
     fn model_load_time(&self, id: &str, model: &str) -> Duration {
         let service = self.engines.get(id).map(|e| &*e.service);
         let spec = service.and_then(|s| self.model(s, model));
@@ -200,6 +224,7 @@
     /// Gives the view up until the engine has been listed.
     fn resynchronize(&mut self, kind: OrderKind, now: Now) {
         self.orders_seen = None;
+        self.conflicts = 0;
         self.order_queue.clear();
         self.copies
             .retain(|_, copy| copy.state != CopyState::Ordered);
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -14,7 +14,8 @@
 use crate::state::{Neighbour, Shared};
 use reedford_fleet::Now;
 use reedford_fleet::ownership::Fence;
-use reedford_fleet::scheduler::{CallId, Limits, Outlook, Scheduler};
+use reedford_core::rendezvous;
+use reedford_fleet::scheduler::{Ask, CallId, Limits, Outlook, Scheduler};
 use reedford_targets::Pool;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -32,6 +33,8 @@
 const PATIENCE: f64 = 1.6;
 /// Expected wait from which other zones are looked at.
 const SPILL_FROM: Duration = Duration::from_millis(350);
+/// Wait in an adapter's home zone up to which its calls go there.
+const HOME_WAIT: Duration = Duration::from_millis(250);
 /// Amount by which another zone's wait has to be shorter: the way there and
 /// a load of the adapter.
 const SPILL_GAIN: Duration = Duration::from_millis(320);
@@ -265,6 +268,28 @@
         }
     }
 
+    /// The coordinator of the zone that is the home of an adapter which this
+    /// zone has not got. Sharing homes over all zones, each adapter is fetched
+    /// from the store once and not once a zone.
+    fn home_zone(&self, ask: &Ask, now: Now) -> Option<SocketAddr> {
+        let key = ask.key()?;
+        let scheduler = &self.term.as_ref()?.scheduler;
+        if scheduler.holds(&key) {
+            return None;
+        }
+        let state = self.parts.shared.lock();
+        let own = &*self.parts.cfg.zone;
+        let zones = state.neighbours.keys().map(|zone| &**zone);
+        let home = rendezvous::first(&key.to_string(), zones.chain([own]))?;
+        let neighbour = state.neighbours.get(home)?;
+        let (outlook, at) = neighbour.outlook.as_ref()?;
+        let open = now.saturating_sub(*at) < LOAD_LIFE
+            && outlook.engines > 0
+            && outlook.free_places > 0
+            && outlook.wait < HOME_WAIT;
+        open.then_some(neighbour.addr)
+    }
+
     /// The coordinator of a zone where a call would start much sooner.
     fn better_zone(&self, expected: Duration, now: Now) -> Option<SocketAddr> {
         if expected < SPILL_FROM {
--- a/crates/gateway/src/coordinator/carry_out.rs
+++ b/crates/gateway/src/coordinator/carry_out.rs
@@ -21,6 +21,8 @@
 /// Time for an engine to answer an order or a question; it answers in
 /// milliseconds, and one that does not is asked again.
 const ENGINE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for another zone to find a place; it may be cut off without word.
+const PASS_ON_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time for a word to another coordinator.
 const LOAD_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -157,10 +159,11 @@
             req.passed_on = true;
             let asked = shared.now();
             let patience = req.patience;
+            let limit = patience.min(PASS_ON_TIMEOUT);
             let there = req.clone();
             let mut reply = reply;
             let answered = tokio::select! {
-                answered = peers.call(addr, patience, |peer, cx| async move {
+                answered = peers.wait(addr, limit, |peer, cx| async move {
                     peer.place(cx, there).await
                 }) => answered,
                 () = reply.closed() => return,
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -345,7 +345,7 @@
         };
         let waited = self.shared.now().saturating_sub(asked);
         self.metrics.place_wait(&call.route.name, waited);
-        tracing::debug!(event = "placed", id = %call.id, instance = %placed.grant.instance,
+        tracing::info!(event = "placed", id = %call.id, instance = %placed.grant.instance,
             version = ?placed.grant.version, waited_ms = waited.as_millis() as u64);
         Ok(Sending::new(Arc::clone(self), placed, call.engine))
     }
--- a/crates/gateway/src/places.rs
+++ b/crates/gateway/src/places.rs
@@ -106,7 +106,7 @@
         let patience = req.patience;
         let asked = self
             .peers
-            .call(holder.addr, patience, |peer, cx| async move {
+            .wait(holder.addr, patience, |peer, cx| async move {
                 peer.place(cx, req).await
             })
             .await;
--- a/crates/rpc/src/clients.rs
+++ b/crates/rpc/src/clients.rs
@@ -63,7 +63,9 @@
         }
     }
 
-    /// Makes a call that has to end within `limit`.
+    /// Makes a call that has to end within `limit`. A live peer answers at
+    /// once, so that a connection on which the limit passes is dropped, unless
+    /// the limit is so long that the call may rightly wait.
     ///
     /// # Errors
     /// When the peer can't be reached or gives no answer.
@@ -73,6 +75,38 @@
         limit: Duration,
         call: F,
     ) -> Result<T, PeerError>
+    where
+        F: FnOnce(C, Context) -> Fut,
+        Fut: Future<Output = Result<T, RpcError>>,
+    {
+        let late = if limit <= PROMPT { Late::Spoils } else { Late::Allowed };
+        self.call_with(addr, limit, late, call).await
+    }
+
+    /// Makes a call that may rightly wait for the whole of `limit`.
+    ///
+    /// # Errors
+    /// When the peer can't be reached or gives no answer.
+    pub async fn wait<T, F, Fut>(
+        &self,
+        addr: SocketAddr,
+        limit: Duration,
+        call: F,
+    ) -> Result<T, PeerError>
+    where
+        F: FnOnce(C, Context) -> Fut,
+        Fut: Future<Output = Result<T, RpcError>>,
+    {
+        self.call_with(addr, limit, Late::Allowed, call).await
+    }
+
+    async fn call_with<T, F, Fut>(
+        &self,
+        addr: SocketAddr,
+        limit: Duration,
+        late: Late,
+        call: F,
+    ) -> Result<T, PeerError>
     where
         F: FnOnce(C, Context) -> Fut,
         Fut: Future<Output = Result<T, RpcError>>,
@@ -81,7 +115,7 @@
         let mut cx = context::current();
         cx.deadline = Instant::now() + limit;
         let result = call(conn.client, cx).await;
-        if result.as_ref().is_err_and(|error| spoils(error, limit)) {
+        if result.as_ref().is_err_and(|error| spoils(error, late)) {
             conn.stop.cancel();
         }
         Ok(result?)
@@ -128,9 +162,17 @@
     }
 }
 
-/// Whether a call that failed speaks against its connection. A call that may
-/// rightly wait for long says nothing by its timeout; summaries are sent on the
-/// same connection and find out whether it is silent.
-fn spoils(error: &RpcError, limit: Duration) -> bool {
-    !matches!(error, RpcError::DeadlineExceeded) || limit <= PROMPT
+/// What a call that ended by its limit says of its connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Late {
+    /// Nothing. Other calls on the same connection find out whether it is
+    /// silent.
+    Allowed,
+    /// That it is silent.
+    Spoils,
+}
+
+/// Whether a call that failed speaks against its connection.
+fn spoils(error: &RpcError, late: Late) -> bool {
+    !matches!(error, RpcError::DeadlineExceeded) || late == Late::Spoils
 }
