Scheduler: an adapter that may not have arrived is not evicted

Cause: an engine answers the eviction of an adapter on its way as done, does not count it, and loads the adapter all the same; the view was wrong from then on, and each further order met a conflict. Ruled out: conflicts by too many arriving adapters (no fifth one was ordered).

--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -173,7 +173,10 @@
         }
         *known = version;
         // What was loaded as the newest is so no longer.
-        let copies = self.engines.values_mut().filter_map(|e| e.copies.get_mut(&key));
+        let copies = self
+            .engines
+            .values_mut()
+            .filter_map(|e| e.copies.get_mut(&key));
         for copy in copies {
             copy.version.get_or_insert(0);
         }
@@ -214,13 +217,19 @@
             return;
         };
         match progress {
-            Progress::Started => engine.started(call, now),
+            Progress::Started => {
+                if engine.started(call, now) {
+                    self.load_times.long_enough();
+                }
+            }
             Progress::Ended => {
                 engine.ended(call, now);
                 self.running.remove(call);
             }
             Progress::Rejected(why) => {
-                engine.rejected(call, why, now);
+                if engine.rejected(call, why, now) {
+                    self.load_times.too_short();
+                }
                 self.running.remove(call);
             }
         }
@@ -256,7 +265,7 @@
         let mut rate = 0.0;
         for engine in usable {
             let spec = self.specs.get(&engine.service);
-            let places = spec.map_or(0, |s| engine.places(s.adapter_slots));
+            let places = spec.map_or(0, |s| engine.places(s.adapter_slots, now));
             outlook.engines += 1;
             outlook.free_places += places;
             outlook.wait = outlook.wait.min(engine.wait());
--- a/crates/fleet/src/scheduler/engine.rs
+++ b/crates/fleet/src/scheduler/engine.rs
@@ -71,6 +71,9 @@
     pub(super) version: Option<WeightVersion>,
     pub(super) used: Now,
     pub(super) runs: u32,
+    /// When it surely has arrived; not evicted before, because an engine takes
+    /// the eviction of an adapter on its way for done and loads it all the same.
+    pub(super) certain: Now,
 }
 
 /// State of an adapter at an engine. Each state takes a place.
@@ -161,9 +164,9 @@
     }
 
     /// Places for adapters that are free or could be made free at once.
-    pub(super) fn places(&self, adapter_slots: u32) -> usize {
+    pub(super) fn places(&self, adapter_slots: u32, now: Now) -> usize {
         let free = (adapter_slots as usize).saturating_sub(self.copies.len());
-        free + self.copies.values().filter(|c| c.evictable()).count()
+        free + self.copies.values().filter(|c| c.evictable(now)).count()
     }
 
     /// Adapters on their way.
@@ -188,17 +191,25 @@
         self.runs.insert(ask.call.clone(), run);
     }
 
-    pub(super) fn started(&mut self, call: &str, now: Now) {
+    /// Notes the first token of a call. Answers whether it was the first call
+    /// on an adapter that has arrived.
+    pub(super) fn started(&mut self, call: &str, now: Now) -> bool {
         let Some(run) = self.runs.get_mut(call) else {
-            return;
+            return false;
         };
         if run.started {
-            return;
+            return false;
         }
         run.started = true;
         let from = run.granted.max(self.last_start);
         self.rate.learn(f64::from(run.tokens), from, now);
         self.last_start = now;
+        let copy = run.key.as_ref().and_then(|k| self.copies.get_mut(k));
+        let first = copy.as_ref().is_some_and(|c| c.certain > now);
+        if let Some(copy) = copy {
+            copy.certain = now;
+        }
+        first
     }
 
     pub(super) fn ended(&mut self, call: &str, now: Now) {
@@ -211,28 +222,30 @@
         }
     }
 
-    pub(super) fn rejected(&mut self, call: &str, why: Rejection, now: Now) {
+    /// Notes that the engine refused a call. Answers whether an adapter has not
+    /// arrived when it was expected.
+    pub(super) fn rejected(&mut self, call: &str, why: Rejection, now: Now) -> bool {
         let key = self.runs.get(call).and_then(|r| r.key.clone());
         self.ended(call, now);
         match why {
-            Rejection::Missing => self.missing(key, now),
+            Rejection::Missing => return self.missing(key, now),
             Rejection::Full => self.paused_until = self.paused_until.max(now + FULL_PAUSE),
             Rejection::Unreachable => self.paused_until = now + UNREACHABLE_PAUSE,
         }
+        false
     }
 
     /// An adapter that should be there is not: its load takes longer than
     /// expected, or this view is wrong and the engine has to be listed.
-    fn missing(&mut self, key: Option<AdapterKey>, now: Now) {
-        const RECENT_LOAD: Duration = Duration::from_secs(2);
-        const LONGER: Duration = Duration::from_millis(60);
-        if now.saturating_sub(self.last_order) < RECENT_LOAD
-            && let Some(copy) = key.and_then(|k| self.copies.get_mut(&k))
-        {
+    fn missing(&mut self, key: Option<AdapterKey>, now: Now) -> bool {
+        const LONGER: Duration = Duration::from_millis(50);
+        let copy = key.and_then(|k| self.copies.get_mut(&k));
+        if let Some(copy) = copy.filter(|c| c.certain > now) {
             copy.state = CopyState::Loading(now + LONGER);
-            return;
+            return true;
         }
         self.list_at.get_or_insert(now);
+        false
     }
 
     /// Forgets calls past their time and answers with them.
@@ -325,6 +338,7 @@
             version,
             used: now,
             runs: 0,
+            certain: Now::ZERO,
         }
     }
 
@@ -337,8 +351,8 @@
     }
 
     /// Whether it can be evicted without waiting.
-    pub(super) fn evictable(&self) -> bool {
-        self.state == CopyState::Held && self.runs == 0
+    pub(super) fn evictable(&self, now: Now) -> bool {
+        self.state == CopyState::Held && self.runs == 0 && now >= self.certain
     }
 
     /// Whether calls can run on it, now or once it has arrived.
--- a/crates/fleet/src/scheduler/placing.rs
+++ b/crates/fleet/src/scheduler/placing.rs
@@ -20,9 +20,9 @@
 const WARM_COST: Duration = Duration::from_millis(40);
 /// Adapters on their way to one engine; engines refuse more.
 const MOST_ARRIVING: usize = 4;
-/// Loads from the store at full speed, for each engine of the zone, while the
-/// other zones load less; more at once would only slow each other down.
-const FULL_SPEED_LOADS: f64 = 1.0;
+/// Loads from the store at full speed, for each engine of the zone; more at
+/// once would only slow each other down.
+const FULL_SPEED_LOADS: f64 = 0.67;
 /// Time after which the next place for an adapter comes free at an engine that
 /// has none: the time of a call over the number of places.
 const PLACE_WAIT: Duration = Duration::from_millis(120);
@@ -304,7 +304,7 @@
         engine
             .copies
             .iter()
-            .filter(|(key, copy)| copy.evictable() && !wanted.contains(*key))
+            .filter(|(key, copy)| copy.evictable(now) && !wanted.contains(*key))
             .min_by(|a, b| {
                 let score = |key: &AdapterKey| self.popularity.score(&key.to_string(), now);
                 let by_score = score(a.0).total_cmp(&score(b.0));
--- a/crates/fleet/src/scheduler/synchronize.rs
+++ b/crates/fleet/src/scheduler/synchronize.rs
@@ -13,6 +13,8 @@
 const REPORT_LAG: Duration = Duration::from_millis(350);
 /// Pause between two listings of an engine that does not answer.
 const LISTING_PAUSE: Duration = Duration::from_millis(600);
+/// Time after its expected end by which a load has surely ended.
+const SURELY_ARRIVED: Duration = Duration::from_millis(700);
 /// Conflicts of one order after which an engine is listed.
 const CONFLICTS_BORNE: u32 = 3;
 /// Pause after a conflict.
@@ -218,6 +220,7 @@
         self.warm.retain(|k| k != key);
         if let Some(copy) = self.copies.get_mut(key) {
             copy.state = CopyState::Loading(now + time);
+            copy.certain = now + time + SURELY_ARRIVED;
         }
     }
 
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -22,7 +22,7 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Pause between two answers of the watch on instances, whose entries change
 /// all the time; it bounds the calls to the store.
-const INSTANCES_PAUSE: Duration = Duration::from_millis(250);
+const INSTANCES_PAUSE: Duration = Duration::from_millis(700);
 
 /// Follows the store.
 #[derive(Debug)]
--- a/crates/rpc/src/clients.rs
+++ b/crates/rpc/src/clients.rs
@@ -79,7 +79,11 @@
         F: FnOnce(C, Context) -> Fut,
         Fut: Future<Output = Result<T, RpcError>>,
     {
-        let late = if limit <= PROMPT { Late::Spoils } else { Late::Allowed };
+        let late = if limit <= PROMPT {
+            Late::Spoils
+        } else {
+            Late::Allowed
+        };
         self.call_with(addr, limit, late, call).await
     }
 
