--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -248,7 +248,11 @@
         };
         let ask = req.clone().into_ask(now);
         let expected = term.scheduler.expected_wait(&ask, now);
-        if !passed_on && let Some(addr) = self.better_zone(expected, now) {
+        let elsewhere = || {
+            self.home_zone(&ask, now)
+                .or_else(|| self.better_zone(expected, now))
+        };
+        if !passed_on && let Some(addr) = elsewhere() {
             self.pass_on(req, reply, addr);
             return;
         }
