--- a/crates/fleet/src/scheduler/synchronize.rs
+++ b/crates/fleet/src/scheduler/synchronize.rs
@@ -125,9 +125,11 @@
                         engine.load_accepted(&key, time, now);
                     }
                     OrderKind::UnloadAdapter { model, adapter } => {
-                        engine.evicted(&AdapterKey { model, adapter });
-                        if !done {
-                            // The engine waits for calls that this node does not know.
+                        if done {
+                            engine.evicted(&AdapterKey { model, adapter });
+                        } else {
+                            // The engine waits for calls that this node does
+                            // not know; the place is taken until it says so.
                             engine.list_at = Some(now + REPORT_LAG);
                         }
                     }
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -19,10 +19,10 @@
 use tokio_util::sync::CancellationToken;
 
 /// Pause before a prefix is listed again after a failure.
-const RETRY_PAUSE: Duration = Duration::from_millis(250);
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Pause between two answers of the watch on instances, whose entries change
 /// all the time; it bounds the calls to the store.
-const INSTANCES_PAUSE: Duration = Duration::from_millis(700);
+const INSTANCES_PAUSE: Duration = Duration::from_millis(400);
 
 /// Follows the store.
 #[derive(Debug)]
