--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -57,8 +57,8 @@
 pub struct Limits {
     /// Work granted to an engine before its running calls have started.
     pub work_ahead: Duration,
-    /// Wait for the first token, in parts of the objective, from which a call
-    /// is refused on arrival.
+    /// Wait for the first token, in parts of the time that the caller has, from
+    /// which a call is refused on arrival.
     pub patience: f64,
     /// Share of the rate of base model loads that this zone may use.
     pub load_share: f64,
@@ -113,7 +113,6 @@
 struct Waiting {
     ask: Ask,
     key: Option<AdapterKey>,
-    since: Now,
     serial: u64,
 }
 
@@ -192,7 +191,6 @@
         let waiting = Waiting {
             ask,
             key,
-            since: now,
             serial: self.serial,
         };
         if let Some(refusal) = self.refusal_on_arrival(&waiting, now) {
@@ -291,6 +289,13 @@
         self.queue.len()
     }
 
+    /// Calls granted and not ended, and adapters on their way.
+    #[must_use]
+    pub fn under_way(&self) -> (usize, usize) {
+        let arriving = self.engines.values().map(Engine::arriving).sum();
+        (self.running.len(), arriving)
+    }
+
     /// Engines with the adapters that they hold or load, for operators.
     #[must_use]
     pub fn residents(&self) -> BTreeMap<InstanceId, BTreeSet<AdapterKey>> {
--- a/crates/fleet/src/scheduler/engine.rs
+++ b/crates/fleet/src/scheduler/engine.rs
@@ -1,6 +1,6 @@
 //! One engine as its coordinator sees it.
 
-use super::ask::{CallId, Rejection};
+use super::ask::{CallId, Grant, Rejection};
 use super::estimate::{ReadRate, millis};
 use super::order::{Order, OrderKind, Report};
 use super::{AdapterKey, Ask};
@@ -175,8 +175,10 @@
         self.copies.values().filter(arriving).count()
     }
 
-    pub(super) fn grant(&mut self, ask: &Ask, key: Option<&AdapterKey>, now: Now) {
-        if let Some(copy) = key.and_then(|k| self.copies.get_mut(k)) {
+    pub(super) fn grant(&mut self, ask: &Ask, key: Option<&AdapterKey>, now: Now) -> Grant {
+        let copy = key.and_then(|k| self.copies.get_mut(k));
+        let version = copy.as_ref().and_then(|c| c.version);
+        if let Some(copy) = copy {
             copy.runs += 1;
             copy.used = now;
         }
@@ -189,6 +191,12 @@
             started: false,
         };
         self.runs.insert(ask.call.clone(), run);
+        Grant {
+            call: ask.call.clone(),
+            instance: self.id.clone(),
+            addr: self.addr,
+            version,
+        }
     }
 
     /// Notes the first token of a call. Answers whether it was the first call
--- a/crates/fleet/src/scheduler/placing.rs
+++ b/crates/fleet/src/scheduler/placing.rs
@@ -26,6 +26,9 @@
 /// Time after which the next place for an adapter comes free at an engine that
 /// has none: the time of a call over the number of places.
 const PLACE_WAIT: Duration = Duration::from_millis(120);
+/// Prompt tokens a millisecond by which it is judged whether a call can start
+/// in time.
+const USUAL_RATE: f64 = 14.0;
 /// Expected wait of a call that no engine can take now.
 const UNPLACED_WAIT: Duration = Duration::from_millis(1_000);
 /// Share of the time left that a caller is asked to wait at most; callers wait
@@ -56,6 +59,14 @@
     Load { evict: Option<AdapterKey> },
 }
 
+/// What became of a waiting call in one round.
+enum Placing {
+    /// It is sent.
+    Granted(Grant),
+    /// It is expected to start after this time.
+    Waits(Duration),
+}
+
 /// Calls given to an engine in one round but not granted.
 #[derive(Clone, Debug, Default)]
 struct Planned {
@@ -74,7 +85,6 @@
         let waiting = Waiting {
             key: ask.key(),
             ask: ask.clone(),
-            since: now,
             serial: 0,
         };
         self.expected(&waiting, now)
@@ -82,8 +92,8 @@
 
     fn expected(&self, waiting: &Waiting, now: Now) -> Duration {
         let mut plans = Plans::new();
-        let priority = waiting.ask.priority;
-        for ahead in self.queue.iter().filter(|w| w.ask.priority <= priority) {
+        let rank = waiting.rank(now);
+        for ahead in self.queue.iter().filter(|w| w.rank(now) <= rank) {
             self.plan_evenly(ahead, &mut plans, now);
         }
         let wanted = self.wanted();
@@ -91,12 +101,11 @@
         choice.map_or(UNPLACED_WAIT, |c| c.wait)
     }
 
-    /// Refuses a call at once whose first token would come far too late.
+    /// Refuses a call at once that would take most of its time to start.
     pub(super) fn refusal_on_arrival(&self, waiting: &Waiting, now: Now) -> Option<Refusal> {
-        let cost = self.expected(waiting, now);
-        let useful = waiting.ask.objective.saturating_sub(waiting.since);
-        let most = useful.mul_f64(self.limits.patience);
-        if cost <= most && now + cost < waiting.ask.deadline {
+        let wait = self.expected(waiting, now);
+        let left = waiting.ask.deadline.saturating_sub(now);
+        if wait < left.mul_f64(self.limits.patience) {
             return None;
         }
         let reason = if self.engines.values().any(|e| e.usable(now)) {
@@ -104,12 +113,7 @@
         } else {
             RefusalReason::NoEngine
         };
-        Some(refusal(
-            waiting,
-            reason,
-            cost.saturating_sub(useful / 2),
-            now,
-        ))
+        Some(refusal(waiting, reason, wait / 2, now))
     }
 
     /// Grants, orders and refuses for the calls that wait, best rank first.
@@ -118,18 +122,20 @@
             engine.settle(now);
         }
         let mut queue = std::mem::take(&mut self.queue);
-        queue.sort_by_key(|w| (w.ask.objective < now, w.ask.priority, w.serial));
-        let mut wanted: BTreeSet<AdapterKey> = queue.iter().filter_map(|w| w.key.clone()).collect();
+        queue.sort_by_key(|w| (w.rank(now), w.serial));
+        let wanted: BTreeSet<AdapterKey> = queue.iter().filter_map(|w| w.key.clone()).collect();
         let mut plans = Plans::new();
         let mut actions = Vec::new();
         for waiting in queue {
-            if let Some(refusal) = self.too_late(&waiting, now) {
-                actions.push(Action::Refuse(refusal));
-                continue;
-            }
-            match self.place(&waiting, &mut plans, &mut wanted, now) {
-                Some(grant) => actions.push(Action::Grant(grant)),
-                None => self.queue.push(waiting),
+            match self.place(&waiting, &mut plans, &wanted, now) {
+                Placing::Granted(grant) => actions.push(Action::Grant(grant)),
+                Placing::Waits(wait) if now + wait < waiting.ask.deadline => {
+                    self.queue.push(waiting);
+                }
+                Placing::Waits(wait) => {
+                    let refusal = refusal(&waiting, RefusalReason::Deadline, wait / 2, now);
+                    actions.push(Action::Refuse(refusal));
+                }
             }
         }
         actions
@@ -139,44 +145,38 @@
         &mut self,
         waiting: &Waiting,
         plans: &mut Plans,
-        wanted: &mut BTreeSet<AdapterKey>,
+        wanted: &BTreeSet<AdapterKey>,
         now: Now,
-    ) -> Option<Grant> {
-        let choice = self.best(waiting, plans, wanted, now)?;
+    ) -> Placing {
+        let Some(choice) = self.best(waiting, plans, wanted, now) else {
+            return Placing::Waits(UNPLACED_WAIT);
+        };
         let work_ahead = self.limits.work_ahead;
-        let wanted_version = waiting
-            .key
-            .as_ref()
-            .and_then(|k| self.versions.get(k))
-            .copied();
-        let engine = self.engines.get_mut(&choice.engine)?;
-        let tokens = f64::from(waiting.ask.tokens);
-        match choice.need.clone() {
+        let version = waiting.key.as_ref().and_then(|k| self.versions.get(k));
+        let version = version.copied();
+        let engine = self
+            .engines
+            .get_mut(&choice.engine)
+            .expect("the choice was made among the engines");
+        match &choice.need {
             Need::Nothing if engine.wait() <= work_ahead => {
-                engine.grant(&waiting.ask, waiting.key.as_ref(), now);
-                let copy = waiting.key.as_ref().and_then(|k| engine.copies.get(k));
-                let grant = Grant {
-                    call: waiting.ask.call.clone(),
-                    instance: engine.id.clone(),
-                    addr: engine.addr,
-                    version: copy.and_then(|c| c.version),
-                };
-                self.running.insert(waiting.ask.call.clone(), choice.engine);
-                return Some(grant);
+                let grant = engine.grant(&waiting.ask, waiting.key.as_ref(), now);
+                self.running.insert(grant.call.clone(), choice.engine);
+                return Placing::Granted(grant);
             }
             Need::Load { evict } if engine.orders_seen.is_some() => {
                 if let Some(key) = &waiting.key {
-                    engine.order_load(key, wanted_version, evict, now);
+                    engine.order_load(key, version, evict.clone(), now);
                 }
             }
             Need::Nothing | Need::Wait | Need::Load { .. } => {}
         }
         let plan = plans.entry(choice.engine).or_default();
-        plan.tokens += tokens;
+        plan.tokens += f64::from(waiting.ask.tokens);
         if let (Need::Wait, Some(key)) = (choice.need, &waiting.key) {
             plan.places.insert(key.clone());
         }
-        None
+        Placing::Waits(choice.wait)
     }
 
     /// The engine where the first token is expected soonest.
@@ -313,24 +313,6 @@
             .map(|(key, _)| key.clone())
     }
 
-    fn too_late(&self, waiting: &Waiting, now: Now) -> Option<Refusal> {
-        let reading = self.fastest_reading(waiting);
-        if now + reading < waiting.ask.deadline {
-            return None;
-        }
-        Some(refusal(
-            waiting,
-            RefusalReason::Deadline,
-            Duration::ZERO,
-            now,
-        ))
-    }
-
-    fn fastest_reading(&self, waiting: &Waiting) -> Duration {
-        let rate = self.engines.values().map(Engine::rate).fold(1.0, f64::max);
-        millis(f64::from(waiting.ask.tokens) / rate)
-    }
-
     /// Adapters that calls wait for.
     fn wanted(&self) -> BTreeSet<AdapterKey> {
         self.queue.iter().filter_map(|w| w.key.clone()).collect()
@@ -351,6 +333,16 @@
     }
 }
 
+impl Waiting {
+    /// Order in which calls are served: those that can still start in time come
+    /// first, because a late answer is worth little and an engine's time as
+    /// much for it as for one in time; then by priority.
+    fn rank(&self, now: Now) -> (bool, u8) {
+        let soonest = now + millis(f64::from(self.ask.tokens) / USUAL_RATE);
+        (soonest > self.ask.objective, self.ask.priority)
+    }
+}
+
 impl Engine {
     /// Queues the orders that bring an adapter in.
     fn order_load(
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -28,9 +28,9 @@
 
 /// Work that an engine is given ahead; covers a few steps of its batch.
 const WORK_AHEAD: Duration = Duration::from_millis(260);
-/// Wait for a first token, in parts of the objective, from which a call is
-/// refused on arrival.
-const PATIENCE: f64 = 1.6;
+/// Wait for a first token, in parts of the time that the caller has, from which
+/// a call is refused on arrival; the rest is for the answer.
+const PATIENCE: f64 = 0.6;
 /// Expected wait from which other zones are looked at.
 const SPILL_FROM: Duration = Duration::from_millis(350);
 /// Wait in an adapter's home zone up to which its calls go there.
@@ -332,7 +332,20 @@
         }
         self.next_load = now + LOAD_PAUSE;
         let outlook = term.scheduler.outlook(now);
-        self.parts.metrics.waiting(term.scheduler.waiting());
+        let waiting = term.scheduler.waiting();
+        self.parts.metrics.waiting(waiting);
+        if waiting > 0 {
+            let (running, arriving) = term.scheduler.under_way();
+            tracing::info!(
+                event = "zone_load",
+                waiting,
+                running,
+                arriving,
+                engines = outlook.engines,
+                free_places = outlook.free_places,
+                wait_ms = outlook.wait.as_millis() as u64
+            );
+        }
         let load = ZoneLoad {
             zone: self.parts.cfg.zone.clone(),
             wait: outlook.wait.min(Duration::from_secs(60)),
