--- /dev/null
+++ b/crates/fleet/tests/scheduler/support.rs
@@ -0,0 +1,147 @@
+//! A scheduler with engines and calls by short names.
+
+use reedford_fleet::Now;
+use reedford_fleet::config::{Engine, Model};
+use reedford_fleet::directory::{HeldModel, Instance, InstanceState};
+use reedford_fleet::scheduler::{
+    Action, AdapterKey, Ask, Grant, Limits, Order, OrderKind, Report, Scheduler,
+};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+pub(crate) const SERVICE: &str = "llm";
+pub(crate) const MODEL: &str = "base";
+pub(crate) const PLACES: u32 = 5;
+
+pub(crate) fn ms(ms: u64) -> Now {
+    Duration::from_millis(ms)
+}
+
+pub(crate) fn key(adapter: &str) -> AdapterKey {
+    AdapterKey {
+        model: MODEL.into(),
+        adapter: adapter.into(),
+    }
+}
+
+pub(crate) fn instance(id: &str, born: u64) -> Instance {
+    Instance {
+        id: id.into(),
+        service: SERVICE.into(),
+        addr: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 7_000),
+        zone: "z1".into(),
+        slots: 64,
+        state: InstanceState::Ready,
+        born,
+        models: vec![HeldModel {
+            name: MODEL.into(),
+            version: 1,
+            adapters: BTreeMap::new(),
+        }],
+    }
+}
+
+/// A scheduler without engines.
+pub(crate) fn scheduler() -> Scheduler {
+    let mut scheduler = Scheduler::new(Limits {
+        work_ahead: ms(260),
+        patience: 0.6,
+        load_share: 1.0,
+    });
+    scheduler.set_spec(
+        SERVICE,
+        Engine {
+            slots: 64,
+            kv_tokens: 120_000,
+            adapter_slots: PLACES,
+            weights_mb: 66_000.0,
+            loads_per_s: 2.8,
+            models: vec![Model {
+                name: MODEL.into(),
+                weights_mb: 65_000.0,
+                load_time: ms(720),
+            }],
+        },
+    );
+    scheduler
+}
+
+/// A scheduler with one listed engine `e1` that holds `adapters`.
+pub(crate) fn with_engine(adapters: &[&str]) -> Scheduler {
+    let mut scheduler = scheduler();
+    scheduler.on_instance(&instance("e1", 1), Now::ZERO);
+    listed(&mut scheduler, "e1", adapters, 0, Now::ZERO);
+    scheduler
+}
+
+/// Lets an engine say what it holds.
+pub(crate) fn listed(
+    scheduler: &mut Scheduler,
+    id: &str,
+    adapters: &[&str],
+    orders: u64,
+    now: Now,
+) {
+    let asked = scheduler.poll(now);
+    assert!(
+        asked
+            .iter()
+            .any(|a| matches!(a, Action::FetchReport { .. })),
+        "the engine is asked what it holds: {asked:?}"
+    );
+    let held = adapters.iter().map(|a| ((*a).into(), 1)).collect();
+    let report = Report {
+        born: 1,
+        orders,
+        busy: false,
+        models: BTreeMap::from([(MODEL.into(), held)]),
+        arriving: BTreeSet::new(),
+    };
+    scheduler.on_report(id, Some(&report), now);
+}
+
+/// A call that wants its first token within a second and waits five.
+pub(crate) fn ask(call: &str, adapter: &str, now: Now) -> Ask {
+    Ask {
+        call: call.into(),
+        service: SERVICE.into(),
+        model: MODEL.into(),
+        adapter: Some(adapter.into()),
+        tokens: 1_400,
+        output: 22,
+        priority: 1,
+        objective: now + ms(1_000),
+        deadline: now + ms(5_000),
+        avoid: BTreeSet::new(),
+    }
+}
+
+pub(crate) fn grants(actions: &[Action]) -> Vec<&Grant> {
+    let grant = |a| match a {
+        &Action::Grant(ref grant) => Some(grant),
+        _ => None,
+    };
+    actions.iter().filter_map(grant).collect()
+}
+
+pub(crate) fn orders(actions: &[Action]) -> Vec<&Order> {
+    let order = |a| match a {
+        &Action::Order(ref order) => Some(order),
+        _ => None,
+    };
+    actions.iter().filter_map(order).collect()
+}
+
+/// An order in short: `+a` loads, `-a` evicts, `*m` loads a base model.
+pub(crate) fn short(order: &Order) -> String {
+    match &order.kind {
+        OrderKind::LoadAdapter { adapter, .. } => format!("+{adapter}"),
+        OrderKind::UnloadAdapter { adapter, .. } => format!("-{adapter}"),
+        OrderKind::LoadModel { model } => format!("*{model}"),
+    }
+}
+
+pub(crate) fn shorts(actions: &[Action]) -> Vec<String> {
+    orders(actions).into_iter().map(short).collect()
+}
