--- a/crates/fleet/src/ownership.rs
+++ b/crates/fleet/src/ownership.rs
@@ -61,10 +61,12 @@
         }
     }
 
-    /// The holder, as last heard.
+    /// The holder, as last heard; `None` while the store names nobody, unless
+    /// this node was the last one.
     #[must_use]
-    pub const fn holder(&self) -> Option<&Holder> {
-        self.holder.as_ref()
+    pub fn holder(&self) -> Option<&Holder> {
+        let gone = self.vacant_since.is_some() && self.held().is_none();
+        self.holder.as_ref().filter(|_| !gone)
     }
 
     /// The fencing number if this run of this node holds the role.
--- /dev/null
+++ b/crates/fleet/tests/directory.rs
@@ -0,0 +1,94 @@
+//! Which instances may be used while the store comes and goes.
+
+use reedford_fleet::Now;
+use reedford_fleet::directory::{
+    ABSENCE_GRACE, Directory, DirectoryChange, Instance, InstanceState,
+};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::Duration;
+use test_case::test_case;
+
+fn instance(id: &str, born: u64, port: u16, state: InstanceState) -> Instance {
+    Instance {
+        id: id.into(),
+        service: "s".into(),
+        addr: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), port),
+        zone: "z1".into(),
+        slots: 6,
+        state,
+        born,
+        models: Vec::new(),
+    }
+}
+
+fn ready(id: &str, born: u64) -> Instance {
+    instance(id, born, 7_000, InstanceState::Ready)
+}
+
+struct EntryCase {
+    /// The entry that follows that of a ready instance born at 5.
+    next: Instance,
+    change: Option<DirectoryChange>,
+    usable: bool,
+}
+
+#[test_case(EntryCase { next: ready("a", 5), change: None, usable: true }; "heartbeat")]
+#[test_case(EntryCase {
+    next: instance("a", 5, 7_000, InstanceState::Leaving),
+    change: Some(DirectoryChange::Leaving("a".into())),
+    usable: false,
+}; "leaving")]
+#[test_case(EntryCase {
+    next: ready("a", 6),
+    change: Some(DirectoryChange::Started("a".into())),
+    usable: true,
+}; "started again under its id")]
+#[test_case(EntryCase {
+    next: instance("a", 4, 7_000, InstanceState::Leaving),
+    change: None,
+    usable: true,
+}; "late word of an earlier run")]
+#[test_case(EntryCase {
+    next: instance("a", 5, 7_001, InstanceState::Ready),
+    change: Some(DirectoryChange::Started("a".into())),
+    usable: true,
+}; "at another address")]
+fn an_entry_follows_another(case: EntryCase) {
+    let mut directory = Directory::default();
+    directory.on_entry(ready("a", 5));
+    assert_eq!(directory.on_entry(case.next), case.change);
+    assert_eq!(directory.ready("s").count() == 1, case.usable);
+}
+
+#[test]
+fn a_removal_counts_at_once() {
+    let mut directory = Directory::default();
+    directory.on_entry(ready("a", 5));
+    let gone = directory.on_removed("a");
+    assert_eq!(gone, Some(DirectoryChange::Gone("a".into())));
+    assert_eq!(directory.ready("s").count(), 0);
+}
+
+struct AbsenceCase {
+    /// Time after the listing that misses the instance.
+    after: Duration,
+    /// Whether its entry comes back before.
+    back: bool,
+    known: bool,
+}
+
+#[test_case(AbsenceCase { after: ABSENCE_GRACE / 2, back: false, known: true }; "kept for a while")]
+#[test_case(AbsenceCase { after: ABSENCE_GRACE, back: false, known: false }; "then gone")]
+#[test_case(AbsenceCase { after: ABSENCE_GRACE * 2, back: true, known: true }; "back in time")]
+fn an_entry_lapses_while_the_store_is_away(case: AbsenceCase) {
+    let mut directory = Directory::default();
+    let start = Duration::from_secs(10);
+    directory.on_listing(vec![ready("a", 5), ready("b", 5)], Now::ZERO);
+    directory.on_listing(vec![ready("b", 5)], start);
+    if case.back {
+        directory.on_entry(ready("a", 5));
+    }
+    directory.expire(start + case.after);
+    assert_eq!(directory.get("a").is_some(), case.known);
+    assert!(directory.get("b").is_some());
+}
--- /dev/null
+++ b/crates/fleet/tests/routes.rs
@@ -0,0 +1,107 @@
+//! Which route and service a call takes, and which instance of a service.
+
+use reedford_fleet::Now;
+use reedford_fleet::config::{CallerLimits, Configuration, RequestKind, Route, RouteTable};
+use reedford_fleet::spread::{Candidate, Spread, ToldLoad};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use test_case::test_case;
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        kind: RequestKind::Once,
+        services: vec![("s".into(), 90), ("t".into(), 10)],
+        attempts: 1,
+        timeout: Duration::from_secs(2),
+        objective: Duration::from_millis(300),
+        max_gap: None,
+        priority: 0,
+    }
+}
+
+fn table() -> RouteTable {
+    RouteTable::new(Configuration {
+        version: 1,
+        routes: vec![
+            route("short", "h.example", "/a/"),
+            route("long", "h.example", "/a/b/"),
+            route("other", "i.example", "/a/"),
+        ],
+        services: BTreeMap::new(),
+        limits: CallerLimits {
+            header_bytes: 16_384,
+            body_bytes: 4_194_304,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        },
+    })
+}
+
+struct Case {
+    host: &'static str,
+    path: &'static str,
+    route: Option<&'static str>,
+}
+
+#[test_case(Case { host: "h.example", path: "/a/x", route: Some("short") }; "prefix")]
+#[test_case(Case { host: "h.example", path: "/a/b/x", route: Some("long") }; "longest prefix")]
+#[test_case(Case { host: "h.example", path: "/a/bx", route: Some("short") }; "whole segments")]
+#[test_case(Case { host: "H.Example:80", path: "/a/", route: Some("short") }; "host with port")]
+#[test_case(Case { host: "i.example", path: "/a/b/x", route: Some("other") }; "by host")]
+#[test_case(Case { host: "h.example", path: "/a", route: None }; "prefix without its slash")]
+#[test_case(Case { host: "j.example", path: "/a/", route: None }; "unknown host")]
+fn a_call_takes_a_route(case: Case) {
+    let table = table();
+    let found = table.find(case.host, case.path).map(|r| &*r.name);
+    assert_eq!(found, case.route);
+}
+
+#[test]
+fn calls_are_split_by_weight() {
+    let table = table();
+    let route = table.find("h.example", "/a/").expect("there is one");
+    let to_t = (0..1_000).filter(|n| table.service(route, *n).is_some_and(|s| &**s == "t"));
+    assert_eq!(to_t.count(), 100);
+}
+
+struct SpreadCase {
+    /// Own calls at the near and the far instance.
+    near: u32,
+    far: u32,
+    chosen: &'static str,
+}
+
+#[test_case(SpreadCase { near: 0, far: 0, chosen: "near" }; "near when idle")]
+#[test_case(SpreadCase { near: 2, far: 0, chosen: "near" }; "near when little busier")]
+#[test_case(SpreadCase { near: 4, far: 0, chosen: "far" }; "far when much less busy")]
+fn the_least_loaded_instance_is_chosen(case: SpreadCase) {
+    let mut spread = Spread::default();
+    (0..case.near).for_each(|_| spread.sent("near"));
+    (0..case.far).for_each(|_| spread.sent("far"));
+    let candidate = |id, near| Candidate { id, near, slots: 6 };
+    let candidates = [candidate("far", false), candidate("near", true)];
+    let chosen = spread.choose(&candidates, 1, Now::ZERO);
+    assert_eq!(chosen, Some(case.chosen));
+}
+
+#[test]
+fn calls_of_other_nodes_count_while_the_word_is_new() {
+    let mut spread = Spread::default();
+    let load = ToldLoad {
+        running: 6,
+        waiting: 3,
+        slots: 6,
+    };
+    spread.told("a", load, Now::ZERO);
+    let candidate = |id| Candidate {
+        id,
+        near: true,
+        slots: 6,
+    };
+    let both = [candidate("a"), candidate("b")];
+    assert_eq!(spread.choose(&both, 0, Now::ZERO), Some("b"));
+    assert_eq!(spread.choose(&both, 0, Duration::from_secs(3)), Some("a"));
+}
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -1,6 +1,7 @@
 //! The life of a node as a process: start, signals, graceful stop.
 
 use crate::coordinator::{Coordinator, Parts, queue};
+use crate::feeds::Feed;
 use crate::handler::{Callers, Gateway};
 use crate::log::Log;
 use crate::membership::{Members, Membership, PREFIX};
@@ -14,7 +15,7 @@
 use crate::sending::Sender;
 use crate::settings::GatewaySettings;
 use crate::state::Shared;
-use crate::sync::Sync;
+use crate::sync::{Part, Stores, Sync};
 use eyre::{Result, WrapErr as _};
 use reedford_fleet::ownership::Role;
 use reedford_front::{AnswerRequests, ConnectionLimits, Stop, serve_connections};
@@ -52,7 +53,7 @@
 ///
 /// # Errors
 /// When it can't be started.
-pub fn run<D, K, R>(cfg: GatewaySettings, dialect: D, kv: K, reload: R) -> Result<()>
+pub fn run<D, K, R>(cfg: GatewaySettings, dialect: D, stores: Stores<K>, reload: R) -> Result<()>
 where
     D: Dialect,
     K: KeyValue + std::fmt::Debug + 'static,
@@ -64,10 +65,15 @@
         .enable_all()
         .build()
         .wrap_err("the runtime can't be made")?;
-    runtime.block_on(serve(cfg, dialect, kv, reload))
+    runtime.block_on(serve(cfg, dialect, stores, reload))
 }
 
-async fn serve<D, K, R>(cfg: GatewaySettings, dialect: D, kv: K, reload: R) -> Result<()>
+async fn serve<D, K, R>(
+    cfg: GatewaySettings,
+    dialect: D,
+    stores: Stores<K>,
+    reload: R,
+) -> Result<()>
 where
     D: Dialect,
     K: KeyValue + std::fmt::Debug + 'static,
@@ -77,7 +83,7 @@
     let mut signals = Signals::new()?;
     tracing::info!(event = "start", node = %cfg.node, zone = %cfg.zone, cores = cfg.cores,
         version = env!("CARGO_PKG_VERSION"));
-    let node = Node::start(cfg, dialect, kv, &log).await?;
+    let node = Node::start(cfg, dialect, stores, &log).await?;
     signals.stop(&reload).await;
     node.stop().await;
     tracing::info!(event = "stop");
@@ -103,14 +109,18 @@
 }
 
 impl Node {
-    async fn start<D, K>(cfg: GatewaySettings, dialect: D, kv: K, log: &Arc<Log>) -> Result<Self>
+    async fn start<D, K>(
+        cfg: GatewaySettings,
+        dialect: D,
+        stores: Stores<K>,
+        log: &Arc<Log>,
+    ) -> Result<Self>
     where
         D: Dialect,
         K: KeyValue + std::fmt::Debug + 'static,
     {
         let cfg = Arc::new(cfg);
         let dialect = Arc::new(dialect);
-        let kv = Arc::new(kv);
         let incarnation = rand::random::<u32>().into();
         let metrics = Arc::new(Metrics::new().wrap_err("metrics can't be set up")?);
         let patience = CLAIM_PATIENCE.mul_f64((1.0 - cfg.cores).clamp(0.0, 1.0));
@@ -148,21 +158,27 @@
         node.tasks.spawn(progress_task.run(node.background.clone()));
         PeerServer {
             commands: commands.clone(),
+            shared: Arc::clone(&shared),
         }
         .start(cfg.peers, &node.tasks, node.background.clone())
         .await
         .wrap_err_with(|| format!("peers: can't listen on {}", cfg.peers))?;
         let sync = Arc::new(Sync {
             dialect: Arc::clone(&dialect),
-            kv: Arc::clone(&kv),
+            stores: Stores {
+                quick: Arc::clone(&stores.quick),
+                patient: stores.patient,
+            },
             shared: Arc::clone(&shared),
             metrics: Arc::clone(&metrics),
             commands: commands.clone(),
+            peers: Arc::clone(&peers),
+            own: cfg.peers,
         });
         node.follow(&sync, &commands);
         let membership = Membership {
             cfg: Arc::clone(&cfg),
-            kv,
+            kv: stores.quick,
             shared: Arc::clone(&shared),
             metrics: Arc::clone(&metrics),
             commands: commands.clone(),
@@ -221,7 +237,12 @@
         let sync = Arc::clone(sync);
         let stop = stop();
         self.tasks.spawn(async move {
-            sync.follow(PREFIX, Duration::ZERO, members, stop).await;
+            let part = Part {
+                prefix: PREFIX,
+                feed: Some(Feed::Members),
+                pause: Duration::ZERO,
+            };
+            sync.follow(part, members, stop).await;
         });
     }
 
--- /dev/null
+++ b/crates/gateway/src/feeds.rs
@@ -0,0 +1,280 @@
+//! What this node read from the store itself, for other nodes of its zone.
+//!
+//! Every call to the store costs, and each instance writes its entry about once
+//! a second. So only the coordinator of a zone watches the instances and the
+//! nodes' keys; the others ask it. It passes on nothing that it has not heard
+//! from the store just now ([`FRESH`]), and a node that it leaves without an
+//! answer asks the store itself.
+
+use reedford_fleet::Now;
+use reedford_store::{Change, ChangeKind, Entry};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+/// Age up to which the last word of the store is passed on. A watch returns
+/// within a second, so that a missing word shows soon.
+const FRESH: Duration = Duration::from_millis(1_300);
+/// Time for which a question waits for a change.
+const HOLD: Duration = Duration::from_millis(600);
+/// Changes kept for those who ask what is new.
+const LOG_CHANGES: usize = 512;
+
+/// Part of the store that is passed on.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub(crate) enum Feed {
+    /// Entries of the instances.
+    Instances,
+    /// Keys of the nodes.
+    Members,
+}
+
+/// A key as it is passed on.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct FeedItem {
+    pub(crate) key: Box<str>,
+    /// Text of the value; `None` when the key was deleted. What is not text
+    /// is not readable on the other side either.
+    pub(crate) value: Option<Box<str>>,
+    pub(crate) revision: i64,
+}
+
+/// An answer to a question for news.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) enum FeedAnswer {
+    /// Everything.
+    Listing {
+        revision: i64,
+        items: Vec<FeedItem>,
+        operators: i64,
+    },
+    /// What changed.
+    Changes {
+        revision: i64,
+        items: Vec<FeedItem>,
+        operators: i64,
+    },
+    /// This node does not know.
+    Unknown,
+}
+
+/// All feeds of a node.
+#[derive(Debug, Default)]
+pub(crate) struct Feeds {
+    feeds: Mutex<State>,
+    changed: Notify,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    by_feed: BTreeMap<Feed, FeedState>,
+    /// Revision of the newest word on what operators wrote.
+    operators: i64,
+}
+
+#[derive(Debug, Default)]
+struct FeedState {
+    items: BTreeMap<Box<str>, Kept>,
+    log: VecDeque<FeedItem>,
+    /// Everything after this revision is in the log.
+    log_after: i64,
+    revision: i64,
+    heard: Option<Now>,
+}
+
+#[derive(Debug)]
+struct Kept {
+    value: Box<str>,
+    revision: i64,
+    /// Tells changes that matter from others.
+    essence: u64,
+}
+
+impl Feeds {
+    /// Takes everything, as the store listed it.
+    pub(crate) fn on_listing<F>(
+        &self,
+        feed: Feed,
+        revision: i64,
+        entries: &[Entry],
+        essence: F,
+        now: Now,
+    ) where
+        F: Fn(&[u8]) -> u64,
+    {
+        let mut state = self.lock();
+        let kept = entries.iter().map(|entry| {
+            let kept = Kept {
+                value: String::from_utf8_lossy(&entry.value).into(),
+                revision: entry.revision,
+                essence: essence(&entry.value),
+            };
+            (entry.key.clone(), kept)
+        });
+        let new = FeedState {
+            items: kept.collect(),
+            log: VecDeque::new(),
+            log_after: revision,
+            revision,
+            heard: Some(now),
+        };
+        state.by_feed.insert(feed, new);
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Takes a word of the watch.
+    pub(crate) fn on_changes<F>(
+        &self,
+        feed: Feed,
+        revision: i64,
+        changes: &[Change],
+        essence: F,
+        now: Now,
+    ) where
+        F: Fn(&[u8]) -> u64,
+    {
+        let mut state = self.lock();
+        let state_of = state.by_feed.entry(feed).or_default();
+        state_of.heard = Some(now);
+        state_of.revision = state_of.revision.max(revision);
+        let before = state_of.log.len();
+        for change in changes {
+            state_of.take(change, &essence);
+        }
+        let any = state_of.log.len() != before || !changes.is_empty();
+        drop(state);
+        if any {
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Notes that the store is out of reach.
+    pub(crate) fn on_lost(&self, feed: Feed) {
+        if let Some(state) = self.lock().by_feed.get_mut(&feed) {
+            state.heard = None;
+        }
+    }
+
+    /// Notes the revision of the newest word on what operators wrote.
+    pub(crate) fn on_operators(&self, revision: i64) {
+        let mut state = self.lock();
+        state.operators = state.operators.max(revision);
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Answers what is new after a revision, 0 for everything. `clock` tells
+    /// the time.
+    pub(crate) async fn news<C>(
+        &self,
+        feed: Feed,
+        after: i64,
+        operators: i64,
+        clock: C,
+    ) -> FeedAnswer
+    where
+        C: Fn() -> Now,
+    {
+        let changed = self.changed.notified();
+        let mut changed = std::pin::pin!(changed);
+        changed.as_mut().enable();
+        let first = self.answer(feed, after, clock());
+        if !first.is_empty_after(operators) {
+            return first;
+        }
+        if timeout(HOLD, changed).await.is_err() {
+            tracing::trace!(event = "no_news");
+        }
+        self.answer(feed, after, clock())
+    }
+
+    fn answer(&self, feed: Feed, after: i64, now: Now) -> FeedAnswer {
+        let state = self.lock();
+        let operators = state.operators;
+        let Some(known) = state.by_feed.get(&feed) else {
+            return FeedAnswer::Unknown;
+        };
+        let fresh = known.heard.is_some_and(|at| now.saturating_sub(at) < FRESH);
+        if !fresh {
+            return FeedAnswer::Unknown;
+        }
+        let revision = known.revision;
+        if after == 0 || after < known.log_after {
+            let items = known.items.iter().map(|(key, kept)| FeedItem {
+                key: key.clone(),
+                value: Some(kept.value.clone()),
+                revision: kept.revision,
+            });
+            return FeedAnswer::Listing {
+                revision,
+                items: items.collect(),
+                operators,
+            };
+        }
+        let new = known.log.iter().filter(|item| item.revision > after);
+        FeedAnswer::Changes {
+            revision,
+            items: new.cloned().collect(),
+            operators,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.feeds.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl FeedAnswer {
+    /// Whether it tells nothing to someone who knows what operators wrote up
+    /// to this revision.
+    fn is_empty_after(&self, known: i64) -> bool {
+        match self {
+            Self::Changes {
+                items, operators, ..
+            } => items.is_empty() && *operators <= known,
+            Self::Listing { .. } | Self::Unknown => false,
+        }
+    }
+}
+
+impl FeedState {
+    fn take<F>(&mut self, change: &Change, essence: &F)
+    where
+        F: Fn(&[u8]) -> u64,
+    {
+        let value = match &change.kind {
+            ChangeKind::Put(value) => {
+                let kept = Kept {
+                    value: String::from_utf8_lossy(value).into(),
+                    revision: change.revision,
+                    essence: essence(value),
+                };
+                let text = kept.value.clone();
+                let essence = kept.essence;
+                let before = self.items.insert(change.key.clone(), kept);
+                if before.is_some_and(|b| b.essence == essence) {
+                    return;
+                }
+                Some(text)
+            }
+            ChangeKind::Delete => {
+                self.items.remove(&change.key);
+                None
+            }
+        };
+        self.log.push_back(FeedItem {
+            key: change.key.clone(),
+            value,
+            revision: change.revision,
+        });
+        if self.log.len() > LOG_CHANGES
+            && let Some(dropped) = self.log.pop_front()
+        {
+            self.log_after = dropped.revision;
+        }
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod clock;
 mod coordinator;
 mod daemon;
+mod feeds;
 mod handler;
 mod log;
 mod membership;
@@ -30,3 +31,4 @@
 
 pub use daemon::run;
 pub use settings::GatewaySettings;
+pub use sync::Stores;
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -6,6 +6,7 @@
 use crate::settings::GatewaySettings;
 use crate::state::{Neighbour, Shared};
 use crate::sync::Follower;
+use reedford_fleet::Now;
 use reedford_fleet::ownership::Holder;
 use reedford_store::{
     Change, ChangeKind, Entry, Expect, KeyValue, KvError, Lease, Put, Swapped, Transaction,
@@ -24,10 +25,15 @@
 const ZONES: &str = "reedford/zones/";
 /// Keys of all nodes, by name.
 const NODES: &str = "reedford/nodes/";
-/// Time to live of a node's lease; a lost coordinator is replaced after it.
-const LEASE: Duration = Duration::from_millis(1_500);
-/// Pause between two renewals; three of them fail before the lease ends.
-const RENEWAL: Duration = Duration::from_millis(400);
+/// Time to live of a node's registration, which only counts the nodes.
+const NODE_LEASE: Duration = Duration::from_secs(9);
+/// Pause between two renewals of it.
+const NODE_RENEWAL: Duration = Duration::from_millis(2_500);
+/// Time to live of a coordinator's role; a lost coordinator is replaced after it.
+const ROLE_LEASE: Duration = Duration::from_millis(1_500);
+/// Pause between two looks at the role and renewals of its lease, of which
+/// three fail before it ends.
+const LOOK: Duration = Duration::from_millis(400);
 
 /// What a node writes about itself.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -52,54 +58,83 @@
 where
     K: KeyValue,
 {
-    /// Runs until `stop`, and then ends the lease, so that another node can
+    /// Runs until `stop`, and then ends the leases, so that another node can
     /// take the role over at once.
     pub(crate) async fn run(self, stop: CancellationToken) {
-        let mut lease: Option<Lease> = None;
+        let mut node = Held::default();
+        let mut role = Held::default();
         while !stop.is_cancelled() {
-            match self.renew(&mut lease).await {
-                Ok(()) => self.claim_if_due(lease).await,
-                Err(error) => {
-                    self.metrics.store_failure("lease");
-                    tracing::info!(event = "lease_unrenewed", %error);
-                }
+            if let Err(error) = self.keep(&mut node, &mut role).await {
+                self.metrics.store_failure("lease");
+                tracing::info!(event = "lease_unrenewed", %error);
+            }
+            stop.run_until_cancelled(sleep(LOOK)).await;
+        }
+        for lease in [role.lease, node.lease].into_iter().flatten() {
+            if let Err(error) = self.kv.lease_revoke(lease.id).await {
+                tracing::info!(event = "lease_unended", %error);
             }
-            stop.run_until_cancelled(sleep(RENEWAL)).await;
         }
-        if let Some(lease) = lease
-            && let Err(error) = self.kv.lease_revoke(lease.id).await
-        {
-            tracing::info!(event = "lease_unended", %error);
+    }
+
+    /// Renews what is due, and claims the role when it is vacant.
+    async fn keep(&self, node: &mut Held, role: &mut Held) -> Result<(), KvError> {
+        if role.lease.is_some() && !self.renew(role).await? {
+            tracing::warn!(event = "role_lease_ended", zone = %self.cfg.zone);
+        }
+        let now = self.shared.now();
+        if self.shared.lock().role.should_claim(now) {
+            self.claim(role).await?;
+        }
+        if node.lease.is_none() || now >= node.renewed + NODE_RENEWAL {
+            if node.lease.is_some() && self.renew(node).await? {
+                return Ok(());
+            }
+            self.register(node).await?;
         }
+        Ok(())
     }
 
-    async fn renew(&self, lease: &mut Option<Lease>) -> Result<(), KvError> {
-        if let Some(held) = lease
-            && self.kv.lease_keep_alive(held.id).await?.is_some()
-        {
-            return Ok(());
+    /// Renews a lease; answers whether it still holds.
+    async fn renew(&self, held: &mut Held) -> Result<bool, KvError> {
+        let Some(lease) = held.lease else {
+            return Ok(false);
+        };
+        let holds = self.kv.lease_keep_alive(lease.id).await?.is_some();
+        if holds {
+            held.renewed = self.shared.now();
+        } else {
+            held.lease = None;
         }
-        *lease = None;
-        let ttl = LEASE.max(self.cfg.shortest_lease);
-        let new = self.kv.lease_grant(ttl).await?;
+        Ok(holds)
+    }
+
+    async fn grant(&self, ttl: Duration) -> Result<Lease, KvError> {
+        self.kv.lease_grant(ttl.max(self.cfg.shortest_lease)).await
+    }
+
+    async fn register(&self, node: &mut Held) -> Result<(), KvError> {
+        let lease = self.grant(NODE_LEASE).await?;
+        let put = self.put(format!("{NODES}{}", self.cfg.node), lease);
         self.kv
             .txn(Transaction {
                 expect: Vec::new(),
-                puts: vec![self.put(format!("{NODES}{}", self.cfg.node), new)],
+                puts: vec![put],
                 deletes: Vec::new(),
             })
             .await?;
-        tracing::info!(event = "registered", node = %self.cfg.node, lease = new.id);
-        *lease = Some(new);
+        tracing::info!(event = "registered", node = %self.cfg.node, lease = lease.id);
+        node.lease = Some(lease);
+        node.renewed = self.shared.now();
         Ok(())
     }
 
-    async fn claim_if_due(&self, lease: Option<Lease>) {
-        let now = self.shared.now();
-        let Some(lease) = lease else { return };
-        if !self.shared.lock().role.should_claim(now) {
-            return;
-        }
+    async fn claim(&self, role: &mut Held) -> Result<(), KvError> {
+        let lease = match role.lease {
+            Some(lease) => lease,
+            None => self.grant(ROLE_LEASE).await?,
+        };
+        role.lease = Some(lease);
         let key = format!("{ZONES}{}", self.cfg.zone);
         let claim = Transaction {
             expect: vec![Expect {
@@ -113,6 +148,8 @@
             Ok(Swapped::Done { revision }) => self.on_claimed(revision),
             Ok(Swapped::Lost { current }) => {
                 tracing::info!(event = "claim_lost", zone = %self.cfg.zone);
+                // The lease is left to end; renewing it would serve nothing.
+                role.lease = None;
                 if let Some(entry) = current {
                     self.on_holder(&entry.value, entry.revision);
                 }
@@ -122,6 +159,7 @@
                 tracing::info!(event = "claim_unknown", zone = %self.cfg.zone, %error);
             }
         }
+        Ok(())
     }
 
     fn on_claimed(&self, revision: i64) {
@@ -167,6 +205,13 @@
     }
 }
 
+/// A lease, if one is held.
+#[derive(Clone, Copy, Debug, Default)]
+struct Held {
+    lease: Option<Lease>,
+    renewed: Now,
+}
+
 /// Takes the nodes' keys.
 #[derive(Debug)]
 pub(crate) struct Members {
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -1,5 +1,6 @@
 //! The protocol between nodes, over tarpc.
 
+use crate::feeds::{Feed, FeedAnswer};
 use futures::FutureExt as _;
 use futures::future::BoxFuture;
 use reedford_fleet::scheduler::{Ask, CallId, Grant, Progress, Refusal};
@@ -66,6 +67,10 @@
     async fn progress(steps: Vec<(CallId, Progress)>);
     /// Tells the load of the sender's zone.
     async fn load(load: ZoneLoad);
+    /// Asks a coordinator what is new in a part of the store after a revision,
+    /// 0 for everything; `operators` is the newest revision of operators' keys
+    /// that the asker knows. Answers within a second.
+    async fn news(feed: Feed, after: i64, operators: i64) -> FeedAnswer;
 }
 
 impl PlaceRequest {
--- a/crates/gateway/src/peer_server.rs
+++ b/crates/gateway/src/peer_server.rs
@@ -1,10 +1,13 @@
 //! Serves other nodes: each call becomes a command to the coordinator's task.
 
 use crate::coordinator::{Command, CommandTx};
+use crate::feeds::{Feed, FeedAnswer};
 use crate::peer::{Peer, PeerRequest, PeerResponse, PlaceAnswer, PlaceRequest, ZoneLoad};
+use crate::state::Shared;
 use futures::StreamExt as _;
 use reedford_fleet::scheduler::{CallId, Progress};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use tarpc::context::Context;
 use tarpc::serde_transport::tcp;
 use tarpc::server::{BaseChannel, Channel as _};
@@ -16,6 +19,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct PeerServer {
     pub(crate) commands: CommandTx,
+    pub(crate) shared: Arc<Shared>,
 }
 
 impl PeerServer {
@@ -70,4 +74,9 @@
     async fn load(self, _: Context, load: ZoneLoad) {
         self.commands.send(Command::ZoneLoad(load));
     }
+
+    async fn news(self, _: Context, feed: Feed, after: i64, operators: i64) -> FeedAnswer {
+        let clock = || self.shared.now();
+        self.shared.feeds.news(feed, after, operators, clock).await
+    }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,6 +4,7 @@
 //! held over an await.
 
 use crate::clock::Clock;
+use crate::feeds::Feeds;
 use reedford_fleet::budget::{RetryBudget, RetryLimits};
 use reedford_fleet::config::RouteTable;
 use reedford_fleet::directory::{Directory, Instance};
@@ -15,6 +16,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::watch;
 
 /// Most adapters whose last place is remembered.
 const PLACES_KEPT: usize = 4_096;
@@ -23,6 +25,9 @@
 #[derive(Debug)]
 pub(crate) struct Shared {
     pub(crate) clock: Clock,
+    pub(crate) feeds: Feeds,
+    /// Newest revision of operators' keys that another node told.
+    pub(crate) operators_told: watch::Sender<i64>,
     state: Mutex<State>,
 }
 
@@ -66,6 +71,8 @@
     pub(crate) fn new(role: Role, retries: RetryLimits) -> Self {
         Self {
             clock: Clock::start(),
+            feeds: Feeds::default(),
+            operators_told: watch::Sender::new(0),
             state: Mutex::new(State {
                 routes: None,
                 directory: Directory::default(),
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -5,18 +5,23 @@
 //! listed again, so that nothing is missed however the history was cut.
 
 use crate::coordinator::{Command, CommandTx};
+use crate::feeds::{Feed, FeedAnswer, FeedItem};
 use crate::metrics::Metrics;
+use crate::peer::PeerClients;
 use crate::ports::{Dialect, StoredItem};
 use crate::state::Shared;
 use futures::StreamExt as _;
+use reedford_fleet::Now;
 use reedford_fleet::config::{Configuration, RouteTable};
 use reedford_fleet::directory::DirectoryChange;
 use reedford_fleet::scheduler::AdapterKey;
-use reedford_store::{Change, ChangeKind, Entry, KeyValue, KvError, Listing};
+use reedford_store::{Change, ChangeKind, Changes, Entry, KeyValue, KvError, Listing};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Pause before a prefix is listed again after a failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
@@ -24,14 +29,54 @@
 /// all the time; it bounds the calls to the store.
 const INSTANCES_PAUSE: Duration = Duration::from_millis(400);
 
+/// Time for the coordinator to answer a question for news, which it holds for
+/// less than a second.
+const NEWS_TIMEOUT: Duration = Duration::from_millis(1_300);
+/// Time for which the store is asked after a coordinator gave no answer.
+const DIRECT_TIME: Duration = Duration::from_millis(2_500);
+/// Time for which a watch may lag behind what another node told of operators'
+/// keys before it is given up.
+const OPERATORS_LAG: Duration = Duration::from_millis(200);
+
 /// Follows the store.
 #[derive(Debug)]
 pub(crate) struct Sync<D, K> {
     pub(crate) dialect: Arc<D>,
-    pub(crate) kv: Arc<K>,
+    pub(crate) stores: Stores<K>,
     pub(crate) shared: Arc<Shared>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) commands: CommandTx,
+    pub(crate) peers: Arc<PeerClients>,
+    pub(crate) own: SocketAddr,
+}
+
+/// Two clients of the store.
+#[derive(Debug)]
+pub struct Stores<K> {
+    /// Its watches return within a second, so that silence shows soon.
+    pub quick: Arc<K>,
+    /// Its watches wait long, for keys of whose changes another node tells.
+    pub patient: Arc<K>,
+}
+
+/// A part of the store that is followed.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Part<'a> {
+    pub(crate) prefix: &'a str,
+    /// Whether the coordinator passes it on.
+    pub(crate) feed: Option<Feed>,
+    /// Pause after each word that has changes.
+    pub(crate) pause: Duration,
+}
+
+/// Why following a part ended.
+enum Ended {
+    /// A call to the store failed.
+    Store(KvError),
+    /// The coordinator did not tell.
+    Coordinator,
+    /// There is a better source now.
+    Switch,
 }
 
 /// Takes what a prefix holds.
@@ -49,91 +94,322 @@
     D: Dialect,
     K: KeyValue,
 {
-    /// Follows a prefix until `stop`.
-    pub(crate) async fn follow<F>(
-        &self,
-        prefix: &str,
-        pause: Duration,
-        mut follower: F,
-        stop: CancellationToken,
-    ) where
+    /// Follows a part until `stop`.
+    pub(crate) async fn follow<F>(&self, part: Part<'_>, mut follower: F, stop: CancellationToken)
+    where
         F: Follower,
     {
         let mut lost = false;
+        let mut direct_until = Now::ZERO;
         let following = async {
             loop {
-                let error = self
-                    .follow_once(prefix, pause, &mut follower, &mut lost)
-                    .await;
-                self.metrics.store_failure("watch");
-                if !lost {
-                    tracing::warn!(event = "store_lost", prefix, %error);
-                    lost = true;
+                let ended = match self.source(part, direct_until) {
+                    Some((addr, feed)) => self.follow_node(addr, feed, part, &mut follower).await,
+                    None => {
+                        let until = direct_until;
+                        self.follow_store(part, &mut follower, &mut lost, until)
+                            .await
+                    }
+                };
+                match ended {
+                    Ended::Switch => {}
+                    Ended::Coordinator => direct_until = self.shared.now() + DIRECT_TIME,
+                    Ended::Store(error) => {
+                        self.on_store_lost(part, &error, &mut lost);
+                        sleep(RETRY_PAUSE).await;
+                    }
                 }
-                sleep(RETRY_PAUSE).await;
             }
         };
         stop.run_until_cancelled(following).await;
     }
 
-    /// Follows until a call fails.
-    async fn follow_once<F>(
+    /// The coordinator that tells a part; `None` to ask the store.
+    fn source(&self, part: Part<'_>, direct_until: Now) -> Option<(SocketAddr, Feed)> {
+        let feed = part.feed?;
+        if self.shared.now() < direct_until {
+            return None;
+        }
+        let state = self.shared.lock();
+        let addr = state.role.holder()?.addr;
+        (addr != self.own).then_some((addr, feed))
+    }
+
+    fn on_store_lost(&self, part: Part<'_>, error: &KvError, lost: &mut bool) {
+        self.metrics.store_failure("watch");
+        if let Some(feed) = part.feed {
+            self.shared.feeds.on_lost(feed);
+        }
+        if !*lost {
+            tracing::warn!(event = "store_lost", prefix = part.prefix, %error);
+            *lost = true;
+        }
+    }
+
+    /// Follows the store itself until a call fails or a coordinator can tell.
+    async fn follow_store<F>(
         &self,
-        prefix: &str,
-        pause: Duration,
+        part: Part<'_>,
         follower: &mut F,
         lost: &mut bool,
-    ) -> KvError
+        direct_until: Now,
+    ) -> Ended
     where
         F: Follower,
     {
-        let Listing { revision, entries } = match self.kv.list(prefix).await {
+        let kv = match part.feed {
+            Some(_) => &self.stores.quick,
+            None => self.operators_store(),
+        };
+        let Listing { revision, entries } = match kv.list(part.prefix).await {
             Ok(listing) => listing,
-            Err(error) => return error,
+            Err(error) => return Ended::Store(error),
         };
         if std::mem::take(lost) {
-            tracing::info!(event = "store_regained", prefix, revision);
+            tracing::info!(event = "store_regained", prefix = part.prefix, revision);
         }
+        self.publish_listing(part, revision, &entries);
         follower.on_listing(entries);
         follower.on_settled();
-        let mut watch = match self.kv.watch(prefix, revision + 1).await {
+        let mut watch = match kv.watch(part.prefix, revision + 1).await {
             Ok(watch) => watch,
-            Err(error) => return error,
+            Err(error) => return Ended::Store(error),
         };
+        let mut seen = revision;
         loop {
-            match watch.next().await {
+            let next = tokio::select! {
+                next = watch.next() => next,
+                () = self.outdated(part, seen) => return Ended::Switch,
+            };
+            match next {
                 Some(Ok(changes)) => {
+                    seen = seen.max(changes.revision);
+                    self.publish_changes(part, &changes);
                     let any = !changes.changes.is_empty();
                     for change in changes.changes {
                         follower.on_change(change);
                     }
                     follower.on_settled();
+                    if self.source(part, direct_until).is_some() {
+                        return Ended::Switch;
+                    }
                     if any {
-                        sleep(pause).await;
+                        sleep(part.pause).await;
                     }
                 }
-                Some(Err(error)) => return error,
+                Some(Err(error)) => return Ended::Store(error),
                 None => {
-                    return KvError::Unknown {
+                    return Ended::Store(KvError::Unknown {
                         message: "the watch ended".into(),
-                    };
+                    });
                 }
             }
         }
     }
 
+    /// The client for operators' keys: the patient one while a coordinator
+    /// tells of changes.
+    fn operators_store(&self) -> &Arc<K> {
+        let told = self.source(
+            Part {
+                prefix: "",
+                feed: Some(Feed::Instances),
+                pause: Duration::ZERO,
+            },
+            Now::ZERO,
+        );
+        if told.is_some() {
+            &self.stores.patient
+        } else {
+            &self.stores.quick
+        }
+    }
+
+    /// Ends when a watch on operators' keys lags behind what another node told.
+    async fn outdated(&self, part: Part<'_>, seen: i64) {
+        if part.feed.is_some() {
+            return std::future::pending().await;
+        }
+        let mut told = self.shared.operators_told.subscribe();
+        loop {
+            if *told.borrow_and_update() > seen {
+                sleep(OPERATORS_LAG).await;
+                return;
+            }
+            if told.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+        }
+    }
+
+    fn publish_listing(&self, part: Part<'_>, revision: i64, entries: &[Entry]) {
+        let now = self.shared.now();
+        match part.feed {
+            Some(feed) => {
+                let essence = |value: &[u8]| self.essence(feed, value);
+                self.shared
+                    .feeds
+                    .on_listing(feed, revision, entries, essence, now);
+            }
+            None => self.shared.feeds.on_operators(newest(entries)),
+        }
+    }
+
+    fn publish_changes(&self, part: Part<'_>, changes: &Changes) {
+        let now = self.shared.now();
+        match part.feed {
+            Some(feed) => {
+                let essence = |value: &[u8]| self.essence(feed, value);
+                let revision = changes.revision;
+                self.shared
+                    .feeds
+                    .on_changes(feed, revision, &changes.changes, essence, now);
+            }
+            None => {
+                let newest = changes.changes.iter().map(|c| c.revision).max();
+                if let Some(newest) = newest {
+                    self.shared.feeds.on_operators(newest);
+                }
+            }
+        }
+    }
+
+    /// Tells changes that other nodes need from heartbeats and the like.
+    fn essence(&self, feed: Feed, value: &[u8]) -> u64 {
+        match feed {
+            Feed::Members => xxh3_64(value),
+            Feed::Instances => match self.dialect.stored(&self.any_instance(), value) {
+                Ok(StoredItem::Instance(mut instance)) => {
+                    instance.models.clear();
+                    xxh3_64(format!("{instance:?}").as_bytes())
+                }
+                Ok(_) | Err(_) => 0,
+            },
+        }
+    }
+
+    fn any_instance(&self) -> String {
+        format!("{}any", self.dialect.instance_prefix())
+    }
+
+    /// Follows what the coordinator tells.
+    async fn follow_node<F>(
+        &self,
+        addr: SocketAddr,
+        feed: Feed,
+        part: Part<'_>,
+        follower: &mut F,
+    ) -> Ended
+    where
+        F: Follower,
+    {
+        let mut after = 0;
+        loop {
+            let operators = *self.shared.operators_told.borrow();
+            let answer = self
+                .peers
+                .call(addr, NEWS_TIMEOUT, |peer, cx| async move {
+                    peer.news(cx, feed, after, operators).await
+                })
+                .await;
+            let any = match answer {
+                Ok(FeedAnswer::Listing {
+                    revision,
+                    items,
+                    operators,
+                }) => {
+                    after = revision;
+                    self.on_operators_told(operators);
+                    follower.on_listing(items.into_iter().filter_map(entry).collect());
+                    true
+                }
+                Ok(FeedAnswer::Changes {
+                    revision,
+                    items,
+                    operators,
+                }) => {
+                    after = revision;
+                    self.on_operators_told(operators);
+                    let any = !items.is_empty();
+                    items
+                        .into_iter()
+                        .map(change)
+                        .for_each(|c| follower.on_change(c));
+                    any
+                }
+                Ok(FeedAnswer::Unknown) => {
+                    tracing::info!(event = "feed_unknown", prefix = part.prefix, %addr);
+                    return Ended::Coordinator;
+                }
+                Err(error) => {
+                    tracing::info!(event = "feed_lost", prefix = part.prefix, %addr, %error);
+                    return Ended::Coordinator;
+                }
+            };
+            follower.on_settled();
+            if self
+                .source(part, Now::ZERO)
+                .is_none_or(|(now, _)| now != addr)
+            {
+                return Ended::Switch;
+            }
+            if any {
+                sleep(part.pause).await;
+            }
+        }
+    }
+
+    fn on_operators_told(&self, revision: i64) {
+        self.shared.operators_told.send_if_modified(|known| {
+            let newer = *known < revision;
+            *known = (*known).max(revision);
+            newer
+        });
+    }
+
     /// Follows what operators write.
     pub(crate) async fn operators(self: Arc<Self>, stop: CancellationToken) {
         let follower = Operators { sync: &self };
-        let prefix = self.dialect.operator_prefix();
-        self.follow(prefix, Duration::ZERO, follower, stop).await;
+        let part = Part {
+            prefix: self.dialect.operator_prefix(),
+            feed: None,
+            pause: Duration::ZERO,
+        };
+        self.follow(part, follower, stop).await;
     }
 
     /// Follows the instances.
     pub(crate) async fn instances(self: Arc<Self>, stop: CancellationToken) {
         let follower = Instances { sync: &self };
-        let prefix = self.dialect.instance_prefix();
-        self.follow(prefix, INSTANCES_PAUSE, follower, stop).await;
+        let part = Part {
+            prefix: self.dialect.instance_prefix(),
+            feed: Some(Feed::Instances),
+            pause: INSTANCES_PAUSE,
+        };
+        self.follow(part, follower, stop).await;
+    }
+}
+
+fn newest(entries: &[Entry]) -> i64 {
+    entries.iter().map(|e| e.revision).max().unwrap_or(0)
+}
+
+fn entry(item: FeedItem) -> Option<Entry> {
+    Some(Entry {
+        key: item.key,
+        value: item.value?.into_string().into_bytes(),
+        revision: item.revision,
+    })
+}
+
+fn change(item: FeedItem) -> Change {
+    Change {
+        key: item.key,
+        revision: item.revision,
+        kind: match item.value {
+            Some(value) => ChangeKind::Put(value.into_string().into_bytes()),
+            None => ChangeKind::Delete,
+        },
     }
 }
 
--- a/src/commands/gateway.rs
+++ b/src/commands/gateway.rs
@@ -4,8 +4,16 @@
 use crate::flags::Gateway;
 use crate::outcome::Outcome;
 use eyre::OptionExt as _;
+use reedford_gateway::Stores;
 use reedford_platform::{PlatformDialect, PlatformStore, SETTINGS_VARIABLE};
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest wait of a watch whose silence has to show soon.
+const QUICK_WATCH: Duration = Duration::from_millis(800);
+/// Longest wait of a watch on keys of whose changes another node tells.
+const PATIENT_WATCH: Duration = Duration::from_secs(12);
 
 pub(crate) fn run(flags: &Gateway) -> eyre::Result<Outcome> {
     let path = match &flags.config {
@@ -19,8 +27,12 @@
         println!("{}: node {} is good", path.display(), settings.node);
         return Ok(Outcome::Done);
     }
-    let store = PlatformStore::new(settings.store.clone());
-    reedford_gateway::run(settings, PlatformDialect, store, || reload(&path))?;
+    let store = |watch_wait| Arc::new(PlatformStore::new(&settings.store, watch_wait));
+    let stores = Stores {
+        quick: store(QUICK_WATCH),
+        patient: store(PATIENT_WATCH),
+    };
+    reedford_gateway::run(settings, PlatformDialect, stores, || reload(&path))?;
     Ok(Outcome::Done)
 }
 
