--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -13,6 +13,9 @@
 /// count and this node does not, such as those of a node that was restarted.
 const USED_SHARE: f64 = 0.8;
 
+/// Nodes that a fleet is taken to have until they have been counted.
+const UNCOUNTED_NODES: usize = 24;
+
 /// The fleet's budget.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryLimits {
@@ -39,12 +42,12 @@
 }
 
 impl RetryBudget {
-    /// A budget shared by one node.
+    /// A budget shared by nodes that have not been counted.
     #[must_use]
     pub fn new(limits: RetryLimits) -> Self {
         Self {
             limits,
-            nodes: 1,
+            nodes: UNCOUNTED_NODES,
             services: BTreeMap::new(),
         }
     }
--- a/crates/fleet/tests/budget.rs
+++ b/crates/fleet/tests/budget.rs
@@ -40,6 +40,7 @@
         window: WINDOW,
         allowance: 2.0,
     });
+    budget.set_nodes(1);
     while budget.take("a", Now::ZERO) {}
     assert!(budget.take("b", Now::ZERO));
 }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -4,7 +4,7 @@
 use crate::feeds::Feed;
 use crate::handler::{Callers, Gateway};
 use crate::log::Log;
-use crate::membership::{Members, Membership, PREFIX};
+use crate::membership::{Members, Membership, ZONES};
 use crate::metrics::Metrics;
 use crate::peer::PeerClients;
 use crate::peer_server::PeerServer;
@@ -183,6 +183,7 @@
             metrics: Arc::clone(&metrics),
             commands: commands.clone(),
             incarnation,
+            next_count: Duration::ZERO,
         };
         node.tasks.spawn(membership.run(node.membership.clone()));
         let gateway = Arc::new(Gateway {
@@ -238,7 +239,7 @@
         let stop = stop();
         self.tasks.spawn(async move {
             let part = Part {
-                prefix: PREFIX,
+                prefix: ZONES,
                 feed: Some(Feed::Members),
                 pause: Duration::ZERO,
             };
--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -42,6 +42,15 @@
     pub(crate) revision: i64,
 }
 
+/// What goes with every answer.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+pub(crate) struct Aside {
+    /// Revision of the newest word on what operators wrote.
+    pub(crate) operators: i64,
+    /// Nodes of the fleet, 0 when not known.
+    pub(crate) nodes: usize,
+}
+
 /// An answer to a question for news.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) enum FeedAnswer {
@@ -49,13 +58,13 @@
     Listing {
         revision: i64,
         items: Vec<FeedItem>,
-        operators: i64,
+        aside: Aside,
     },
     /// What changed.
     Changes {
         revision: i64,
         items: Vec<FeedItem>,
-        operators: i64,
+        aside: Aside,
     },
     /// This node does not know.
     Unknown,
@@ -71,8 +80,7 @@
 #[derive(Debug, Default)]
 struct State {
     by_feed: BTreeMap<Feed, FeedState>,
-    /// Revision of the newest word on what operators wrote.
-    operators: i64,
+    aside: Aside,
 }
 
 #[derive(Debug, Default)]
@@ -162,11 +170,16 @@
     /// Notes the revision of the newest word on what operators wrote.
     pub(crate) fn on_operators(&self, revision: i64) {
         let mut state = self.lock();
-        state.operators = state.operators.max(revision);
+        state.aside.operators = state.aside.operators.max(revision);
         drop(state);
         self.changed.notify_waiters();
     }
 
+    /// Notes how many nodes the fleet has.
+    pub(crate) fn on_nodes(&self, nodes: usize) {
+        self.lock().aside.nodes = nodes;
+    }
+
     /// Answers what is new after a revision, 0 for everything. `clock` tells
     /// the time.
     pub(crate) async fn news<C>(
@@ -194,7 +207,7 @@
 
     fn answer(&self, feed: Feed, after: i64, now: Now) -> FeedAnswer {
         let state = self.lock();
-        let operators = state.operators;
+        let aside = state.aside;
         let Some(known) = state.by_feed.get(&feed) else {
             return FeedAnswer::Unknown;
         };
@@ -212,14 +225,14 @@
             return FeedAnswer::Listing {
                 revision,
                 items: items.collect(),
-                operators,
+                aside,
             };
         }
         let new = known.log.iter().filter(|item| item.revision > after);
         FeedAnswer::Changes {
             revision,
             items: new.cloned().collect(),
-            operators,
+            aside,
         }
     }
 
@@ -233,9 +246,7 @@
     /// to this revision.
     fn is_empty_after(&self, known: i64) -> bool {
         match self {
-            Self::Changes {
-                items, operators, ..
-            } => items.is_empty() && *operators <= known,
+            Self::Changes { items, aside, .. } => items.is_empty() && aside.operators <= known,
             Self::Listing { .. } | Self::Unknown => false,
         }
     }
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -19,16 +19,16 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
-/// Keys of the nodes.
-pub(crate) const PREFIX: &str = "reedford/";
 /// Keys of the coordinators, by zone.
-const ZONES: &str = "reedford/zones/";
+pub(crate) const ZONES: &str = "reedford/zones/";
 /// Keys of all nodes, by name.
 const NODES: &str = "reedford/nodes/";
 /// Time to live of a node's registration, which only counts the nodes.
 const NODE_LEASE: Duration = Duration::from_secs(9);
 /// Pause between two renewals of it.
 const NODE_RENEWAL: Duration = Duration::from_millis(2_500);
+/// Pause between two counts of the nodes by a coordinator.
+const COUNT_PAUSE: Duration = Duration::from_secs(5);
 /// Time to live of a coordinator's role; a lost coordinator is replaced after it.
 const ROLE_LEASE: Duration = Duration::from_millis(1_500);
 /// Pause between two looks at the role and renewals of its lease, of which
@@ -52,6 +52,8 @@
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) commands: CommandTx,
     pub(crate) incarnation: u64,
+    /// When the nodes are counted next.
+    pub(crate) next_count: Now,
 }
 
 impl<K> Membership<K>
@@ -60,7 +62,7 @@
 {
     /// Runs until `stop`, and then ends the leases, so that another node can
     /// take the role over at once.
-    pub(crate) async fn run(self, stop: CancellationToken) {
+    pub(crate) async fn run(mut self, stop: CancellationToken) {
         let mut node = Held::default();
         let mut role = Held::default();
         while !stop.is_cancelled() {
@@ -78,7 +80,7 @@
     }
 
     /// Renews what is due, and claims the role when it is vacant.
-    async fn keep(&self, node: &mut Held, role: &mut Held) -> Result<(), KvError> {
+    async fn keep(&mut self, node: &mut Held, role: &mut Held) -> Result<(), KvError> {
         if role.lease.is_some() && !self.renew(role).await? {
             tracing::warn!(event = "role_lease_ended", zone = %self.cfg.zone);
         }
@@ -86,6 +88,7 @@
         if self.shared.lock().role.should_claim(now) {
             self.claim(role).await?;
         }
+        self.count_nodes(now).await?;
         if node.lease.is_none() || now >= node.renewed + NODE_RENEWAL {
             if node.lease.is_some() && self.renew(node).await? {
                 return Ok(());
@@ -95,6 +98,19 @@
         Ok(())
     }
 
+    /// Counts the nodes, for the retry budget of this node and those it tells.
+    async fn count_nodes(&mut self, now: Now) -> Result<(), KvError> {
+        let holds = self.shared.lock().role.held().is_some();
+        if !holds || now < self.next_count {
+            return Ok(());
+        }
+        self.next_count = now + COUNT_PAUSE;
+        let nodes = self.kv.list(NODES).await?.entries.len();
+        self.shared.feeds.on_nodes(nodes);
+        self.shared.lock().budget.set_nodes(nodes);
+        Ok(())
+    }
+
     /// Renews a lease; answers whether it still holds.
     async fn renew(&self, held: &mut Held) -> Result<bool, KvError> {
         let Some(lease) = held.lease else {
@@ -223,10 +239,6 @@
 impl Members {
     fn on_put(&self, key: &str, value: &[u8], revision: i64) {
         let mut state = self.shared.lock();
-        if key.starts_with(NODES) {
-            state.nodes.insert(key.into());
-            return;
-        }
         let Some(zone) = key.strip_prefix(ZONES) else {
             return;
         };
@@ -252,7 +264,6 @@
     fn on_delete(&self, key: &str) {
         let now = self.shared.now();
         let mut state = self.shared.lock();
-        state.nodes.remove(key);
         let Some(zone) = key.strip_prefix(ZONES) else {
             return;
         };
@@ -273,9 +284,8 @@
         }
         let mut gone: Vec<String> = {
             let state = self.shared.lock();
-            let zones = state.neighbours.keys().map(|zone| format!("{ZONES}{zone}"));
-            let nodes = state.nodes.iter().map(|key| key.to_string());
-            zones.chain(nodes).collect()
+            let zones = state.neighbours.keys();
+            zones.map(|zone| format!("{ZONES}{zone}")).collect()
         };
         gone.push(format!("{ZONES}{}", self.cfg.zone));
         for key in gone.iter().filter(|key| !keys.contains(key.as_str())) {
@@ -291,10 +301,6 @@
     }
 
     fn on_settled(&mut self) {
-        let mut state = self.shared.lock();
-        let nodes = state.nodes.len();
-        state.budget.set_nodes(nodes);
-        drop(state);
         self.commands.send(Command::Refresh);
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -13,7 +13,7 @@
 use reedford_fleet::scheduler::{AdapterKey, Grant, Outlook};
 use reedford_fleet::spread::Spread;
 use reedford_fleet::{InstanceId, Now, WeightVersion, ZoneId};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::watch;
@@ -45,8 +45,6 @@
     pub(crate) role: Role,
     /// Coordinators of the other availability zones.
     pub(crate) neighbours: BTreeMap<ZoneId, Neighbour>,
-    /// Nodes that registered, by key.
-    pub(crate) nodes: BTreeSet<Box<str>>,
     /// Where adapters ran last, for times without a coordinator.
     pub(crate) places: BTreeMap<AdapterKey, Place>,
     pub(crate) stopping: bool,
@@ -83,7 +81,6 @@
                 budget: RetryBudget::new(retries),
                 role,
                 neighbours: BTreeMap::new(),
-                nodes: BTreeSet::new(),
                 places: BTreeMap::new(),
                 stopping: false,
             }),
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -5,7 +5,7 @@
 //! listed again, so that nothing is missed however the history was cut.
 
 use crate::coordinator::{Command, CommandTx};
-use crate::feeds::{Feed, FeedAnswer, FeedItem};
+use crate::feeds::{Aside, Feed, FeedAnswer, FeedItem};
 use crate::metrics::Metrics;
 use crate::peer::PeerClients;
 use crate::ports::{Dialect, StoredItem};
@@ -157,10 +157,7 @@
     where
         F: Follower,
     {
-        let kv = match part.feed {
-            Some(_) => &self.stores.quick,
-            None => self.operators_store(),
-        };
+        let kv = self.store(part);
         let Listing { revision, entries } = match kv.list(part.prefix).await {
             Ok(listing) => listing,
             Err(error) => return Ended::Store(error),
@@ -190,7 +187,8 @@
                         follower.on_change(change);
                     }
                     follower.on_settled();
-                    if self.source(part, direct_until).is_some() {
+                    let other = !Arc::ptr_eq(kv, self.store(part));
+                    if other || self.source(part, direct_until).is_some() {
                         return Ended::Switch;
                     }
                     if any {
@@ -207,18 +205,15 @@
         }
     }
 
-    /// The client for operators' keys: the patient one while a coordinator
-    /// tells of changes.
-    fn operators_store(&self) -> &Arc<K> {
-        let told = self.source(
-            Part {
-                prefix: "",
-                feed: Some(Feed::Instances),
-                pause: Duration::ZERO,
-            },
-            Now::ZERO,
-        );
-        if told.is_some() {
+    /// The client for a part: the patient one for operators' keys while a
+    /// coordinator tells of their changes.
+    fn store(&self, part: Part<'_>) -> &Arc<K> {
+        let instances = Part {
+            feed: Some(Feed::Instances),
+            ..part
+        };
+        let told = self.source(instances, Now::ZERO).is_some();
+        if part.feed.is_none() && told {
             &self.stores.patient
         } else {
             &self.stores.quick
@@ -316,20 +311,20 @@
                 Ok(FeedAnswer::Listing {
                     revision,
                     items,
-                    operators,
+                    aside,
                 }) => {
                     after = revision;
-                    self.on_operators_told(operators);
+                    self.on_aside(aside);
                     follower.on_listing(items.into_iter().filter_map(entry).collect());
                     true
                 }
                 Ok(FeedAnswer::Changes {
                     revision,
                     items,
-                    operators,
+                    aside,
                 }) => {
                     after = revision;
-                    self.on_operators_told(operators);
+                    self.on_aside(aside);
                     let any = !items.is_empty();
                     items
                         .into_iter()
@@ -359,7 +354,11 @@
         }
     }
 
-    fn on_operators_told(&self, revision: i64) {
+    fn on_aside(&self, aside: Aside) {
+        if aside.nodes > 0 {
+            self.shared.lock().budget.set_nodes(aside.nodes);
+        }
+        let revision = aside.operators;
         self.shared.operators_told.send_if_modified(|known| {
             let newer = *known < revision;
             *known = (*known).max(revision);
