--- a/crates/fleet/tests/scheduler/support.rs
+++ b/crates/fleet/tests/scheduler/support.rs
@@ -118,19 +118,19 @@
 }
 
 pub(crate) fn grants(actions: &[Action]) -> Vec<&Grant> {
-    let grant = |a| match a {
-        &Action::Grant(ref grant) => Some(grant),
+    let grants = actions.iter().filter_map(|action| match action {
+        Action::Grant(grant) => Some(grant),
         _ => None,
-    };
-    actions.iter().filter_map(grant).collect()
+    });
+    grants.collect()
 }
 
 pub(crate) fn orders(actions: &[Action]) -> Vec<&Order> {
-    let order = |a| match a {
-        &Action::Order(ref order) => Some(order),
+    let orders = actions.iter().filter_map(|action| match action {
+        Action::Order(order) => Some(order),
         _ => None,
-    };
-    actions.iter().filter_map(order).collect()
+    });
+    orders.collect()
 }
 
 /// An order in short: `+a` loads, `-a` evicts, `*m` loads a base model.
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -23,6 +23,7 @@
 use reedford_targets::Pool;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -79,24 +80,24 @@
     K: KeyValue + std::fmt::Debug + 'static,
     R: Fn(),
 {
-    let log = Arc::new(Log::start()?);
+    let log = Log::start()?;
     let mut signals = Signals::new()?;
     tracing::info!(event = "start", node = %cfg.node, zone = %cfg.zone, cores = cfg.cores,
         version = env!("CARGO_PKG_VERSION"));
-    let node = Node::start(cfg, dialect, stores, &log).await?;
+    let node = Node::start(cfg, dialect, stores, log.dropped()).await?;
     signals.stop(&reload).await;
     node.stop().await;
     tracing::info!(event = "stop");
-    if let Some(log) = Arc::into_inner(log) {
-        log.stop();
-    }
+    log.stop();
     Ok(())
 }
 
 /// A running node.
-struct Node {
+#[derive(Debug)]
+pub struct Node {
     shared: Arc<Shared>,
     cfg: Arc<GatewaySettings>,
+    callers_address: SocketAddr,
     pool: Arc<Pool>,
     peers: Arc<PeerClients>,
     callers: Stop,
@@ -109,37 +110,55 @@
 }
 
 impl Node {
-    async fn start<D, K>(
+    /// Starts a node. `dropped` counts the log lines that were dropped.
+    ///
+    /// # Errors
+    /// When an address can't be bound.
+    pub async fn start<D, K>(
         cfg: GatewaySettings,
         dialect: D,
         stores: Stores<K>,
-        log: &Arc<Log>,
+        dropped: Arc<AtomicU64>,
     ) -> Result<Self>
     where
         D: Dialect,
         K: KeyValue + std::fmt::Debug + 'static,
     {
-        let cfg = Arc::new(cfg);
         let dialect = Arc::new(dialect);
         let incarnation = rand::random::<u32>().into();
         let metrics = Arc::new(Metrics::new().wrap_err("metrics can't be set up")?);
         let patience = CLAIM_PATIENCE.mul_f64((1.0 - cfg.cores).clamp(0.0, 1.0));
         let role = Role::new(cfg.node.clone(), incarnation, patience);
         let shared = Arc::new(Shared::new(role, cfg.retries));
+        let (commands, rx) = queue();
+        let background = CancellationToken::new();
+        let tasks = TaskTracker::new();
+        let peer_server = PeerServer {
+            commands: commands.clone(),
+            shared: Arc::clone(&shared),
+        };
+        let bound = peer_server
+            .start(cfg.peers, &tasks, background.clone())
+            .await
+            .wrap_err_with(|| format!("peers: can't listen on {}", cfg.peers))?;
+        let cfg = Arc::new(GatewaySettings {
+            peers: bound,
+            ..cfg
+        });
         let pool = Arc::new(Pool::new(CONNECT_TIMEOUT));
         let peers = Arc::new(PeerClients::new(CONNECT_TIMEOUT));
-        let (commands, rx) = queue();
-        let node = Self {
+        let mut node = Self {
             shared: Arc::clone(&shared),
             cfg: Arc::clone(&cfg),
+            callers_address: cfg.callers,
             pool: Arc::clone(&pool),
             peers: Arc::clone(&peers),
             callers: Stop::default(),
-            background: CancellationToken::new(),
+            background,
             membership: CancellationToken::new(),
             probes: Stop::default(),
             serving: TaskTracker::new(),
-            tasks: TaskTracker::new(),
+            tasks,
         };
         let parts = Parts {
             cfg: Arc::clone(&cfg),
@@ -156,13 +175,6 @@
         let (progress_tx, progress_task) =
             progress(commands.clone(), Arc::clone(&peers), cfg.peers);
         node.tasks.spawn(progress_task.run(node.background.clone()));
-        PeerServer {
-            commands: commands.clone(),
-            shared: Arc::clone(&shared),
-        }
-        .start(cfg.peers, &node.tasks, node.background.clone())
-        .await
-        .wrap_err_with(|| format!("peers: can't listen on {}", cfg.peers))?;
         let sync = Arc::new(Sync {
             dialect: Arc::clone(&dialect),
             stores: Stores {
@@ -208,16 +220,15 @@
             shared,
             path: dialect.readiness_path().into(),
         };
-        let page = MetricsPage {
-            metrics,
-            log: Arc::clone(log),
-        };
+        let page = MetricsPage { metrics, dropped };
         node.serve(cfg.readiness, readiness, PROBE_CONNECTIONS, &node.probes)
             .await?;
         node.serve(cfg.metrics, page, PROBE_CONNECTIONS, &node.probes)
             .await?;
         let connections = cfg.descriptors.saturating_sub(OTHER_DESCRIPTORS).max(64);
-        node.serve(cfg.callers, Callers(gateway), connections, &node.callers)
+        let callers = Callers(gateway);
+        node.callers_address = node
+            .serve(cfg.callers, callers, connections, &node.callers)
             .await?;
         Ok(node)
     }
@@ -253,13 +264,14 @@
         answerer: A,
         connections: usize,
         stop: &Stop,
-    ) -> Result<()>
+    ) -> Result<SocketAddr>
     where
         A: AnswerRequests,
     {
         let listener = TcpListener::bind(addr)
             .await
             .wrap_err_with(|| format!("can't listen on {addr}"))?;
+        let bound = listener.local_addr().wrap_err("no local address")?;
         let limits = ConnectionLimits {
             connections,
             head_timeout: IDLE_CALLERS,
@@ -267,12 +279,18 @@
         let stop = stop.clone();
         self.serving
             .spawn(serve_connections(listener, answerer, limits, stop));
-        Ok(())
+        Ok(bound)
+    }
+
+    /// Where callers are taken.
+    #[must_use]
+    pub const fn callers_address(&self) -> SocketAddr {
+        self.callers_address
     }
 
     /// Gives the role up, lets the balancer notice, answers what is in
     /// progress, and ends everything.
-    async fn stop(self) {
+    pub async fn stop(self) {
         self.shared.lock().stopping = true;
         tracing::info!(
             event = "stopping",
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,6 @@
 mod state;
 mod sync;
 
-pub use daemon::run;
+pub use daemon::{Node, run};
 pub use settings::GatewaySettings;
 pub use sync::Stores;
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -62,8 +62,8 @@
     }
 
     /// Lines that were dropped.
-    pub(crate) fn dropped(&self) -> u64 {
-        self.dropped.load(Ordering::Relaxed)
+    pub(crate) fn dropped(&self) -> Arc<AtomicU64> {
+        Arc::clone(&self.dropped)
     }
 
     /// Writes what waits and ends the thread.
--- a/crates/gateway/src/probes.rs
+++ b/crates/gateway/src/probes.rs
@@ -1,6 +1,5 @@
 //! The small servers beside the callers': readiness and metrics.
 
-use crate::log::Log;
 use crate::metrics::Metrics;
 use crate::reply::{self, Reply, ReplyBody};
 use crate::state::Shared;
@@ -8,6 +7,7 @@
 use hyper::{Request, StatusCode};
 use reedford_front::AnswerRequests;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 /// Says whether this node is ready.
 #[derive(Debug)]
@@ -35,7 +35,7 @@
 #[derive(Debug)]
 pub(crate) struct MetricsPage {
     pub(crate) metrics: Arc<Metrics>,
-    pub(crate) log: Arc<Log>,
+    pub(crate) dropped: Arc<AtomicU64>,
 }
 
 impl AnswerRequests for MetricsPage {
@@ -45,7 +45,7 @@
         if req.uri().path() != "/metrics" {
             return reply::own(StatusCode::NOT_FOUND, "no such path");
         }
-        let text = self.metrics.text(self.log.dropped());
+        let text = self.metrics.text(self.dropped.load(Ordering::Relaxed));
         let mut reply = reply::own(StatusCode::OK, "");
         *reply.body_mut() = reply::whole(text.into());
         reply
