--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -65,10 +65,21 @@
     pub(crate) async fn run(mut self, stop: CancellationToken) {
         let mut node = Held::default();
         let mut role = Held::default();
+        let mut lost = false;
         while !stop.is_cancelled() {
-            if let Err(error) = self.keep(&mut node, &mut role).await {
-                self.metrics.store_failure("lease");
-                tracing::info!(event = "lease_unrenewed", %error);
+            match self.keep(&mut node, &mut role).await {
+                Ok(()) if lost => {
+                    tracing::info!(event = "leases_regained");
+                    lost = false;
+                }
+                Ok(()) => {}
+                Err(error) => {
+                    self.metrics.store_failure("lease");
+                    if !lost {
+                        tracing::warn!(event = "leases_lost", %error);
+                        lost = true;
+                    }
+                }
             }
             stop.run_until_cancelled(sleep(LOOK)).await;
         }
