--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -4,17 +4,19 @@
 //! Each prefix is listed and then watched. When a watch fails, the prefix is
 //! listed again, so that nothing is missed however the history was cut.
 
-use crate::coordinator::{Command, CommandTx};
+mod instances;
+mod operators;
+
+use crate::coordinator::CommandTx;
 use crate::feeds::{Aside, Feed, FeedAnswer, FeedItem};
 use crate::metrics::Metrics;
 use crate::peer::PeerClients;
 use crate::ports::{Dialect, StoredItem};
 use crate::state::Shared;
 use futures::StreamExt as _;
+use instances::Instances;
+use operators::Operators;
 use reedford_fleet::Now;
-use reedford_fleet::config::{Configuration, RouteTable};
-use reedford_fleet::directory::DirectoryChange;
-use reedford_fleet::scheduler::AdapterKey;
 use reedford_store::{Change, ChangeKind, Changes, Entry, KeyValue, KvError, Listing};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -411,155 +413,3 @@
         },
     }
 }
-
-struct Operators<'a, D, K> {
-    sync: &'a Sync<D, K>,
-}
-
-impl<D, K> Operators<'_, D, K>
-where
-    D: Dialect,
-{
-    fn take(&self, key: &str, value: &[u8]) {
-        match self.sync.dialect.stored(key, value) {
-            Ok(StoredItem::Configuration(config)) => self.configure(*config),
-            Ok(StoredItem::AdapterVersion {
-                model,
-                adapter,
-                version,
-            }) => {
-                tracing::info!(event = "adapter_version", %model, %adapter, version);
-                let key = AdapterKey { model, adapter };
-                let mut state = self.sync.shared.lock();
-                let known = state.versions.entry(key).or_insert(version);
-                *known = (*known).max(version);
-            }
-            Ok(StoredItem::Instance(_)) => {}
-            Err(error) => tracing::warn!(event = "operator_key_unreadable", key, %error),
-        }
-    }
-
-    /// Puts a configuration in force unless a newer one is.
-    fn configure(&self, config: Configuration) {
-        let version = config.version;
-        let routes = config.routes.len();
-        let mut state = self.sync.shared.lock();
-        let known = state.routes.as_ref().map(|r| r.config().version);
-        if known.is_some_and(|known| known >= version) {
-            return;
-        }
-        state.routes = Some(Arc::new(RouteTable::new(config)));
-        drop(state);
-        tracing::info!(
-            event = "configuration",
-            version,
-            routes,
-            before = known.unwrap_or(0)
-        );
-    }
-}
-
-impl<D, K> Follower for Operators<'_, D, K>
-where
-    D: Dialect,
-{
-    fn on_listing(&mut self, entries: Vec<Entry>) {
-        for entry in entries {
-            self.take(&entry.key, &entry.value);
-        }
-    }
-
-    fn on_change(&mut self, change: Change) {
-        if let ChangeKind::Put(value) = change.kind {
-            self.take(&change.key, &value);
-        }
-    }
-
-    fn on_settled(&mut self) {
-        self.sync.commands.send(Command::Refresh);
-    }
-}
-
-struct Instances<'a, D, K> {
-    sync: &'a Sync<D, K>,
-}
-
-impl<D, K> Instances<'_, D, K>
-where
-    D: Dialect,
-{
-    fn read(&self, key: &str, value: &[u8]) -> Option<reedford_fleet::directory::Instance> {
-        match self.sync.dialect.stored(key, value) {
-            Ok(StoredItem::Instance(instance)) => Some(instance),
-            Ok(_) => None,
-            Err(error) => {
-                tracing::debug!(event = "instance_unreadable", key, %error);
-                None
-            }
-        }
-    }
-
-    fn apply(&self, changes: Vec<DirectoryChange>) {
-        let mut state = self.sync.shared.lock();
-        for change in changes {
-            match change {
-                DirectoryChange::Started(instance) => {
-                    state.health.forget(&instance);
-                    state.spread.forget(&instance);
-                    tracing::info!(event = "instance_started", %instance);
-                }
-                DirectoryChange::Leaving(instance) => {
-                    tracing::info!(event = "instance_leaving", %instance);
-                }
-                DirectoryChange::Gone(instance) => {
-                    state.health.forget(&instance);
-                    state.spread.forget(&instance);
-                    tracing::info!(event = "instance_gone", %instance);
-                }
-            }
-        }
-    }
-}
-
-impl<D, K> Follower for Instances<'_, D, K>
-where
-    D: Dialect,
-{
-    fn on_listing(&mut self, entries: Vec<Entry>) {
-        let listed = entries
-            .iter()
-            .filter_map(|entry| self.read(&entry.key, &entry.value))
-            .collect();
-        let now = self.sync.shared.now();
-        let mut state = self.sync.shared.lock();
-        let changes = state.directory.on_listing(listed, now);
-        state.listed = true;
-        drop(state);
-        self.apply(changes);
-    }
-
-    fn on_change(&mut self, change: Change) {
-        let changed = match change.kind {
-            ChangeKind::Put(value) => {
-                let Some(instance) = self.read(&change.key, &value) else {
-                    return;
-                };
-                self.sync.shared.lock().directory.on_entry(instance)
-            }
-            ChangeKind::Delete => {
-                let Some(id) = self.sync.dialect.instance_of(&change.key) else {
-                    return;
-                };
-                self.sync.shared.lock().directory.on_removed(id)
-            }
-        };
-        self.apply(changed.into_iter().collect());
-    }
-
-    fn on_settled(&mut self) {
-        let now = self.sync.shared.now();
-        let gone = self.sync.shared.lock().directory.expire(now);
-        self.apply(gone);
-        self.sync.commands.send(Command::Refresh);
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/sync/instances.rs
@@ -0,0 +1,93 @@
+//! The entries by which instances register.
+
+use super::{Follower, Sync};
+use crate::coordinator::Command;
+use crate::ports::{Dialect, StoredItem};
+use reedford_fleet::directory::{DirectoryChange, Instance};
+use reedford_store::{Change, ChangeKind, Entry};
+
+/// Takes the entries of the instances.
+#[derive(Debug)]
+pub(super) struct Instances<'a, D, K> {
+    pub(super) sync: &'a Sync<D, K>,
+}
+
+impl<D, K> Instances<'_, D, K>
+where
+    D: Dialect,
+{
+    fn read(&self, key: &str, value: &[u8]) -> Option<Instance> {
+        match self.sync.dialect.stored(key, value) {
+            Ok(StoredItem::Instance(instance)) => Some(instance),
+            Ok(_) => None,
+            Err(error) => {
+                tracing::debug!(event = "instance_unreadable", key, %error);
+                None
+            }
+        }
+    }
+
+    fn apply(&self, changes: Vec<DirectoryChange>) {
+        let mut state = self.sync.shared.lock();
+        for change in changes {
+            match change {
+                DirectoryChange::Started(instance) => {
+                    state.health.forget(&instance);
+                    state.spread.forget(&instance);
+                    tracing::info!(event = "instance_started", %instance);
+                }
+                DirectoryChange::Leaving(instance) => {
+                    tracing::info!(event = "instance_leaving", %instance);
+                }
+                DirectoryChange::Gone(instance) => {
+                    state.health.forget(&instance);
+                    state.spread.forget(&instance);
+                    tracing::info!(event = "instance_gone", %instance);
+                }
+            }
+        }
+    }
+}
+
+impl<D, K> Follower for Instances<'_, D, K>
+where
+    D: Dialect,
+{
+    fn on_listing(&mut self, entries: Vec<Entry>) {
+        let listed = entries
+            .iter()
+            .filter_map(|entry| self.read(&entry.key, &entry.value))
+            .collect();
+        let now = self.sync.shared.now();
+        let mut state = self.sync.shared.lock();
+        let changes = state.directory.on_listing(listed, now);
+        state.listed = true;
+        drop(state);
+        self.apply(changes);
+    }
+
+    fn on_change(&mut self, change: Change) {
+        let changed = match change.kind {
+            ChangeKind::Put(value) => {
+                let Some(instance) = self.read(&change.key, &value) else {
+                    return;
+                };
+                self.sync.shared.lock().directory.on_entry(instance)
+            }
+            ChangeKind::Delete => {
+                let Some(id) = self.sync.dialect.instance_of(&change.key) else {
+                    return;
+                };
+                self.sync.shared.lock().directory.on_removed(id)
+            }
+        };
+        self.apply(changed.into_iter().collect());
+    }
+
+    fn on_settled(&mut self) {
+        let now = self.sync.shared.now();
+        let gone = self.sync.shared.lock().directory.expire(now);
+        self.apply(gone);
+        self.sync.commands.send(Command::Refresh);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/sync/operators.rs
@@ -0,0 +1,79 @@
+//! What operators write: the configuration and the versions of adapters.
+
+use super::{Follower, Sync};
+use crate::coordinator::Command;
+use crate::ports::{Dialect, StoredItem};
+use reedford_fleet::config::{Configuration, RouteTable};
+use reedford_fleet::scheduler::AdapterKey;
+use reedford_store::{Change, ChangeKind, Entry};
+use std::sync::Arc;
+
+/// Takes what operators write.
+#[derive(Debug)]
+pub(super) struct Operators<'a, D, K> {
+    pub(super) sync: &'a Sync<D, K>,
+}
+
+impl<D, K> Operators<'_, D, K>
+where
+    D: Dialect,
+{
+    fn take(&self, key: &str, value: &[u8]) {
+        match self.sync.dialect.stored(key, value) {
+            Ok(StoredItem::Configuration(config)) => self.configure(*config),
+            Ok(StoredItem::AdapterVersion {
+                model,
+                adapter,
+                version,
+            }) => {
+                tracing::info!(event = "adapter_version", %model, %adapter, version);
+                let key = AdapterKey { model, adapter };
+                let mut state = self.sync.shared.lock();
+                let known = state.versions.entry(key).or_insert(version);
+                *known = (*known).max(version);
+            }
+            Ok(StoredItem::Instance(_)) => {}
+            Err(error) => tracing::warn!(event = "operator_key_unreadable", key, %error),
+        }
+    }
+
+    /// Puts a configuration in force unless a newer one is.
+    fn configure(&self, config: Configuration) {
+        let version = config.version;
+        let routes = config.routes.len();
+        let mut state = self.sync.shared.lock();
+        let known = state.routes.as_ref().map(|r| r.config().version);
+        if known.is_some_and(|known| known >= version) {
+            return;
+        }
+        state.routes = Some(Arc::new(RouteTable::new(config)));
+        drop(state);
+        tracing::info!(
+            event = "configuration",
+            version,
+            routes,
+            before = known.unwrap_or(0)
+        );
+    }
+}
+
+impl<D, K> Follower for Operators<'_, D, K>
+where
+    D: Dialect,
+{
+    fn on_listing(&mut self, entries: Vec<Entry>) {
+        for entry in entries {
+            self.take(&entry.key, &entry.value);
+        }
+    }
+
+    fn on_change(&mut self, change: Change) {
+        if let ChangeKind::Put(value) = change.kind {
+            self.take(&change.key, &value);
+        }
+    }
+
+    fn on_settled(&mut self) {
+        self.sync.commands.send(Command::Refresh);
+    }
+}
