--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -149,13 +149,11 @@
         let state_of = state.by_feed.entry(feed).or_default();
         state_of.heard = Some(now);
         state_of.revision = state_of.revision.max(revision);
-        let before = state_of.log.len();
         for change in changes {
             state_of.take(change, &essence);
         }
-        let any = state_of.log.len() != before || !changes.is_empty();
         drop(state);
-        if any {
+        if !changes.is_empty() {
             self.changed.notify_waiters();
         }
     }
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -66,11 +66,16 @@
     ended: bool,
 }
 
-/// How a whole answer ended.
+/// How one sending of a call with a whole answer ended.
 enum Whole {
+    /// The instance's answer.
     Answer(Reply),
+    /// It has to be sent once more, within the budget that was taken.
     Retry,
+    /// It may have run; the answer is lost.
     Lost(&'static str),
+    /// It did not run.
+    NotRun(Rejection),
 }
 
 impl<D> AnswerRequests for Callers<D>
@@ -142,18 +147,18 @@
             };
             let instance = sending.grant.instance.clone();
             match self.send_whole(&call, sending, runs).await {
-                Ok(Whole::Answer(reply)) => {
+                Whole::Answer(reply) => {
                     self.ended(&call, &instance, "answered", 0);
                     return reply;
                 }
-                Ok(Whole::Retry) => runs += 1,
-                Ok(Whole::Lost(why)) => {
+                Whole::Retry => runs += 1,
+                Whole::Lost(why) => {
                     runs += 1;
                     if !self.may_repeat(&call, runs, why) {
                         return self.lost(&call, &instance, why);
                     }
                 }
-                Err(rejection) => {
+                Whole::NotRun(rejection) => {
                     refused += 1;
                     let more = refused < REFUSED_SENDINGS && self.take_repeat(&call, "refused");
                     if !more {
@@ -170,58 +175,45 @@
         call: &Call,
         mut sending: Sending<D>,
         runs: u32,
-    ) -> Result<Whole, Rejection> {
-        let outcome = match self.exchange_whole(call, &sending, runs).await {
-            Some(outcome) => outcome,
-            None => return Ok(Whole::Retry),
-        };
-        match outcome {
-            Err(rejection) => {
-                sending.rejected(rejection);
-                Err(rejection)
-            }
-            Ok(Err(why)) => Ok(Whole::Lost(why)),
-            Ok(Ok(reply)) => {
-                let failed = reply.status().is_server_error();
-                if failed
-                    && call.route.kind.repeatable()
-                    && runs + 1 < call.route.attempts
-                    && self.take_repeat(call, "failed")
-                {
-                    return Ok(Whole::Retry);
+    ) -> Whole {
+        let whole = self.exchange_whole(call, &sending, runs).await;
+        match whole {
+            Whole::NotRun(rejection) => sending.rejected(rejection),
+            Whole::Answer(ref reply) if reply.status().is_server_error() => {
+                let more = call.route.kind.repeatable() && runs + 1 < call.route.attempts;
+                if more && self.take_repeat(call, "failed") {
+                    return Whole::Retry;
                 }
-                Ok(Whole::Answer(reply))
             }
+            Whole::Answer(_) | Whole::Lost(_) | Whole::Retry => {}
         }
+        whole
     }
 
-    /// Sends a call and reads the answer; `None` when it has to be sent once
-    /// more because the instance is silent.
-    async fn exchange_whole(
-        &self,
-        call: &Call,
-        sending: &Sending<D>,
-        runs: u32,
-    ) -> Option<Result<Result<Reply, &'static str>, Rejection>> {
+    /// Sends a call and reads the answer.
+    async fn exchange_whole(&self, call: &Call, sending: &Sending<D>, runs: u32) -> Whole {
         let exchange = async {
             match self.sender.send(call, &sending.grant, None).await {
-                Sent::Answered(answered) => Ok(self.read_answer(call, sending, *answered).await),
-                Sent::NotRun(rejection) => Err(rejection),
-                Sent::Lost(why) => Ok(Err(why)),
+                Sent::Answered(answered) => {
+                    let read = self.read_answer(call, sending, *answered).await;
+                    read.map_or_else(Whole::Lost, Whole::Answer)
+                }
+                Sent::NotRun(rejection) => Whole::NotRun(rejection),
+                Sent::Lost(why) => Whole::Lost(why),
             }
         };
         let mut exchange = std::pin::pin!(exchange);
         if let Some(at) = self.repeat_at(call, runs) {
             tokio::select! {
                 biased;
-                outcome = exchange.as_mut() => return Some(outcome),
+                whole = exchange.as_mut() => return whole,
                 () = sleep_until(self.shared.clock.instant(at)) => {}
             }
             if self.take_repeat(call, "silent") {
-                return None;
+                return Whole::Retry;
             }
         }
-        Some(exchange.await)
+        exchange.await
     }
 
     /// When an idempotent call that has no answer is sent once more.
