Scheduler: work out once a round what all waiting calls share

A profile of the new load pattern showed the sum of adapters on their way, taken for each engine of each waiting call, in front, then the victims, the sums over running calls and the text of keys.

Ruled out: the store (answers in milliseconds), the feeds (few changes).

Change: sums are kept in the engine, the round keeps loads under way and victims, a key's text is made once, waiting work is spread over the engines in one pass instead of call by call, a call's expected wait is worked out once and not twice, and decisions keep a pause while calls wait. tarpc's own line a call past its deadline goes: the caller's node tells it.

--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -113,6 +113,8 @@
 struct Waiting {
     ask: Ask,
     key: Option<AdapterKey>,
+    /// The adapter as text, for hashes.
+    name: Box<str>,
     serial: u64,
 }
 
@@ -183,17 +185,19 @@
 
     /// Queues a call, or refuses it when it would surely come too late.
     pub fn ask(&mut self, ask: Ask, now: Now) -> Option<Refusal> {
-        let key = ask.key();
-        if let Some(key) = &key {
-            self.popularity.record(&key.to_string(), 1, now);
-        }
+        let expected = self.expected_wait(&ask, now);
+        self.ask_expecting(ask, expected, now)
+    }
+
+    /// [`Self::ask`] for a call whose [`Self::expected_wait`] has just been
+    /// worked out.
+    pub fn ask_expecting(&mut self, ask: Ask, expected: Duration, now: Now) -> Option<Refusal> {
         self.serial += 1;
-        let waiting = Waiting {
-            ask,
-            key,
-            serial: self.serial,
-        };
-        if let Some(refusal) = self.refusal_on_arrival(&waiting, now) {
+        let waiting = Waiting::new(ask, self.serial);
+        if waiting.key.is_some() {
+            self.popularity.record(&waiting.name, 1, now);
+        }
+        if let Some(refusal) = self.refusal_on_arrival(&waiting, expected, now) {
             return Some(refusal);
         }
         self.queue.push(waiting);
--- a/crates/fleet/src/scheduler/engine.rs
+++ b/crates/fleet/src/scheduler/engine.rs
@@ -49,6 +49,10 @@
     /// No order goes out before.
     pub(super) orders_from: Now,
     runs: BTreeMap<CallId, Run>,
+    /// Prompt tokens of the calls that have not started.
+    unstarted: u64,
+    /// Memory that the granted calls may claim, in tokens.
+    claimed: u64,
     paused_until: Now,
     last_start: Now,
     rate: ReadRate,
@@ -119,6 +123,8 @@
             conflicts: 0,
             orders_from: Now::ZERO,
             runs: BTreeMap::new(),
+            unstarted: 0,
+            claimed: 0,
             paused_until: Now::ZERO,
             last_start: Now::ZERO,
             rate: ReadRate::default(),
@@ -147,19 +153,13 @@
 
     /// Expected time until it begins to read a prompt granted now.
     pub(super) fn wait(&self) -> Duration {
-        millis(self.unstarted_tokens() / self.rate.per_ms())
-    }
-
-    fn unstarted_tokens(&self) -> f64 {
-        let unstarted = self.runs.values().filter(|r| !r.started);
-        unstarted.map(|r| f64::from(r.tokens)).sum()
+        millis(self.unstarted as f64 / self.rate.per_ms())
     }
 
     /// Whether a call of this size fits beside those granted.
     pub(super) fn has_room(&self, ask: &Ask, slots: u32, kv_tokens: u64) -> bool {
-        let claimed: u64 = self.runs.values().map(Run::memory).sum();
         let most = kv_tokens as f64 * MEMORY_SHARE;
-        let wanted = claimed + u64::from(ask.tokens) + u64::from(ask.output);
+        let wanted = self.claimed + u64::from(ask.tokens) + u64::from(ask.output);
         self.runs.len() < slots as usize && (self.runs.is_empty() || wanted as f64 <= most)
     }
 
@@ -190,7 +190,11 @@
             until: ask.deadline + RUN_SLACK,
             started: false,
         };
-        self.runs.insert(ask.call.clone(), run);
+        self.unstarted += u64::from(run.tokens);
+        self.claimed += run.memory();
+        if let Some(replaced) = self.runs.insert(ask.call.clone(), run) {
+            self.release(&replaced);
+        }
         Grant {
             call: ask.call.clone(),
             instance: self.id.clone(),
@@ -209,6 +213,7 @@
             return false;
         }
         run.started = true;
+        self.unstarted -= u64::from(run.tokens);
         let from = run.granted.max(self.last_start);
         self.rate.learn(f64::from(run.tokens), from, now);
         self.last_start = now;
@@ -224,12 +229,21 @@
         let Some(run) = self.runs.remove(call) else {
             return;
         };
+        self.release(&run);
         if let Some(copy) = run.key.as_ref().and_then(|k| self.copies.get_mut(k)) {
             copy.runs = copy.runs.saturating_sub(1);
             copy.used = now;
         }
     }
 
+    /// Takes a call that is gone out of the sums.
+    fn release(&mut self, run: &Run) {
+        self.claimed -= run.memory();
+        if !run.started {
+            self.unstarted -= u64::from(run.tokens);
+        }
+    }
+
     /// Notes that the engine refused a call. Answers whether an adapter has not
     /// arrived when it was expected.
     pub(super) fn rejected(&mut self, call: &str, why: Rejection, now: Now) -> bool {
--- a/crates/fleet/src/scheduler/placing.rs
+++ b/crates/fleet/src/scheduler/placing.rs
@@ -2,7 +2,7 @@
 
 use super::ask::{Ask, Grant, Refusal, RefusalReason};
 use super::engine::{CopyState, Engine, ModelState};
-use super::estimate::millis;
+use super::estimate::{as_millis, millis};
 use super::order::OrderKind;
 use super::{Action, AdapterKey, Scheduler, Waiting};
 use crate::{InstanceId, Now};
@@ -78,32 +78,52 @@
 /// Plans by engine.
 type Plans = BTreeMap<InstanceId, Planned>;
 
+/// What is worked out once for all calls that are placed at one time, because
+/// a zone has many engines and many calls wait.
+#[derive(Debug)]
+struct Round {
+    plans: Plans,
+    /// Adapters that calls wait for.
+    wanted: BTreeSet<AdapterKey>,
+    /// Adapters on their way to all engines.
+    arriving: usize,
+    /// The adapter that each engine would evict next.
+    victims: BTreeMap<InstanceId, Option<AdapterKey>>,
+}
+
 impl Scheduler {
     /// Expected time until the first token of a call that is asked for now.
     #[must_use]
     pub fn expected_wait(&self, ask: &Ask, now: Now) -> Duration {
-        let waiting = Waiting {
-            key: ask.key(),
-            ask: ask.clone(),
-            serial: 0,
-        };
-        self.expected(&waiting, now)
+        self.expected(&Waiting::new(ask.clone(), 0), now)
     }
 
     fn expected(&self, waiting: &Waiting, now: Now) -> Duration {
-        let mut plans = Plans::new();
         let rank = waiting.rank(now);
-        for ahead in self.queue.iter().filter(|w| w.rank(now) <= rank) {
-            self.plan_evenly(ahead, &mut plans, now);
-        }
-        let wanted = self.wanted();
-        let choice = self.best(waiting, &plans, &wanted, now);
+        let ahead = self.queue.iter().filter(|w| w.rank(now) <= rank);
+        let ahead = ahead.map(|w| f64::from(w.ask.tokens)).sum();
+        let mut round = self.round();
+        self.plan_evenly(ahead, &mut round.plans, now);
+        let choice = self.best(waiting, &mut round, now);
         choice.map_or(UNPLACED_WAIT, |c| c.wait)
     }
 
+    fn round(&self) -> Round {
+        Round {
+            plans: Plans::new(),
+            wanted: self.queue.iter().filter_map(|w| w.key.clone()).collect(),
+            arriving: self.engines.values().map(Engine::arriving).sum(),
+            victims: BTreeMap::new(),
+        }
+    }
+
     /// Refuses a call at once that would take most of its time to start.
-    pub(super) fn refusal_on_arrival(&self, waiting: &Waiting, now: Now) -> Option<Refusal> {
-        let wait = self.expected(waiting, now);
+    pub(super) fn refusal_on_arrival(
+        &self,
+        waiting: &Waiting,
+        wait: Duration,
+        now: Now,
+    ) -> Option<Refusal> {
         let left = waiting.ask.deadline.saturating_sub(now);
         if wait < left.mul_f64(self.limits.patience) {
             return None;
@@ -121,13 +141,12 @@
         for engine in self.engines.values_mut() {
             engine.settle(now);
         }
+        let mut round = self.round();
         let mut queue = std::mem::take(&mut self.queue);
         queue.sort_by_key(|w| (w.rank(now), w.serial));
-        let wanted: BTreeSet<AdapterKey> = queue.iter().filter_map(|w| w.key.clone()).collect();
-        let mut plans = Plans::new();
         let mut actions = Vec::new();
         for waiting in queue {
-            match self.place(&waiting, &mut plans, &wanted, now) {
+            match self.place(&waiting, &mut round, now) {
                 Placing::Granted(grant) => actions.push(Action::Grant(grant)),
                 Placing::Waits(wait) if now + wait < waiting.ask.deadline => {
                     self.queue.push(waiting);
@@ -141,14 +160,8 @@
         actions
     }
 
-    fn place(
-        &mut self,
-        waiting: &Waiting,
-        plans: &mut Plans,
-        wanted: &BTreeSet<AdapterKey>,
-        now: Now,
-    ) -> Placing {
-        let Some(choice) = self.best(waiting, plans, wanted, now) else {
+    fn place(&mut self, waiting: &Waiting, round: &mut Round, now: Now) -> Placing {
+        let Some(choice) = self.best(waiting, round, now) else {
             return Placing::Waits(UNPLACED_WAIT);
         };
         let work_ahead = self.limits.work_ahead;
@@ -167,11 +180,13 @@
             Need::Load { evict } if engine.orders_seen.is_some() => {
                 if let Some(key) = &waiting.key {
                     engine.order_load(key, version, evict.clone(), now);
+                    round.arriving += 1;
+                    round.victims.remove(&choice.engine);
                 }
             }
             Need::Nothing | Need::Wait | Need::Load { .. } => {}
         }
-        let plan = plans.entry(choice.engine).or_default();
+        let plan = round.plans.entry(choice.engine).or_default();
         plan.tokens += f64::from(waiting.ask.tokens);
         if let (Need::Wait, Some(key)) = (choice.need, &waiting.key) {
             plan.places.insert(key.clone());
@@ -180,13 +195,7 @@
     }
 
     /// The engine where the first token is expected soonest.
-    fn best(
-        &self,
-        waiting: &Waiting,
-        plans: &Plans,
-        wanted: &BTreeSet<AdapterKey>,
-        now: Now,
-    ) -> Option<Choice> {
+    fn best(&self, waiting: &Waiting, round: &mut Round, now: Now) -> Option<Choice> {
         let spec = self.specs.get(&waiting.ask.service)?;
         self.engines
             .values()
@@ -194,7 +203,7 @@
             .filter(|e| !waiting.ask.avoid.contains(&e.id))
             .filter(|e| matches!(e.models.get(&waiting.ask.model), Some(ModelState::Held)))
             .filter(|e| e.has_room(&waiting.ask, spec.slots, spec.kv_tokens))
-            .filter_map(|e| self.choice(e, waiting, plans, wanted, spec.adapter_slots, now))
+            .filter_map(|e| self.choice(e, waiting, round, spec.adapter_slots, now))
             .min_by_key(|c| c.cost)
     }
 
@@ -202,13 +211,11 @@
         &self,
         engine: &Engine,
         waiting: &Waiting,
-        plans: &Plans,
-        wanted: &BTreeSet<AdapterKey>,
+        round: &mut Round,
         adapter_slots: u32,
         now: Now,
     ) -> Option<Choice> {
-        let plan = plans.get(&engine.id);
-        let ahead = plan.map_or(0.0, |p| p.tokens);
+        let ahead = round.plans.get(&engine.id).map_or(0.0, |p| p.tokens);
         let reading = millis((ahead + f64::from(waiting.ask.tokens)) / engine.rate());
         let Some(key) = &waiting.key else {
             let wait = engine.wait() + reading;
@@ -219,11 +226,12 @@
                 need: Need::Nothing,
             });
         };
-        let (need, load) = self.need(engine, key, plan, wanted, adapter_slots, now)?;
+        let warm = engine.warm.contains(key);
+        let (need, load) = self.need(engine, key, warm, round, adapter_slots, now)?;
         // A load runs beside the work ahead.
         let wait = engine.wait().max(load) + reading;
-        let bias = millis(home_bias(&key.to_string(), &engine.id));
-        let cost = wait + bias + self.load_cost(engine, key);
+        let bias = millis(home_bias(&waiting.name, &engine.id));
+        let cost = wait + bias + load_cost(engine, key, warm);
         Some(Choice {
             engine: engine.id.clone(),
             wait,
@@ -238,23 +246,24 @@
         &self,
         engine: &Engine,
         key: &AdapterKey,
-        plan: Option<&Planned>,
-        wanted: &BTreeSet<AdapterKey>,
+        warm: bool,
+        round: &mut Round,
         adapter_slots: u32,
         now: Now,
     ) -> Option<(Need, Duration)> {
         let version = self.versions.get(key).copied();
-        let load = self.load_time(engine, key);
+        let load = self.load_times.expected(warm);
         let Some(copy) = engine.copies.get(key) else {
-            if engine.arriving() < MOST_ARRIVING && self.may_load(engine, key) {
+            if engine.arriving() < MOST_ARRIVING && self.may_load(warm, round) {
                 if engine.copies.len() < adapter_slots as usize {
                     return Some((Need::Load { evict: None }, load));
                 }
-                if let Some(victim) = self.victim(engine, wanted, now) {
+                if let Some(victim) = self.victim(engine, round, now) {
                     let evict = Some(victim);
                     return Some((Need::Load { evict }, load));
                 }
             }
+            let plan = round.plans.get(&engine.id);
             let others = plan.map_or(0, |p| p.places.iter().filter(|k| *k != key).count());
             let turns = u32::try_from(others + 1).unwrap_or(u32::MAX);
             return Some((Need::Wait, PLACE_WAIT.saturating_mul(turns) + load));
@@ -277,63 +286,69 @@
     }
 
     /// Whether one more load would not slow those under way down.
-    fn may_load(&self, engine: &Engine, key: &AdapterKey) -> bool {
-        let arriving: usize = self.engines.values().map(Engine::arriving).sum();
+    fn may_load(&self, warm: bool, round: &Round) -> bool {
         let most = (self.engines.len() as f64 * FULL_SPEED_LOADS).max(2.0);
-        engine.warm.contains(key) || (arriving as f64) < most
-    }
-
-    /// What a load at an engine must gain besides its time.
-    fn load_cost(&self, engine: &Engine, key: &AdapterKey) -> Duration {
-        if engine.copies.contains_key(key) {
-            Duration::ZERO
-        } else if engine.warm.contains(key) {
-            WARM_COST
-        } else {
-            COLD_COST
-        }
+        warm || (round.arriving as f64) < most
     }
 
     /// The least asked-for adapter that nothing uses or waits for.
-    fn victim(
-        &self,
-        engine: &Engine,
-        wanted: &BTreeSet<AdapterKey>,
-        now: Now,
-    ) -> Option<AdapterKey> {
-        engine
+    fn victim(&self, engine: &Engine, round: &mut Round, now: Now) -> Option<AdapterKey> {
+        if let Some(known) = round.victims.get(&engine.id) {
+            return known.clone();
+        }
+        let victim = engine
             .copies
             .iter()
-            .filter(|(key, copy)| copy.evictable(now) && !wanted.contains(*key))
+            .filter(|(key, copy)| copy.evictable(now) && !round.wanted.contains(*key))
             .min_by(|a, b| {
                 let score = |key: &AdapterKey| self.popularity.score(&key.to_string(), now);
                 let by_score = score(a.0).total_cmp(&score(b.0));
                 by_score.then(a.1.used.cmp(&b.1.used))
             })
-            .map(|(key, _)| key.clone())
+            .map(|(key, _)| key.clone());
+        round.victims.insert(engine.id.clone(), victim.clone());
+        victim
     }
 
-    /// Adapters that calls wait for.
-    fn wanted(&self) -> BTreeSet<AdapterKey> {
-        self.queue.iter().filter_map(|w| w.key.clone()).collect()
-    }
-
-    /// Adds a waiting call to the engine with the least work.
-    fn plan_evenly(&self, waiting: &Waiting, plans: &mut Plans, now: Now) {
-        let ahead = |e: &Engine| plans.get(&e.id).map_or(0.0, |p| p.tokens);
-        let least = self
-            .engines
-            .values()
-            .filter(|e| e.usable(now))
-            .min_by_key(|e| e.wait() + millis(ahead(e) / e.rate()));
-        if let Some(engine) = least {
+    /// Gives waiting work to the engines, the least busy first, until all are
+    /// equally busy.
+    fn plan_evenly(&self, tokens: f64, plans: &mut Plans, now: Now) {
+        let mut usable: Vec<&Engine> = self.engines.values().filter(|e| e.usable(now)).collect();
+        usable.sort_by_key(|e| e.wait());
+        let busy = |e: &Engine| as_millis(e.wait());
+        // The level at which the first engines, filled up to it, take it all.
+        let (mut rate, mut work) = (0.0, tokens);
+        let mut level = 0.0;
+        for (index, engine) in usable.iter().enumerate() {
+            rate += engine.rate();
+            work += busy(engine) * engine.rate();
+            level = work / rate;
+            if usable.get(index + 1).is_none_or(|next| busy(next) >= level) {
+                break;
+            }
+        }
+        for engine in usable.iter().take_while(|e| busy(e) < level) {
             let plan = plans.entry(engine.id.clone()).or_default();
-            plan.tokens += f64::from(waiting.ask.tokens);
+            plan.tokens += (level - busy(engine)) * engine.rate();
         }
     }
 }
 
 impl Waiting {
+    pub(super) fn new(ask: Ask, serial: u64) -> Self {
+        let key = ask.key();
+        Self {
+            name: key
+                .as_ref()
+                .map(ToString::to_string)
+                .unwrap_or_default()
+                .into(),
+            key,
+            ask,
+            serial,
+        }
+    }
+
     /// Order in which calls are served: those that can still start in time come
     /// first, because a late answer is worth little and an engine's time as
     /// much for it as for one in time; then by priority.
@@ -372,6 +387,17 @@
     }
 }
 
+/// What a load at an engine must gain besides its time.
+fn load_cost(engine: &Engine, key: &AdapterKey, warm: bool) -> Duration {
+    if engine.copies.contains_key(key) {
+        Duration::ZERO
+    } else if warm {
+        WARM_COST
+    } else {
+        COLD_COST
+    }
+}
+
 fn home_bias(key: &str, engine: &str) -> f64 {
     let weight = rendezvous::weight(key, engine) as f64 / u64::MAX as f64;
     HOME_BIAS_MS * (1.0 - weight)
--- a/crates/fleet/tests/scheduler/load_patterns.rs
+++ b/crates/fleet/tests/scheduler/load_patterns.rs
@@ -31,7 +31,11 @@
 
 /// Plays stretches against four engines; `lose_at` takes one away.
 fn play(stretches: &[Stretch], lose_at: Option<u64>) -> Tally {
-    let mut zone = Zone::new(4);
+    play_on(4, stretches, lose_at)
+}
+
+fn play_on(engines: usize, stretches: &[Stretch], lose_at: Option<u64>) -> Tally {
+    let mut zone = Zone::new(engines);
     let mut rng = StdRng::seed_from_u64(SEED);
     let zipf = Zipf::new(ADAPTERS, SKEW).expect("valid");
     let mut serial = 0;
@@ -118,3 +122,9 @@
     assert!(in_time(&tally) > 0.3, "{tally:?}");
     assert!(tally.refused > 0, "{tally:?}");
 }
+
+#[test]
+fn thirty_engines_without_any_adapter_are_filled_while_callers_wait() {
+    let tally = play_on(30, &[steady(8_000, 150)], None);
+    assert!(in_time(&tally) > 0.5, "{tally:?}");
+}
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -44,6 +44,14 @@
 const LOAD_PAUSE: Duration = Duration::from_millis(250);
 /// Commands taken between two decisions.
 const BATCH: usize = 64;
+/// Shortest pause between two decisions while calls wait; calls are granted a
+/// step of an engine's batch later at most.
+const ROUND_PAUSE: Duration = Duration::from_millis(3);
+/// Pause between two decisions, in parts of the time that the last one took, so
+/// that a long queue leaves most of a small node's processor to answers.
+const ROUND_PAUSE_PARTS: u32 = 3;
+/// Longest pause between two decisions.
+const LONGEST_ROUND_PAUSE: Duration = Duration::from_millis(40);
 
 /// What the task needs of the node.
 #[derive(Debug)]
@@ -67,6 +75,10 @@
     term: Option<Term>,
     replies: BTreeMap<CallId, oneshot::Sender<PlaceAnswer>>,
     next_load: Now,
+    /// When the next decision is made at the earliest.
+    next_round: Now,
+    /// Whether there is one to make.
+    undecided: bool,
 }
 
 /// The time for which this node is the coordinator.
@@ -88,6 +100,8 @@
             term: None,
             replies: BTreeMap::new(),
             next_load: Now::ZERO,
+            next_round: Now::ZERO,
+            undecided: false,
         }
     }
 
@@ -111,6 +125,9 @@
 
     fn next_look(&self) -> Now {
         let now = self.parts.shared.now();
+        if self.undecided {
+            return self.next_round;
+        }
         let scheduler = self.term.as_ref().and_then(|t| t.scheduler.next_look(now));
         let latest = now + LOAD_PAUSE;
         scheduler.map_or(latest, |at| at.clamp(now, latest))
@@ -129,10 +146,18 @@
     fn step(&mut self) {
         self.follow_role();
         let now = self.parts.shared.now();
-        let actions = match &mut self.term {
-            Some(term) => term.scheduler.poll(now),
-            None => return,
-        };
+        self.undecided = self.term.is_some() && now < self.next_round;
+        if self.undecided {
+            return;
+        }
+        let Some(term) = &mut self.term else { return };
+        let actions = term.scheduler.poll(now);
+        if term.scheduler.waiting() > 0 {
+            let decided = self.parts.shared.now();
+            let took = decided.saturating_sub(now);
+            let pause = (took * ROUND_PAUSE_PARTS).clamp(ROUND_PAUSE, LONGEST_ROUND_PAUSE);
+            self.next_round = decided + pause;
+        }
         for action in actions {
             self.carry_out(action);
         }
@@ -258,7 +283,7 @@
         }
         let call = ask.call.clone();
         let Some(term) = &mut self.term else { return };
-        match term.scheduler.ask(ask, now) {
+        match term.scheduler.ask_expecting(ask, expected, now) {
             Some(refusal) => {
                 tracing::info!(event = "place_refused", id = %refusal.call,
                     reason = refusal.reason.name(), expected_ms = expected.as_millis() as u64,
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -17,8 +17,10 @@
 
 /// Lines that wait to be written at most; about half a megabyte.
 const QUEUE_LINES: usize = 2_048;
-/// Events that are logged when the environment names no filter.
-const DEFAULT_FILTER: &str = "info,tarpc=error,hyper=warn";
+/// Events that are logged when the environment names no filter. A call between
+/// nodes that ends at its deadline is told by the node that made it, so that
+/// tarpc's own line a call says nothing new.
+const DEFAULT_FILTER: &str = "info,tarpc=off,hyper=warn";
 
 /// Keeps logs flowing while it is held.
 #[derive(Debug)]
