Coordinator: order only while the lease surely holds

A coordinator that got SIGTERM ended its lease first and went on ordering while others claimed.

Change: a holder orders until its lease's time to live after it sent the last renewal that succeeded; past that it asks three other nodes of its zone whether the store answers them and goes on only when it answers nobody. A key that is gone pauses the orders until it is claimed again. A stopping node gives the role up before its lease. While it may not order, it leaves calls to others. Small nodes wait longer before they claim.

Ruled out: the engines' fencing alone (it refuses the late orders, but turns count all the same).

Tests: ownership (rules of the role); they fail to build before.

--- a/crates/fleet/src/ownership.rs
+++ b/crates/fleet/src/ownership.rs
@@ -6,11 +6,14 @@
 //! holder's orders: it rises with each claim, and engines refuse a lower one
 //! than they have seen.
 //!
-//! A holder that can't renew its lease goes on: while the whole store is away
-//! nobody can claim, and a zone cut off from the store has to be served. It
-//! stops as soon as it learns of a higher number, from the store, from another
-//! node or from an engine's refusal. Until then the engines' check makes its
-//! orders harmless.
+//! A holder gives orders while its lease surely holds: until the time to live
+//! after it sent the last renewal that succeeded. Past that, somebody else may
+//! have claimed, and two nodes would order the same engines by turns. The one
+//! exception is a store that is out of reach for the other nodes too: then
+//! nobody can claim, and a zone cut off from the store has to be served. So a
+//! holder without an answer asks other nodes of its zone whether the store
+//! answers them ([`vouch`]). Engines refuse a lower fencing number than they
+//! have seen, so that an order that was under way all the while is harmless.
 
 use crate::{InstanceId, Now};
 use std::net::SocketAddr;
@@ -22,6 +25,34 @@
 /// Pause between two tries to claim, so that a lost race costs few calls.
 const CLAIM_PAUSE: Duration = Duration::from_millis(250);
 
+/// Part of a lease's time to live that is not used, for clocks that run at
+/// different rates and for an order on its way.
+const LEASE_MARGIN: f64 = 0.1;
+/// How long the other nodes' word on the store counts; covers the time to the
+/// next question.
+const VOUCHED_FOR: Duration = Duration::from_millis(1_500);
+
+/// What another node says of the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StoreWord {
+    /// The store answers it.
+    Answers,
+    /// The store does not answer it.
+    Silent,
+    /// The node itself gave no answer.
+    Unreachable,
+}
+
+/// Whether a holder that the store does not answer may go on: when the store
+/// answers nobody who could be asked, and not when only this node is cut off.
+/// A node that has nobody to ask is alone in its zone.
+#[must_use]
+pub fn vouch(words: &[StoreWord]) -> bool {
+    let heard = words.iter().any(|w| *w == StoreWord::Silent);
+    let refuted = words.iter().any(|w| *w == StoreWord::Answers);
+    words.is_empty() || (heard && !refuted)
+}
+
 /// A coordinator as the store names it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Holder {
@@ -44,6 +75,8 @@
     vacant_since: Option<Now>,
     next_claim: Now,
     patience: Duration,
+    /// Until when this node may give orders, if it is the holder.
+    leads_until: Now,
 }
 
 impl Role {
@@ -58,6 +91,7 @@
             vacant_since: None,
             next_claim: Now::ZERO,
             patience,
+            leads_until: Now::ZERO,
         }
     }
 
@@ -76,6 +110,33 @@
         (holder.node == self.node && holder.incarnation == self.incarnation).then_some(holder.fence)
     }
 
+    /// Whether this run of this node holds the role and surely nobody else does.
+    #[must_use]
+    pub fn leads(&self, now: Now) -> bool {
+        self.held().is_some() && now < self.leads_until
+    }
+
+    /// Takes word that the lease, with this time to live, held when a call sent
+    /// at `sent` reached the store.
+    pub fn on_renewed(&mut self, sent: Now, ttl: Duration) {
+        let until = sent + ttl.mul_f64(1.0 - LEASE_MARGIN);
+        self.leads_until = self.leads_until.max(until);
+    }
+
+    /// Takes what other nodes said of a store that does not answer this one.
+    pub fn on_words(&mut self, words: &[StoreWord], now: Now) {
+        if vouch(words) {
+            self.leads_until = self.leads_until.max(now + VOUCHED_FOR);
+        }
+    }
+
+    /// Gives the role up, because this node stops.
+    pub fn give_up(&mut self) {
+        if self.held().is_some() {
+            self.holder = None;
+        }
+    }
+
     /// Takes word of a holder; an older one than known is ignored.
     pub fn on_holder(&mut self, holder: Holder) {
         let newer = self
@@ -90,7 +151,10 @@
 
     /// Takes word that the store names nobody.
     pub fn on_vacant(&mut self, now: Now) {
-        self.vacant_since.get_or_insert(now);
+        if self.vacant_since.is_none() {
+            self.vacant_since = Some(now);
+            self.leads_until = now;
+        }
     }
 
     /// Takes word that a higher number than this node's exists.
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -210,6 +210,11 @@
         self.progress(call, Progress::Ended, now);
     }
 
+    /// Forgets the calls that wait; their askers are told by the owner.
+    pub fn drop_waiting(&mut self) {
+        self.queue.clear();
+    }
+
     /// Takes word of a granted call.
     pub fn progress(&mut self, call: &str, progress: Progress, now: Now) {
         let Some(id) = self.running.get(call).cloned() else {
--- a/crates/fleet/tests/ownership.rs
+++ b/crates/fleet/tests/ownership.rs
@@ -1,9 +1,10 @@
 //! Who coordinates a zone.
 
 use reedford_fleet::Now;
-use reedford_fleet::ownership::{Holder, Role};
+use reedford_fleet::ownership::{Holder, Role, StoreWord};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
+use test_case::test_case;
 
 const PATIENCE: Duration = Duration::from_millis(100);
 
@@ -41,6 +42,55 @@
     role.on_vacant(ms(10));
     assert!(role.should_claim(ms(10)));
     assert_eq!(role.held(), Some(5), "it goes on meanwhile");
+    assert!(!role.leads(ms(10)), "but orders nothing");
+}
+
+const TTL: Duration = Duration::from_millis(1_000);
+
+fn leader() -> Role {
+    let mut role = role();
+    role.on_holder(holder("me", 1, 5));
+    role.on_renewed(ms(100), TTL);
+    role
+}
+
+#[test]
+fn a_holder_orders_while_its_lease_surely_holds() {
+    let role = leader();
+    assert!(role.leads(ms(900)));
+    assert!(!role.leads(ms(1_050)), "somebody else may have claimed");
+    assert_eq!(role.held(), Some(5), "the store may still name it");
+}
+
+/// A store that does not answer the holder, and what the other nodes say of it.
+struct Silence {
+    words: &'static [StoreWord],
+    leads: bool,
+}
+
+#[test_case(Silence { words: &[StoreWord::Silent, StoreWord::Unreachable], leads: true }; "the store is away")]
+#[test_case(Silence { words: &[StoreWord::Silent, StoreWord::Answers], leads: false }; "this node is turned away")]
+#[test_case(Silence { words: &[StoreWord::Unreachable, StoreWord::Unreachable], leads: false }; "this node is cut off")]
+#[test_case(Silence { words: &[], leads: true }; "this node is alone")]
+fn a_holder_without_the_store_goes_on_when_nobody_reaches_it(case: Silence) {
+    let mut role = leader();
+    role.on_words(case.words, ms(900));
+    assert_eq!(role.leads(ms(1_400)), case.leads);
+}
+
+#[test]
+fn a_stopping_holder_orders_nothing_more() {
+    let mut role = leader();
+    role.give_up();
+    assert!(!role.leads(ms(200)));
+    assert_eq!(role.held(), None);
+}
+
+#[test]
+fn a_key_that_is_gone_ends_the_orders_at_once() {
+    let mut role = leader();
+    role.on_vacant(ms(200));
+    assert!(!role.leads(ms(201)));
 }
 
 #[test]
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -86,6 +86,8 @@
 struct Term {
     fence: Fence,
     scheduler: Scheduler,
+    /// Whether the lease may have ended, so that nothing is decided.
+    paused: bool,
 }
 
 impl<D> Coordinator<D>
@@ -146,6 +148,9 @@
     fn step(&mut self) {
         self.follow_role();
         let now = self.parts.shared.now();
+        if !self.leads(now) {
+            return;
+        }
         self.undecided = self.term.is_some() && now < self.next_round;
         if self.undecided {
             return;
@@ -176,9 +181,29 @@
         self.term = held.map(|fence| Term {
             fence,
             scheduler: self.new_scheduler(),
+            paused: false,
         });
     }
 
+    /// Whether this node may decide. While it may not, callers look for a place
+    /// elsewhere.
+    fn leads(&mut self, now: Now) -> bool {
+        let leads = self.parts.shared.lock().role.leads(now);
+        let Some(term) = &mut self.term else {
+            return false;
+        };
+        if term.paused == leads {
+            term.paused = !leads;
+            tracing::info!(event = "orders", paused = !leads, zone = %self.parts.cfg.zone,
+                fence = term.fence);
+        }
+        if !leads {
+            term.scheduler.drop_waiting();
+            self.refuse_waiting();
+        }
+        leads
+    }
+
     fn new_scheduler(&self) -> Scheduler {
         let mut scheduler = Scheduler::new(Limits {
             work_ahead: WORK_AHEAD,
@@ -266,8 +291,9 @@
 
     fn place(&mut self, req: PlaceRequest, reply: oneshot::Sender<PlaceAnswer>, now: Now) {
         self.follow_role();
+        let leads = self.leads(now);
         let passed_on = req.passed_on;
-        let Some(term) = &mut self.term else {
+        let Some(term) = self.term.as_mut().filter(|_| leads) else {
             answer(reply, PlaceAnswer::NotCoordinator);
             return;
         };
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -44,9 +44,12 @@
 const IDLE_CALLERS: Duration = Duration::from_secs(75);
 /// Descriptors kept for everything but callers.
 const OTHER_DESCRIPTORS: usize = 1_200;
-/// Longest wait before a vacant coordinator's role is claimed; the more cores
-/// a node has, the shorter its wait.
-const CLAIM_PATIENCE: Duration = Duration::from_millis(120);
+/// Wait before a vacant coordinator's role is claimed, of a node with one core.
+/// A node with a part of a core waits longer in proportion, so that the largest
+/// nodes of a zone claim first; a claim takes some ten milliseconds.
+const CLAIM_PATIENCE: Duration = Duration::from_millis(20);
+/// Cores that a node is taken to have at least.
+const FEWEST_CORES: f64 = 0.05;
 /// Connections to the readiness and the metrics server at once.
 const PROBE_CONNECTIONS: usize = 32;
 
@@ -127,7 +130,7 @@
         let dialect = Arc::new(dialect);
         let incarnation = rand::random::<u32>().into();
         let metrics = Arc::new(Metrics::new().wrap_err("metrics can't be set up")?);
-        let patience = CLAIM_PATIENCE.mul_f64((1.0 - cfg.cores).clamp(0.0, 1.0));
+        let patience = CLAIM_PATIENCE.div_f64(cfg.cores.max(FEWEST_CORES));
         let role = Role::new(cfg.node.clone(), incarnation, patience);
         let shared = Arc::new(Shared::new(role, cfg.retries));
         let (commands, rx) = queue();
@@ -136,6 +139,7 @@
         let peer_server = PeerServer {
             commands: commands.clone(),
             shared: Arc::clone(&shared),
+            kv: Arc::clone(&stores.quick),
         };
         let bound = peer_server
             .start(cfg.peers, &tasks, background.clone())
@@ -195,7 +199,9 @@
             metrics: Arc::clone(&metrics),
             commands: commands.clone(),
             incarnation,
+            peers: Arc::clone(&peers),
             next_count: Duration::ZERO,
+            colleagues: Vec::new(),
         };
         node.tasks.spawn(membership.run(node.membership.clone()));
         let gateway = Arc::new(Gateway {
@@ -291,7 +297,13 @@
     /// Gives the role up, lets the balancer notice, answers what is in
     /// progress, and ends everything.
     pub async fn stop(self) {
-        self.shared.lock().stopping = true;
+        {
+            let mut state = self.shared.lock();
+            state.stopping = true;
+            // Before the lease ends, so that nobody claims while this node
+            // still orders.
+            state.role.give_up();
+        }
         tracing::info!(
             event = "stopping",
             grace_ms = self.cfg.stop_grace.as_millis() as u64
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -3,11 +3,13 @@
 
 use crate::coordinator::{Command, CommandTx};
 use crate::metrics::Metrics;
+use crate::peer::PeerClients;
 use crate::settings::GatewaySettings;
 use crate::state::{Neighbour, Shared};
 use crate::sync::Follower;
-use reedford_fleet::Now;
-use reedford_fleet::ownership::Holder;
+use futures::future::join_all;
+use reedford_fleet::ownership::{Holder, StoreWord};
+use reedford_fleet::{Now, ZoneId};
 use reedford_store::{
     Change, ChangeKind, Entry, Expect, KeyValue, KvError, Lease, Put, Swapped, Transaction,
 };
@@ -16,7 +18,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
 /// Keys of the coordinators, by zone.
@@ -35,10 +37,18 @@
 /// three fail before it ends.
 const LOOK: Duration = Duration::from_millis(400);
 
+/// Time for a renewal of the role's lease, of which two fit into its life.
+const RENEWAL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Other nodes asked about a store that does not answer.
+const ASKED: usize = 3;
+/// Time for another node to answer; it asks the store itself meanwhile.
+const ASK_TIMEOUT: Duration = Duration::from_millis(600);
+
 /// What a node writes about itself.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 struct NodeRecord {
     node: Box<str>,
+    zone: ZoneId,
     incarnation: u64,
     addr: SocketAddr,
 }
@@ -52,6 +62,9 @@
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) commands: CommandTx,
     pub(crate) incarnation: u64,
+    pub(crate) peers: Arc<PeerClients>,
+    /// Other nodes of the zone, as far as a coordinator needs them.
+    pub(crate) colleagues: Vec<SocketAddr>,
     /// When the nodes are counted next.
     pub(crate) next_count: Now,
 }
@@ -92,9 +105,7 @@
 
     /// Renews what is due, and claims the role when it is vacant.
     async fn keep(&mut self, node: &mut Held, role: &mut Held) -> Result<(), KvError> {
-        if role.lease.is_some() && !self.renew(role).await? {
-            tracing::warn!(event = "role_lease_ended", zone = %self.cfg.zone);
-        }
+        self.keep_role(role).await?;
         let now = self.shared.now();
         if self.shared.lock().role.should_claim(now) {
             self.claim(role).await?;
@@ -109,6 +120,72 @@
         Ok(())
     }
 
+    /// Renews the role's lease. When the store does not answer, other nodes
+    /// tell whether it answers them.
+    async fn keep_role(&mut self, role: &mut Held) -> Result<(), KvError> {
+        let Some(lease) = role.lease else {
+            return Ok(());
+        };
+        let sent = self.shared.now();
+        let renewed = timeout(RENEWAL_TIMEOUT, self.kv.lease_keep_alive(lease.id)).await;
+        match renewed {
+            Ok(Ok(Some(_))) => {
+                role.renewed = sent;
+                self.shared.lock().role.on_renewed(sent, lease.ttl);
+                Ok(())
+            }
+            Ok(Ok(None)) => {
+                tracing::warn!(event = "role_lease_ended", zone = %self.cfg.zone);
+                role.lease = None;
+                Ok(())
+            }
+            Ok(Err(error)) => {
+                self.ask_colleagues().await;
+                Err(error)
+            }
+            Err(_elapsed) => {
+                self.ask_colleagues().await;
+                Err(KvError::Unknown {
+                    message: "the renewal took too long".into(),
+                })
+            }
+        }
+    }
+
+    async fn ask_colleagues(&self) {
+        if self.shared.lock().role.held().is_none() {
+            return;
+        }
+        let count = self.colleagues.len();
+        let first = rand::random_range(0..count.max(1));
+        let asked = self.colleagues.iter().cycle().skip(first);
+        let words = asked.take(count.min(ASKED)).map(|addr| self.ask(*addr));
+        let words = join_all(words).await;
+        let now = self.shared.now();
+        let mut state = self.shared.lock();
+        state.role.on_words(&words, now);
+        let leads = state.role.leads(now);
+        drop(state);
+        tracing::info!(event = "role_in_doubt", zone = %self.cfg.zone, words = ?words, leads);
+    }
+
+    async fn ask(&self, addr: SocketAddr) -> StoreWord {
+        let answers = self
+            .peers
+            .call(addr, ASK_TIMEOUT, |peer, cx| async move {
+                peer.store_answers(cx).await
+            })
+            .await;
+        match answers {
+            Ok(true) => StoreWord::Answers,
+            Ok(false) => StoreWord::Silent,
+            Err(error) => {
+                tracing::debug!(event = "colleague_silent", %addr, %error);
+                StoreWord::Unreachable
+            }
+        }
+    }
+
     /// Counts the nodes, for the retry budget of this node and those it tells.
     async fn count_nodes(&mut self, now: Now) -> Result<(), KvError> {
         let holds = self.shared.lock().role.held().is_some();
@@ -116,7 +193,19 @@
             return Ok(());
         }
         self.next_count = now + COUNT_PAUSE;
-        let nodes = self.kv.list(NODES).await?.entries.len();
+        let entries = self.kv.list(NODES).await?.entries;
+        let records = entries.iter().filter_map(|e| {
+            serde_json::from_slice::<NodeRecord>(&e.value)
+                .inspect_err(|error| {
+                    tracing::warn!(event = "node_unreadable", key = %e.key, %error);
+                })
+                .ok()
+        });
+        self.colleagues = records
+            .filter(|r| r.zone == self.cfg.zone && r.node != self.cfg.node)
+            .map(|r| r.addr)
+            .collect();
+        let nodes = entries.len();
         self.shared.feeds.on_nodes(nodes);
         self.shared.lock().budget.set_nodes(nodes);
         Ok(())
@@ -159,7 +248,10 @@
     async fn claim(&self, role: &mut Held) -> Result<(), KvError> {
         let lease = match role.lease {
             Some(lease) => lease,
-            None => self.grant(ROLE_LEASE).await?,
+            None => {
+                role.renewed = self.shared.now();
+                self.grant(ROLE_LEASE).await?
+            }
         };
         role.lease = Some(lease);
         let key = format!("{ZONES}{}", self.cfg.zone);
@@ -171,8 +263,10 @@
             puts: vec![self.put(key, lease)],
             deletes: Vec::new(),
         };
+        // The lease was granted or renewed before.
+        let sent = role.renewed;
         match self.kv.txn(claim).await {
-            Ok(Swapped::Done { revision }) => self.on_claimed(revision),
+            Ok(Swapped::Done { revision }) => self.on_claimed(revision, sent, lease.ttl),
             Ok(Swapped::Lost { current }) => {
                 tracing::info!(event = "claim_lost", zone = %self.cfg.zone);
                 // The lease is left to end; renewing it would serve nothing.
@@ -189,10 +283,13 @@
         Ok(())
     }
 
-    fn on_claimed(&self, revision: i64) {
+    fn on_claimed(&self, revision: i64, renewed: Now, ttl: Duration) {
         tracing::info!(event = "claimed", zone = %self.cfg.zone, fence = revision);
         let record = self.record();
-        self.shared.lock().role.on_holder(record.holder(revision));
+        let mut state = self.shared.lock();
+        state.role.on_holder(record.holder(revision));
+        state.role.on_renewed(renewed, ttl);
+        drop(state);
         self.commands.send(Command::Refresh);
     }
 
@@ -215,6 +312,7 @@
     fn record(&self) -> NodeRecord {
         NodeRecord {
             node: self.cfg.node.clone(),
+            zone: self.cfg.zone.clone(),
             incarnation: self.incarnation,
             addr: self.cfg.peers,
         }
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -71,6 +71,8 @@
     /// 0 for everything; `operators` is the newest revision of operators' keys
     /// that the asker knows. Answers within a second.
     async fn news(feed: Feed, after: i64, operators: i64) -> FeedAnswer;
+    /// Whether the platform's store answers this node.
+    async fn store_answers() -> bool;
 }
 
 impl PlaceRequest {
--- a/crates/gateway/src/peer_server.rs
+++ b/crates/gateway/src/peer_server.rs
@@ -2,27 +2,49 @@
 
 use crate::coordinator::{Command, CommandTx};
 use crate::feeds::{Feed, FeedAnswer};
+use crate::membership::ZONES;
 use crate::peer::{Peer, PeerRequest, PeerResponse, PlaceAnswer, PlaceRequest, ZoneLoad};
 use crate::state::Shared;
 use futures::StreamExt as _;
 use reedford_fleet::scheduler::{CallId, Progress};
+use reedford_store::KeyValue;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use tarpc::context::Context;
 use tarpc::serde_transport::tcp;
 use tarpc::server::{BaseChannel, Channel as _};
 use tarpc::tokio_serde::formats::Json;
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+/// Time for the store to answer on behalf of another node; it answers in
+/// milliseconds, and in some hundred when it is slow.
+const STORE_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// The server's side of one connection.
-#[derive(Clone, Debug)]
-pub(crate) struct PeerServer {
+#[derive(Debug)]
+pub(crate) struct PeerServer<K> {
     pub(crate) commands: CommandTx,
     pub(crate) shared: Arc<Shared>,
+    pub(crate) kv: Arc<K>,
 }
 
-impl PeerServer {
+impl<K> Clone for PeerServer<K> {
+    fn clone(&self) -> Self {
+        Self {
+            commands: self.commands.clone(),
+            shared: Arc::clone(&self.shared),
+            kv: Arc::clone(&self.kv),
+        }
+    }
+}
+
+impl<K> PeerServer<K>
+where
+    K: KeyValue + 'static,
+{
     /// Binds `addr` and serves until `stop`.
     pub(crate) async fn start(
         self,
@@ -60,7 +82,10 @@
     }
 }
 
-impl Peer for PeerServer {
+impl<K> Peer for PeerServer<K>
+where
+    K: KeyValue + 'static,
+{
     async fn place(self, _: Context, req: PlaceRequest) -> PlaceAnswer {
         self.commands.place(req).await
     }
@@ -79,4 +104,9 @@
         let clock = || self.shared.now();
         self.shared.feeds.news(feed, after, operators, clock).await
     }
+
+    async fn store_answers(self, _: Context) -> bool {
+        let asked = timeout(STORE_TIMEOUT, self.kv.list(ZONES)).await;
+        matches!(asked, Ok(Ok(_)))
+    }
 }
