Scheduler: leave engines out of reach alone and give their loads to others

Cause: an order that could not be sent was put back and sent again at once.

Change: an engine that can't be reached gets nothing for 0.7 s, then twice as long each time; loads not yet ordered there are given up. A report that does not come counts as out of reach too.

Test fails first: an_engine_out_of_reach_gives_its_loads_to_others_and_gets_no_more_orders.

--- a/crates/fleet/src/scheduler/engine.rs
+++ b/crates/fleet/src/scheduler/engine.rs
@@ -15,8 +15,11 @@
 const WARM_ADAPTERS: usize = 25;
 /// How long an engine that refused as full gets nothing.
 const FULL_PAUSE: Duration = Duration::from_millis(60);
-/// How long an engine that could not be reached gets nothing.
+/// How long an engine that could not be reached gets nothing; doubles with each
+/// further failure, up to [`LONGEST_PAUSE`].
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(700);
+/// Longest pause; a lost engine leaves the directory after some seconds.
+const LONGEST_PAUSE: Duration = Duration::from_millis(2_800);
 /// Time by which a call outlives its deadline at most.
 const RUN_SLACK: Duration = Duration::from_millis(700);
 /// Share of an engine's memory that granted calls may claim.
@@ -54,6 +57,8 @@
     /// Memory that the granted calls may claim, in tokens.
     claimed: u64,
     paused_until: Now,
+    /// Times that it could not be reached since it last answered.
+    failures: u32,
     last_start: Now,
     rate: ReadRate,
 }
@@ -126,6 +131,7 @@
             unstarted: 0,
             claimed: 0,
             paused_until: Now::ZERO,
+            failures: 0,
             last_start: Now::ZERO,
             rate: ReadRate::default(),
         };
@@ -213,6 +219,7 @@
             return false;
         }
         run.started = true;
+        self.failures = 0;
         self.unstarted -= u64::from(run.tokens);
         let from = run.granted.max(self.last_start);
         self.rate.learn(f64::from(run.tokens), from, now);
@@ -252,11 +259,44 @@
         match why {
             Rejection::Missing => return self.missing(key, now),
             Rejection::Full => self.paused_until = self.paused_until.max(now + FULL_PAUSE),
-            Rejection::Unreachable => self.paused_until = now + UNREACHABLE_PAUSE,
+            Rejection::Unreachable => self.unreachable(now),
         }
         false
     }
 
+    /// Leaves the engine out for a while. Loads that were not ordered yet are
+    /// given up, so that other engines can take them and their share of the
+    /// loads under way.
+    pub(super) fn unreachable(&mut self, now: Now) {
+        if now < self.paused_until {
+            return;
+        }
+        let pause = UNREACHABLE_PAUSE * (1 << self.failures.min(2));
+        self.failures += 1;
+        self.paused_until = now + pause.min(LONGEST_PAUSE);
+        self.drop_orders();
+    }
+
+    /// Notes that the engine answered.
+    pub(super) const fn answered(&mut self) {
+        self.failures = 0;
+    }
+
+    /// Gives up the orders that have not been sent. The one under way keeps its
+    /// place until it is answered.
+    pub(super) fn drop_orders(&mut self) {
+        self.order_queue.clear();
+        let under_way = self.order.as_ref().and_then(|o| o.kind.adapter());
+        self.copies.retain(|key, copy| {
+            copy.state != CopyState::Ordered || under_way.as_ref() == Some(key)
+        });
+        for (key, copy) in &mut self.copies {
+            if copy.state == CopyState::Leaving && under_way.as_ref() != Some(key) {
+                copy.state = CopyState::Held;
+            }
+        }
+    }
+
     /// An adapter that should be there is not: its load takes longer than
     /// expected, or this view is wrong and the engine has to be listed.
     fn missing(&mut self, key: Option<AdapterKey>, now: Now) -> bool {
--- a/crates/fleet/src/scheduler/order.rs
+++ b/crates/fleet/src/scheduler/order.rs
@@ -1,5 +1,6 @@
 //! Orders to engines, and what engines say of themselves.
 
+use super::AdapterKey;
 use crate::{AdapterName, InstanceId, ModelName, WeightVersion};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -44,6 +45,22 @@
     },
 }
 
+impl OrderKind {
+    /// The adapter that it concerns.
+    #[must_use]
+    pub fn adapter(&self) -> Option<AdapterKey> {
+        match self {
+            Self::LoadModel { .. } => None,
+            Self::LoadAdapter { model, adapter, .. } | Self::UnloadAdapter { model, adapter } => {
+                Some(AdapterKey {
+                    model: model.clone(),
+                    adapter: adapter.clone(),
+                })
+            }
+        }
+    }
+}
+
 /// How an engine answered an order.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum OrderAnswer {
--- a/crates/fleet/src/scheduler/synchronize.rs
+++ b/crates/fleet/src/scheduler/synchronize.rs
@@ -58,8 +58,10 @@
         engine.listing = false;
         let Some(report) = report else {
             engine.list_at = Some(now + LISTING_PAUSE);
+            engine.unreachable(now);
             return;
         };
+        engine.answered();
         let overtaken = engine.order.is_some() || now < engine.last_order + REPORT_LAG;
         if overtaken && engine.last_order > Now::ZERO {
             engine.list_at = Some(engine.last_order + REPORT_LAG);
@@ -113,6 +115,7 @@
             OrderAnswer::Accepted | OrderAnswer::Done => {
                 engine.orders_seen = Some(order.after + 1);
                 engine.conflicts = 0;
+                engine.answered();
                 let done = answer == OrderAnswer::Done;
                 match order.kind {
                     OrderKind::LoadModel { model } => {
@@ -135,7 +138,7 @@
                     }
                 }
             }
-            OrderAnswer::NotSent => engine.order_queue.push_front(order.kind),
+            OrderAnswer::NotSent => engine.unreachable(now),
             OrderAnswer::Conflict if engine.conflicts < CONFLICTS_BORNE => {
                 // Mostly an adapter that arrives later than expected.
                 engine.conflicts += 1;
@@ -154,7 +157,7 @@
         let empty: Vec<InstanceId> = self
             .engines
             .values()
-            .filter(|e| e.ready && e.models.is_empty() && e.orders_seen.is_some())
+            .filter(|e| e.usable(now) && e.models.is_empty() && e.orders_seen.is_some())
             .filter(|e| e.order.is_none() && e.order_queue.is_empty() && !e.listing)
             .map(|e| e.id.clone())
             .collect();
@@ -230,14 +233,7 @@
     fn resynchronize(&mut self, kind: OrderKind, now: Now) {
         self.orders_seen = None;
         self.conflicts = 0;
-        self.order_queue.clear();
-        self.copies
-            .retain(|_, copy| copy.state != CopyState::Ordered);
-        for copy in self.copies.values_mut() {
-            if copy.state == CopyState::Leaving {
-                copy.state = CopyState::Held;
-            }
-        }
+        self.drop_orders();
         if let OrderKind::UnloadAdapter { model, adapter } = kind {
             // It may be gone already or go at any moment.
             self.copies.remove(&AdapterKey { model, adapter });
--- a/crates/fleet/tests/scheduler/decisions.rs
+++ b/crates/fleet/tests/scheduler/decisions.rs
@@ -47,6 +47,24 @@
     assert_eq!(orders(&second)[0].after, 1);
 }
 
+#[test]
+fn an_engine_out_of_reach_gives_its_loads_to_others_and_gets_no_more_orders() {
+    let mut scheduler = with_engine(&[]);
+    scheduler.on_instance(&instance("e2", 1), Now::ZERO);
+    listed(&mut scheduler, "e2", &[], 0, Now::ZERO);
+    let first = asked(&mut scheduler, "c1", "a", ms(1));
+    let chosen = orders(&first)[0].instance.clone();
+    scheduler.on_order_answer(&chosen, OrderAnswer::NotSent, ms(2));
+    let then = scheduler.poll(ms(2));
+    assert_eq!(shorts(&then), ["+a"]);
+    assert_ne!(orders(&then)[0].instance, chosen);
+    scheduler.on_order_answer(&orders(&then)[0].instance, OrderAnswer::NotSent, ms(3));
+    assert!(
+        orders(&scheduler.poll(ms(4))).is_empty(),
+        "neither is asked again at once"
+    );
+}
+
 struct EvictionCase {
     /// What the engine answers to the eviction.
     answer: OrderAnswer,
