Zones: coordinators tell each other which adapters they hold

A home zone without a free place was never asked, even if it held the adapter.

Change: a zone's word carries short marks of its adapters. A call whose adapter another zone holds goes there when it starts sooner than after a load here.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`budget`] | whether a call may be sent once more |
 //! | [`health`] | which instances are left out after failures |
 //! | [`ownership`] | whether this node orders loads for its availability zone |
+//! | [`zones`] | which availability zone places a call |
 
 pub mod budget;
 pub mod config;
@@ -22,6 +23,7 @@
 pub mod ownership;
 pub mod scheduler;
 pub mod spread;
+pub mod zones;
 
 pub use reedford_core::{InstanceId, Now, ZoneId};
 
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -30,6 +30,7 @@
 use engine::Engine;
 use estimate::LoadTimes;
 use reedford_core::frequency::Frequency;
+use reedford_core::rendezvous;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::net::SocketAddr;
@@ -52,6 +53,10 @@
     pub adapter: AdapterName,
 }
 
+/// Stands for an adapter in words between zones. Two adapters may share one;
+/// a call that is passed on in vain costs only the way there.
+pub type AdapterMark = u32;
+
 /// Limits of a scheduler.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limits {
@@ -292,6 +297,17 @@
         self.engines.values().any(|e| e.ready && serves(e))
     }
 
+    /// Marks of the adapters that [`Self::holds`] is true for.
+    #[must_use]
+    pub fn held(&self) -> BTreeSet<AdapterMark> {
+        let ready = self.engines.values().filter(|e| e.ready);
+        let copies = ready.flat_map(|e| &e.copies);
+        copies
+            .filter(|(key, copy)| copy.serves(self.versions.get(*key).copied()))
+            .map(|(key, _)| key.mark())
+            .collect()
+    }
+
     /// Calls that wait.
     #[must_use]
     pub fn waiting(&self) -> usize {
@@ -332,6 +348,14 @@
     }
 }
 
+impl AdapterKey {
+    /// Its mark, the same on all nodes.
+    #[must_use]
+    pub fn mark(&self) -> AdapterMark {
+        rendezvous::weight(&self.model, &self.adapter) as AdapterMark
+    }
+}
+
 impl fmt::Display for AdapterKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}/{}", self.model, self.adapter)
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -11,11 +11,11 @@
 use crate::peer::{PeerClients, PlaceAnswer, PlaceRequest, ZoneLoad};
 use crate::ports::Dialect;
 use crate::settings::GatewaySettings;
-use crate::state::{Neighbour, Shared};
-use reedford_core::rendezvous;
+use crate::state::Shared;
 use reedford_fleet::Now;
 use reedford_fleet::ownership::Fence;
-use reedford_fleet::scheduler::{Ask, CallId, Limits, Outlook, Scheduler};
+use reedford_fleet::scheduler::{Ask, CallId, Limits, Scheduler};
+use reedford_fleet::zones::{self, Arrival, ZoneWord};
 use reedford_targets::Pool;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -31,15 +31,6 @@
 /// Wait for a first token, in parts of the time that the caller has, from which
 /// a call is refused on arrival; the rest is for the answer.
 const PATIENCE: f64 = 0.6;
-/// Expected wait from which other zones are looked at.
-const SPILL_FROM: Duration = Duration::from_millis(350);
-/// Wait in an adapter's home zone up to which its calls go there.
-const HOME_WAIT: Duration = Duration::from_millis(250);
-/// Amount by which another zone's wait has to be shorter: the way there and
-/// a load of the adapter.
-const SPILL_GAIN: Duration = Duration::from_millis(320);
-/// Age at which another zone's load is no longer believed.
-const LOAD_LIFE: Duration = Duration::from_millis(1_200);
 /// Pause between two words on the own zone's load.
 const LOAD_PAUSE: Duration = Duration::from_millis(250);
 /// Commands taken between two decisions.
@@ -246,7 +237,7 @@
         let now = self.parts.shared.now();
         match command {
             Command::Place { req, reply } => self.place(req, reply, now),
-            Command::ZoneLoad(load) => self.on_zone_load(&load, now),
+            Command::ZoneLoad(load) => self.on_zone_load(load, now),
             Command::Refresh => self.on_refresh(),
             Command::Progress { call, step } => {
                 self.with_scheduler(|s| s.progress(&call, step, now))
@@ -299,11 +290,7 @@
         };
         let ask = req.clone().into_ask(now);
         let expected = term.scheduler.expected_wait(&ask, now);
-        let elsewhere = || {
-            self.home_zone(&ask, now)
-                .or_else(|| self.better_zone(expected, now))
-        };
-        if !passed_on && let Some(addr) = elsewhere() {
+        if !passed_on && let Some(addr) = self.elsewhere(&ask, expected, now) {
             self.pass_on(req, reply, addr);
             return;
         }
@@ -323,56 +310,31 @@
         }
     }
 
-    /// The coordinator of the zone that is the home of an adapter which this
-    /// zone has not got. Sharing homes over all zones, each adapter is fetched
-    /// from the store once and not once a zone.
-    fn home_zone(&self, ask: &Ask, now: Now) -> Option<SocketAddr> {
-        let key = ask.key()?;
+    /// The coordinator of the zone that places a call, if it is another one.
+    fn elsewhere(&self, ask: &Ask, expected: Duration, now: Now) -> Option<SocketAddr> {
+        let key = ask.key();
         let scheduler = &self.term.as_ref()?.scheduler;
-        if scheduler.holds(&key) {
-            return None;
-        }
-        let state = self.parts.shared.lock();
-        let own = &*self.parts.cfg.zone;
-        let zones = state.neighbours.keys().map(|zone| &**zone);
-        let home = rendezvous::first(&key.to_string(), zones.chain([own]))?;
-        let neighbour = state.neighbours.get(home)?;
-        let (outlook, at) = neighbour.outlook.as_ref()?;
-        let open = now.saturating_sub(*at) < LOAD_LIFE
-            && outlook.engines > 0
-            && outlook.free_places > 0
-            && outlook.wait < HOME_WAIT;
-        open.then_some(neighbour.addr)
-    }
-
-    /// The coordinator of a zone where a call would start much sooner.
-    fn better_zone(&self, expected: Duration, now: Now) -> Option<SocketAddr> {
-        if expected < SPILL_FROM {
-            return None;
-        }
+        let call = Arrival {
+            key: key.as_ref(),
+            held: key.as_ref().is_none_or(|key| scheduler.holds(key)),
+            expected,
+        };
         let state = self.parts.shared.lock();
-        let best = state
-            .neighbours
-            .values()
-            .filter_map(|n| {
-                let (outlook, at) = n.outlook.as_ref()?;
-                let fresh = now.saturating_sub(*at) < LOAD_LIFE;
-                (fresh && outlook.engines > 0 && outlook.free_places > 0)
-                    .then_some((outlook.wait, n.addr))
-            })
-            .min()?;
-        (best.0 + SPILL_GAIN < expected).then_some(best.1)
+        let zone = zones::elsewhere(&self.parts.cfg.zone, &state.zone_words, call, now)?;
+        state.neighbours.get(zone).copied()
     }
 
-    fn on_zone_load(&self, load: &ZoneLoad, now: Now) {
-        let outlook = Outlook {
+    fn on_zone_load(&self, load: ZoneLoad, now: Now) {
+        let word = ZoneWord {
             wait: load.wait,
             engines: load.engines,
             free_places: load.free_places,
+            held: load.held,
+            at: now,
         };
         let mut state = self.parts.shared.lock();
-        if let Some(neighbour) = state.neighbours.get_mut(&load.zone) {
-            neighbour.outlook = Some((outlook, now));
+        if state.neighbours.contains_key(&load.zone) {
+            state.zone_words.insert(load.zone, word);
         }
     }
 
@@ -402,14 +364,11 @@
             wait: outlook.wait.min(Duration::from_secs(60)),
             engines: outlook.engines,
             free_places: outlook.free_places,
+            held: term.scheduler.held(),
         };
         let addrs: Vec<SocketAddr> = {
             let state = self.parts.shared.lock();
-            state
-                .neighbours
-                .values()
-                .map(|n: &Neighbour| n.addr)
-                .collect()
+            state.neighbours.values().copied().collect()
         };
         for addr in addrs {
             self.send_load(addr, load.clone());
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -5,7 +5,7 @@
 use crate::metrics::Metrics;
 use crate::peer::PeerClients;
 use crate::settings::GatewaySettings;
-use crate::state::{Neighbour, Shared};
+use crate::state::Shared;
 use crate::sync::Follower;
 use futures::future::join_all;
 use reedford_fleet::ownership::{Holder, StoreWord};
@@ -362,11 +362,7 @@
         if zone == &*self.cfg.zone {
             state.role.on_holder(record.holder(revision));
         } else {
-            let neighbour = Neighbour {
-                addr: record.addr,
-                outlook: None,
-            };
-            state.neighbours.insert(zone.into(), neighbour);
+            state.neighbours.insert(zone.into(), record.addr);
         }
     }
 
@@ -381,6 +377,7 @@
             state.role.on_vacant(now);
         } else {
             state.neighbours.remove(zone);
+            state.zone_words.remove(zone);
         }
     }
 }
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -3,7 +3,7 @@
 use crate::feeds::{Feed, FeedAnswer};
 use futures::FutureExt as _;
 use futures::future::BoxFuture;
-use reedford_fleet::scheduler::{Ask, CallId, Grant, Progress, Refusal};
+use reedford_fleet::scheduler::{AdapterMark, Ask, CallId, Grant, Progress, Refusal};
 use reedford_fleet::{AdapterName, InstanceId, ModelName, Now, ServiceName, ZoneId};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
@@ -56,6 +56,8 @@
     pub(crate) wait: Duration,
     pub(crate) engines: usize,
     pub(crate) free_places: usize,
+    /// Adapters that its engines serve, or will, as [`AdapterMark`]s.
+    pub(crate) held: BTreeSet<AdapterMark>,
 }
 
 /// What nodes ask of each other.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,8 +10,9 @@
 use reedford_fleet::directory::{Directory, Instance};
 use reedford_fleet::health::Health;
 use reedford_fleet::ownership::Role;
-use reedford_fleet::scheduler::{AdapterKey, Grant, Outlook};
+use reedford_fleet::scheduler::{AdapterKey, Grant};
 use reedford_fleet::spread::Spread;
+use reedford_fleet::zones::ZoneWord;
 use reedford_fleet::{InstanceId, Now, WeightVersion, ZoneId};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -44,19 +45,14 @@
     pub(crate) budget: RetryBudget,
     pub(crate) role: Role,
     /// Coordinators of the other availability zones.
-    pub(crate) neighbours: BTreeMap<ZoneId, Neighbour>,
+    pub(crate) neighbours: BTreeMap<ZoneId, SocketAddr>,
+    /// What they told of their zones.
+    pub(crate) zone_words: BTreeMap<ZoneId, ZoneWord>,
     /// Where adapters ran last, for times without a coordinator.
     pub(crate) places: BTreeMap<AdapterKey, Place>,
     pub(crate) stopping: bool,
 }
 
-/// The coordinator of another availability zone.
-#[derive(Clone, Debug)]
-pub(crate) struct Neighbour {
-    pub(crate) addr: SocketAddr,
-    pub(crate) outlook: Option<(Outlook, Now)>,
-}
-
 /// Where an adapter ran last.
 #[derive(Clone, Debug)]
 pub(crate) struct Place {
@@ -81,6 +77,7 @@
                 budget: RetryBudget::new(retries),
                 role,
                 neighbours: BTreeMap::new(),
+                zone_words: BTreeMap::new(),
                 places: BTreeMap::new(),
                 stopping: false,
             }),
