Scheduler: a late load teaches the estimate once, and the estimate is bounded

Adapters that had long arrived counted as on their way, and the zone's limit on loads under way held new ones back: 20 loads a second and zone where 55 fit.

Change: of the calls sent for one load, one teaches; growth and decline balance where one load in six or seven is late; bound 600 ms.

--- a/crates/fleet/src/scheduler/engine.rs
+++ b/crates/fleet/src/scheduler/engine.rs
@@ -303,8 +303,10 @@
         const LONGER: Duration = Duration::from_millis(50);
         let copy = key.and_then(|k| self.copies.get_mut(&k));
         if let Some(copy) = copy.filter(|c| c.certain > now) {
+            // Of the calls that were sent when it was expected, one counts.
+            let first = copy.state == CopyState::Held;
             copy.state = CopyState::Loading(now + LONGER);
-            return true;
+            return first;
         }
         self.list_at.get_or_insert(now);
         false
--- a/crates/fleet/src/scheduler/estimate.rs
+++ b/crates/fleet/src/scheduler/estimate.rs
@@ -16,8 +16,14 @@
 const WARM_PART: f64 = 0.1;
 /// Allowance for the way of an order and the end of a load.
 const LOAD_MARGIN: Duration = Duration::from_millis(8);
-/// Longest estimate of a load.
-const LONGEST_LOAD: Duration = Duration::from_secs(2);
+/// Longest estimate of a load; loads that are limited as they are take no longer
+/// than twice the time of one alone.
+const LONGEST_LOAD: Duration = Duration::from_millis(600);
+/// Growth of the estimate with a load that took longer.
+const LONGER: f64 = 1.04;
+/// Its decline with a load that did not. One load in six or seven may take
+/// longer than estimated; the rest would wait in vain.
+const SHORTER: f64 = 0.993;
 
 /// A duration from milliseconds, which may be out of range.
 pub(super) fn millis(ms: f64) -> Duration {
@@ -74,11 +80,11 @@
 
     /// Learns that a load was not done after its expected time.
     pub(super) fn too_short(&mut self) {
-        self.cold = self.cold.mul_f64(1.05).min(LONGEST_LOAD);
+        self.cold = self.cold.mul_f64(LONGER).min(LONGEST_LOAD);
     }
 
     /// Learns that a load was done after its expected time.
     pub(super) fn long_enough(&mut self) {
-        self.cold = self.cold.mul_f64(0.995).max(FIRST_COLD.mul_f64(0.5));
+        self.cold = self.cold.mul_f64(SHORTER).max(FIRST_COLD.mul_f64(0.5));
     }
 }
