Scheduler: expect places for adapters as often as they come free

Change: a call without a place waits for the adapters ahead of it over the rate at which places were taken in the last two seconds. A call that will be late is expected to wait twice the queue ahead, and is refused on arrival or in the queue when that passes its time. The log line on a zone's load tells what waits and what is under way.

Tests: a_flash_of_more_rare_adapters_than_places_is_refused_without_being_held, fails before.

--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -28,7 +28,7 @@
 use crate::directory::{Instance, InstanceState};
 use crate::{AdapterName, InstanceId, ModelName, Now, WeightVersion};
 use engine::Engine;
-use estimate::LoadTimes;
+use estimate::{LoadTimes, Turnover};
 use reedford_core::frequency::Frequency;
 use reedford_core::rendezvous;
 use std::collections::{BTreeMap, BTreeSet};
@@ -98,6 +98,21 @@
     pub free_places: usize,
 }
 
+/// What goes on in a zone, for logs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct UnderWay {
+    /// Calls granted and not ended.
+    pub running: usize,
+    /// Adapters whose load has not been accepted yet.
+    pub ordered: usize,
+    /// Adapters on their way, the ordered ones included.
+    pub arriving: usize,
+    /// Waiting calls for whose adapter no engine had a place.
+    pub placeless: usize,
+    /// Expected time of a load from the store.
+    pub load_time: Duration,
+}
+
 /// The scheduler of one zone.
 #[derive(Clone, Debug)]
 pub struct Scheduler {
@@ -109,6 +124,7 @@
     running: BTreeMap<CallId, InstanceId>,
     popularity: Frequency,
     load_times: LoadTimes,
+    turnover: Turnover,
     model_loads: Vec<Now>,
     next_prune: Now,
     serial: u64,
@@ -120,6 +136,8 @@
     key: Option<AdapterKey>,
     /// The adapter as text, for hashes.
     name: Box<str>,
+    /// Whether no engine had a place for its adapter when it was last looked at.
+    placeless: bool,
     serial: u64,
 }
 
@@ -136,6 +154,7 @@
             running: BTreeMap::new(),
             popularity: Frequency::new(POPULARITY_HALF_LIFE),
             load_times: LoadTimes::default(),
+            turnover: Turnover::default(),
             model_loads: Vec::new(),
             next_prune: PRUNE_PAUSE,
             serial: 0,
@@ -314,11 +333,16 @@
         self.queue.len()
     }
 
-    /// Calls granted and not ended, and adapters on their way.
+    /// What is under way.
     #[must_use]
-    pub fn under_way(&self) -> (usize, usize) {
-        let arriving = self.engines.values().map(Engine::arriving).sum();
-        (self.running.len(), arriving)
+    pub fn under_way(&self) -> UnderWay {
+        UnderWay {
+            running: self.running.len(),
+            ordered: self.engines.values().map(Engine::ordered).sum(),
+            arriving: self.engines.values().map(Engine::arriving).sum(),
+            placeless: self.queue.iter().filter(|w| w.placeless).count(),
+            load_time: self.load_times.expected(false),
+        }
     }
 
     /// Engines with the adapters that they hold or load, for operators.
--- a/crates/fleet/src/scheduler/engine.rs
+++ b/crates/fleet/src/scheduler/engine.rs
@@ -175,6 +175,12 @@
         free + self.copies.values().filter(|c| c.evictable(now)).count()
     }
 
+    /// Adapters whose load has not been accepted yet.
+    pub(super) fn ordered(&self) -> usize {
+        let ordered = |c: &&Copy| c.state == CopyState::Ordered;
+        self.copies.values().filter(ordered).count()
+    }
+
     /// Adapters on their way.
     pub(super) fn arriving(&self) -> usize {
         let arriving = |c: &&Copy| matches!(c.state, CopyState::Ordered | CopyState::Loading(_));
--- a/crates/fleet/src/scheduler/estimate.rs
+++ b/crates/fleet/src/scheduler/estimate.rs
@@ -1,6 +1,7 @@
 //! Estimates learned from what calls and orders took.
 
 use crate::Now;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 /// Prompt tokens a millisecond that an engine is taken to read before anything
@@ -16,6 +17,11 @@
 const WARM_PART: f64 = 0.1;
 /// Allowance for the way of an order and the end of a load.
 const LOAD_MARGIN: Duration = Duration::from_millis(8);
+/// Time over which loads are counted.
+const TURNOVER_WINDOW: Duration = Duration::from_secs(2);
+/// Time for which an adapter that is used by one call after the other keeps its
+/// place, while others wait for one; a middle value of long answers.
+const LONGEST_HOLD: Duration = Duration::from_secs(3);
 /// Longest estimate of a load; loads that are limited as they are take no longer
 /// than twice the time of one alone.
 const LONGEST_LOAD: Duration = Duration::from_millis(600);
@@ -88,3 +94,31 @@
         self.cold = self.cold.mul_f64(SHORTER).max(FIRST_COLD.mul_f64(0.5));
     }
 }
+
+/// How often places for adapters come free.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Turnover {
+    loads: VecDeque<Now>,
+}
+
+impl Turnover {
+    /// Notes that a place was taken for another adapter.
+    pub(super) fn note(&mut self, now: Now) {
+        self.loads.push_back(now);
+        while self
+            .loads
+            .front()
+            .is_some_and(|at| *at + TURNOVER_WINDOW < now)
+        {
+            self.loads.pop_front();
+        }
+    }
+
+    /// Places that come free in a second, of so many.
+    pub(super) fn per_s(&self, places: u32, now: Now) -> f64 {
+        let recent = self.loads.iter().filter(|at| **at + TURNOVER_WINDOW >= now);
+        let seen = recent.count() as f64 / TURNOVER_WINDOW.as_secs_f64();
+        let least = f64::from(places.max(1)) / LONGEST_HOLD.as_secs_f64();
+        seen.max(least)
+    }
+}
--- a/crates/fleet/src/scheduler/placing.rs
+++ b/crates/fleet/src/scheduler/placing.rs
@@ -23,12 +23,12 @@
 /// Loads from the store at full speed, for each engine of the zone; more at
 /// once would only slow each other down.
 const FULL_SPEED_LOADS: f64 = 0.67;
-/// Time after which the next place for an adapter comes free at an engine that
-/// has none: the time of a call over the number of places.
-const PLACE_WAIT: Duration = Duration::from_millis(120);
 /// Prompt tokens a millisecond by which it is judged whether a call can start
 /// in time.
 const USUAL_RATE: f64 = 14.0;
+/// Wait of a late call, in times of the wait for the queue ahead of it: while
+/// the zone is overloaded, as many new calls go ahead as there were.
+const LATE_FACTOR: u32 = 2;
 /// Expected wait of a call that no engine can take now.
 const UNPLACED_WAIT: Duration = Duration::from_millis(1_000);
 /// Share of the time left that a caller is asked to wait at most; callers wait
@@ -53,12 +53,22 @@
 enum Need {
     /// Nothing.
     Nothing,
-    /// The load under way has to end, or a place to come free.
+    /// The load under way has to end.
     Wait,
+    /// A place for the adapter has to come free.
+    Place,
     /// The adapter has to be loaded, into the place of another if named.
     Load { evict: Option<AdapterKey> },
 }
 
+/// Place in the queue; the lowest goes first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Rank {
+    /// Whether it can't start in time any more.
+    late: bool,
+    priority: u8,
+}
+
 /// What became of a waiting call in one round.
 enum Placing {
     /// It is sent.
@@ -67,16 +77,8 @@
     Waits(Duration),
 }
 
-/// Calls given to an engine in one round but not granted.
-#[derive(Clone, Debug, Default)]
-struct Planned {
-    tokens: f64,
-    /// Adapters that wait for a place.
-    places: BTreeSet<AdapterKey>,
-}
-
-/// Plans by engine.
-type Plans = BTreeMap<InstanceId, Planned>;
+/// Prompt tokens given to each engine in one round but not granted.
+type Plans = BTreeMap<InstanceId, f64>;
 
 /// What is worked out once for all calls that are placed at one time, because
 /// a zone has many engines and many calls wait.
@@ -85,6 +87,10 @@
     plans: Plans,
     /// Adapters that calls wait for.
     wanted: BTreeSet<AdapterKey>,
+    /// Adapters that wait for a place, of the calls looked at so far.
+    placeless: BTreeSet<AdapterKey>,
+    /// Places for adapters that come free in a second.
+    turnover: f64,
     /// Adapters on their way to all engines.
     arriving: usize,
     /// The adapter that each engine would evict next.
@@ -100,16 +106,39 @@
 
     fn expected(&self, waiting: &Waiting, now: Now) -> Duration {
         let rank = waiting.rank(now);
-        let ahead = self.queue.iter().filter(|w| w.rank(now) <= rank);
-        let ahead = ahead.map(|w| f64::from(w.ask.tokens)).sum();
-        let mut round = self.round();
-        self.plan_evenly(ahead, &mut round.plans, now);
+        let wait = self.wait_behind(rank, waiting, now);
+        let late = Rank { late: true, ..rank };
+        if rank.late || now + wait > waiting.ask.objective {
+            let wait = self.wait_behind(late, waiting, now);
+            late_wait(wait, waiting, now)
+        } else {
+            wait
+        }
+    }
+
+    /// Expected wait behind the calls that wait with this rank or a better one.
+    fn wait_behind(&self, rank: Rank, waiting: &Waiting, now: Now) -> Duration {
+        let mut round = self.round(now);
+        let mut tokens = 0.0;
+        for ahead in self.queue.iter().filter(|w| w.rank(now) <= rank) {
+            tokens += f64::from(ahead.ask.tokens);
+            round
+                .placeless
+                .extend(ahead.key.clone().filter(|_| ahead.placeless));
+        }
+        self.plan_evenly(tokens, &mut round.plans, now);
         let choice = self.best(waiting, &mut round, now);
         choice.map_or(UNPLACED_WAIT, |c| c.wait)
     }
 
-    fn round(&self) -> Round {
+    fn round(&self, now: Now) -> Round {
+        let places = self.engines.values().filter(|e| e.usable(now));
+        let places = places.filter_map(|e| self.specs.get(&e.service));
         Round {
+            placeless: BTreeSet::new(),
+            turnover: self
+                .turnover
+                .per_s(places.map(|s| s.adapter_slots).sum(), now),
             plans: Plans::new(),
             wanted: self.queue.iter().filter_map(|w| w.key.clone()).collect(),
             arriving: self.engines.values().map(Engine::arriving).sum(),
@@ -141,12 +170,16 @@
         for engine in self.engines.values_mut() {
             engine.settle(now);
         }
-        let mut round = self.round();
+        let mut round = self.round(now);
         let mut queue = std::mem::take(&mut self.queue);
         queue.sort_by_key(|w| (w.rank(now), w.serial));
         let mut actions = Vec::new();
-        for waiting in queue {
-            match self.place(&waiting, &mut round, now) {
+        for mut waiting in queue {
+            let placing = match self.place(&mut waiting, &mut round, now) {
+                Placing::Waits(wait) => Placing::Waits(late_wait(wait, &waiting, now)),
+                granted @ Placing::Granted(_) => granted,
+            };
+            match placing {
                 Placing::Granted(grant) => actions.push(Action::Grant(grant)),
                 Placing::Waits(wait) if now + wait < waiting.ask.deadline => {
                     self.queue.push(waiting);
@@ -160,7 +193,7 @@
         actions
     }
 
-    fn place(&mut self, waiting: &Waiting, round: &mut Round, now: Now) -> Placing {
+    fn place(&mut self, waiting: &mut Waiting, round: &mut Round, now: Now) -> Placing {
         let Some(choice) = self.best(waiting, round, now) else {
             return Placing::Waits(UNPLACED_WAIT);
         };
@@ -180,17 +213,18 @@
             Need::Load { evict } if engine.orders_seen.is_some() => {
                 if let Some(key) = &waiting.key {
                     engine.order_load(key, version, evict.clone(), now);
+                    self.turnover.note(now);
                     round.arriving += 1;
                     round.victims.remove(&choice.engine);
                 }
             }
-            Need::Nothing | Need::Wait | Need::Load { .. } => {}
-        }
-        let plan = round.plans.entry(choice.engine).or_default();
-        plan.tokens += f64::from(waiting.ask.tokens);
-        if let (Need::Wait, Some(key)) = (choice.need, &waiting.key) {
-            plan.places.insert(key.clone());
+            Need::Nothing | Need::Wait | Need::Place | Need::Load { .. } => {}
         }
+        *round.plans.entry(choice.engine).or_default() += f64::from(waiting.ask.tokens);
+        waiting.placeless = choice.need == Need::Place;
+        round
+            .placeless
+            .extend(waiting.key.clone().filter(|_| waiting.placeless));
         Placing::Waits(choice.wait)
     }
 
@@ -215,7 +249,7 @@
         adapter_slots: u32,
         now: Now,
     ) -> Option<Choice> {
-        let ahead = round.plans.get(&engine.id).map_or(0.0, |p| p.tokens);
+        let ahead = round.plans.get(&engine.id).copied().unwrap_or(0.0);
         let reading = millis((ahead + f64::from(waiting.ask.tokens)) / engine.rate());
         let Some(key) = &waiting.key else {
             let wait = engine.wait() + reading;
@@ -263,10 +297,10 @@
                     return Some((Need::Load { evict }, load));
                 }
             }
-            let plan = round.plans.get(&engine.id);
-            let others = plan.map_or(0, |p| p.places.iter().filter(|k| *k != key).count());
-            let turns = u32::try_from(others + 1).unwrap_or(u32::MAX);
-            return Some((Need::Wait, PLACE_WAIT.saturating_mul(turns) + load));
+            let counted = usize::from(round.placeless.contains(key));
+            let others = round.placeless.len() - counted;
+            let turns = (others + 1) as f64 / round.turnover;
+            return Some((Need::Place, millis(turns * 1e3) + load));
         };
         match copy.state {
             CopyState::Held if !copy.is_stale(version) => Some((Need::Nothing, Duration::ZERO)),
@@ -328,8 +362,7 @@
             }
         }
         for engine in usable.iter().take_while(|e| busy(e) < level) {
-            let plan = plans.entry(engine.id.clone()).or_default();
-            plan.tokens += (level - busy(engine)) * engine.rate();
+            *plans.entry(engine.id.clone()).or_default() += (level - busy(engine)) * engine.rate();
         }
     }
 }
@@ -345,6 +378,7 @@
                 .into(),
             key,
             ask,
+            placeless: false,
             serial,
         }
     }
@@ -352,9 +386,12 @@
     /// Order in which calls are served: those that can still start in time come
     /// first, because a late answer is worth little and an engine's time as
     /// much for it as for one in time; then by priority.
-    fn rank(&self, now: Now) -> (bool, u8) {
+    fn rank(&self, now: Now) -> Rank {
         let soonest = now + millis(f64::from(self.ask.tokens) / USUAL_RATE);
-        (soonest > self.ask.objective, self.ask.priority)
+        Rank {
+            late: soonest > self.ask.objective,
+            priority: self.ask.priority,
+        }
     }
 }
 
@@ -398,6 +435,16 @@
     }
 }
 
+/// Wait of a call that comes too late to be in time. Calls that arrive while it
+/// waits go first, so that it waits longer than the queue ahead of it says.
+fn late_wait(wait: Duration, waiting: &Waiting, now: Now) -> Duration {
+    if now + wait > waiting.ask.objective {
+        wait * LATE_FACTOR
+    } else {
+        wait
+    }
+}
+
 fn home_bias(key: &str, engine: &str) -> f64 {
     let weight = rendezvous::weight(key, engine) as f64 / u64::MAX as f64;
     HOME_BIAS_MS * (1.0 - weight)
--- a/crates/fleet/tests/scheduler/decisions.rs
+++ b/crates/fleet/tests/scheduler/decisions.rs
@@ -65,6 +65,31 @@
     );
 }
 
+/// Calls that were sent together are rejected together; they tell one thing.
+#[test]
+fn calls_rejected_for_one_late_load_make_later_loads_hardly_longer() {
+    let mut scheduler = with_engine(&[]);
+    for n in 0..40 {
+        let mut short = ask(&format!("c{n}"), "a", ms(0));
+        short.tokens = 10;
+        scheduler.ask(short, ms(0));
+    }
+    scheduler.poll(ms(0));
+    scheduler.on_order_answer("e1", OrderAnswer::Accepted, ms(0));
+    let sent = scheduler.poll(ms(300));
+    let granted = grants(&sent);
+    assert!(granted.len() > 1);
+    for grant in &granted {
+        let rejected = Progress::Rejected(Rejection::Missing);
+        scheduler.progress(&grant.call, rejected, ms(301));
+    }
+    asked(&mut scheduler, "other", "b", ms(310));
+    scheduler.on_order_answer("e1", OrderAnswer::Accepted, ms(310));
+    let sent = scheduler.poll(ms(610));
+    let calls = grants(&sent);
+    assert!(calls.iter().any(|g| &*g.call == "other"), "{calls:?}");
+}
+
 struct EvictionCase {
     /// What the engine answers to the eviction.
     answer: OrderAnswer,
@@ -256,14 +281,15 @@
     let mut scheduler = with_engine(&["a", "b", "c", "d", "e"]);
     asked(&mut scheduler, "c1", "a", ms(1));
     scheduler.withdraw("c1", ms(2));
-    assert_eq!(scheduler.under_way(), (0, 0));
+    assert_eq!(scheduler.under_way().running, 0);
+    assert_eq!(scheduler.under_way().arriving, 0);
 }
 
 #[test]
 fn calls_of_a_lost_node_are_forgotten_after_their_deadline() {
     let mut scheduler = with_engine(&["a"]);
     asked(&mut scheduler, "c1", "a", ms(1));
-    assert_eq!(scheduler.under_way().0, 1);
+    assert_eq!(scheduler.under_way().running, 1);
     scheduler.poll(ms(6_000));
-    assert_eq!(scheduler.under_way().0, 0);
+    assert_eq!(scheduler.under_way().running, 0);
 }
--- a/crates/fleet/tests/scheduler/load_patterns.rs
+++ b/crates/fleet/tests/scheduler/load_patterns.rs
@@ -123,6 +123,17 @@
     assert!(tally.refused > 0, "{tally:?}");
 }
 
+#[test]
+fn a_flash_of_more_rare_adapters_than_places_is_refused_without_being_held() {
+    let flash = Stretch {
+        rare: true,
+        ..steady(8_000, 50)
+    };
+    let tally = play(&[steady(3_000, 10), flash], None);
+    assert!(tally.refused > tally.asked / 5, "{tally:?}");
+    assert!(tally.refused_late < tally.refused / 6, "{tally:?}");
+}
+
 #[test]
 fn thirty_engines_without_any_adapter_are_filled_while_callers_wait() {
     let tally = play_on(30, &[steady(8_000, 150)], None);
--- a/crates/fleet/tests/scheduler/zone.rs
+++ b/crates/fleet/tests/scheduler/zone.rs
@@ -17,6 +17,8 @@
 /// Time of an answer after its first token.
 const ANSWER_MS: u64 = 350;
 const STEP_MS: u64 = 5;
+/// Time in the queue after which a refusal counts as late.
+const HELD_MS: u64 = 1_000;
 
 #[derive(Debug, Default)]
 struct Engine {
@@ -44,6 +46,8 @@
     pub(crate) in_time: u32,
     pub(crate) late: u32,
     pub(crate) refused: u32,
+    /// Of these, after having been held for more than a second.
+    pub(crate) refused_late: u32,
     pub(crate) cold_loads: u32,
     pub(crate) early: u32,
 }
@@ -55,6 +59,7 @@
     now: Now,
     engines: BTreeMap<Box<str>, Engine>,
     asks: BTreeMap<Box<str>, Ask>,
+    asked_at: BTreeMap<Box<str>, Now>,
     runs: BTreeMap<Box<str>, Run>,
 }
 
@@ -66,6 +71,7 @@
             now: Now::ZERO,
             engines: BTreeMap::new(),
             asks: BTreeMap::new(),
+            asked_at: BTreeMap::new(),
             runs: BTreeMap::new(),
         };
         for n in 0..engines {
@@ -92,6 +98,7 @@
         self.tally.asked += 1;
         let call = ask.call.clone();
         self.asks.insert(call.clone(), ask.clone());
+        self.asked_at.insert(call.clone(), self.now);
         if self.scheduler.ask(ask, self.now).is_some() {
             self.asks.remove(&call);
             self.tally.refused += 1;
@@ -168,6 +175,9 @@
             Action::Refuse(refusal) => {
                 self.asks.remove(&refusal.call);
                 self.tally.refused += 1;
+                if now > self.asked_at[&refusal.call] + ms(HELD_MS) {
+                    self.tally.refused_late += 1;
+                }
             }
             Action::Order(order) => {
                 let engine = self.engines.get_mut(&order.instance).expect("known");
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -348,12 +348,15 @@
         let waiting = term.scheduler.waiting();
         self.parts.metrics.waiting(waiting);
         if waiting > 0 {
-            let (running, arriving) = term.scheduler.under_way();
+            let under_way = term.scheduler.under_way();
             tracing::info!(
                 event = "zone_load",
                 waiting,
-                running,
-                arriving,
+                placeless = under_way.placeless,
+                running = under_way.running,
+                ordered = under_way.ordered,
+                arriving = under_way.arriving,
+                load_ms = under_way.load_time.as_millis() as u64,
                 engines = outlook.engines,
                 free_places = outlook.free_places,
                 wait_ms = outlook.wait.as_millis() as u64
