CLI: `reedford fleet` shows what the platform's store holds of a fleet

Operators had no command for the users' platform. It prints the configuration in force with its revision, nodes and coordinator of each zone, instances with state and adapters, and keys that can't be read. Test: the_store_shows_an_operator_the_fleet (a node against the stand-in).

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,7 +28,9 @@
 mod settings;
 mod state;
 mod sync;
+mod view;
 
 pub use daemon::{Node, run};
 pub use settings::GatewaySettings;
 pub use sync::Stores;
+pub use view::{ConfigurationView, FleetView};
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -24,7 +24,7 @@
 /// Keys of the coordinators, by zone.
 pub(crate) const ZONES: &str = "reedford/zones/";
 /// Keys of all nodes, by name.
-const NODES: &str = "reedford/nodes/";
+pub(crate) const NODES: &str = "reedford/nodes/";
 /// Time to live of a node's registration, which only counts the nodes.
 const NODE_LEASE: Duration = Duration::from_secs(9);
 /// Pause between two renewals of it.
@@ -46,9 +46,9 @@
 
 /// What a node writes about itself.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-struct NodeRecord {
-    node: Box<str>,
-    zone: ZoneId,
+pub(crate) struct NodeRecord {
+    pub(crate) node: Box<str>,
+    pub(crate) zone: ZoneId,
     incarnation: u64,
     addr: SocketAddr,
 }
--- /dev/null
+++ b/crates/gateway/src/view.rs
@@ -0,0 +1,166 @@
+//! What the platform's store tells an operator of a fleet.
+
+use crate::membership::{NODES, NodeRecord, ZONES};
+use crate::ports::{Dialect, StoredItem};
+use reedford_fleet::directory::Instance;
+use reedford_fleet::{ServiceName, ZoneId};
+use reedford_store::{Entry, KeyValue, KvError};
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// A fleet as the store holds it at one moment.
+#[derive(Clone, Debug, Default)]
+pub struct FleetView {
+    /// Revision of the store.
+    pub revision: i64,
+    /// The configuration in force.
+    pub configuration: Option<ConfigurationView>,
+    /// Adapters of which a version was named.
+    pub named_versions: usize,
+    /// Coordinators by availability zone, with their fencing numbers.
+    pub coordinators: BTreeMap<ZoneId, (Box<str>, i64)>,
+    /// Nodes by availability zone.
+    pub nodes: BTreeMap<ZoneId, Vec<Box<str>>>,
+    /// Instances by service.
+    pub instances: BTreeMap<ServiceName, Vec<Instance>>,
+    /// Keys whose values can't be read, with the reason.
+    pub unreadable: Vec<(Box<str>, Box<str>)>,
+}
+
+/// A configuration in short.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ConfigurationView {
+    /// Its version.
+    pub version: u64,
+    /// Revision of the store that it was written at.
+    pub revision: i64,
+    /// Number of routes.
+    pub routes: usize,
+    /// Number of services.
+    pub services: usize,
+}
+
+impl FleetView {
+    /// Reads a fleet from the store.
+    ///
+    /// # Errors
+    /// When the store does not answer.
+    pub async fn read<D, K>(dialect: &D, kv: &K) -> Result<Self, KvError>
+    where
+        D: Dialect,
+        K: KeyValue,
+    {
+        let mut view = Self::default();
+        for prefix in [dialect.operator_prefix(), dialect.instance_prefix()] {
+            let listing = kv.list(prefix).await?;
+            view.revision = listing.revision;
+            for entry in listing.entries {
+                view.take_stored(dialect, &entry);
+            }
+        }
+        for entry in kv.list(ZONES).await?.entries {
+            view.take_coordinator(&entry);
+        }
+        for entry in kv.list(NODES).await?.entries {
+            view.take_node(&entry);
+        }
+        Ok(view)
+    }
+
+    fn take_stored<D>(&mut self, dialect: &D, entry: &Entry)
+    where
+        D: Dialect,
+    {
+        match dialect.stored(&entry.key, &entry.value) {
+            Ok(StoredItem::Configuration(config)) => {
+                self.configuration = Some(ConfigurationView {
+                    version: config.version,
+                    revision: entry.revision,
+                    routes: config.routes.len(),
+                    services: config.services.len(),
+                });
+            }
+            Ok(StoredItem::AdapterVersion { .. }) => self.named_versions += 1,
+            Ok(StoredItem::Instance(instance)) => {
+                let service = instance.service.clone();
+                self.instances.entry(service).or_default().push(instance);
+            }
+            Err(error) => self.unreadable.push((entry.key.clone(), error)),
+        }
+    }
+
+    fn take_coordinator(&mut self, entry: &Entry) {
+        let zone = entry.key.strip_prefix(ZONES).unwrap_or(&entry.key);
+        match serde_json::from_slice::<NodeRecord>(&entry.value) {
+            Ok(record) => {
+                let named = (record.node, entry.revision);
+                self.coordinators.insert(zone.into(), named);
+            }
+            Err(error) => self.unreadable(entry, &error),
+        }
+    }
+
+    fn take_node(&mut self, entry: &Entry) {
+        match serde_json::from_slice::<NodeRecord>(&entry.value) {
+            Ok(record) => {
+                let nodes = self.nodes.entry(record.zone).or_default();
+                nodes.push(record.node);
+            }
+            Err(error) => self.unreadable(entry, &error),
+        }
+    }
+
+    fn unreadable(&mut self, entry: &Entry, error: &serde_json::Error) {
+        let reason = error.to_string().into();
+        self.unreadable.push((entry.key.clone(), reason));
+    }
+}
+
+impl fmt::Display for FleetView {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.configuration {
+            Some(c) => writeln!(
+                f,
+                "configuration version={} revision={} routes={} services={} store_revision={}",
+                c.version, c.revision, c.routes, c.services, self.revision
+            )?,
+            None => writeln!(f, "no configuration")?,
+        }
+        writeln!(f, "adapters with a named version: {}", self.named_versions)?;
+        for (zone, nodes) in &self.nodes {
+            let coordinator = match self.coordinators.get(zone) {
+                Some((node, fence)) => format!("{node} fence={fence}"),
+                None => "none".to_owned(),
+            };
+            writeln!(
+                f,
+                "zone={zone} nodes={} coordinator={coordinator}",
+                nodes.len()
+            )?;
+        }
+        for (service, instances) in &self.instances {
+            for instance in instances {
+                write_instance(f, service, instance)?;
+            }
+        }
+        for (key, reason) in &self.unreadable {
+            writeln!(f, "unreadable key={key} reason={reason:?}")?;
+        }
+        Ok(())
+    }
+}
+
+fn write_instance(f: &mut fmt::Formatter<'_>, service: &str, instance: &Instance) -> fmt::Result {
+    write!(
+        f,
+        "service={service} instance={} zone={} addr={} state={:?}",
+        instance.id, instance.zone, instance.addr, instance.state
+    )?;
+    for model in &instance.models {
+        write!(f, " {}=", model.name)?;
+        let adapters = model.adapters.iter();
+        let named: Vec<String> = adapters.map(|(name, v)| format!("{name}@{v}")).collect();
+        write!(f, "[{}]", named.join(","))?;
+    }
+    writeln!(f)
+}
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -1,6 +1,7 @@
 //! The commands, one module each.
 
 mod adapters;
+mod fleet;
 mod gateway;
 mod rules;
 mod serve;
@@ -17,6 +18,7 @@
 pub(crate) fn run(command: ReedfordCmd) -> eyre::Result<Outcome> {
     match command {
         ReedfordCmd::Adapters(flags) => block_on(adapters::run(flags)),
+        ReedfordCmd::Fleet(flags) => block_on(fleet::run(flags)),
         ReedfordCmd::Gateway(flags) => gateway::run(&flags),
         ReedfordCmd::Rules(flags) => rules::run(flags.subcommand),
         ReedfordCmd::Serve(flags) => serve::run(&flags),
--- a/src/flags.rs
+++ b/src/flags.rs
@@ -21,6 +21,11 @@
             /// Only checks the settings.
             optional --check
         }
+        /// Shows what the users' platform's store holds of a fleet.
+        cmd fleet {
+            /// Addresses of the platform's store, IP:PORT,...
+            required --platform addresses: Addresses
+        }
         /// The rules file.
         cmd rules {
             /// Reports all faults of a file.
