Nodes without the store learn of the coordinator from others, and say so when cut off

The successor claimed up to 0.6 s after the lease's end, because a vacancy was looked at every 0.4 s only.

Change: a node that is not the coordinator names the one it knows, and a coordinator in doubt takes the name from those it asks; only a later holder than known counts. A vacancy wakes the claim. A node that hears neither the store nor another node for 1.2 s is not ready and refuses at once what it can't place, so that callers ask another node while they have time.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,10 +14,12 @@
 //! | [`budget`] | whether a call may be sent once more |
 //! | [`health`] | which instances are left out after failures |
 //! | [`ownership`] | whether this node orders loads for its availability zone |
+//! | [`contact`] | whether this node is cut off |
 //! | [`zones`] | which availability zone places a call |
 
 pub mod budget;
 pub mod config;
+pub mod contact;
 pub mod directory;
 pub mod health;
 pub mod ownership;
--- a/crates/fleet/src/ownership.rs
+++ b/crates/fleet/src/ownership.rs
@@ -16,6 +16,7 @@
 //! have seen, so that an order that was under way all the while is harmless.
 
 use crate::{InstanceId, Now};
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -48,13 +49,13 @@
 /// A node that has nobody to ask is alone in its zone.
 #[must_use]
 pub fn vouch(words: &[StoreWord]) -> bool {
-    let heard = words.iter().any(|w| *w == StoreWord::Silent);
-    let refuted = words.iter().any(|w| *w == StoreWord::Answers);
+    let heard = words.contains(&StoreWord::Silent);
+    let refuted = words.contains(&StoreWord::Answers);
     words.is_empty() || (heard && !refuted)
 }
 
 /// A coordinator as the store names it.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Holder {
     /// The node.
     pub node: InstanceId,
@@ -130,6 +131,12 @@
         }
     }
 
+    /// Time from a vacancy to this node's claim.
+    #[must_use]
+    pub const fn patience(&self) -> Duration {
+        self.patience
+    }
+
     /// Gives the role up, because this node stops.
     pub fn give_up(&mut self) {
         if self.held().is_some() {
@@ -149,6 +156,18 @@
         }
     }
 
+    /// Takes another node's word on the holder. Only a later one than known
+    /// counts: the other node may not know yet that this one is gone.
+    pub fn on_told(&mut self, holder: Holder) {
+        let later = self
+            .holder
+            .as_ref()
+            .is_none_or(|known| holder.fence > known.fence);
+        if later {
+            self.on_holder(holder);
+        }
+    }
+
     /// Takes word that the store names nobody.
     pub fn on_vacant(&mut self, now: Now) {
         if self.vacant_since.is_none() {
--- a/crates/fleet/tests/ownership.rs
+++ b/crates/fleet/tests/ownership.rs
@@ -126,3 +126,20 @@
     role.on_holder(holder("third", 1, 6));
     assert_eq!(role.holder().map(|h| &*h.node), Some("third"));
 }
+
+#[test]
+fn a_later_holder_is_learned_from_another_node() {
+    let mut role = leader();
+    role.on_told(holder("third", 1, 6));
+    assert!(!role.leads(ms(200)));
+    assert_eq!(role.holder().map(|h| &*h.node), Some("third"));
+}
+
+#[test]
+fn another_node_that_does_not_know_of_a_vacancy_does_not_end_it() {
+    let mut role = role();
+    role.on_holder(holder("other", 1, 5));
+    role.on_vacant(ms(0));
+    role.on_told(holder("other", 1, 5));
+    assert!(role.should_claim(ms(100)));
+}
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -285,7 +285,7 @@
         let leads = self.leads(now);
         let passed_on = req.passed_on;
         let Some(term) = self.term.as_mut().filter(|_| leads) else {
-            answer(reply, PlaceAnswer::NotCoordinator);
+            answer(reply, self.not_coordinator());
             return;
         };
         let ask = req.clone().into_ask(now);
@@ -380,9 +380,13 @@
 
     fn refuse_waiting(&mut self) {
         for (_, reply) in std::mem::take(&mut self.replies) {
-            answer(reply, PlaceAnswer::NotCoordinator);
+            answer(reply, self.not_coordinator());
         }
     }
+
+    fn not_coordinator(&self) -> PlaceAnswer {
+        PlaceAnswer::NotCoordinator(self.parts.shared.lock().role.holder().cloned())
+    }
 }
 
 /// Sends an answer to whoever still waits for it.
--- a/crates/gateway/src/coordinator/commands.rs
+++ b/crates/gateway/src/coordinator/commands.rs
@@ -76,7 +76,7 @@
         };
         let (reply, rx) = oneshot::channel();
         self.send(Command::Place { req, reply });
-        let answer = rx.await.unwrap_or(PlaceAnswer::NotCoordinator);
+        let answer = rx.await.unwrap_or(PlaceAnswer::NotCoordinator(None));
         asked.call = None;
         answer
     }
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -94,7 +94,7 @@
                     }
                 }
             }
-            stop.run_until_cancelled(sleep(LOOK)).await;
+            stop.run_until_cancelled(self.pause()).await;
         }
         for lease in [role.lease, node.lease].into_iter().flatten() {
             if let Err(error) = self.kv.lease_revoke(lease.id).await {
@@ -103,6 +103,15 @@
         }
     }
 
+    /// Waits for the next look, which a vacancy brings forward.
+    async fn pause(&self) {
+        let vacant = self.shared.role_vacant.notified();
+        if timeout(LOOK, vacant).await.is_ok() {
+            let patience = self.shared.lock().role.patience();
+            sleep(patience).await;
+        }
+    }
+
     /// Renews what is due, and claims the role when it is vacant.
     async fn keep(&mut self, node: &mut Held, role: &mut Held) -> Result<(), KvError> {
         self.keep_role(role).await?;
@@ -160,28 +169,34 @@
         let first = rand::random_range(0..count.max(1));
         let asked = self.colleagues.iter().cycle().skip(first);
         let words = asked.take(count.min(ASKED)).map(|addr| self.ask(*addr));
-        let words = join_all(words).await;
+        let answers = join_all(words).await;
         let now = self.shared.now();
+        let words: Vec<StoreWord> = answers.iter().map(|(word, _)| *word).collect();
         let mut state = self.shared.lock();
         state.role.on_words(&words, now);
+        for (_, holder) in answers {
+            holder.into_iter().for_each(|h| state.role.on_told(h));
+        }
         let leads = state.role.leads(now);
         drop(state);
+        self.commands.send(Command::Refresh);
         tracing::info!(event = "role_in_doubt", zone = %self.cfg.zone, words = ?words, leads);
     }
 
-    async fn ask(&self, addr: SocketAddr) -> StoreWord {
-        let answers = self
+    /// Asks another node whether the store answers it, and who coordinates.
+    async fn ask(&self, addr: SocketAddr) -> (StoreWord, Option<Holder>) {
+        let view = self
             .peers
             .call(addr, ASK_TIMEOUT, |peer, cx| async move {
-                peer.store_answers(cx).await
+                peer.store_view(cx).await
             })
             .await;
-        match answers {
-            Ok(true) => StoreWord::Answers,
-            Ok(false) => StoreWord::Silent,
+        match view {
+            Ok(view) if view.answers => (StoreWord::Answers, view.holder),
+            Ok(view) => (StoreWord::Silent, view.holder),
             Err(error) => {
                 tracing::debug!(event = "colleague_silent", %addr, %error);
-                StoreWord::Unreachable
+                (StoreWord::Unreachable, None)
             }
         }
     }
@@ -375,6 +390,7 @@
         tracing::info!(event = "coordinator_gone", zone);
         if zone == &*self.cfg.zone {
             state.role.on_vacant(now);
+            self.shared.role_vacant.notify_one();
         } else {
             state.neighbours.remove(zone);
             state.zone_words.remove(zone);
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -3,6 +3,7 @@
 use crate::feeds::{Feed, FeedAnswer};
 use futures::FutureExt as _;
 use futures::future::BoxFuture;
+use reedford_fleet::ownership::Holder;
 use reedford_fleet::scheduler::{AdapterMark, Ask, CallId, Grant, Progress, Refusal};
 use reedford_fleet::{AdapterName, InstanceId, ModelName, Now, ServiceName, ZoneId};
 use serde::{Deserialize, Serialize};
@@ -45,8 +46,17 @@
         coordinator: SocketAddr,
     },
     Refused(Refusal),
-    /// The node asked is not the coordinator.
-    NotCoordinator,
+    /// The node asked is not the coordinator; it knows of this one.
+    NotCoordinator(Option<Holder>),
+}
+
+/// What a node says of the platform's store.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct StoreView {
+    /// Whether the store answers it.
+    pub(crate) answers: bool,
+    /// The coordinator of its zone, as far as it knows.
+    pub(crate) holder: Option<Holder>,
 }
 
 /// Load of a zone, for the coordinators of the others.
@@ -73,8 +83,8 @@
     /// 0 for everything; `operators` is the newest revision of operators' keys
     /// that the asker knows. Answers within a second.
     async fn news(feed: Feed, after: i64, operators: i64) -> FeedAnswer;
-    /// Whether the platform's store answers this node.
-    async fn store_answers() -> bool;
+    /// Asks whether the platform's store answers the other node.
+    async fn store_view() -> StoreView;
 }
 
 impl PlaceRequest {
--- a/crates/gateway/src/peer_server.rs
+++ b/crates/gateway/src/peer_server.rs
@@ -3,7 +3,9 @@
 use crate::coordinator::{Command, CommandTx};
 use crate::feeds::{Feed, FeedAnswer};
 use crate::membership::ZONES;
-use crate::peer::{Peer, PeerRequest, PeerResponse, PlaceAnswer, PlaceRequest, ZoneLoad};
+use crate::peer::{
+    Peer, PeerRequest, PeerResponse, PlaceAnswer, PlaceRequest, StoreView, ZoneLoad,
+};
 use crate::state::Shared;
 use futures::StreamExt as _;
 use reedford_fleet::scheduler::{CallId, Progress};
@@ -87,6 +89,7 @@
     K: KeyValue + 'static,
 {
     async fn place(self, _: Context, req: PlaceRequest) -> PlaceAnswer {
+        self.shared.lock().contact.on_word();
         self.commands.place(req).await
     }
 
@@ -101,12 +104,16 @@
     }
 
     async fn news(self, _: Context, feed: Feed, after: i64, operators: i64) -> FeedAnswer {
+        self.shared.lock().contact.on_word();
         let clock = || self.shared.now();
         self.shared.feeds.news(feed, after, operators, clock).await
     }
 
-    async fn store_answers(self, _: Context) -> bool {
+    async fn store_view(self, _: Context) -> StoreView {
         let asked = timeout(STORE_TIMEOUT, self.kv.list(ZONES)).await;
-        matches!(asked, Ok(Ok(_)))
+        StoreView {
+            answers: matches!(asked, Ok(Ok(_))),
+            holder: self.shared.lock().role.holder().cloned(),
+        }
     }
 }
--- a/crates/gateway/src/places.rs
+++ b/crates/gateway/src/places.rs
@@ -5,6 +5,7 @@
 use crate::peer::{PeerClients, PlaceAnswer, PlaceRequest};
 use crate::state::{Shared, State};
 use reedford_fleet::directory::{Instance, InstanceState};
+use reedford_fleet::ownership::Holder;
 use reedford_fleet::scheduler::{CallId, Grant, Refusal, RefusalReason};
 use reedford_fleet::spread::Candidate;
 use reedford_fleet::{InstanceId, Now};
@@ -25,6 +26,10 @@
 /// known; claims take about that long.
 const LEADERLESS_RETRY: Duration = Duration::from_millis(700);
 
+/// Time after which a caller is asked to come back, to another node, when this
+/// one is cut off.
+const CUT_OFF_RETRY: Duration = Duration::from_millis(50);
+
 /// Finds places for calls.
 #[derive(Clone, Debug)]
 pub(crate) struct Places {
@@ -64,12 +69,13 @@
                         });
                     }
                     PlaceAnswer::Refused(refusal) => return Err(refusal),
-                    PlaceAnswer::NotCoordinator => {}
+                    PlaceAnswer::NotCoordinator(holder) => self.learn(holder),
                 }
             }
             let now = self.shared.now();
             let waited = now.saturating_sub(started);
-            if waited >= LAST_PLACE_AFTER
+            let cut_off = self.shared.lock().cut_off(now);
+            if (cut_off || waited >= LAST_PLACE_AFTER)
                 && let Some(grant) = self.last_place(call, &sending, avoid)
             {
                 tracing::info!(event = "placed_without_coordinator", id = %call.id,
@@ -79,11 +85,17 @@
                     coordinator: None,
                 });
             }
-            if waited >= LEADERLESS_PATIENCE || call.left(now) < LEADERLESS_PAUSE {
+            // Another node can place the call of a caller that comes back.
+            let (patience, retry_after) = if cut_off {
+                (Duration::ZERO, CUT_OFF_RETRY)
+            } else {
+                (LEADERLESS_PATIENCE, LEADERLESS_RETRY)
+            };
+            if waited >= patience || call.left(now) < LEADERLESS_PAUSE {
                 return Err(Refusal {
                     call: sending,
                     reason: RefusalReason::NoEngine,
-                    retry_after: LEADERLESS_RETRY.min(call.left(now) / 3),
+                    retry_after: retry_after.min(call.left(now) / 3),
                 });
             }
             sleep(LEADERLESS_PAUSE).await;
@@ -111,8 +123,13 @@
             })
             .await;
         match asked {
-            Ok(answer) => Some(answer),
+            Ok(answer) => {
+                self.shared.lock().contact.on_word();
+                Some(answer)
+            }
             Err(error) => {
+                let now = self.shared.now();
+                self.shared.lock().contact.on_failure(now);
                 tracing::info!(event = "coordinator_unreachable", id = %call.id,
                     node = %holder.node, fence = holder.fence, %error);
                 None
@@ -120,6 +137,14 @@
         }
     }
 
+    /// Takes another node's word on who coordinates the zone; this node may
+    /// not reach the store.
+    fn learn(&self, holder: Option<Holder>) {
+        if let Some(holder) = holder {
+            self.shared.lock().role.on_told(holder);
+        }
+    }
+
     fn remember(&self, call: &Call, grant: &Grant) {
         let Some(key) = call.adapter() else { return };
         let now = self.shared.now();
--- a/crates/gateway/src/probes.rs
+++ b/crates/gateway/src/probes.rs
@@ -23,7 +23,7 @@
         if req.uri().path() != &*self.path {
             return reply::own(StatusCode::NOT_FOUND, "no such path");
         }
-        if self.shared.lock().ready() {
+        if self.shared.lock().ready(self.shared.now()) {
             reply::own(StatusCode::OK, "ready")
         } else {
             reply::own(StatusCode::SERVICE_UNAVAILABLE, "not ready")
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,6 +7,7 @@
 use crate::feeds::Feeds;
 use reedford_fleet::budget::{RetryBudget, RetryLimits};
 use reedford_fleet::config::RouteTable;
+use reedford_fleet::contact::Contact;
 use reedford_fleet::directory::{Directory, Instance};
 use reedford_fleet::health::Health;
 use reedford_fleet::ownership::Role;
@@ -17,7 +18,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 /// Most adapters whose last place is remembered.
 const PLACES_KEPT: usize = 4_096;
@@ -29,6 +30,8 @@
     pub(crate) feeds: Feeds,
     /// Newest revision of operators' keys that another node told.
     pub(crate) operators_told: watch::Sender<i64>,
+    /// Told when the own zone has no coordinator any more.
+    pub(crate) role_vacant: Notify,
     state: Mutex<State>,
 }
 
@@ -50,6 +53,7 @@
     pub(crate) zone_words: BTreeMap<ZoneId, ZoneWord>,
     /// Where adapters ran last, for times without a coordinator.
     pub(crate) places: BTreeMap<AdapterKey, Place>,
+    pub(crate) contact: Contact,
     pub(crate) stopping: bool,
 }
 
@@ -67,6 +71,7 @@
             clock: Clock::start(),
             feeds: Feeds::default(),
             operators_told: watch::Sender::new(0),
+            role_vacant: Notify::new(),
             state: Mutex::new(State {
                 routes: None,
                 directory: Directory::default(),
@@ -79,6 +84,7 @@
                 neighbours: BTreeMap::new(),
                 zone_words: BTreeMap::new(),
                 places: BTreeMap::new(),
+                contact: Contact::default(),
                 stopping: false,
             }),
         }
@@ -95,8 +101,14 @@
 
 impl State {
     /// Whether the node can serve callers.
-    pub(crate) fn ready(&self) -> bool {
-        self.routes.is_some() && self.listed && !self.stopping
+    pub(crate) fn ready(&self, now: Now) -> bool {
+        self.routes.is_some() && self.listed && !self.stopping && !self.cut_off(now)
+    }
+
+    /// Whether calls can't be placed because this node hears of nobody. A
+    /// coordinator that may go on places them itself.
+    pub(crate) fn cut_off(&self, now: Now) -> bool {
+        self.contact.cut_off(now) && !self.role.leads(now)
     }
 
     /// Remembers where an adapter runs.
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -138,6 +138,8 @@
     }
 
     fn on_store_lost(&self, part: Part<'_>, error: &KvError, lost: &mut bool) {
+        let now = self.shared.now();
+        self.shared.lock().contact.on_failure(now);
         self.metrics.store_failure("watch");
         if let Some(feed) = part.feed {
             self.shared.feeds.on_lost(feed);
@@ -167,6 +169,7 @@
         if std::mem::take(lost) {
             tracing::info!(event = "store_regained", prefix = part.prefix, revision);
         }
+        self.shared.lock().contact.on_word();
         self.publish_listing(part, revision, &entries);
         follower.on_listing(entries);
         follower.on_settled();
@@ -183,6 +186,7 @@
             match next {
                 Some(Ok(changes)) => {
                     seen = seen.max(changes.revision);
+                    self.shared.lock().contact.on_word();
                     self.publish_changes(part, &changes);
                     let any = !changes.changes.is_empty();
                     for change in changes.changes {
@@ -309,6 +313,14 @@
                     peer.news(cx, feed, after, operators).await
                 })
                 .await;
+            {
+                let now = self.shared.now();
+                let mut state = self.shared.lock();
+                match &answer {
+                    Ok(_) => state.contact.on_word(),
+                    Err(_) => state.contact.on_failure(now),
+                }
+            }
             let any = match answer {
                 Ok(FeedAnswer::Listing {
                     revision,
