Feeds: hold questions while the store's history is replaced

Change: a question waits up to 0.25 s for the coordinator to know again; a node follows the store itself for one second.

--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -20,6 +20,9 @@
 const FRESH: Duration = Duration::from_millis(1_300);
 /// Time for which a question waits for a change.
 const HOLD: Duration = Duration::from_millis(600);
+/// Time for which a question waits while the store gives no answer; a cut
+/// history or connection is replaced within it.
+const HOLD_UNKNOWN: Duration = Duration::from_millis(250);
 /// Changes kept for those who ask what is new.
 const LOG_CHANGES: usize = 512;
 
@@ -194,10 +197,12 @@
         let mut changed = std::pin::pin!(changed);
         changed.as_mut().enable();
         let first = self.answer(feed, after, clock());
-        if !first.is_empty_after(operators) {
-            return first;
-        }
-        if timeout(HOLD, changed).await.is_err() {
+        let hold = match &first {
+            FeedAnswer::Unknown => HOLD_UNKNOWN,
+            empty if empty.is_empty_after(operators) => HOLD,
+            _ => return first,
+        };
+        if timeout(hold, changed).await.is_err() {
             tracing::trace!(event = "no_news");
         }
         self.answer(feed, after, clock())
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -35,7 +35,7 @@
 /// less than a second.
 const NEWS_TIMEOUT: Duration = Duration::from_millis(1_300);
 /// Time for which the store is asked after a coordinator gave no answer.
-const DIRECT_TIME: Duration = Duration::from_millis(2_500);
+const DIRECT_TIME: Duration = Duration::from_millis(1_000);
 /// Time for which a watch may lag behind what another node told of operators'
 /// keys before it is given up.
 const OPERATORS_LAG: Duration = Duration::from_millis(200);
