Nodes: send nothing to an instance that they know to have left

Reading the chain showed more: an instance that was removed while a node was between two sources was kept for 2.2 s as if the store had been away, a dropped history counted as an outage, and a coordinator told what it last heard for up to 1.9 s.

Change: a node checks a granted engine against its own directory, tells the coordinator, and asks again. Only a listing after an outage keeps what it does not name. A dropped history is no outage. The last word of the store is passed on for one second, questions wait 0.35 s, watches of coordinators 0.5 s.

Ruled out: load (the chain adds up on an idle machine as well).

Tests: directory (three), which fail before.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -4,7 +4,8 @@
 //! away, entries may lapse although their instances live, and come back within
 //! [`ABSENCE_GRACE`] of its return. An instance that a listing after such a
 //! time no longer names is therefore kept for that long before it counts as
-//! gone. A removal that the store reports as a change is honoured at once.
+//! gone ([`Absence::Lapsed`]). One that is missing from any other listing, or
+//! that the store reports as removed, is gone at once.
 
 use crate::{AdapterName, InstanceId, ModelName, Now, ServiceName, WeightVersion, ZoneId};
 use std::collections::{BTreeMap, BTreeSet};
@@ -15,6 +16,9 @@
 /// name about two seconds for entries to come back.
 pub const ABSENCE_GRACE: Duration = Duration::from_millis(2_200);
 
+/// How long a removal is remembered; other nodes learn of it within seconds.
+const REMOVED_KEPT: Duration = Duration::from_secs(30);
+
 /// Whether an instance takes work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum InstanceState {
@@ -56,6 +60,15 @@
     pub models: Vec<HeldModel>,
 }
 
+/// What it means that a listing does not name an instance.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Absence {
+    /// The instance was removed.
+    Gone,
+    /// The store was away, and its entry may have lapsed meanwhile.
+    Lapsed,
+}
+
 /// What changed for the users of a directory.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum DirectoryChange {
@@ -72,19 +85,31 @@
 pub struct Directory {
     instances: BTreeMap<InstanceId, Instance>,
     missing: BTreeMap<InstanceId, Now>,
+    /// When instances were removed, for a while.
+    removed: BTreeMap<InstanceId, Now>,
 }
 
 impl Directory {
-    /// Takes a whole listing. Instances that it does not name are gone after
-    /// [`ABSENCE_GRACE`]; see [`Self::expire`].
-    pub fn on_listing(&mut self, listed: Vec<Instance>, now: Now) -> Vec<DirectoryChange> {
+    /// Takes a whole listing. Instances that it does not name are gone at once
+    /// or after [`ABSENCE_GRACE`]; see [`Self::expire`].
+    pub fn on_listing(
+        &mut self,
+        listed: Vec<Instance>,
+        absence: Absence,
+        now: Now,
+    ) -> Vec<DirectoryChange> {
         let named: BTreeSet<InstanceId> = listed.iter().map(|i| i.id.clone()).collect();
-        for id in self.instances.keys() {
-            if !named.contains(id) {
-                self.missing.entry(id.clone()).or_insert(now);
+        let unnamed = self.instances.keys().filter(|id| !named.contains(*id));
+        let mut changes = Vec::new();
+        for id in unnamed.cloned().collect::<Vec<_>>() {
+            match absence {
+                Absence::Lapsed => {
+                    self.missing.entry(id).or_insert(now);
+                }
+                Absence::Gone if self.missing.contains_key(&id) => {}
+                Absence::Gone => changes.extend(self.on_removed(&id, now)),
             }
         }
-        let mut changes = Vec::new();
         for instance in listed {
             changes.extend(self.on_entry(instance));
         }
@@ -107,14 +132,16 @@
             }
             _ => Some(DirectoryChange::Started(id.clone())),
         };
+        self.removed.remove(&id);
         self.instances.insert(id, instance);
         change
     }
 
     /// Takes the removal of an entry.
-    pub fn on_removed(&mut self, id: &str) -> Option<DirectoryChange> {
+    pub fn on_removed(&mut self, id: &str, now: Now) -> Option<DirectoryChange> {
         self.missing.remove(id);
         self.instances.remove(id)?;
+        self.removed.insert(id.into(), now);
         Some(DirectoryChange::Gone(id.into()))
     }
 
@@ -126,7 +153,21 @@
             .filter(|(_, since)| now.saturating_sub(**since) >= ABSENCE_GRACE)
             .map(|(id, _)| id.clone())
             .collect();
-        gone.iter().filter_map(|id| self.on_removed(id)).collect()
+        self.removed
+            .retain(|_, at| now.saturating_sub(*at) < REMOVED_KEPT);
+        gone.iter()
+            .filter_map(|id| self.on_removed(id, now))
+            .collect()
+    }
+
+    /// Whether an instance is leaving or was removed. Another node may not know
+    /// yet; an instance that is not known here may be new.
+    #[must_use]
+    pub fn has_left(&self, id: &str) -> bool {
+        match self.instances.get(id) {
+            Some(instance) => instance.state == InstanceState::Leaving,
+            None => self.removed.contains_key(id),
+        }
     }
 
     /// One instance.
--- a/crates/fleet/tests/directory.rs
+++ b/crates/fleet/tests/directory.rs
@@ -2,7 +2,7 @@
 
 use reedford_fleet::Now;
 use reedford_fleet::directory::{
-    ABSENCE_GRACE, Directory, DirectoryChange, Instance, InstanceState,
+    ABSENCE_GRACE, Absence, Directory, DirectoryChange, Instance, InstanceState,
 };
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
@@ -64,7 +64,7 @@
 fn a_removal_counts_at_once() {
     let mut directory = Directory::default();
     directory.on_entry(ready("a", 5));
-    let gone = directory.on_removed("a");
+    let gone = directory.on_removed("a", Now::ZERO);
     assert_eq!(gone, Some(DirectoryChange::Gone("a".into())));
     assert_eq!(directory.ready("s").count(), 0);
 }
@@ -83,8 +83,8 @@
 fn an_entry_lapses_while_the_store_is_away(case: AbsenceCase) {
     let mut directory = Directory::default();
     let start = Duration::from_secs(10);
-    directory.on_listing(vec![ready("a", 5), ready("b", 5)], Now::ZERO);
-    directory.on_listing(vec![ready("b", 5)], start);
+    directory.on_listing(vec![ready("a", 5), ready("b", 5)], Absence::Gone, Now::ZERO);
+    directory.on_listing(vec![ready("b", 5)], Absence::Lapsed, start);
     if case.back {
         directory.on_entry(ready("a", 5));
     }
@@ -92,3 +92,35 @@
     assert_eq!(directory.get("a").is_some(), case.known);
     assert!(directory.get("b").is_some());
 }
+
+#[test]
+fn an_instance_missing_from_a_listing_is_gone_unless_the_store_was_away() {
+    let mut directory = Directory::default();
+    directory.on_listing(vec![ready("a", 5), ready("b", 5)], Absence::Gone, Now::ZERO);
+    let changes = directory.on_listing(vec![ready("b", 5)], Absence::Gone, Now::ZERO);
+    assert_eq!(changes, [DirectoryChange::Gone("a".into())]);
+    assert!(directory.has_left("a"));
+}
+
+#[test]
+fn a_lapsed_entry_keeps_its_time_in_later_listings() {
+    let mut directory = Directory::default();
+    directory.on_listing(vec![ready("a", 5)], Absence::Gone, Now::ZERO);
+    directory.on_listing(Vec::new(), Absence::Lapsed, Now::ZERO);
+    directory.on_listing(Vec::new(), Absence::Gone, ABSENCE_GRACE / 4);
+    assert!(directory.get("a").is_some());
+    directory.expire(ABSENCE_GRACE);
+    assert!(directory.get("a").is_none());
+}
+
+#[test]
+fn an_instance_that_left_is_told_from_an_unknown_one() {
+    let mut directory = Directory::default();
+    directory.on_entry(instance("a", 5, 7_000, InstanceState::Leaving));
+    directory.on_entry(ready("b", 5));
+    directory.on_removed("b", Now::ZERO);
+    assert!(directory.has_left("a") && directory.has_left("b"));
+    assert!(!directory.has_left("new"));
+    directory.on_entry(ready("b", 6));
+    assert!(!directory.has_left("b"), "it started again");
+}
--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -7,6 +7,7 @@
 //! answer asks the store itself.
 
 use reedford_fleet::Now;
+use reedford_fleet::directory::{ABSENCE_GRACE, Absence};
 use reedford_store::{Change, ChangeKind, Entry};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
@@ -16,10 +17,12 @@
 use tokio::time::timeout;
 
 /// Age up to which the last word of the store is passed on. A watch returns
-/// within a second, so that a missing word shows soon.
-const FRESH: Duration = Duration::from_millis(1_300);
+/// within half a second, so that a missing word shows soon. With the times that
+/// questions wait and followers pause, an instance that leaves is known
+/// everywhere within two seconds, the least that a platform allows.
+const FRESH: Duration = Duration::from_millis(1_000);
 /// Time for which a question waits for a change.
-const HOLD: Duration = Duration::from_millis(600);
+const HOLD: Duration = Duration::from_millis(350);
 /// Time for which a question waits while the store gives no answer; a cut
 /// history or connection is replaced within it.
 const HOLD_UNKNOWN: Duration = Duration::from_millis(250);
@@ -61,6 +64,9 @@
     Listing {
         revision: i64,
         items: Vec<FeedItem>,
+        /// Whether the store was away shortly before, so that entries may have
+        /// lapsed.
+        lapsed: bool,
         aside: Aside,
     },
     /// What changed.
@@ -94,6 +100,8 @@
     log_after: i64,
     revision: i64,
     heard: Option<Now>,
+    /// When the store was back after it had been away.
+    back: Option<Now>,
 }
 
 #[derive(Debug)]
@@ -112,11 +120,16 @@
         revision: i64,
         entries: &[Entry],
         essence: F,
+        absence: Absence,
         now: Now,
     ) where
         F: Fn(&[u8]) -> u64,
     {
         let mut state = self.lock();
+        let back = match absence {
+            Absence::Lapsed => Some(now),
+            Absence::Gone => state.by_feed.get(&feed).and_then(|f| f.back),
+        };
         let kept = entries.iter().map(|entry| {
             let kept = Kept {
                 value: String::from_utf8_lossy(&entry.value).into(),
@@ -131,6 +144,7 @@
             log_after: revision,
             revision,
             heard: Some(now),
+            back,
         };
         state.by_feed.insert(feed, new);
         drop(state);
@@ -225,9 +239,11 @@
                 value: Some(kept.value.clone()),
                 revision: kept.revision,
             });
+            let lapsed = |back| now.saturating_sub(back) < ABSENCE_GRACE;
             return FeedAnswer::Listing {
                 revision,
                 items: items.collect(),
+                lapsed: known.back.is_some_and(lapsed),
                 aside,
             };
         }
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -322,11 +322,11 @@
         call: &Call,
         tried: &BTreeSet<InstanceId>,
     ) -> Result<Sending<D>, Refusal> {
-        let sending: CallId = format!("{}/{:08x}", call.id, rand::random::<u32>()).into();
         let asked = self.shared.now();
         let placed = if call.engine {
-            self.places.engine(call, sending, tried).await?
+            self.place_engine(call, tried.clone()).await?
         } else {
+            let sending = sending_id(call);
             self.places
                 .plain(call, sending.clone(), tried)
                 .ok_or(Refusal {
@@ -342,6 +342,29 @@
         Ok(Sending::new(Arc::clone(self), placed, call.engine))
     }
 
+    /// Finds an engine. A coordinator cut off from the store may not know that
+    /// the one it names is leaving.
+    async fn place_engine(
+        self: &Arc<Self>,
+        call: &Call,
+        mut avoid: BTreeSet<InstanceId>,
+    ) -> Result<Placed, Refusal> {
+        loop {
+            let sending = sending_id(call);
+            let placed = self.places.engine(call, sending.clone(), &avoid).await?;
+            let instance = placed.grant.instance.clone();
+            if !self.shared.lock().directory.has_left(&instance) {
+                return Ok(placed);
+            }
+            tracing::info!(event = "place_left", id = %call.id, %instance);
+            if let Some(coordinator) = placed.coordinator {
+                let step = Progress::Rejected(Rejection::Unreachable);
+                self.progress.tell(coordinator, sending, step);
+            }
+            avoid.insert(instance);
+        }
+    }
+
     fn may_repeat(&self, call: &Call, runs: u32, why: &'static str) -> bool {
         why != "deadline"
             && call.route.kind.repeatable()
@@ -472,6 +495,11 @@
     }
 }
 
+/// A new id for one sending of a call.
+fn sending_id(call: &Call) -> CallId {
+    format!("{}/{:08x}", call.id, rand::random::<u32>()).into()
+}
+
 async fn read_body(mut body: Incoming, limit: usize) -> Result<Bytes, StatusCode> {
     let reading = async {
         let mut buf = BytesMut::new();
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -8,6 +8,7 @@
 use crate::state::Shared;
 use crate::sync::Follower;
 use futures::future::join_all;
+use reedford_fleet::directory::Absence;
 use reedford_fleet::ownership::{Holder, StoreWord};
 use reedford_fleet::{Now, ZoneId};
 use reedford_store::{
@@ -399,7 +400,7 @@
 }
 
 impl Follower for Members {
-    fn on_listing(&mut self, entries: Vec<Entry>) {
+    fn on_listing(&mut self, entries: Vec<Entry>, _absence: Absence) {
         let keys: BTreeSet<Box<str>> = entries.iter().map(|e| e.key.clone()).collect();
         for entry in &entries {
             self.on_put(&entry.key, &entry.value, entry.revision);
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -17,6 +17,7 @@
 use instances::Instances;
 use operators::Operators;
 use reedford_fleet::Now;
+use reedford_fleet::directory::Absence;
 use reedford_store::{Change, ChangeKind, Changes, Entry, KeyValue, KvError, Listing};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -32,8 +33,8 @@
 const INSTANCES_PAUSE: Duration = Duration::from_millis(400);
 
 /// Time for the coordinator to answer a question for news, which it holds for
-/// less than a second.
-const NEWS_TIMEOUT: Duration = Duration::from_millis(1_300);
+/// less than half a second.
+const NEWS_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time for which the store is asked after a coordinator gave no answer.
 const DIRECT_TIME: Duration = Duration::from_millis(1_000);
 /// Time for which a watch may lag behind what another node told of operators'
@@ -84,7 +85,7 @@
 /// Takes what a prefix holds.
 pub(crate) trait Follower {
     /// Takes all keys of the prefix.
-    fn on_listing(&mut self, entries: Vec<Entry>);
+    fn on_listing(&mut self, entries: Vec<Entry>, absence: Absence);
     /// Takes one change.
     fn on_change(&mut self, change: Change);
     /// Called after each listing and each group of changes.
@@ -116,6 +117,9 @@
                 match ended {
                     Ended::Switch => {}
                     Ended::Coordinator => direct_until = self.shared.now() + DIRECT_TIME,
+                    Ended::Store(error) if error.is_history_gone() => {
+                        tracing::info!(event = "history_gone", prefix = part.prefix);
+                    }
                     Ended::Store(error) => {
                         self.on_store_lost(part, &error, &mut lost);
                         sleep(RETRY_PAUSE).await;
@@ -166,12 +170,15 @@
             Ok(listing) => listing,
             Err(error) => return Ended::Store(error),
         };
-        if std::mem::take(lost) {
+        let absence = if std::mem::take(lost) {
             tracing::info!(event = "store_regained", prefix = part.prefix, revision);
-        }
+            Absence::Lapsed
+        } else {
+            Absence::Gone
+        };
         self.shared.lock().contact.on_word();
-        self.publish_listing(part, revision, &entries);
-        follower.on_listing(entries);
+        self.publish_listing(part, revision, &entries, absence);
+        follower.on_listing(entries, absence);
         follower.on_settled();
         let mut watch = match kv.watch(part.prefix, revision + 1).await {
             Ok(watch) => watch,
@@ -243,14 +250,14 @@
         }
     }
 
-    fn publish_listing(&self, part: Part<'_>, revision: i64, entries: &[Entry]) {
+    fn publish_listing(&self, part: Part<'_>, revision: i64, entries: &[Entry], absence: Absence) {
         let now = self.shared.now();
         match part.feed {
             Some(feed) => {
                 let essence = |value: &[u8]| self.essence(feed, value);
                 self.shared
                     .feeds
-                    .on_listing(feed, revision, entries, essence, now);
+                    .on_listing(feed, revision, entries, essence, absence, now);
             }
             None => self.shared.feeds.on_operators(newest(entries)),
         }
@@ -325,11 +332,18 @@
                 Ok(FeedAnswer::Listing {
                     revision,
                     items,
+                    lapsed,
                     aside,
                 }) => {
                     after = revision;
                     self.on_aside(aside);
-                    follower.on_listing(items.into_iter().filter_map(entry).collect());
+                    let absence = if lapsed {
+                        Absence::Lapsed
+                    } else {
+                        Absence::Gone
+                    };
+                    let entries = items.into_iter().filter_map(entry).collect();
+                    follower.on_listing(entries, absence);
                     true
                 }
                 Ok(FeedAnswer::Changes {
--- a/crates/gateway/src/sync/instances.rs
+++ b/crates/gateway/src/sync/instances.rs
@@ -3,7 +3,7 @@
 use super::{Follower, Sync};
 use crate::coordinator::Command;
 use crate::ports::{Dialect, StoredItem};
-use reedford_fleet::directory::{DirectoryChange, Instance};
+use reedford_fleet::directory::{Absence, DirectoryChange, Instance};
 use reedford_store::{Change, ChangeKind, Entry};
 
 /// Takes the entries of the instances.
@@ -53,14 +53,14 @@
 where
     D: Dialect,
 {
-    fn on_listing(&mut self, entries: Vec<Entry>) {
+    fn on_listing(&mut self, entries: Vec<Entry>, absence: Absence) {
         let listed = entries
             .iter()
             .filter_map(|entry| self.read(&entry.key, &entry.value))
             .collect();
         let now = self.sync.shared.now();
         let mut state = self.sync.shared.lock();
-        let changes = state.directory.on_listing(listed, now);
+        let changes = state.directory.on_listing(listed, absence, now);
         state.listed = true;
         drop(state);
         self.apply(changes);
@@ -78,7 +78,8 @@
                 let Some(id) = self.sync.dialect.instance_of(&change.key) else {
                     return;
                 };
-                self.sync.shared.lock().directory.on_removed(id)
+                let now = self.sync.shared.now();
+                self.sync.shared.lock().directory.on_removed(id, now)
             }
         };
         self.apply(changed.into_iter().collect());
--- a/crates/gateway/src/sync/operators.rs
+++ b/crates/gateway/src/sync/operators.rs
@@ -4,6 +4,7 @@
 use crate::coordinator::Command;
 use crate::ports::{Dialect, StoredItem};
 use reedford_fleet::config::{Configuration, RouteTable};
+use reedford_fleet::directory::Absence;
 use reedford_fleet::scheduler::AdapterKey;
 use reedford_store::{Change, ChangeKind, Entry};
 use std::sync::Arc;
@@ -61,7 +62,7 @@
 where
     D: Dialect,
 {
-    fn on_listing(&mut self, entries: Vec<Entry>) {
+    fn on_listing(&mut self, entries: Vec<Entry>, _absence: Absence) {
         for entry in entries {
             self.take(&entry.key, &entry.value);
         }
--- a/crates/store/src/kv.rs
+++ b/crates/store/src/kv.rs
@@ -36,6 +36,16 @@
     },
 }
 
+impl KvError {
+    /// Whether a watch failed because its history is no longer kept. The
+    /// service is there and can be listed.
+    #[must_use]
+    pub const fn is_history_gone(&self) -> bool {
+        const GONE: u16 = 410;
+        matches!(self, Self::Rejected { status: GONE, .. })
+    }
+}
+
 /// A key with its value.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Entry {
--- a/src/commands/gateway.rs
+++ b/src/commands/gateway.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 /// Longest wait of a watch whose silence has to show soon.
-const QUICK_WATCH: Duration = Duration::from_millis(800);
+const QUICK_WATCH: Duration = Duration::from_millis(500);
 /// Longest wait of a watch on keys of whose changes another node tells.
 const PATIENT_WATCH: Duration = Duration::from_secs(12);
 
