Nodes: ask a failing store ever more seldom, and watch seldom keys longer

Change: the pause after a failure doubles from 0.1 to 0.9 s and is spread; a node without the role tries its registration every 1.2 s. Coordinators watch the keys of nodes and operators for 2 s at a time; the watch on instances shows that the store answers. Other nodes' watches on operators' keys wait 25 s.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -183,6 +183,7 @@
             dialect: Arc::clone(&dialect),
             stores: Stores {
                 quick: Arc::clone(&stores.quick),
+                steady: stores.steady,
                 patient: stores.patient,
             },
             shared: Arc::clone(&shared),
--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -228,8 +228,10 @@
         let Some(known) = state.by_feed.get(&feed) else {
             return FeedAnswer::Unknown;
         };
-        let fresh = known.heard.is_some_and(|at| now.saturating_sub(at) < FRESH);
-        if !fresh {
+        // A word on any part shows that the store answers.
+        let heard = state.by_feed.values().filter_map(|f| f.heard).max();
+        let fresh = heard.is_some_and(|at| now.saturating_sub(at) < FRESH);
+        if !fresh || known.heard.is_none() {
             return FeedAnswer::Unknown;
         }
         let revision = known.revision;
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -45,6 +45,10 @@
 /// Time for another node to answer; it asks the store itself meanwhile.
 const ASK_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Pause after a failure of a node without the role, whose registration only
+/// counts it.
+const IDLE_RETRY: Duration = Duration::from_millis(1_200);
+
 /// What a node writes about itself.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) struct NodeRecord {
@@ -80,22 +84,26 @@
         let mut node = Held::default();
         let mut role = Held::default();
         let mut lost = false;
+        let mut pause = LOOK;
         while !stop.is_cancelled() {
             match self.keep(&mut node, &mut role).await {
                 Ok(()) if lost => {
                     tracing::info!(event = "leases_regained");
                     lost = false;
+                    pause = LOOK;
                 }
                 Ok(()) => {}
                 Err(error) => {
                     self.metrics.store_failure("lease");
+                    let holds = self.shared.lock().role.held().is_some();
+                    pause = if holds { LOOK } else { IDLE_RETRY };
                     if !lost {
                         tracing::warn!(event = "leases_lost", %error);
                         lost = true;
                     }
                 }
             }
-            stop.run_until_cancelled(self.pause()).await;
+            stop.run_until_cancelled(self.pause(pause)).await;
         }
         for lease in [role.lease, node.lease].into_iter().flatten() {
             if let Err(error) = self.kv.lease_revoke(lease.id).await {
@@ -105,9 +113,9 @@
     }
 
     /// Waits for the next look, which a vacancy brings forward.
-    async fn pause(&self) {
+    async fn pause(&self, longest: Duration) {
         let vacant = self.shared.role_vacant.notified();
-        if timeout(LOOK, vacant).await.is_ok() {
+        if timeout(longest, vacant).await.is_ok() {
             let patience = self.shared.lock().role.patience();
             sleep(patience).await;
         }
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -26,8 +26,12 @@
 use tokio_util::sync::CancellationToken;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Pause before a prefix is listed again after a failure.
+/// Pause before a prefix is listed again after a failure; doubles with each
+/// further one, because every call to the store costs, refused ones too.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Longest such pause; with it a change is still known in less than the two
+/// seconds that platforms allow after the store is back.
+const LONGEST_RETRY_PAUSE: Duration = Duration::from_millis(900);
 /// Pause between two answers of the watch on instances, whose entries change
 /// all the time; it bounds the calls to the store.
 const INSTANCES_PAUSE: Duration = Duration::from_millis(400);
@@ -53,11 +57,13 @@
     pub(crate) own: SocketAddr,
 }
 
-/// Two clients of the store.
+/// Clients of the store that differ in how long their watches wait.
 #[derive(Debug)]
 pub struct Stores<K> {
-    /// Its watches return within a second, so that silence shows soon.
+    /// Its watches return within half a second, so that silence shows soon.
     pub quick: Arc<K>,
+    /// Its watches wait some seconds, for keys that change seldom.
+    pub steady: Arc<K>,
     /// Its watches wait long, for keys of whose changes another node tells.
     pub patient: Arc<K>,
 }
@@ -103,6 +109,7 @@
         F: Follower,
     {
         let mut lost = false;
+        let mut failures = 0;
         let mut direct_until = Now::ZERO;
         let following = async {
             loop {
@@ -110,8 +117,13 @@
                     Some((addr, feed)) => self.follow_node(addr, feed, part, &mut follower).await,
                     None => {
                         let until = direct_until;
-                        self.follow_store(part, &mut follower, &mut lost, until)
-                            .await
+                        let ended = self
+                            .follow_store(part, &mut follower, &mut lost, until)
+                            .await;
+                        if !lost {
+                            failures = 0;
+                        }
+                        ended
                     }
                 };
                 match ended {
@@ -122,7 +134,8 @@
                     }
                     Ended::Store(error) => {
                         self.on_store_lost(part, &error, &mut lost);
-                        sleep(RETRY_PAUSE).await;
+                        sleep(retry_pause(failures)).await;
+                        failures += 1;
                     }
                 }
             }
@@ -218,7 +231,8 @@
         }
     }
 
-    /// The client for a part: the patient one for operators' keys while a
+    /// The client for a part: the quick one for instances, whose watch shows
+    /// that the store answers, and the patient one for operators' keys while a
     /// coordinator tells of their changes.
     fn store(&self, part: Part<'_>) -> &Arc<K> {
         let instances = Part {
@@ -226,10 +240,10 @@
             ..part
         };
         let told = self.source(instances, Now::ZERO).is_some();
-        if part.feed.is_none() && told {
-            &self.stores.patient
-        } else {
-            &self.stores.quick
+        match part.feed {
+            Some(Feed::Instances) => &self.stores.quick,
+            None if told => &self.stores.patient,
+            Some(Feed::Members) | None => &self.stores.steady,
         }
     }
 
@@ -417,6 +431,16 @@
     }
 }
 
+/// Pause after so many failures before; spread, so that nodes don't come back
+/// to the store together.
+fn retry_pause(failures: u32) -> Duration {
+    const SPREAD: std::ops::Range<f64> = 0.75..1.25;
+    let doubled = RETRY_PAUSE * (1 << failures.min(4));
+    doubled
+        .min(LONGEST_RETRY_PAUSE)
+        .mul_f64(rand::random_range(SPREAD))
+}
+
 fn newest(entries: &[Entry]) -> i64 {
     entries.iter().map(|e| e.revision).max().unwrap_or(0)
 }
--- a/src/commands/gateway.rs
+++ b/src/commands/gateway.rs
@@ -12,8 +12,12 @@
 
 /// Longest wait of a watch whose silence has to show soon.
 const QUICK_WATCH: Duration = Duration::from_millis(500);
+/// Longest wait of a watch on keys that change seldom; with the time until its
+/// silence shows, less than the time in touch that a platform asks for before
+/// bounds hold.
+const STEADY_WATCH: Duration = Duration::from_secs(2);
 /// Longest wait of a watch on keys of whose changes another node tells.
-const PATIENT_WATCH: Duration = Duration::from_secs(12);
+const PATIENT_WATCH: Duration = Duration::from_secs(25);
 
 pub(crate) fn run(flags: &Gateway) -> eyre::Result<Outcome> {
     let path = match &flags.config {
@@ -30,6 +34,7 @@
     let store = |watch_wait| Arc::new(PlatformStore::new(&settings.store, watch_wait));
     let stores = Stores {
         quick: store(QUICK_WATCH),
+        steady: store(STEADY_WATCH),
         patient: store(PATIENT_WATCH),
     };
     reedford_gateway::run(settings, PlatformDialect, stores, || reload(&path))?;
