--- /dev/null
+++ b/scripts/soak-mutations.sh
@@ -0,0 +1,45 @@
+#!/usr/bin/env bash
+# Shows that the fault soak catches faults of the product: each fault below is
+# put into a copy of the sources, and the soak has to fail on it.
+#
+#   scripts/soak-mutations.sh [SEEDS] [NAME...]     SEEDS as in SOAK_SEEDS, 1-4 when not given
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+seeds=${1:-1-4}
+shift || true
+copy=$(mktemp -d)
+trap 'rm -rf "$copy"' EXIT
+
+# NAME|FILE|perl substitution
+faults=(
+  'once_only_calls_are_repeated|crates/gateway/src/handler.rs|s/&& call\.route\.kind\.repeatable\(\)\n\s*&& runs < call\.route\.attempts/\&\& runs < 2/'
+  'a_lost_call_is_told_as_not_run|crates/gateway/src/handler.rs|s/reply::own\(StatusCode::BAD_GATEWAY, "the answer was lost"\)/reply::own(StatusCode::SERVICE_UNAVAILABLE, "the answer was lost")/'
+  'answers_of_other_calls_pass|crates/gateway/src/sending.rs|s/\.is_some_and\(\|id\| \*id != call\.id\)/.is_some_and(|_| false)/'
+  'a_cut_stream_ends_cleanly|crates/gateway/src/relay.rs|s/return Some\(\(Err\(Cut\(why\)\), self\)\);/return None;/'
+  'a_resumed_stream_begins_anew|crates/gateway/src/relay.rs|s/let last = self\.last_event\.clone\(\);/let last: Option<Box<str>> = None;/'
+  'a_lost_call_counts_as_not_sent|crates/gateway/src/sending.rs|s/Sent::Lost\(lost_name\(reason\)\)/Sent::NotRun(Rejection::Unreachable)/'
+  'a_vacant_role_is_not_claimed|crates/fleet/src/ownership.rs|s/if now < since \+ wait \|\| now < self\.next_claim/if now < since + wait || self.next_claim > Now::ZERO/'
+  'a_stop_waits_for_nothing_and_hangs|crates/gateway/src/daemon.rs|s/self\.callers\.graceful\.cancel\(\);/self.callers.graceful.is_cancelled();/'
+)
+
+tar --exclude=./target --exclude=./journal --exclude=./.git -cf - . | tar xf - -C "$copy"
+export CARGO_TARGET_DIR=${CARGO_TARGET_DIR:-$PWD/target/mutations}
+missed=0
+for fault in "${faults[@]}"; do
+  IFS='|' read -r name file change <<<"$fault"
+  if [ $# -gt 0 ] && [[ " $* " != *" $name "* ]]; then continue; fi
+  cp "$file" "$copy/$file"
+  perl -0pi -e "$change" "$copy/$file"
+  if cmp -s "$file" "$copy/$file"; then
+    echo "$name: not applied" && missed=1 && continue
+  fi
+  (cd "$copy" && cargo build -q --bin reedford)
+  if out=$(cd "$copy" && SOAK_SEEDS=$seeds cargo test -q -p reedford-platform --test soak 2>&1); then
+    echo "$name: NOT caught with seeds $seeds" && missed=1
+  else
+    echo "$name: caught: $(grep -oE 'seed [0-9]+: .{0,90}|does not (serve again|stop)' <<<"$out" | head -1)"
+  fi
+  cp "$file" "$copy/$file"
+done
+exit $missed
