Nodes: learn the coordinator from any other node; small coordinators yield

Change: a node whose calls find no coordinator asks the coordinators that it knows and some nodes of its zone, without holding a claim up; a holder that engines have outlived is not taken again; a claim ends after 0.6 s; a call without a coordinator goes to an engine whose entry lists its adapter. A coordinator asks a node of twice its cores whether the store answers it, and yields if so; it lets orders land before it ends its lease, also when it stops.

--- a/crates/fleet/src/ownership.rs
+++ b/crates/fleet/src/ownership.rs
@@ -78,6 +78,8 @@
     patience: Duration,
     /// Until when this node may give orders, if it is the holder.
     leads_until: Now,
+    /// Number that a later one is known to exist of.
+    outdated: Fence,
 }
 
 impl Role {
@@ -93,6 +95,7 @@
             next_claim: Now::ZERO,
             patience,
             leads_until: Now::ZERO,
+            outdated: 0,
         }
     }
 
@@ -146,10 +149,11 @@
 
     /// Takes word of a holder; an older one than known is ignored.
     pub fn on_holder(&mut self, holder: Holder) {
-        let newer = self
-            .holder
-            .as_ref()
-            .is_none_or(|known| holder.fence >= known.fence);
+        let newer = holder.fence > self.outdated
+            && self
+                .holder
+                .as_ref()
+                .is_none_or(|known| holder.fence >= known.fence);
         if newer {
             self.holder = Some(holder);
             self.vacant_since = None;
@@ -176,8 +180,9 @@
         }
     }
 
-    /// Takes word that a higher number than this node's exists.
+    /// Takes word that a higher number than this one exists.
     pub fn on_fenced(&mut self, fence: Fence) {
+        self.outdated = self.outdated.max(fence);
         if self.held().is_some_and(|own| own <= fence) {
             self.holder = None;
         }
--- a/crates/fleet/tests/ownership.rs
+++ b/crates/fleet/tests/ownership.rs
@@ -143,3 +143,13 @@
     role.on_told(holder("other", 1, 5));
     assert!(role.should_claim(ms(100)));
 }
+
+#[test]
+fn a_holder_that_engines_have_outlived_is_not_taken_again() {
+    let mut role = leader();
+    role.on_fenced(5);
+    role.on_told(holder("me", 1, 5));
+    assert!(role.holder().is_none());
+    role.on_told(holder("third", 1, 6));
+    assert!(role.holder().is_some());
+}
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -321,7 +321,7 @@
         };
         let state = self.parts.shared.lock();
         let zone = zones::elsewhere(&self.parts.cfg.zone, &state.zone_words, call, now)?;
-        state.neighbours.get(zone).copied()
+        state.neighbours.get(zone).map(|holder| holder.addr)
     }
 
     fn on_zone_load(&self, load: ZoneLoad, now: Now) {
@@ -371,7 +371,7 @@
         };
         let addrs: Vec<SocketAddr> = {
             let state = self.parts.shared.lock();
-            state.neighbours.values().copied().collect()
+            state.neighbours.values().map(|h| h.addr).collect()
         };
         for addr in addrs {
             self.send_load(addr, load.clone());
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -132,7 +132,7 @@
         let metrics = Arc::new(Metrics::new().wrap_err("metrics can't be set up")?);
         let patience = CLAIM_PATIENCE.div_f64(cfg.cores.max(FEWEST_CORES));
         let role = Role::new(cfg.node.clone(), incarnation, patience);
-        let shared = Arc::new(Shared::new(role, cfg.retries));
+        let shared = Arc::new(Shared::new(cfg.zone.clone(), role, cfg.retries));
         let (commands, rx) = queue();
         let background = CancellationToken::new();
         let tasks = TaskTracker::new();
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -19,7 +19,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tokio_util::sync::CancellationToken;
 
 /// Keys of the coordinators, by zone.
@@ -49,15 +49,36 @@
 /// counts it.
 const IDLE_RETRY: Duration = Duration::from_millis(1_200);
 
+/// Time for orders on their way to reach their engines before another node may
+/// claim the role; they take some milliseconds.
+const ORDERS_LAND: Duration = Duration::from_millis(100);
+/// Times the cores from which another node is much larger; a coordinator
+/// decides for its whole zone.
+const MUCH_LARGER: f64 = 2.0;
+/// Pause between two questions for the coordinator.
+const LEARN_PAUSE: Duration = Duration::from_millis(300);
+/// Time for the store to take a claim; it answers in milliseconds, and in some
+/// hundred when it is slow. The watch tells of a claim whose answer was lost.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(600);
+
 /// What a node writes about itself.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) struct NodeRecord {
     pub(crate) node: Box<str>,
     pub(crate) zone: ZoneId,
+    /// Cores that the node may use.
+    cores: f64,
     incarnation: u64,
     addr: SocketAddr,
 }
 
+/// Another node of the zone.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Colleague {
+    addr: SocketAddr,
+    cores: f64,
+}
+
 /// Keeps this node's lease, its registration, and the role of its zone.
 #[derive(Debug)]
 pub(crate) struct Membership<K> {
@@ -69,7 +90,7 @@
     pub(crate) incarnation: u64,
     pub(crate) peers: Arc<PeerClients>,
     /// Other nodes of the zone, as far as a coordinator needs them.
-    pub(crate) colleagues: Vec<SocketAddr>,
+    pub(crate) colleagues: Vec<Colleague>,
     /// When the nodes are counted next.
     pub(crate) next_count: Now,
 }
@@ -105,6 +126,9 @@
             }
             stop.run_until_cancelled(self.pause(pause)).await;
         }
+        if role.lease.is_some() {
+            sleep(ORDERS_LAND).await;
+        }
         for lease in [role.lease, node.lease].into_iter().flatten() {
             if let Err(error) = self.kv.lease_revoke(lease.id).await {
                 tracing::info!(event = "lease_unended", %error);
@@ -112,15 +136,28 @@
         }
     }
 
-    /// Waits for the next look, which a vacancy brings forward.
+    /// Waits for the next look, which a vacancy brings forward. Meanwhile other
+    /// nodes are asked for the coordinator when calls find none.
     async fn pause(&self, longest: Duration) {
-        let vacant = self.shared.role_vacant.notified();
-        if timeout(longest, vacant).await.is_ok() {
-            let patience = self.shared.lock().role.patience();
-            sleep(patience).await;
+        let end = Instant::now() + longest;
+        loop {
+            tokio::select! {
+                () = self.shared.role_vacant.notified() => {
+                    let patience = self.shared.lock().role.patience();
+                    return sleep(patience).await;
+                }
+                () = self.learn_when_asked() => {}
+                () = sleep_until(end) => return,
+            }
         }
     }
 
+    async fn learn_when_asked(&self) {
+        self.shared.no_coordinator.notified().await;
+        self.learn_coordinator().await;
+        sleep(LEARN_PAUSE).await;
+    }
+
     /// Renews what is due, and claims the role when it is vacant.
     async fn keep(&mut self, node: &mut Held, role: &mut Held) -> Result<(), KvError> {
         self.keep_role(role).await?;
@@ -128,7 +165,9 @@
         if self.shared.lock().role.should_claim(now) {
             self.claim(role).await?;
         }
-        self.count_nodes(now).await?;
+        if self.count_nodes(now).await? && self.larger_is_ready().await {
+            self.yield_role(role).await?;
+        }
         if node.lease.is_none() || now >= node.renewed + NODE_RENEWAL {
             if node.lease.is_some() && self.renew(node).await? {
                 return Ok(());
@@ -177,44 +216,101 @@
         let count = self.colleagues.len();
         let first = rand::random_range(0..count.max(1));
         let asked = self.colleagues.iter().cycle().skip(first);
-        let words = asked.take(count.min(ASKED)).map(|addr| self.ask(*addr));
-        let answers = join_all(words).await;
+        let words = asked.take(count.min(ASKED)).map(|c| self.ask(c.addr));
+        let words = join_all(words).await;
         let now = self.shared.now();
-        let words: Vec<StoreWord> = answers.iter().map(|(word, _)| *word).collect();
         let mut state = self.shared.lock();
         state.role.on_words(&words, now);
-        for (_, holder) in answers {
-            holder.into_iter().for_each(|h| state.role.on_told(h));
-        }
         let leads = state.role.leads(now);
         drop(state);
-        self.commands.send(Command::Refresh);
         tracing::info!(event = "role_in_doubt", zone = %self.cfg.zone, words = ?words, leads);
     }
 
-    /// Asks another node whether the store answers it, and who coordinates.
-    async fn ask(&self, addr: SocketAddr) -> (StoreWord, Option<Holder>) {
-        let view = self
+    /// Asks another node whether the store answers it.
+    async fn ask(&self, addr: SocketAddr) -> StoreWord {
+        let answers = self
             .peers
             .call(addr, ASK_TIMEOUT, |peer, cx| async move {
-                peer.store_view(cx).await
+                peer.store_answers(cx).await
             })
             .await;
-        match view {
-            Ok(view) if view.answers => (StoreWord::Answers, view.holder),
-            Ok(view) => (StoreWord::Silent, view.holder),
+        match answers {
+            Ok(true) => StoreWord::Answers,
+            Ok(false) => StoreWord::Silent,
             Err(error) => {
                 tracing::debug!(event = "colleague_silent", %addr, %error);
-                (StoreWord::Unreachable, None)
+                StoreWord::Unreachable
             }
         }
     }
 
+    /// Asks other nodes who coordinates this zone: those that this node knows
+    /// without the store.
+    async fn learn_coordinator(&self) {
+        let addrs = self.others();
+        let asked = addrs.iter().map(|addr| {
+            let zone = self.cfg.zone.clone();
+            self.peers.call(*addr, ASK_TIMEOUT, |peer, cx| async move {
+                peer.coordinator(cx, zone).await
+            })
+        });
+        let answers = join_all(asked).await;
+        let mut state = self.shared.lock();
+        let before = state.role.holder().map(|h| h.fence);
+        for holder in answers.into_iter().flatten().flatten() {
+            state.role.on_told(holder);
+        }
+        let holder = state.role.holder().cloned();
+        drop(state);
+        if holder.as_ref().map(|h| h.fence) != before
+            && let Some(holder) = holder
+        {
+            tracing::info!(event = "coordinator_learned", zone = %self.cfg.zone,
+                node = %holder.node, fence = holder.fence);
+            self.commands.send(Command::Refresh);
+        }
+    }
+
+    /// A few other nodes: the coordinators known and some of the own zone.
+    fn others(&self) -> BTreeSet<SocketAddr> {
+        let state = self.shared.lock();
+        let coordinators = state.neighbours.values().chain(state.role.holder());
+        let mut addrs: BTreeSet<SocketAddr> = coordinators.map(|h| h.addr).collect();
+        addrs.extend(self.colleagues.iter().take(ASKED).map(|c| c.addr));
+        addrs.remove(&self.cfg.peers);
+        addrs
+    }
+
+    /// Whether a much larger node of the zone could coordinate it.
+    async fn larger_is_ready(&self) -> bool {
+        let larger = |c: &&Colleague| c.cores >= self.cfg.cores * MUCH_LARGER;
+        let Some(largest) = self.colleagues.iter().filter(larger).max_by(|a, b| {
+            let by_cores = a.cores.total_cmp(&b.cores);
+            by_cores.then(a.addr.cmp(&b.addr))
+        }) else {
+            return false;
+        };
+        self.ask(largest.addr).await == StoreWord::Answers
+    }
+
+    /// Leaves the role to a larger node, which claims sooner than others.
+    async fn yield_role(&mut self, role: &mut Held) -> Result<(), KvError> {
+        tracing::info!(event = "role_yielded", zone = %self.cfg.zone, cores = self.cfg.cores);
+        self.shared.lock().role.give_up();
+        self.commands.send(Command::Refresh);
+        sleep(ORDERS_LAND).await;
+        match role.lease.take() {
+            Some(lease) => self.kv.lease_revoke(lease.id).await,
+            None => Ok(()),
+        }
+    }
+
     /// Counts the nodes, for the retry budget of this node and those it tells.
-    async fn count_nodes(&mut self, now: Now) -> Result<(), KvError> {
+    /// Answers whether it did.
+    async fn count_nodes(&mut self, now: Now) -> Result<bool, KvError> {
         let holds = self.shared.lock().role.held().is_some();
         if !holds || now < self.next_count {
-            return Ok(());
+            return Ok(false);
         }
         self.next_count = now + COUNT_PAUSE;
         let entries = self.kv.list(NODES).await?.entries;
@@ -227,12 +323,15 @@
         });
         self.colleagues = records
             .filter(|r| r.zone == self.cfg.zone && r.node != self.cfg.node)
-            .map(|r| r.addr)
+            .map(|r| Colleague {
+                addr: r.addr,
+                cores: r.cores,
+            })
             .collect();
         let nodes = entries.len();
         self.shared.feeds.on_nodes(nodes);
         self.shared.lock().budget.set_nodes(nodes);
-        Ok(())
+        Ok(true)
     }
 
     /// Renews a lease; answers whether it still holds.
@@ -269,7 +368,7 @@
         Ok(())
     }
 
-    async fn claim(&self, role: &mut Held) -> Result<(), KvError> {
+    async fn claim(&mut self, role: &mut Held) -> Result<(), KvError> {
         let lease = match role.lease {
             Some(lease) => lease,
             None => {
@@ -289,7 +388,13 @@
         };
         // The lease was granted or renewed before.
         let sent = role.renewed;
-        match self.kv.txn(claim).await {
+        let claimed = timeout(CLAIM_TIMEOUT, self.kv.txn(claim)).await;
+        let claimed = claimed.unwrap_or_else(|_elapsed| {
+            Err(KvError::Unknown {
+                message: "the claim took too long".into(),
+            })
+        });
+        match claimed {
             Ok(Swapped::Done { revision }) => self.on_claimed(revision, sent, lease.ttl),
             Ok(Swapped::Lost { current }) => {
                 tracing::info!(event = "claim_lost", zone = %self.cfg.zone);
@@ -307,8 +412,9 @@
         Ok(())
     }
 
-    fn on_claimed(&self, revision: i64, renewed: Now, ttl: Duration) {
+    fn on_claimed(&mut self, revision: i64, renewed: Now, ttl: Duration) {
         tracing::info!(event = "claimed", zone = %self.cfg.zone, fence = revision);
+        self.next_count = self.shared.now();
         let record = self.record();
         let mut state = self.shared.lock();
         state.role.on_holder(record.holder(revision));
@@ -337,6 +443,7 @@
         NodeRecord {
             node: self.cfg.node.clone(),
             zone: self.cfg.zone.clone(),
+            cores: self.cfg.cores,
             incarnation: self.incarnation,
             addr: self.cfg.peers,
         }
@@ -386,7 +493,8 @@
         if zone == &*self.cfg.zone {
             state.role.on_holder(record.holder(revision));
         } else {
-            state.neighbours.insert(zone.into(), record.addr);
+            let holder = record.holder(revision);
+            state.neighbours.insert(zone.into(), holder);
         }
     }
 
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -50,15 +50,6 @@
     NotCoordinator(Option<Holder>),
 }
 
-/// What a node says of the platform's store.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub(crate) struct StoreView {
-    /// Whether the store answers it.
-    pub(crate) answers: bool,
-    /// The coordinator of its zone, as far as it knows.
-    pub(crate) holder: Option<Holder>,
-}
-
 /// Load of a zone, for the coordinators of the others.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) struct ZoneLoad {
@@ -84,7 +75,9 @@
     /// that the asker knows. Answers within a second.
     async fn news(feed: Feed, after: i64, operators: i64) -> FeedAnswer;
     /// Asks whether the platform's store answers the other node.
-    async fn store_view() -> StoreView;
+    async fn store_answers() -> bool;
+    /// Asks for the coordinator of a zone, as far as the other node knows.
+    async fn coordinator(zone: ZoneId) -> Option<Holder>;
 }
 
 impl PlaceRequest {
--- a/crates/gateway/src/peer_server.rs
+++ b/crates/gateway/src/peer_server.rs
@@ -3,11 +3,11 @@
 use crate::coordinator::{Command, CommandTx};
 use crate::feeds::{Feed, FeedAnswer};
 use crate::membership::ZONES;
-use crate::peer::{
-    Peer, PeerRequest, PeerResponse, PlaceAnswer, PlaceRequest, StoreView, ZoneLoad,
-};
+use crate::peer::{Peer, PeerRequest, PeerResponse, PlaceAnswer, PlaceRequest, ZoneLoad};
 use crate::state::Shared;
 use futures::StreamExt as _;
+use reedford_fleet::ZoneId;
+use reedford_fleet::ownership::Holder;
 use reedford_fleet::scheduler::{CallId, Progress};
 use reedford_store::KeyValue;
 use std::net::SocketAddr;
@@ -109,11 +109,20 @@
         self.shared.feeds.news(feed, after, operators, clock).await
     }
 
-    async fn store_view(self, _: Context) -> StoreView {
+    async fn store_answers(self, _: Context) -> bool {
+        if self.shared.lock().stopping {
+            return false;
+        }
         let asked = timeout(STORE_TIMEOUT, self.kv.list(ZONES)).await;
-        StoreView {
-            answers: matches!(asked, Ok(Ok(_))),
-            holder: self.shared.lock().role.holder().cloned(),
+        matches!(asked, Ok(Ok(_)))
+    }
+
+    async fn coordinator(self, _: Context, zone: ZoneId) -> Option<Holder> {
+        let state = self.shared.lock();
+        if zone == state.zone {
+            state.role.holder().cloned()
+        } else {
+            state.neighbours.get(&zone).cloned()
         }
     }
 }
--- a/crates/gateway/src/places.rs
+++ b/crates/gateway/src/places.rs
@@ -4,9 +4,10 @@
 use crate::coordinator::CommandTx;
 use crate::peer::{PeerClients, PlaceAnswer, PlaceRequest};
 use crate::state::{Shared, State};
+use reedford_fleet::WeightVersion;
 use reedford_fleet::directory::{Instance, InstanceState};
 use reedford_fleet::ownership::Holder;
-use reedford_fleet::scheduler::{CallId, Grant, Refusal, RefusalReason};
+use reedford_fleet::scheduler::{AdapterKey, CallId, Grant, Refusal, RefusalReason};
 use reedford_fleet::spread::Candidate;
 use reedford_fleet::{InstanceId, Now};
 use std::collections::BTreeSet;
@@ -71,6 +72,8 @@
                     PlaceAnswer::Refused(refusal) => return Err(refusal),
                     PlaceAnswer::NotCoordinator(holder) => self.learn(holder),
                 }
+            } else {
+                self.shared.no_coordinator.notify_one();
             }
             let now = self.shared.now();
             let waited = now.saturating_sub(started);
@@ -140,8 +143,9 @@
     /// Takes another node's word on who coordinates the zone; this node may
     /// not reach the store.
     fn learn(&self, holder: Option<Holder>) {
-        if let Some(holder) = holder {
-            self.shared.lock().role.on_told(holder);
+        match holder {
+            Some(holder) => self.shared.lock().role.on_told(holder),
+            None => self.shared.no_coordinator.notify_one(),
         }
     }
 
@@ -151,7 +155,8 @@
         self.shared.lock().remember(key, grant, now);
     }
 
-    /// Where the adapter ran last; any engine for the base model itself.
+    /// Where the adapter ran last, or is listed; any engine for the base model
+    /// itself.
     fn last_place(
         &self,
         call: &Call,
@@ -162,11 +167,8 @@
         let state = self.shared.lock();
         let (instance, version) = match call.adapter() {
             Some(key) => {
-                let place = state.places.get(&key)?;
-                if state.versions.get(&key).copied() > place.version {
-                    return None;
-                }
-                (state.usable(&place.instance)?, place.version)
+                let last = last_engine(&state, &key);
+                last.or_else(|| listed_engine(&state, call, &key, avoid, now))?
             }
             None => (any_engine(&state, call, &self.zone, now)?, None),
         };
@@ -217,6 +219,41 @@
     }
 }
 
+/// The engine where an adapter ran last, unless a newer version was named.
+fn last_engine<'a>(
+    state: &'a State,
+    key: &AdapterKey,
+) -> Option<(&'a Instance, Option<WeightVersion>)> {
+    let place = state.places.get(key)?;
+    if state.versions.get(key).copied() > place.version {
+        return None;
+    }
+    Some((state.usable(&place.instance)?, place.version))
+}
+
+/// An engine that listed an adapter when this node last heard of it. The
+/// engine refuses the call if it has evicted the adapter since.
+fn listed_engine<'a>(
+    state: &'a State,
+    call: &'a Call,
+    key: &AdapterKey,
+    avoid: &BTreeSet<InstanceId>,
+    now: Now,
+) -> Option<(&'a Instance, Option<WeightVersion>)> {
+    let wanted = state.versions.get(key).copied();
+    let ready = state.directory.ready(&call.service);
+    let usable = ready.filter(|i| !avoid.contains(&i.id) && !state.health.is_out(&i.id, now));
+    let listing: Vec<_> = usable
+        .filter_map(|i| {
+            let model = i.models.iter().find(|m| m.name == key.model)?;
+            let version = model.adapters.get(&key.adapter).copied()?;
+            (Some(version) >= wanted).then_some((i, Some(version)))
+        })
+        .collect();
+    let index = call.draw() as usize % listing.len().max(1);
+    listing.get(index).copied()
+}
+
 fn any_engine<'a>(state: &'a State, call: &Call, zone: &str, now: Now) -> Option<&'a Instance> {
     let near = state
         .directory
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,13 +10,12 @@
 use reedford_fleet::contact::Contact;
 use reedford_fleet::directory::{Directory, Instance};
 use reedford_fleet::health::Health;
-use reedford_fleet::ownership::Role;
+use reedford_fleet::ownership::{Holder, Role};
 use reedford_fleet::scheduler::{AdapterKey, Grant};
 use reedford_fleet::spread::Spread;
 use reedford_fleet::zones::ZoneWord;
 use reedford_fleet::{InstanceId, Now, WeightVersion, ZoneId};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::{Notify, watch};
 
@@ -32,6 +31,8 @@
     pub(crate) operators_told: watch::Sender<i64>,
     /// Told when the own zone has no coordinator any more.
     pub(crate) role_vacant: Notify,
+    /// Told when a call found no coordinator.
+    pub(crate) no_coordinator: Notify,
     state: Mutex<State>,
 }
 
@@ -47,8 +48,10 @@
     pub(crate) spread: Spread,
     pub(crate) budget: RetryBudget,
     pub(crate) role: Role,
+    /// This node's availability zone.
+    pub(crate) zone: ZoneId,
     /// Coordinators of the other availability zones.
-    pub(crate) neighbours: BTreeMap<ZoneId, SocketAddr>,
+    pub(crate) neighbours: BTreeMap<ZoneId, Holder>,
     /// What they told of their zones.
     pub(crate) zone_words: BTreeMap<ZoneId, ZoneWord>,
     /// Where adapters ran last, for times without a coordinator.
@@ -66,12 +69,13 @@
 }
 
 impl Shared {
-    pub(crate) fn new(role: Role, retries: RetryLimits) -> Self {
+    pub(crate) fn new(zone: ZoneId, role: Role, retries: RetryLimits) -> Self {
         Self {
             clock: Clock::start(),
             feeds: Feeds::default(),
             operators_told: watch::Sender::new(0),
             role_vacant: Notify::new(),
+            no_coordinator: Notify::new(),
             state: Mutex::new(State {
                 routes: None,
                 directory: Directory::default(),
@@ -81,6 +85,7 @@
                 spread: Spread::default(),
                 budget: RetryBudget::new(retries),
                 role,
+                zone,
                 neighbours: BTreeMap::new(),
                 zone_words: BTreeMap::new(),
                 places: BTreeMap::new(),
