--- a/scripts/soak-mutations.sh
+++ b/scripts/soak-mutations.sh
@@ -38,7 +38,7 @@
   if out=$(cd "$copy" && SOAK_SEEDS=$seeds cargo test -q -p reedford-platform --test soak 2>&1); then
     echo "$name: NOT caught with seeds $seeds" && missed=1
   else
-    echo "$name: caught: $(grep -oE 'seed [0-9]+: .{0,90}|does not (serve again|stop)' <<<"$out" | head -1)"
+    echo "$name: caught: $(grep -oE 'seed [0-9]+: (ran|told|an answer|unexpected|assertion).{0,70}|does not (serve again|stop)' <<<"$out" | head -1)"
   fi
   cp "$file" "$copy/$file"
 done
