Streams: an answer that does not begin is taken to another worker

A stream's silence was noticed between events only, not before the head of the answer.

Change: a stream that may be sent once more is taken for lost when nothing comes for twice its objective, as it was between the head and the first event.

The script of deliberate faults works on a copy of its own throughout.

--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -193,7 +193,7 @@
     /// Sends a call and reads the answer.
     async fn exchange_whole(&self, call: &Call, sending: &Sending<D>, runs: u32) -> Whole {
         let exchange = async {
-            match self.sender.send(call, &sending.grant, None).await {
+            match self.sender.send(call, &sending.grant, None, false).await {
                 Sent::Answered(answered) => {
                     let read = self.read_answer(call, sending, *answered).await;
                     read.map_or_else(Whole::Lost, Whole::Answer)
@@ -262,9 +262,10 @@
             };
             let instance = sending.grant.instance.clone();
             let last = call.head.last_event.clone();
+            let more = call.route.kind.repeatable() && runs + 1 < call.route.attempts;
             match self
                 .sender
-                .send(&call, &sending.grant, last.as_deref())
+                .send(&call, &sending.grant, last.as_deref(), more)
                 .await
             {
                 Sent::Answered(answered) if answered.exchange.status.is_success() => {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,7 +8,7 @@
 use crate::handler::{Gateway, Sending};
 use crate::ports::Dialect;
 use crate::reply::Cut;
-use crate::sending::{Answered, Sent, idle_time};
+use crate::sending::{Answered, FIRST_EVENT_FACTOR, Sent, idle_time};
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use hyper::body::{Frame, Incoming};
@@ -23,9 +23,6 @@
 /// Pause between events after which a stream is taken elsewhere, in parts of
 /// the longest useful pause.
 const STALL_FACTOR: u32 = 4;
-/// Wait for the first event after which a stream is taken elsewhere, in parts
-/// of the objective.
-const FIRST_EVENT_FACTOR: f64 = 2.0;
 /// Longest useful pause of a route that names none.
 const DEFAULT_GAP: Duration = Duration::from_millis(500);
 
@@ -213,10 +210,11 @@
             tracing::info!(event = "stream_resumed", id = %self.call.id, why,
                 instance = %self.sending.grant.instance, events = self.events);
             let last = self.last_event.clone();
+            let more = self.runs + 1 < self.call.route.attempts;
             let sent = self
                 .gateway
                 .sender
-                .send(&self.call, &self.sending.grant, last.as_deref())
+                .send(&self.call, &self.sending.grant, last.as_deref(), more)
                 .await;
             match sent {
                 Sent::Answered(answered) if answered.exchange.status.is_success() => {
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -11,6 +11,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Wait for the first event after which an answer is taken for lost if the call
+/// may be sent once more, in parts of the objective.
+pub(crate) const FIRST_EVENT_FACTOR: f64 = 2.0;
+
 /// What is needed to send.
 #[derive(Debug)]
 pub(crate) struct Sender<D> {
@@ -40,8 +44,15 @@
 where
     D: Dialect,
 {
-    /// Sends a call and waits for the head of the answer, until the call's end.
-    pub(crate) async fn send(&self, call: &Call, grant: &Grant, last_event: Option<&str>) -> Sent {
+    /// Sends a call and waits for the head of the answer, until the call's end
+    /// or, if it may be sent once more (`more`), until silence is taken for loss.
+    pub(crate) async fn send(
+        &self,
+        call: &Call,
+        grant: &Grant,
+        last_event: Option<&str>,
+        more: bool,
+    ) -> Sent {
         let req = match self.request(call, grant, last_event) {
             Ok(req) => req,
             Err(error) => {
@@ -49,10 +60,7 @@
                 return Sent::NotRun(Rejection::Unreachable);
             }
         };
-        let limit = HeadLimit {
-            at: self.shared.clock.instant(call.until),
-            reason: LostReason::Deadline,
-        };
+        let limit = self.head_limit(call, more);
         let sent = start(&self.pool, grant.addr, req, Reuse::Allowed, limit).await;
         match sent {
             Ok(exchange) => self.read_head(call, grant, exchange).await,
@@ -70,6 +78,20 @@
         }
     }
 
+    fn head_limit(&self, call: &Call, more: bool) -> HeadLimit {
+        let now = self.shared.now();
+        let silent = now + call.route.objective.mul_f64(FIRST_EVENT_FACTOR);
+        let (at, reason) = if more && silent < call.until {
+            (silent, LostReason::FirstByteTimeout)
+        } else {
+            (call.until, LostReason::Deadline)
+        };
+        HeadLimit {
+            at: self.shared.clock.instant(at),
+            reason,
+        }
+    }
+
     async fn read_head(&self, call: &Call, grant: &Grant, exchange: Exchange) -> Sent {
         let head = self.dialect.answer(exchange.status, &exchange.headers);
         if let Some(load) = head.load {
--- a/scripts/soak-mutations.sh
+++ b/scripts/soak-mutations.sh
@@ -29,9 +29,9 @@
 for fault in "${faults[@]}"; do
   IFS='|' read -r name file change <<<"$fault"
   if [ $# -gt 0 ] && [[ " $* " != *" $name "* ]]; then continue; fi
-  cp "$file" "$copy/$file"
+  cp "$copy/$file" "$copy/original"
   perl -0pi -e "$change" "$copy/$file"
-  if cmp -s "$file" "$copy/$file"; then
+  if cmp -s "$copy/original" "$copy/$file"; then
     echo "$name: not applied" && missed=1 && continue
   fi
   (cd "$copy" && cargo build -q --bin reedford)
@@ -40,6 +40,6 @@
   else
     echo "$name: caught: $(grep -oE 'seed [0-9]+: (ran|told|an answer|unexpected|assertion).{0,70}|does not (serve again|stop)' <<<"$out" | head -1)"
   fi
-  cp "$file" "$copy/$file"
+  cp "$copy/original" "$copy/$file"
 done
 exit $missed
