Coordinator: a node that has not counted its zone is not taken to be alone

Found while reading: a coordinator that lost the store before its first count of the nodes had nobody to ask and went on as if it were alone, while others could claim. Until it has counted, it pauses when its lease may have ended.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -202,7 +202,7 @@
             incarnation,
             peers: Arc::clone(&peers),
             next_count: Duration::ZERO,
-            colleagues: Vec::new(),
+            colleagues: None,
         };
         node.tasks.spawn(membership.run(node.membership.clone()));
         let gateway = Arc::new(Gateway {
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -89,8 +89,8 @@
     pub(crate) commands: CommandTx,
     pub(crate) incarnation: u64,
     pub(crate) peers: Arc<PeerClients>,
-    /// Other nodes of the zone, as far as a coordinator needs them.
-    pub(crate) colleagues: Vec<Colleague>,
+    /// Other nodes of the zone; `None` until a coordinator has counted them.
+    pub(crate) colleagues: Option<Vec<Colleague>>,
     /// When the nodes are counted next.
     pub(crate) next_count: Now,
 }
@@ -213,11 +213,7 @@
         if self.shared.lock().role.held().is_none() {
             return;
         }
-        let count = self.colleagues.len();
-        let first = rand::random_range(0..count.max(1));
-        let asked = self.colleagues.iter().cycle().skip(first);
-        let words = asked.take(count.min(ASKED)).map(|c| self.ask(c.addr));
-        let words = join_all(words).await;
+        let words = self.ask_some().await;
         let now = self.shared.now();
         let mut state = self.shared.lock();
         state.role.on_words(&words, now);
@@ -226,6 +222,19 @@
         tracing::info!(event = "role_in_doubt", zone = %self.cfg.zone, words = ?words, leads);
     }
 
+    /// Asks a few nodes of the zone whether the store answers them.
+    async fn ask_some(&self) -> Vec<StoreWord> {
+        let Some(colleagues) = &self.colleagues else {
+            // There may be some, and they may reach the store.
+            return vec![StoreWord::Unreachable];
+        };
+        let count = colleagues.len();
+        let first = rand::random_range(0..count.max(1));
+        let asked = colleagues.iter().cycle().skip(first);
+        let asked = asked.take(count.min(ASKED)).map(|c| self.ask(c.addr));
+        join_all(asked).await
+    }
+
     /// Asks another node whether the store answers it.
     async fn ask(&self, addr: SocketAddr) -> StoreWord {
         let answers = self
@@ -276,7 +285,8 @@
         let state = self.shared.lock();
         let coordinators = state.neighbours.values().chain(state.role.holder());
         let mut addrs: BTreeSet<SocketAddr> = coordinators.map(|h| h.addr).collect();
-        addrs.extend(self.colleagues.iter().take(ASKED).map(|c| c.addr));
+        let colleagues = self.colleagues.iter().flatten();
+        addrs.extend(colleagues.take(ASKED).map(|c| c.addr));
         addrs.remove(&self.cfg.peers);
         addrs
     }
@@ -284,7 +294,8 @@
     /// Whether a much larger node of the zone could coordinate it.
     async fn larger_is_ready(&self) -> bool {
         let larger = |c: &&Colleague| c.cores >= self.cfg.cores * MUCH_LARGER;
-        let Some(largest) = self.colleagues.iter().filter(larger).max_by(|a, b| {
+        let colleagues = self.colleagues.iter().flatten();
+        let Some(largest) = colleagues.filter(larger).max_by(|a, b| {
             let by_cores = a.cores.total_cmp(&b.cores);
             by_cores.then(a.addr.cmp(&b.addr))
         }) else {
@@ -321,13 +332,14 @@
                 })
                 .ok()
         });
-        self.colleagues = records
+        let colleagues = records
             .filter(|r| r.zone == self.cfg.zone && r.node != self.cfg.node)
             .map(|r| Colleague {
                 addr: r.addr,
                 cores: r.cores,
             })
             .collect();
+        self.colleagues = Some(colleagues);
         let nodes = entries.len();
         self.shared.feeds.on_nodes(nodes);
         self.shared.lock().budget.set_nodes(nodes);
