--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -1,21 +1,21 @@
 //! The nodes' own keys in the platform's store: who is there, and who is the
 //! coordinator of each availability zone.
 
+mod colleagues;
+mod members;
+
+pub(crate) use colleagues::Colleague;
+pub(crate) use members::Members;
+
 use crate::coordinator::{Command, CommandTx};
 use crate::metrics::Metrics;
 use crate::peer::PeerClients;
 use crate::settings::GatewaySettings;
 use crate::state::Shared;
-use crate::sync::Follower;
-use futures::future::join_all;
-use reedford_fleet::directory::Absence;
-use reedford_fleet::ownership::{Holder, StoreWord};
+use reedford_fleet::ownership::Holder;
 use reedford_fleet::{Now, ZoneId};
-use reedford_store::{
-    Change, ChangeKind, Entry, Expect, KeyValue, KvError, Lease, Put, Swapped, Transaction,
-};
+use reedford_store::{Expect, KeyValue, KvError, Lease, Put, Swapped, Transaction};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -40,10 +40,6 @@
 
 /// Time for a renewal of the role's lease, of which two fit into its life.
 const RENEWAL_TIMEOUT: Duration = Duration::from_millis(500);
-/// Other nodes asked about a store that does not answer.
-const ASKED: usize = 3;
-/// Time for another node to answer; it asks the store itself meanwhile.
-const ASK_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Pause after a failure of a node without the role, whose registration only
 /// counts it.
@@ -52,9 +48,6 @@
 /// Time for orders on their way to reach their engines before another node may
 /// claim the role; they take some milliseconds.
 const ORDERS_LAND: Duration = Duration::from_millis(100);
-/// Times the cores from which another node is much larger; a coordinator
-/// decides for its whole zone.
-const MUCH_LARGER: f64 = 2.0;
 /// Pause between two questions for the coordinator.
 const LEARN_PAUSE: Duration = Duration::from_millis(300);
 /// Time for the store to take a claim; it answers in milliseconds, and in some
@@ -72,13 +65,6 @@
     addr: SocketAddr,
 }
 
-/// Another node of the zone.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Colleague {
-    addr: SocketAddr,
-    cores: f64,
-}
-
 /// Keeps this node's lease, its registration, and the role of its zone.
 #[derive(Debug)]
 pub(crate) struct Membership<K> {
@@ -209,101 +195,6 @@
         }
     }
 
-    async fn ask_colleagues(&self) {
-        if self.shared.lock().role.held().is_none() {
-            return;
-        }
-        let words = self.ask_some().await;
-        let now = self.shared.now();
-        let mut state = self.shared.lock();
-        state.role.on_words(&words, now);
-        let leads = state.role.leads(now);
-        drop(state);
-        tracing::info!(event = "role_in_doubt", zone = %self.cfg.zone, words = ?words, leads);
-    }
-
-    /// Asks a few nodes of the zone whether the store answers them.
-    async fn ask_some(&self) -> Vec<StoreWord> {
-        let Some(colleagues) = &self.colleagues else {
-            // There may be some, and they may reach the store.
-            return vec![StoreWord::Unreachable];
-        };
-        let count = colleagues.len();
-        let first = rand::random_range(0..count.max(1));
-        let asked = colleagues.iter().cycle().skip(first);
-        let asked = asked.take(count.min(ASKED)).map(|c| self.ask(c.addr));
-        join_all(asked).await
-    }
-
-    /// Asks another node whether the store answers it.
-    async fn ask(&self, addr: SocketAddr) -> StoreWord {
-        let answers = self
-            .peers
-            .call(addr, ASK_TIMEOUT, |peer, cx| async move {
-                peer.store_answers(cx).await
-            })
-            .await;
-        match answers {
-            Ok(true) => StoreWord::Answers,
-            Ok(false) => StoreWord::Silent,
-            Err(error) => {
-                tracing::debug!(event = "colleague_silent", %addr, %error);
-                StoreWord::Unreachable
-            }
-        }
-    }
-
-    /// Asks other nodes who coordinates this zone: those that this node knows
-    /// without the store.
-    async fn learn_coordinator(&self) {
-        let addrs = self.others();
-        let asked = addrs.iter().map(|addr| {
-            let zone = self.cfg.zone.clone();
-            self.peers.call(*addr, ASK_TIMEOUT, |peer, cx| async move {
-                peer.coordinator(cx, zone).await
-            })
-        });
-        let answers = join_all(asked).await;
-        let mut state = self.shared.lock();
-        let before = state.role.holder().map(|h| h.fence);
-        for holder in answers.into_iter().flatten().flatten() {
-            state.role.on_told(holder);
-        }
-        let holder = state.role.holder().cloned();
-        drop(state);
-        if holder.as_ref().map(|h| h.fence) != before
-            && let Some(holder) = holder
-        {
-            tracing::info!(event = "coordinator_learned", zone = %self.cfg.zone,
-                node = %holder.node, fence = holder.fence);
-            self.commands.send(Command::Refresh);
-        }
-    }
-
-    /// A few other nodes: the coordinators known and some of the own zone.
-    fn others(&self) -> BTreeSet<SocketAddr> {
-        let state = self.shared.lock();
-        let coordinators = state.neighbours.values().chain(state.role.holder());
-        let mut addrs: BTreeSet<SocketAddr> = coordinators.map(|h| h.addr).collect();
-        let colleagues = self.colleagues.iter().flatten();
-        addrs.extend(colleagues.take(ASKED).map(|c| c.addr));
-        addrs.remove(&self.cfg.peers);
-        addrs
-    }
-
-    /// Whether a much larger node of the zone could coordinate it.
-    async fn larger_is_ready(&self) -> bool {
-        let larger = |c: &&Colleague| c.cores >= self.cfg.cores * MUCH_LARGER;
-        let colleagues = self.colleagues.iter().flatten();
-        let Some(largest) = colleagues.filter(larger).max_by(|a, b| {
-            let by_cores = a.cores.total_cmp(&b.cores);
-            by_cores.then(a.addr.cmp(&b.addr))
-        }) else {
-            return false;
-        };
-        self.ask(largest.addr).await == StoreWord::Answers
-    }
-
     /// Leaves the role to a larger node, which claims sooner than others.
     async fn yield_role(&mut self, role: &mut Held) -> Result<(), KvError> {
         tracing::info!(event = "role_yielded", zone = %self.cfg.zone, cores = self.cfg.cores);
@@ -479,79 +370,3 @@
     lease: Option<Lease>,
     renewed: Now,
 }
-
-/// Takes the nodes' keys.
-#[derive(Debug)]
-pub(crate) struct Members {
-    pub(crate) cfg: Arc<GatewaySettings>,
-    pub(crate) shared: Arc<Shared>,
-    pub(crate) commands: CommandTx,
-}
-
-impl Members {
-    fn on_put(&self, key: &str, value: &[u8], revision: i64) {
-        let mut state = self.shared.lock();
-        let Some(zone) = key.strip_prefix(ZONES) else {
-            return;
-        };
-        let record: NodeRecord = match serde_json::from_slice(value) {
-            Ok(record) => record,
-            Err(error) => {
-                tracing::warn!(event = "coordinator_unreadable", key, %error);
-                return;
-            }
-        };
-        tracing::info!(event = "coordinator", zone, node = %record.node, fence = revision);
-        if zone == &*self.cfg.zone {
-            state.role.on_holder(record.holder(revision));
-        } else {
-            let holder = record.holder(revision);
-            state.neighbours.insert(zone.into(), holder);
-        }
-    }
-
-    fn on_delete(&self, key: &str) {
-        let now = self.shared.now();
-        let mut state = self.shared.lock();
-        let Some(zone) = key.strip_prefix(ZONES) else {
-            return;
-        };
-        tracing::info!(event = "coordinator_gone", zone);
-        if zone == &*self.cfg.zone {
-            state.role.on_vacant(now);
-            self.shared.role_vacant.notify_one();
-        } else {
-            state.neighbours.remove(zone);
-            state.zone_words.remove(zone);
-        }
-    }
-}
-
-impl Follower for Members {
-    fn on_listing(&mut self, entries: Vec<Entry>, _absence: Absence) {
-        let keys: BTreeSet<Box<str>> = entries.iter().map(|e| e.key.clone()).collect();
-        for entry in &entries {
-            self.on_put(&entry.key, &entry.value, entry.revision);
-        }
-        let mut gone: Vec<String> = {
-            let state = self.shared.lock();
-            let zones = state.neighbours.keys();
-            zones.map(|zone| format!("{ZONES}{zone}")).collect()
-        };
-        gone.push(format!("{ZONES}{}", self.cfg.zone));
-        for key in gone.iter().filter(|key| !keys.contains(key.as_str())) {
-            self.on_delete(key);
-        }
-    }
-
-    fn on_change(&mut self, change: Change) {
-        match change.kind {
-            ChangeKind::Put(value) => self.on_put(&change.key, &value, change.revision),
-            ChangeKind::Delete => self.on_delete(&change.key),
-        }
-    }
-
-    fn on_settled(&mut self) {
-        self.commands.send(Command::Refresh);
-    }
-}
