Coordinator: don't look again at once while nothing may be decided

Found while reading: a coordinator whose lease may have ended while a decision was put off kept that decision due, and its task turned without a pause until it could decide again, or for good if it lost the role.

Not covered by a test of its own: the task is not reachable without a store, and only its use of the processor shows the fault.

--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -139,11 +139,9 @@
     fn step(&mut self) {
         self.follow_role();
         let now = self.parts.shared.now();
-        if !self.leads(now) {
-            return;
-        }
-        self.undecided = self.term.is_some() && now < self.next_round;
-        if self.undecided {
+        let leads = self.leads(now);
+        self.undecided = leads && now < self.next_round;
+        if !leads || self.undecided {
             return;
         }
         let Some(term) = &mut self.term else { return };
