--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -1,8 +1,12 @@
 //! Serves one call: reads it, finds places, sends it, and answers.
 
+mod granted;
+
+pub(crate) use granted::Sending;
+
 use crate::call::{Call, Unroutable};
 use crate::metrics::Metrics;
-use crate::places::{Placed, Places};
+use crate::places::Places;
 use crate::ports::Dialect;
 use crate::progress::ProgressTx;
 use crate::relay::Relay;
@@ -15,11 +19,10 @@
 use hyper::{Request, StatusCode};
 use reedford_fleet::InstanceId;
 use reedford_fleet::health::Observed;
-use reedford_fleet::scheduler::{CallId, Grant, Progress, Refusal, Rejection};
+use reedford_fleet::scheduler::{Refusal, Rejection};
 use reedford_front::AnswerRequests;
 use reedford_targets::read_whole;
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{sleep_until, timeout};
@@ -52,20 +55,6 @@
 #[derive(Debug)]
 pub(crate) struct Callers<D>(pub(crate) Arc<Gateway<D>>);
 
-/// A granted sending; its end is told when it is dropped.
-#[derive(Debug)]
-pub(crate) struct Sending<D>
-where
-    D: Dialect,
-{
-    gateway: Arc<Gateway<D>>,
-    pub(crate) grant: Grant,
-    coordinator: Option<SocketAddr>,
-    plain: bool,
-    started: bool,
-    ended: bool,
-}
-
 /// How one sending of a call with a whole answer ended.
 enum Whole {
     /// The instance's answer.
@@ -317,55 +306,6 @@
         reply::passed_on(status, headers, body)
     }
 
-    /// Finds a place for one more sending.
-    pub(crate) async fn place(
-        self: &Arc<Self>,
-        call: &Call,
-        tried: &BTreeSet<InstanceId>,
-    ) -> Result<Sending<D>, Refusal> {
-        let asked = self.shared.now();
-        let placed = if call.engine {
-            self.place_engine(call, tried.clone()).await?
-        } else {
-            let sending = sending_id(call);
-            self.places
-                .plain(call, sending.clone(), tried)
-                .ok_or(Refusal {
-                    call: sending,
-                    reason: reedford_fleet::scheduler::RefusalReason::NoEngine,
-                    retry_after: NO_INSTANCE_RETRY,
-                })?
-        };
-        let waited = self.shared.now().saturating_sub(asked);
-        self.metrics.place_wait(&call.route.name, waited);
-        tracing::info!(event = "placed", id = %call.id, instance = %placed.grant.instance,
-            version = ?placed.grant.version, waited_ms = waited.as_millis() as u64);
-        Ok(Sending::new(Arc::clone(self), placed, call.engine))
-    }
-
-    /// Finds an engine. A coordinator cut off from the store may not know that
-    /// the one it names is leaving.
-    async fn place_engine(
-        self: &Arc<Self>,
-        call: &Call,
-        mut avoid: BTreeSet<InstanceId>,
-    ) -> Result<Placed, Refusal> {
-        loop {
-            let sending = sending_id(call);
-            let placed = self.places.engine(call, sending.clone(), &avoid).await?;
-            let instance = placed.grant.instance.clone();
-            if !self.shared.lock().directory.has_left(&instance) {
-                return Ok(placed);
-            }
-            tracing::info!(event = "place_left", id = %call.id, %instance);
-            if let Some(coordinator) = placed.coordinator {
-                let step = Progress::Rejected(Rejection::Unreachable);
-                self.progress.tell(coordinator, sending, step);
-            }
-            avoid.insert(instance);
-        }
-    }
-
     fn may_repeat(&self, call: &Call, runs: u32, why: &'static str) -> bool {
         why != "deadline"
             && call.route.kind.repeatable()
@@ -430,77 +370,6 @@
     }
 }
 
-impl<D> Sending<D>
-where
-    D: Dialect,
-{
-    fn new(gateway: Arc<Gateway<D>>, placed: Placed, engine: bool) -> Self {
-        if !engine {
-            gateway.shared.lock().spread.sent(&placed.grant.instance);
-        }
-        Self {
-            gateway,
-            grant: placed.grant,
-            coordinator: placed.coordinator,
-            plain: !engine,
-            started: false,
-            ended: false,
-        }
-    }
-
-    /// The first event came.
-    pub(crate) fn started(&mut self) {
-        if !self.started {
-            self.started = true;
-            self.tell(Progress::Started);
-        }
-    }
-
-    /// The instance did not run the call.
-    pub(crate) fn rejected(&mut self, rejection: Rejection) {
-        self.finish(Progress::Rejected(rejection));
-    }
-
-    /// The sending is over.
-    pub(crate) fn end(&mut self) {
-        self.finish(Progress::Ended);
-    }
-
-    fn finish(&mut self, step: Progress) {
-        if self.ended {
-            return;
-        }
-        self.ended = true;
-        if self.plain {
-            let mut state = self.gateway.shared.lock();
-            state.spread.ended(&self.grant.instance);
-        }
-        self.tell(step);
-    }
-
-    fn tell(&self, step: Progress) {
-        if let Some(coordinator) = self.coordinator {
-            self.gateway
-                .progress
-                .tell(coordinator, self.grant.call.clone(), step);
-        }
-    }
-}
-
-impl<D> Drop for Sending<D>
-where
-    D: Dialect,
-{
-    fn drop(&mut self) {
-        self.end();
-    }
-}
-
-/// A new id for one sending of a call.
-fn sending_id(call: &Call) -> CallId {
-    format!("{}/{:08x}", call.id, rand::random::<u32>()).into()
-}
-
 async fn read_body(mut body: Incoming, limit: usize) -> Result<Bytes, StatusCode> {
     let reading = async {
         let mut buf = BytesMut::new();
