Gateway: operators' keys as a change feed of the coordinator; fewer requests to the store

Ruled out: longer polls only (N nodes still return at each change). Nodes get operators' keys from their coordinator when its other feeds report a newer revision; a node that starts waits for its coordinator; registrations are renewed every 12 s; the watches of a node take turns while the store is away; pauses and the age of feeds are shares of the platform's own limits.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 //! | [`budget`] | whether a call may be retried |
 //! | [`health`] | which instances are ejected after failures |
 //! | [`ownership`] | whether this node coordinates its availability zone |
+//! | [`store_retries`] | when to try a store again that does not respond |
 //! | [`connectivity`] | whether this node is cut off from the store and its peers |
 //! | [`zones`] | which availability zone places a call |
 
@@ -26,6 +27,7 @@
 pub mod health;
 pub mod ownership;
 pub mod scheduler;
+pub mod store_retries;
 pub mod zones;
 
 pub use reedford_core::{InstanceId, Now, ZoneId};
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -138,7 +138,12 @@
         let metrics = Arc::new(Metrics::new().wrap_err("can't register metrics")?);
         let claim_delay = CLAIM_DELAY.div_f64(cfg.cores.max(MIN_CORES));
         let role = Role::new(cfg.node.clone(), incarnation, claim_delay);
-        let shared = Arc::new(Shared::new(cfg.zone.clone(), role, cfg.retries));
+        let shared = Arc::new(Shared::new(
+            cfg.zone.clone(),
+            role,
+            cfg.retries,
+            cfg.staleness_limit,
+        ));
         let (commands, rx) = command_queue();
         let background = CancellationToken::new();
         let tasks = TaskTracker::new();
@@ -197,6 +202,7 @@
             commands: commands.clone(),
             peers: Arc::clone(&peers),
             own_addr: cfg.peers,
+            staleness_limit: cfg.staleness_limit,
         });
         node.spawn_watches(&sync, &commands);
         let membership = Membership {
@@ -288,7 +294,7 @@
         self.tasks.spawn(async move {
             let watched = WatchedPrefix {
                 prefix: ZONE_PREFIX,
-                feed: Some(Feed::Members),
+                feed: Feed::Members,
                 pause: Duration::ZERO,
             };
             sync.watch_prefix(watched, handler, stop).await;
--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -2,27 +2,29 @@
 //! of its zone.
 //!
 //! Every store request has a cost, and each instance writes its entry about
-//! once a second. Therefore only a zone's coordinator watches the instances and
-//! the coordinators' keys, and the other nodes poll it. The coordinator serves
-//! a feed only if the store responded within [`MAX_FEED_AGE`]; otherwise the
-//! nodes use the store themselves.
+//! once a second. Therefore only a zone's coordinator watches the store, and the
+//! other nodes poll it. The coordinator serves a feed only if the store responded
+//! to it lately ([`MAX_FEED_AGE_SHARE`]); otherwise the nodes use the store
+//! themselves.
+//!
+//! Operators' keys change rarely. The responses of the other feeds carry their
+//! newest revision, and nodes request their feed only when that increases.
 
 use reedford_fleet::Now;
 use reedford_fleet::directory::{ABSENCE_GRACE, Absence};
 use reedford_store::{Change, ChangeKind, Entry};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
-/// Maximum age of the store's last message for which feeds are served. Watches
-/// return within half a second, so a missing message is noticed soon. This age,
-/// [`POLL_TIMEOUT`] and the pause of the watch on instances add up to less than two
-/// seconds, the shortest limit that a platform sets for all nodes to notice a
-/// leaving instance.
-const MAX_FEED_AGE: Duration = Duration::from_millis(1_000);
+/// Maximum age of the store's last message for which feeds are served, as a share
+/// of the limit on staleness. This age, [`POLL_TIMEOUT`] and the pause of the watch
+/// on instances add up to less than the limit, of which two seconds is the
+/// shortest in use.
+const MAX_FEED_AGE_SHARE: f64 = 0.5;
 /// Time for which a poll waits for a change.
 const POLL_TIMEOUT: Duration = Duration::from_millis(350);
 /// Time for which a poll waits while the store does not respond. Within this time
@@ -40,6 +42,8 @@
     Instances,
     /// Keys of the zones' coordinators.
     Members,
+    /// Keys that operators write.
+    Operators,
 }
 
 /// A key and its value in a feed.
@@ -86,10 +90,11 @@
 }
 
 /// All feeds of a node.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Feeds {
     feeds: Mutex<State>,
     changed: Notify,
+    max_age: Duration,
 }
 
 #[derive(Debug, Default)]
@@ -101,7 +106,8 @@
 #[derive(Debug, Default)]
 struct FeedState {
     items: BTreeMap<Box<str>, StoredValue>,
-    log: VecDeque<FeedItem>,
+    /// Keys that changed; their values are in `items`.
+    log: VecDeque<LoggedChange>,
     /// The log is complete after this revision.
     log_after: i64,
     revision: i64,
@@ -110,6 +116,12 @@
     recovered_at: Option<Now>,
 }
 
+#[derive(Debug)]
+struct LoggedChange {
+    key: Box<str>,
+    revision: i64,
+}
+
 #[derive(Debug)]
 struct StoredValue {
     value: Box<str>,
@@ -119,6 +131,15 @@
 }
 
 impl Feeds {
+    /// Creates feeds for nodes that have to follow changes within a limit.
+    pub(crate) fn new(staleness_limit: Duration) -> Self {
+        Self {
+            feeds: Mutex::default(),
+            changed: Notify::new(),
+            max_age: staleness_limit.mul_f64(MAX_FEED_AGE_SHARE),
+        }
+    }
+
     /// Replaces a feed's contents with a listing of the store.
     pub(crate) fn on_listing<F>(
         &self,
@@ -236,17 +257,13 @@
         };
         // A message on any feed shows that the store responds.
         let last_message = state.by_feed.values().filter_map(|f| f.last_message).max();
-        let is_fresh = last_message.is_some_and(|at| now.saturating_sub(at) < MAX_FEED_AGE);
+        let is_fresh = last_message.is_some_and(|at| now.saturating_sub(at) < self.max_age);
         if !is_fresh || known.last_message.is_none() {
             return FeedResponse::Unknown;
         }
         let revision = known.revision;
         if after == 0 || after < known.log_after {
-            let items = known.items.iter().map(|(key, stored)| FeedItem {
-                key: key.clone(),
-                value: Some(stored.value.clone()),
-                revision: stored.revision,
-            });
+            let items = known.items.keys().map(|key| known.item(key, revision));
             let is_recent = |recovered_at| now.saturating_sub(recovered_at) < ABSENCE_GRACE;
             return FeedResponse::Listing {
                 revision,
@@ -255,10 +272,12 @@
                 metadata,
             };
         }
-        let new = known.log.iter().filter(|item| item.revision > after);
+        let new = known.log.iter().filter(|change| change.revision > after);
+        let keys: BTreeSet<&str> = new.map(|change| &*change.key).collect();
+        let items = keys.into_iter().map(|key| known.item(key, revision));
         FeedResponse::Changes {
             revision,
-            items: new.cloned().collect(),
+            items: items.collect(),
             metadata,
         }
     }
@@ -282,33 +301,37 @@
 }
 
 impl FeedState {
+    /// Returns the current state of a key; `revision` is that of a deleted key.
+    fn item(&self, key: &str, revision: i64) -> FeedItem {
+        let stored = self.items.get(key);
+        FeedItem {
+            key: key.into(),
+            value: stored.map(|s| s.value.clone()),
+            revision: stored.map_or(revision, |s| s.revision),
+        }
+    }
+
     fn apply<F>(&mut self, change: &Change, digest: &F)
     where
         F: Fn(&[u8]) -> u64,
     {
-        let value = match &change.kind {
+        match &change.kind {
             ChangeKind::Put(value) => {
                 let stored = StoredValue {
                     value: String::from_utf8_lossy(value).into(),
                     revision: change.revision,
                     digest: digest(value),
                 };
-                let text = stored.value.clone();
                 let digest = stored.digest;
                 let before = self.items.insert(change.key.clone(), stored);
                 if before.is_some_and(|b| b.digest == digest) {
                     return;
                 }
-                Some(text)
-            }
-            ChangeKind::Delete => {
-                self.items.remove(&change.key);
-                None
             }
-        };
-        self.log.push_back(FeedItem {
+            ChangeKind::Delete => _ = self.items.remove(&change.key),
+        }
+        self.log.push_back(LoggedChange {
             key: change.key.clone(),
-            value,
             revision: change.revision,
         });
         if self.log.len() > MAX_LOGGED_CHANGES
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod sender;
 mod settings;
 mod state;
+mod store_retries;
 mod sync;
 mod view;
 
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -29,9 +29,9 @@
 /// Prefix of the nodes' keys, which end in the node's name.
 pub(crate) const NODE_PREFIX: &str = "reedford/nodes/";
 /// TTL of a node's registration, which is only used to count the nodes.
-const NODE_LEASE_TTL: Duration = Duration::from_secs(9);
+const NODE_LEASE_TTL: Duration = Duration::from_secs(40);
 /// Interval between renewals of a node's registration.
-const NODE_RENEWAL_INTERVAL: Duration = Duration::from_millis(2_500);
+const NODE_RENEWAL_INTERVAL: Duration = Duration::from_secs(12);
 /// Interval at which a coordinator counts the nodes.
 const NODE_COUNT_INTERVAL: Duration = Duration::from_secs(5);
 /// TTL of a coordinator's lease; a failed coordinator is replaced after it.
--- a/crates/gateway/src/membership/zone_peers.rs
+++ b/crates/gateway/src/membership/zone_peers.rs
@@ -97,6 +97,7 @@
         }
         let holder = state.role.holder().cloned();
         drop(state);
+        self.shared.holder_changed.notify_waiters();
         if holder.as_ref().map(|h| h.fence) != before
             && let Some(holder) = holder
         {
--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -149,7 +149,10 @@
     /// unable to reach the store itself; if it names none, requests a look-up.
     fn record_coordinator(&self, holder: Option<Holder>) {
         match holder {
-            Some(holder) => self.shared.lock().role.on_peer_holder(holder),
+            Some(holder) => {
+                self.shared.lock().role.on_peer_holder(holder);
+                self.shared.holder_changed.notify_waiters();
+            }
             None => self.shared.coordinator_wanted.notify_one(),
         }
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -34,4 +34,7 @@
     pub retries: RetryLimits,
     /// Time from the signal to stop until the platform kills the node.
     pub stop_grace: Duration,
+    /// Time within which every node has to follow a change of the configuration
+    /// or of an instance's state.
+    pub staleness_limit: Duration,
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,6 +4,7 @@
 
 use crate::clock::Clock;
 use crate::feeds::Feeds;
+use crate::store_retries::StoreRetries;
 use reedford_fleet::balancer::Balancer;
 use reedford_fleet::budget::{RetryBudget, RetryLimits};
 use reedford_fleet::config::RouteTable;
@@ -15,7 +16,9 @@
 use reedford_fleet::zones::ZoneReport;
 use reedford_fleet::{InstanceId, Now, WeightVersion, ZoneId};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 use tokio::sync::{Notify, watch};
 
 /// Limit on adapters whose last instance is recorded.
@@ -26,8 +29,14 @@
 pub(crate) struct Shared {
     pub(crate) clock: Clock,
     pub(crate) feeds: Feeds,
+    pub(crate) store_retries: StoreRetries,
     /// Newest revision of operators' keys that another node reported.
     pub(crate) operators_revision: watch::Sender<i64>,
+    /// Coordinator whose feed of the instances this node polls successfully.
+    pub(crate) followed: watch::Sender<Option<SocketAddr>>,
+    /// Notified when the holder of the coordinator role of this zone becomes
+    /// known or changes.
+    pub(crate) holder_changed: Notify,
     /// Notified when this zone has lost its coordinator.
     pub(crate) role_vacant: Notify,
     /// Notified when a call found no coordinator.
@@ -67,11 +76,19 @@
 }
 
 impl Shared {
-    pub(crate) fn new(zone: ZoneId, role: Role, retries: RetryLimits) -> Self {
+    pub(crate) fn new(
+        zone: ZoneId,
+        role: Role,
+        retries: RetryLimits,
+        staleness_limit: Duration,
+    ) -> Self {
         Self {
             clock: Clock::start(),
-            feeds: Feeds::default(),
+            feeds: Feeds::new(staleness_limit),
+            store_retries: StoreRetries::new(staleness_limit),
             operators_revision: watch::Sender::new(0),
+            followed: watch::Sender::new(None),
+            holder_changed: Notify::new(),
             role_vacant: Notify::new(),
             coordinator_wanted: Notify::new(),
             state: Mutex::new(State {
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -3,7 +3,8 @@
 //!
 //! Each prefix is listed and then watched. When a watch fails, the prefix is
 //! listed again, so that no change is missed even if the store compacted its
-//! history.
+//! history. Nodes other than the coordinator of their zone use its change feeds
+//! instead ([`crate::feeds`]) while it serves them.
 
 mod instances;
 mod operators;
@@ -23,20 +24,17 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{sleep, sleep_until};
 use tokio_util::sync::CancellationToken;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Pause before a prefix is listed again after a failure. It doubles with each
-/// further failure, because every store request has a cost, even one that is
-/// refused.
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// Upper bound of the retry pause, so that a node knows of changes within the two
-/// seconds after the store's recovery that platforms allow.
-const MAX_RETRY_PAUSE: Duration = Duration::from_millis(900);
 /// Pause between two reads of the watch on instances, whose entries change all
-/// the time; it limits the rate of store requests.
-const INSTANCES_PAUSE: Duration = Duration::from_millis(400);
+/// the time, as a share of the limit on staleness; it limits the rate of store
+/// requests.
+const INSTANCES_PAUSE_SHARE: f64 = 0.2;
+/// Longest wait for another coordinator before the store is used directly, as a
+/// share of the limit on staleness.
+const COORDINATOR_WAIT_SHARE: f64 = 0.25;
 
 /// Timeout for a poll of the coordinator's feed, which waits less than half a
 /// second for changes.
@@ -58,6 +56,7 @@
     pub(crate) commands: CommandTx,
     pub(crate) peers: Arc<PeerClients>,
     pub(crate) own_addr: SocketAddr,
+    pub(crate) staleness_limit: Duration,
 }
 
 /// Clients of the store that differ in how long their watches wait.
@@ -76,8 +75,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct WatchedPrefix<'a> {
     pub(crate) prefix: &'a str,
-    /// The coordinator's feed of this prefix, if there is one.
-    pub(crate) feed: Option<Feed>,
+    /// The coordinator's feed of this prefix.
+    pub(crate) feed: Feed,
     /// Pause after each message that has changes.
     pub(crate) pause: Duration,
 }
@@ -117,24 +116,24 @@
         F: KeyHandler,
     {
         let mut store_lost = false;
-        let mut failures = 0;
         let mut direct_until = Now::ZERO;
+        // Revision up to which the handler knows all changes.
+        let mut seen = 0;
         let watching = async {
             loop {
-                let end = match self.feed_source(watched, direct_until) {
-                    Some((addr, feed)) => {
-                        self.poll_coordinator(addr, feed, watched, &mut handler)
-                            .await
+                let end = match self.wait_for_source(watched, direct_until).await {
+                    Some(addr) if watched.feed == Feed::Operators => {
+                        self.fetch_changes(addr, &mut seen, &mut handler).await
                     }
+                    Some(addr) => self.poll_coordinator(addr, watched, &mut handler).await,
                     None => {
-                        let until = direct_until;
-                        let end = self
-                            .watch_store(watched, &mut handler, &mut store_lost, until)
+                        self.shared
+                            .store_retries
+                            .wait_for_turn(&self.shared.clock)
                             .await;
-                        if !store_lost {
-                            failures = 0;
-                        }
-                        end
+                        let until = direct_until;
+                        self.watch_store(watched, &mut handler, &mut store_lost, until, &mut seen)
+                            .await
                     }
                 };
                 match end {
@@ -145,8 +144,6 @@
                     }
                     WatchEnd::StoreFailed(error) => {
                         self.on_store_lost(watched, &error, &mut store_lost);
-                        sleep(retry_pause(failures)).await;
-                        failures += 1;
                     }
                 }
             }
@@ -155,28 +152,71 @@
     }
 
     /// Returns the coordinator that serves a prefix's feed; `None` to use the
-    /// store.
-    fn feed_source(
+    /// store. If no coordinator is known, waits a short time for one.
+    async fn wait_for_source(
         &self,
         watched: WatchedPrefix<'_>,
         direct_until: Now,
-    ) -> Option<(SocketAddr, Feed)> {
-        let feed = watched.feed?;
+    ) -> Option<SocketAddr> {
+        let longest = self.staleness_limit.mul_f64(COORDINATOR_WAIT_SHARE);
+        let end = self.shared.clock.instant(self.shared.now() + longest);
+        let mut followed = self.shared.followed.subscribe();
+        loop {
+            let holder_changed = self.shared.holder_changed.notified();
+            let mut holder_changed = std::pin::pin!(holder_changed);
+            holder_changed.as_mut().enable();
+            followed.mark_unchanged();
+            let source = self.source(watched, direct_until);
+            if source.is_some() || !self.may_become_available(watched, direct_until) {
+                return source;
+            }
+            tokio::select! {
+                () = holder_changed => {}
+                changed = followed.changed() => changed.ok()?,
+                () = sleep_until(end) => return None,
+            }
+        }
+    }
+
+    /// Returns the coordinator that serves a prefix's feed now.
+    fn source(&self, watched: WatchedPrefix<'_>, direct_until: Now) -> Option<SocketAddr> {
         if self.shared.now() < direct_until {
             return None;
         }
+        if watched.feed == Feed::Operators {
+            return *self.shared.followed.borrow();
+        }
+        let addr = self.shared.lock().role.holder()?.addr;
+        (addr != self.own_addr).then_some(addr)
+    }
+
+    /// Whether a coordinator may soon serve a feed that none serves now. The
+    /// coordinators' keys are what shows a new coordinator, so that the store is
+    /// always used for them.
+    fn may_become_available(&self, watched: WatchedPrefix<'_>, direct_until: Now) -> bool {
+        if watched.feed == Feed::Members || self.shared.now() < direct_until {
+            return false;
+        }
         let state = self.shared.lock();
-        let addr = state.role.holder()?.addr;
-        (addr != self.own_addr).then_some((addr, feed))
+        let holder = state.role.holder();
+        match watched.feed {
+            Feed::Operators => holder.is_none_or(|h| h.addr != self.own_addr),
+            Feed::Instances | Feed::Members => holder.is_none(),
+        }
+    }
+
+    /// Records that the store responded.
+    fn on_store_response(&self) {
+        self.shared.lock().connectivity.on_success();
+        self.shared.store_retries.on_response();
     }
 
     fn on_store_lost(&self, watched: WatchedPrefix<'_>, error: &KvError, store_lost: &mut bool) {
         let now = self.shared.now();
         self.shared.lock().connectivity.on_failure(now);
+        self.shared.store_retries.on_failure(now);
         self.metrics.store_failure("watch");
-        if let Some(feed) = watched.feed {
-            self.shared.feeds.on_store_lost(feed);
-        }
+        self.shared.feeds.on_store_lost(watched.feed);
         if !*store_lost {
             tracing::warn!(event = "store_lost", prefix = watched.prefix, %error);
             *store_lost = true;
@@ -191,6 +231,7 @@
         handler: &mut F,
         store_lost: &mut bool,
         direct_until: Now,
+        seen: &mut i64,
     ) -> WatchEnd
     where
         F: KeyHandler,
@@ -206,24 +247,24 @@
         } else {
             Absence::Removed
         };
-        self.shared.lock().connectivity.on_success();
+        self.on_store_response();
         self.publish_listing(watched, revision, &entries, absence);
         handler.on_listing(entries, absence);
         handler.on_batch_end();
+        *seen = revision;
         let mut watch = match store.watch(watched.prefix, revision + 1).await {
             Ok(watch) => watch,
             Err(error) => return WatchEnd::StoreFailed(error),
         };
-        let mut seen_revision = revision;
         loop {
             let next = tokio::select! {
                 next = watch.next() => next,
-                () = self.wait_until_outdated(watched, seen_revision) => return WatchEnd::SourceChanged,
+                () = self.wait_until_outdated(watched, *seen) => return WatchEnd::SourceChanged,
             };
             match next {
                 Some(Ok(changes)) => {
-                    seen_revision = seen_revision.max(changes.revision);
-                    self.shared.lock().connectivity.on_success();
+                    *seen = changes.revision.max(*seen);
+                    self.on_store_response();
                     self.publish_changes(watched, &changes);
                     let has_changes = !changes.changes.is_empty();
                     for change in changes.changes {
@@ -231,7 +272,7 @@
                     }
                     handler.on_batch_end();
                     let client_changed = !Arc::ptr_eq(store, self.client(watched));
-                    if client_changed || self.feed_source(watched, direct_until).is_some() {
+                    if client_changed || self.source(watched, direct_until).is_some() {
                         return WatchEnd::SourceChanged;
                     }
                     if has_changes {
@@ -252,22 +293,17 @@
     /// whose watch shows that the store responds, and the long-polling one for
     /// operators' keys while a coordinator reports their changes.
     fn client(&self, watched: WatchedPrefix<'_>) -> &Arc<K> {
-        let instances = WatchedPrefix {
-            feed: Some(Feed::Instances),
-            ..watched
-        };
-        let coordinator_polled = self.feed_source(instances, Now::ZERO).is_some();
         match watched.feed {
-            Some(Feed::Instances) => &self.stores.short_poll,
-            None if coordinator_polled => &self.stores.long_poll,
-            Some(Feed::Members) | None => &self.stores.medium_poll,
+            Feed::Instances => &self.stores.short_poll,
+            Feed::Operators if self.shared.followed.borrow().is_some() => &self.stores.long_poll,
+            Feed::Operators | Feed::Members => &self.stores.medium_poll,
         }
     }
 
     /// Returns when a watch on operators' keys lags behind what another node
     /// reported.
     async fn wait_until_outdated(&self, watched: WatchedPrefix<'_>, seen_revision: i64) {
-        if watched.feed.is_some() {
+        if watched.feed != Feed::Operators {
             return std::future::pending().await;
         }
         let mut revision = self.shared.operators_revision.subscribe();
@@ -290,36 +326,35 @@
         absence: Absence,
     ) {
         let now = self.shared.now();
-        match watched.feed {
-            Some(feed) => {
-                let digest = |value: &[u8]| self.digest(feed, value);
-                self.shared
-                    .feeds
-                    .on_listing(feed, revision, entries, digest, absence, now);
-            }
-            None => self
-                .shared
-                .feeds
-                .on_operators_revision(newest_revision(entries)),
+        let feed = watched.feed;
+        let digest = |value: &[u8]| self.digest(feed, value);
+        self.shared
+            .feeds
+            .on_listing(feed, revision, entries, digest, absence, now);
+        if feed == Feed::Operators {
+            let newest = entries.iter().map(|e| e.revision).max();
+            self.publish_operators_revision(newest);
         }
     }
 
     fn publish_changes(&self, watched: WatchedPrefix<'_>, changes: &Changes) {
         let now = self.shared.now();
-        match watched.feed {
-            Some(feed) => {
-                let digest = |value: &[u8]| self.digest(feed, value);
-                let revision = changes.revision;
-                self.shared
-                    .feeds
-                    .on_changes(feed, revision, &changes.changes, digest, now);
-            }
-            None => {
-                let newest = changes.changes.iter().map(|c| c.revision).max();
-                if let Some(newest) = newest {
-                    self.shared.feeds.on_operators_revision(newest);
-                }
-            }
+        let feed = watched.feed;
+        let digest = |value: &[u8]| self.digest(feed, value);
+        self.shared
+            .feeds
+            .on_changes(feed, changes.revision, &changes.changes, digest, now);
+        if feed == Feed::Operators {
+            let newest = changes.changes.iter().map(|c| c.revision).max();
+            self.publish_operators_revision(newest);
+        }
+    }
+
+    /// Reports a revision of operators' keys to the nodes that poll this one, once
+    /// the feed of these keys has it.
+    fn publish_operators_revision(&self, newest: Option<i64>) {
+        if let Some(newest) = newest {
+            self.shared.feeds.on_operators_revision(newest);
         }
     }
 
@@ -327,7 +362,7 @@
     /// heartbeats and the like.
     fn digest(&self, feed: Feed, value: &[u8]) -> u64 {
         match feed {
-            Feed::Members => xxh3_64(value),
+            Feed::Members | Feed::Operators => xxh3_64(value),
             Feed::Instances => match self.dialect.parse_stored(&self.dummy_instance_key(), value) {
                 Ok(StoredItem::Instance(mut instance)) => {
                     instance.models.clear();
@@ -349,7 +384,6 @@
     async fn poll_coordinator<F>(
         &self,
         addr: SocketAddr,
-        feed: Feed,
         watched: WatchedPrefix<'_>,
         handler: &mut F,
     ) -> WatchEnd
@@ -357,76 +391,138 @@
         F: KeyHandler,
     {
         let mut after = 0;
-        loop {
-            let operators = *self.shared.operators_revision.borrow();
-            let response = self
-                .peers
-                .call(addr, FEED_POLL_TIMEOUT, |peer, cx| async move {
-                    peer.news(cx, feed, after, operators).await
-                })
-                .await;
-            {
-                let now = self.shared.now();
-                let mut state = self.shared.lock();
-                match &response {
-                    Ok(_) => state.connectivity.on_success(),
-                    Err(_) => state.connectivity.on_failure(now),
-                }
-            }
-            let has_changes = match response {
-                Ok(FeedResponse::Listing {
-                    revision,
-                    items,
-                    lapsed,
-                    metadata,
-                }) => {
-                    after = revision;
-                    self.on_metadata(metadata);
-                    let absence = if lapsed {
-                        Absence::Lapsed
-                    } else {
-                        Absence::Removed
-                    };
-                    let entries = items.into_iter().filter_map(into_entry).collect();
-                    handler.on_listing(entries, absence);
-                    true
-                }
-                Ok(FeedResponse::Changes {
-                    revision,
-                    items,
-                    metadata,
-                }) => {
-                    after = revision;
-                    self.on_metadata(metadata);
-                    let has_changes = !items.is_empty();
-                    items
-                        .into_iter()
-                        .map(into_change)
-                        .for_each(|c| handler.on_change(c));
-                    has_changes
-                }
-                Ok(FeedResponse::Unknown) => {
-                    tracing::info!(event = "feed_unknown", prefix = watched.prefix, %addr);
-                    return WatchEnd::CoordinatorFailed;
-                }
-                Err(error) => {
-                    tracing::info!(event = "feed_lost", prefix = watched.prefix, %addr, %error);
-                    return WatchEnd::CoordinatorFailed;
-                }
+        let end = loop {
+            let Some(has_changes) = self
+                .request_feed(addr, watched.feed, &mut after, handler)
+                .await
+            else {
+                break WatchEnd::CoordinatorFailed;
             };
-            handler.on_batch_end();
-            if self
-                .feed_source(watched, Now::ZERO)
-                .is_none_or(|(source, _)| source != addr)
-            {
-                return WatchEnd::SourceChanged;
+            if watched.feed == Feed::Instances {
+                self.set_followed(Some(addr));
+            }
+            if self.source(watched, Now::ZERO) != Some(addr) {
+                break WatchEnd::SourceChanged;
             }
             if has_changes {
                 sleep(watched.pause).await;
             }
+        };
+        if watched.feed == Feed::Instances {
+            self.set_followed(None);
+        }
+        end
+    }
+
+    /// Requests the feed of operators' keys from a coordinator whenever it
+    /// reports a newer revision than `seen`, until it fails or is no longer the
+    /// one that this node follows.
+    async fn fetch_changes<F>(&self, addr: SocketAddr, seen: &mut i64, handler: &mut F) -> WatchEnd
+    where
+        F: KeyHandler,
+    {
+        let mut followed = self.shared.followed.subscribe();
+        let mut reported = self.shared.operators_revision.subscribe();
+        loop {
+            let newest = *reported.borrow_and_update();
+            if *seen == 0 || newest > *seen {
+                let answered = self
+                    .request_feed(addr, Feed::Operators, seen, handler)
+                    .await
+                    .is_some();
+                // The coordinator may not have the change that an earlier one
+                // reported.
+                if !answered || *seen < newest {
+                    return WatchEnd::CoordinatorFailed;
+                }
+                continue;
+            }
+            tokio::select! {
+                _ = reported.changed() => {}
+                _ = followed.wait_for(|f| *f != Some(addr)) => return WatchEnd::SourceChanged,
+            }
         }
     }
 
+    fn set_followed(&self, coordinator: Option<SocketAddr>) {
+        self.shared
+            .followed
+            .send_if_modified(|known| std::mem::replace(known, coordinator) != coordinator);
+    }
+
+    /// Requests a coordinator's feed after the revision `after` and sets that to
+    /// the one of the response. Returns whether there were changes; `None` if the
+    /// coordinator did not serve the feed.
+    async fn request_feed<F>(
+        &self,
+        addr: SocketAddr,
+        feed: Feed,
+        after: &mut i64,
+        handler: &mut F,
+    ) -> Option<bool>
+    where
+        F: KeyHandler,
+    {
+        let known = *after;
+        let operators = *self.shared.operators_revision.borrow();
+        let response = self
+            .peers
+            .call(addr, FEED_POLL_TIMEOUT, |peer, cx| async move {
+                peer.news(cx, feed, known, operators).await
+            })
+            .await;
+        {
+            let now = self.shared.now();
+            let mut state = self.shared.lock();
+            match &response {
+                Ok(_) => state.connectivity.on_success(),
+                Err(_) => state.connectivity.on_failure(now),
+            }
+        }
+        let (metadata, has_changes) = match response {
+            Ok(FeedResponse::Listing {
+                revision,
+                items,
+                lapsed,
+                metadata,
+            }) => {
+                *after = revision;
+                let absence = if lapsed {
+                    Absence::Lapsed
+                } else {
+                    Absence::Removed
+                };
+                let entries = items.into_iter().filter_map(into_entry).collect();
+                handler.on_listing(entries, absence);
+                (metadata, true)
+            }
+            Ok(FeedResponse::Changes {
+                revision,
+                items,
+                metadata,
+            }) => {
+                *after = revision.max(known);
+                let has_changes = !items.is_empty();
+                items
+                    .into_iter()
+                    .map(into_change)
+                    .for_each(|c| handler.on_change(c));
+                (metadata, has_changes)
+            }
+            Ok(FeedResponse::Unknown) => {
+                tracing::info!(event = "feed_unknown", ?feed, %addr);
+                return None;
+            }
+            Err(error) => {
+                tracing::info!(event = "feed_lost", ?feed, %addr, %error);
+                return None;
+            }
+        };
+        handler.on_batch_end();
+        self.on_metadata(metadata);
+        Some(has_changes)
+    }
+
     fn on_metadata(&self, metadata: FeedMetadata) {
         if metadata.nodes > 0 {
             self.shared.lock().budget.set_node_count(metadata.nodes);
@@ -444,7 +540,7 @@
         let handler = OperatorKeys { sync: &self };
         let watched = WatchedPrefix {
             prefix: self.dialect.operator_prefix(),
-            feed: None,
+            feed: Feed::Operators,
             pause: Duration::ZERO,
         };
         self.watch_prefix(watched, handler, stop).await;
@@ -455,27 +551,13 @@
         let handler = InstanceEntries { sync: &self };
         let watched = WatchedPrefix {
             prefix: self.dialect.instance_prefix(),
-            feed: Some(Feed::Instances),
-            pause: INSTANCES_PAUSE,
+            feed: Feed::Instances,
+            pause: self.staleness_limit.mul_f64(INSTANCES_PAUSE_SHARE),
         };
         self.watch_prefix(watched, handler, stop).await;
     }
 }
 
-/// Returns the pause after `failures` earlier failures, with jitter so that
-/// nodes don't return to the store together.
-fn retry_pause(failures: u32) -> Duration {
-    const JITTER: std::ops::Range<f64> = 0.75..1.25;
-    let doubled = RETRY_PAUSE * (1 << failures.min(4));
-    doubled
-        .min(MAX_RETRY_PAUSE)
-        .mul_f64(rand::random_range(JITTER))
-}
-
-fn newest_revision(entries: &[Entry]) -> i64 {
-    entries.iter().map(|e| e.revision).max().unwrap_or(0)
-}
-
 fn into_entry(item: FeedItem) -> Option<Entry> {
     Some(Entry {
         key: item.key,
