Stand-ins: the port of a stopped entry instance stays reserved

Cause: callers of the failure tests go on using the address of a stopped instance. Its port was free, and another site of the same test process could get it for a listener of another protocol; every call that it closed was then counted as cut by the stop. Change: a site binds each entry's port for callers without listening and keeps it. Result: the_port_of_a_stopped_instance_is_not_reassigned fails before, passes now.

--- a/crates/standins/src/site.rs
+++ b/crates/standins/src/site.rs
@@ -15,6 +15,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::net::TcpSocket;
 
 /// Operator token of a site's entry instances.
 pub const OPERATOR_TOKEN: &str = "operators-of-the-site";
@@ -52,6 +53,10 @@
     pub plains: BTreeMap<Box<str>, PlainStandin>,
     /// The entry instances, by name.
     pub entries: BTreeMap<Box<str>, EntryInstance>,
+    /// Holds the ports of the entry instances for callers, also after these have
+    /// stopped: callers go on using them, and another process or site that got
+    /// such a port would receive their calls.
+    reserved_ports: Vec<TcpSocket>,
     endpoint: Arc<Endpoint>,
     documents: DocumentStore<HttpKeyValue>,
 }
@@ -81,6 +86,7 @@
             engines: BTreeMap::new(),
             plains: BTreeMap::new(),
             entries: BTreeMap::new(),
+            reserved_ports: Vec::new(),
             endpoint,
             documents,
             cfg,
@@ -105,15 +111,17 @@
     /// Starts an entry instance in a zone and returns its address for callers.
     ///
     /// # Errors
-    /// When the zone does not exist or the instance can't be started.
+    /// When the zone does not exist, no port is free, or the instance can't be
+    /// started.
     pub async fn start_entry(&mut self, name: &str, zone: &str) -> Result<SocketAddr> {
+        let reserved = reserve_port().wrap_err("reserving a port for callers")?;
         let platform = self.platform.zones().get(zone);
         let platform = platform.ok_or_else(|| eyre!("no zone {zone}"))?;
         let settings = Settings {
             instance: name.into(),
             zone: zone.into(),
             zones: self.cfg.zones.clone(),
-            callers: loopback(),
+            callers: reserved.local_addr()?,
             peers: loopback(),
             operators: loopback(),
             operator_token: Secret::new(OPERATOR_TOKEN),
@@ -125,6 +133,7 @@
         let entry = EntryInstance::start(settings).await?;
         let callers = entry.callers();
         self.entries.insert(name.into(), entry);
+        self.reserved_ports.push(reserved);
         Ok(callers)
     }
 
@@ -230,6 +239,15 @@
     }
 }
 
+/// Binds a free port without listening. A listener that allows the reuse of its
+/// address, as Tokio's do, can still be bound to it by its number.
+fn reserve_port() -> std::io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(loopback())?;
+    Ok(socket)
+}
+
 fn loopback() -> SocketAddr {
     (Ipv4Addr::LOCALHOST, 0).into()
 }
--- a/crates/standins/tests/failures/graceful_stop.rs
+++ b/crates/standins/tests/failures/graceful_stop.rs
@@ -4,6 +4,8 @@
 use crate::test_site::{SiteOptions, TestSite, wait_until};
 use futures::future::join_all;
 use reedford_standins::history::{CallKind, CallOutcome, CallRequest};
+use std::io::ErrorKind;
+use tokio::net::{TcpSocket, TcpStream};
 
 /// Calls in flight at the instance when it stops: kind, name and key.
 const IN_FLIGHT: [(CallKind, &str, Option<&str>); 5] = [
@@ -53,3 +55,18 @@
     assert!(broken.is_empty(), "{broken:#?}");
     assert_eq!(outcomes, [CallOutcome::Done; IN_FLIGHT.len()]);
 }
+
+/// Callers go on using the address of a stopped instance. If another listener got
+/// its port, calls that reach that one would look as if the stop had cut them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn the_port_of_a_stopped_instance_is_not_reassigned() {
+    let mut test = TestSite::start().await;
+    let address = test.site.callers("e-1");
+    test.stop_entry("e-1").await;
+    let other = TcpSocket::new_v4().unwrap();
+    let bound = other.bind(address);
+    let connected = TcpStream::connect(address).await;
+    test.finish().await;
+    assert_eq!(bound.unwrap_err().kind(), ErrorKind::AddrInUse);
+    assert_eq!(connected.unwrap_err().kind(), ErrorKind::ConnectionRefused);
+}
