Fleet: an engine's prefill rate is learned as tokens over time, without the range of two sites

The rank of a queued call assumed 14 tokens per ms, while the engines there read 38: a prompt of 14,000 tokens or more counted as late on arrival and went behind all others. The rate itself was a mean of clamped samples that could not exceed 30. Ruled out: memory of the engines (1 request put back). Change: the rate is recent tokens over recent time; new engines start with the mean of the zone; the rank uses that mean.

--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -33,7 +33,7 @@
 use crate::directory::{Instance, InstanceState};
 use crate::{AdapterName, InstanceId, ModelName, Now, WeightVersion};
 use engine_view::EngineView;
-use estimate::{LoadTimeEstimate, SlotTurnover};
+use estimate::{LoadTimeEstimate, PrefillRate, SlotTurnover};
 use reedford_core::frequency::Frequency;
 use reedford_core::rendezvous;
 use std::collections::{BTreeMap, BTreeSet};
@@ -189,7 +189,8 @@
             }
             _ => {
                 self.forget(&instance.id);
-                let engine = EngineView::new(instance, now);
+                let rate = PrefillRate::new(self.mean_prefill_rate());
+                let engine = EngineView::new(instance, rate, now);
                 self.engines.insert(instance.id.clone(), engine);
             }
         }
@@ -389,6 +390,16 @@
         }
     }
 
+    /// Returns the mean prefill rate of the engines, in tokens per millisecond.
+    fn mean_prefill_rate(&self) -> f64 {
+        let sum: f64 = self.engines.values().map(EngineView::prefill_rate).sum();
+        if self.engines.is_empty() {
+            PrefillRate::default().per_ms()
+        } else {
+            sum / self.engines.len() as f64
+        }
+    }
+
     fn model(&self, service: &str, model: &str) -> Option<&Model> {
         let spec = self.specs.get(service)?;
         spec.models.iter().find(|m| &*m.name == model)
--- a/crates/fleet/src/scheduler/engine_view.rs
+++ b/crates/fleet/src/scheduler/engine_view.rs
@@ -114,7 +114,8 @@
 }
 
 impl EngineView {
-    pub(super) fn new(instance: &Instance, now: Now) -> Self {
+    /// Creates the view of an engine whose prefill rate is expected to be `prefill_rate`.
+    pub(super) fn new(instance: &Instance, prefill_rate: PrefillRate, now: Now) -> Self {
         let mut engine = Self {
             id: instance.id.clone(),
             addr: instance.addr,
@@ -138,7 +139,7 @@
             paused_until: Now::ZERO,
             consecutive_failures: 0,
             last_first_token: Now::ZERO,
-            prefill_rate: PrefillRate::default(),
+            prefill_rate,
         };
         for model in &instance.models {
             engine
--- a/crates/fleet/src/scheduler/estimate.rs
+++ b/crates/fleet/src/scheduler/estimate.rs
@@ -4,13 +4,16 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Initial estimate of an engine's prefill rate, in prompt tokens per
-/// millisecond; a mid-range value of the engines in use.
+/// Estimate of the prefill rate before the first sample, in prompt tokens per
+/// millisecond.
 const INITIAL_TOKENS_PER_MS: f64 = 14.0;
-/// Plausible range of prefill rates; samples are clamped to it.
-const TOKENS_PER_MS_RANGE: (f64, f64) = (3.0, 30.0);
-/// Weight of a new sample in the moving average.
-const SAMPLE_WEIGHT: f64 = 0.12;
+/// Weight of the initial estimate, as the time in milliseconds in which an engine
+/// would have processed prompts at that rate.
+const INITIAL_BUSY_MS: f64 = 400.0;
+/// Factor on the weight of all earlier samples at each new one.
+const SAMPLE_DECAY: f64 = 0.94;
+/// Plausible range of prefill rates.
+const TOKENS_PER_MS_RANGE: (f64, f64) = (0.1, 2_000.0);
 /// Initial estimate of the time to load an adapter from the weight store.
 const INITIAL_COLD_LOAD: Duration = Duration::from_millis(270);
 /// Duration of a load, as a share of a cold one, when the engine held the adapter
@@ -43,30 +46,39 @@
     duration.as_secs_f64() * 1e3
 }
 
-/// Moving average of an engine's prefill rate, in prompt tokens per millisecond.
+/// Recent prefill rate of an engine: prompt tokens over the time spent on them.
+/// Rates of single prompts are not averaged, because prompts processed in the
+/// same step seem to take no time.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PrefillRate {
-    tokens_per_ms: f64,
+    tokens: f64,
+    busy_ms: f64,
 }
 
 impl Default for PrefillRate {
     fn default() -> Self {
-        Self {
-            tokens_per_ms: INITIAL_TOKENS_PER_MS,
-        }
+        Self::new(INITIAL_TOKENS_PER_MS)
     }
 }
 
 impl PrefillRate {
+    /// Creates an estimate that starts at a rate in tokens per millisecond.
+    pub(super) const fn new(per_ms: f64) -> Self {
+        Self {
+            tokens: per_ms * INITIAL_BUSY_MS,
+            busy_ms: INITIAL_BUSY_MS,
+        }
+    }
+
     pub(super) const fn per_ms(self) -> f64 {
-        self.tokens_per_ms
+        (self.tokens / self.busy_ms).clamp(TOKENS_PER_MS_RANGE.0, TOKENS_PER_MS_RANGE.1)
     }
 
     /// Adds the sample of `tokens` prompt tokens processed from `from` to `to`.
     pub(super) fn record_sample(&mut self, tokens: f64, from: Now, to: Now) {
-        let ms = as_millis(to.saturating_sub(from)).max(1.0);
-        let sample = (tokens / ms).clamp(TOKENS_PER_MS_RANGE.0, TOKENS_PER_MS_RANGE.1);
-        self.tokens_per_ms += SAMPLE_WEIGHT * (sample - self.tokens_per_ms);
+        self.tokens = self.tokens * SAMPLE_DECAY + tokens;
+        self.busy_ms = self.busy_ms * SAMPLE_DECAY + as_millis(to.saturating_sub(from));
+        self.busy_ms = self.busy_ms.max(1.0);
     }
 }
 
--- a/crates/fleet/src/scheduler/placement.rs
+++ b/crates/fleet/src/scheduler/placement.rs
@@ -28,9 +28,6 @@
 /// Concurrent loads from the weight store per engine of the zone that run at
 /// full speed; more would only slow each other down.
 const FULL_SPEED_LOADS_PER_ENGINE: f64 = 0.67;
-/// Prefill rate in prompt tokens per millisecond that is assumed when judging
-/// whether a call can still start in time.
-const ASSUMED_TOKENS_PER_MS: f64 = 14.0;
 /// Expected wait of a late call, as a multiple of its computed wait: while the
 /// zone is overloaded, about as many new calls overtake a late call as were ahead
 /// of it on arrival.
@@ -114,7 +111,7 @@
     }
 
     fn expected_wait_of(&self, queued: &QueuedCall, now: Now) -> Duration {
-        let rank = queued.rank(now);
+        let rank = queued.rank(self.mean_prefill_rate(), now);
         let wait = self.queue_wait(rank, queued, now);
         let late = QueueRank { late: true, ..rank };
         if rank.late || now + wait > queued.request.objective_at {
@@ -130,7 +127,8 @@
     fn queue_wait(&self, rank: QueueRank, queued: &QueuedCall, now: Now) -> Duration {
         let mut round = self.new_round(now);
         let mut tokens = 0.0;
-        for ahead in self.queue.iter().filter(|q| q.rank(now) <= rank) {
+        let rate = self.mean_prefill_rate();
+        for ahead in self.queue.iter().filter(|q| q.rank(rate, now) <= rank) {
             tokens += f64::from(ahead.request.tokens);
             round
                 .awaiting_slot
@@ -184,7 +182,8 @@
         }
         let mut round = self.new_round(now);
         let mut queue = std::mem::take(&mut self.queue);
-        queue.sort_by_key(|q| (q.rank(now), q.serial));
+        let rate = self.mean_prefill_rate();
+        queue.sort_by_key(|q| (q.rank(rate, now), q.serial));
         let mut actions = Vec::new();
         for mut queued in queue {
             let outcome = match self.place_call(&mut queued, &mut round, now) {
@@ -432,11 +431,12 @@
         }
     }
 
-    /// Returns the rank of the call. Calls that can still start in time come
+    /// Returns the rank of the call on engines with a mean prefill rate of
+    /// `tokens_per_ms`. Calls that can still start in time come
     /// first, because a late response is worth little but costs as much engine
     /// time as one in time; then the priority decides.
-    fn rank(&self, now: Now) -> QueueRank {
-        let soonest = now + millis(f64::from(self.request.tokens) / ASSUMED_TOKENS_PER_MS);
+    fn rank(&self, tokens_per_ms: f64, now: Now) -> QueueRank {
+        let soonest = now + millis(f64::from(self.request.tokens) / tokens_per_ms);
         QueueRank {
             late: soonest > self.request.objective_at,
             priority: self.request.priority,
--- a/crates/fleet/tests/scheduler/load_patterns.rs
+++ b/crates/fleet/tests/scheduler/load_patterns.rs
@@ -5,6 +5,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_distr::{Distribution as _, Zipf};
+use test_case::test_case;
 
 const SEED: u64 = 7;
 const ADAPTERS: f64 = 3_000.0;
@@ -141,3 +142,61 @@
     let tally = run_pattern_on(30, &[steady(8_000, 150)], None);
     assert!(in_time_share(&tally) > 0.5, "{tally:?}");
 }
+
+struct Speed {
+    prefill_tokens_per_ms: f64,
+    calls_per_s: u64,
+    tokens: std::ops::Range<u32>,
+}
+
+/// Load pattern: prompts whose length is in proportion to the speed of the
+/// engines.
+#[test_case(Speed { prefill_tokens_per_ms: 5.0, calls_per_s: 12, tokens: 100..1_100 }; "a third of the usual speed")]
+#[test_case(Speed { prefill_tokens_per_ms: 16.0, calls_per_s: 12, tokens: 300..3_500 }; "usual speed")]
+#[test_case(Speed { prefill_tokens_per_ms: 48.0, calls_per_s: 12, tokens: 900..10_500 }; "three times the usual speed")]
+fn the_speed_of_engines_is_learned(speed: Speed) {
+    let mut zone = Zone::new(4);
+    zone.set_prefill_rate(speed.prefill_tokens_per_ms);
+    let mut rng = StdRng::seed_from_u64(SEED);
+    let zipf = Zipf::new(ADAPTERS, ZIPF_EXPONENT).expect("valid");
+    for serial in 0..20 * speed.calls_per_s {
+        let adapter = format!("a{}", zipf.sample(&mut rng) as u64);
+        let mut call = request(&format!("c{serial}"), &adapter, zone.now());
+        call.tokens = rng.random_range(speed.tokens.clone());
+        zone.submit(call);
+        let next = zone.now() + ms(rng.random_range(0..=2_000 / speed.calls_per_s));
+        zone.run(next);
+    }
+    let end = zone.now() + ms(6_000);
+    zone.run(end);
+    assert!(in_time_share(&zone.tally) > 0.95, "{:?}", zone.tally);
+}
+
+/// Load pattern: overload on fast engines with a tenth of very long prompts, whose
+/// processing takes half of the objective. They are served about as often as the
+/// others.
+#[test]
+fn long_prompts_are_not_starved_on_fast_engines() {
+    let mut zone = Zone::new(4);
+    zone.set_prefill_rate(38.0);
+    let mut rng = StdRng::seed_from_u64(SEED);
+    let zipf = Zipf::new(ADAPTERS, ZIPF_EXPONENT).expect("valid");
+    for serial in 0..600 {
+        let adapter = format!("a{}", zipf.sample(&mut rng) as u64);
+        let mut call = request(&format!("c{serial}"), &adapter, zone.now());
+        call.tokens = if serial % 10 == 0 {
+            17_000
+        } else {
+            rng.random_range(1_000..6_000)
+        };
+        call.output = 100;
+        zone.submit(call);
+        let next = zone.now() + ms(rng.random_range(0..=66));
+        zone.run(next);
+    }
+    let end = zone.now() + ms(6_000);
+    zone.run(end);
+    let tally = zone.tally;
+    let long = f64::from(tally.long_in_time) / f64::from(tally.long_submitted);
+    assert!(long > in_time_share(&tally) / 2.0, "{tally:?}");
+}
--- a/crates/fleet/tests/scheduler/zone.rs
+++ b/crates/fleet/tests/scheduler/zone.rs
@@ -11,12 +11,15 @@
 };
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Prompt tokens that an engine processes per millisecond.
+/// Prompt tokens that an engine processes per millisecond, unless a test sets
+/// another rate.
 const PREFILL_TOKENS_PER_MS: f64 = 16.0;
 const COLD_LOAD_MS: u64 = 250;
 const WARM_LOAD_MS: u64 = 25;
 /// Duration of a response after its first token.
 const DECODE_MS: u64 = 350;
+/// Prompts of this length or more are counted separately.
+const LONG_PROMPT_TOKENS: u32 = 10_000;
 const STEP_MS: u64 = 5;
 /// Time in the queue after which a refusal counts as late.
 const LATE_REFUSAL_MS: u64 = 1_000;
@@ -39,6 +42,7 @@
     ends_at: Now,
     started: bool,
     objective_at: Now,
+    prompt_tokens: u32,
 }
 
 /// Counts of calls by outcome, and of loads.
@@ -50,6 +54,9 @@
     pub(crate) refused: u32,
     /// Refusals after more than a second in the queue.
     pub(crate) refused_late: u32,
+    /// Calls in time, and all calls, among those with long prompts.
+    pub(crate) long_in_time: u32,
+    pub(crate) long_submitted: u32,
     pub(crate) cold_loads: u32,
     /// Grants before the adapter's load was complete.
     pub(crate) granted_early: u32,
@@ -60,6 +67,7 @@
     pub(crate) scheduler: Scheduler,
     pub(crate) tally: Tally,
     now: Now,
+    prefill_tokens_per_ms: f64,
     engines: BTreeMap<Box<str>, Engine>,
     requests: BTreeMap<Box<str>, PlacementRequest>,
     submitted_at: BTreeMap<Box<str>, Now>,
@@ -72,6 +80,7 @@
             scheduler: scheduler(),
             tally: Tally::default(),
             now: Now::ZERO,
+            prefill_tokens_per_ms: PREFILL_TOKENS_PER_MS,
             engines: BTreeMap::new(),
             requests: BTreeMap::new(),
             submitted_at: BTreeMap::new(),
@@ -86,6 +95,11 @@
         zone
     }
 
+    /// Sets the speed of all engines, in prompt tokens per millisecond.
+    pub(crate) fn set_prefill_rate(&mut self, tokens_per_ms: f64) {
+        self.prefill_tokens_per_ms = tokens_per_ms;
+    }
+
     pub(crate) fn now(&self) -> Now {
         self.now
     }
@@ -99,6 +113,9 @@
 
     pub(crate) fn submit(&mut self, request: PlacementRequest) {
         self.tally.submitted += 1;
+        if request.tokens >= LONG_PROMPT_TOKENS {
+            self.tally.long_submitted += 1;
+        }
         let call = request.call.clone();
         self.requests.insert(call.clone(), request.clone());
         self.submitted_at.insert(call.clone(), self.now);
@@ -128,6 +145,9 @@
                 self.scheduler.progress(call, Progress::Started, now);
                 if run.first_token_at <= run.objective_at {
                     self.tally.in_time += 1;
+                    if run.prompt_tokens >= LONG_PROMPT_TOKENS {
+                        self.tally.long_in_time += 1;
+                    }
                 } else {
                     self.tally.late += 1;
                 }
@@ -161,7 +181,7 @@
                     }
                     return;
                 }
-                let prefill_ms = f64::from(request.tokens) / PREFILL_TOKENS_PER_MS;
+                let prefill_ms = f64::from(request.tokens) / self.prefill_tokens_per_ms;
                 let first_token_at = engine.prefill_ends.max(now) + ms(prefill_ms as u64);
                 engine.prefill_ends = first_token_at;
                 *engine.in_use.entry(adapter.clone()).or_default() += 1;
@@ -172,6 +192,7 @@
                     ends_at: first_token_at + ms(DECODE_MS),
                     started: false,
                     objective_at: request.objective_at,
+                    prompt_tokens: request.tokens,
                 };
                 self.runs.insert(grant.call, run);
             }
