Fleet: placement takes into account the prompt parts that engines keep

Cause: nothing read the header that names a prompt's parts. Change: nodes pass the parts on; the coordinator keeps a bounded view of the parts that each engine processed, by model, adapter and version, and expects only the others to be processed there.

--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -21,12 +21,13 @@
 mod estimate;
 mod order;
 mod placement;
+mod prompt_cache;
 mod request;
 mod synchronize;
 
 pub use order::{EngineReport, Order, OrderKind, OrderOutcome};
 pub use request::{
-    Grant, PlacementId, PlacementRequest, Progress, Refusal, RefusalReason, Rejection,
+    Grant, PlacementId, PlacementRequest, Progress, PromptPart, Refusal, RefusalReason, Rejection,
 };
 
 use crate::config::{Engine as EngineSpec, Model};
@@ -34,6 +35,7 @@
 use crate::{AdapterName, InstanceId, ModelName, Now, WeightVersion};
 use engine_view::EngineView;
 use estimate::{LoadTimeEstimate, PrefillRate, SlotTurnover};
+use prompt_cache::PromptPath;
 use reedford_core::frequency::Frequency;
 use reedford_core::rendezvous;
 use std::collections::{BTreeMap, BTreeSet};
@@ -147,6 +149,8 @@
     key: Option<AdapterKey>,
     /// The adapter's key as text, for hashes; empty for a base model.
     key_text: Box<str>,
+    /// Parts of its prompt, for the engines' prompt caches.
+    prompt: PromptPath,
     /// Whether its adapter waited for a free slot in the last placement round.
     awaiting_slot: bool,
     /// Order of arrival.
@@ -236,7 +240,7 @@
         now: Now,
     ) -> Option<Refusal> {
         self.serial += 1;
-        let queued = QueuedCall::new(request, self.serial);
+        let queued = self.new_queued(request, self.serial);
         if queued.key.is_some() {
             self.popularity.record(&queued.key_text, 1, now);
         }
--- a/crates/fleet/src/scheduler/engine_view.rs
+++ b/crates/fleet/src/scheduler/engine_view.rs
@@ -2,8 +2,9 @@
 
 use super::estimate::{PrefillRate, millis};
 use super::order::{EngineReport, Order, OrderKind};
+use super::prompt_cache::PromptCache;
 use super::request::{Grant, PlacementId, Rejection};
-use super::{AdapterKey, PlacementRequest};
+use super::{AdapterKey, PlacementRequest, QueuedCall};
 use crate::directory::{Instance, InstanceState};
 use crate::{InstanceId, ModelName, Now, ServiceName, WeightVersion};
 use std::collections::{BTreeMap, VecDeque};
@@ -21,6 +22,8 @@
 const MAX_PAUSE: Duration = Duration::from_millis(2_800);
 /// Maximum time that a call stays on an engine after its deadline.
 const CALL_EXPIRY_MARGIN: Duration = Duration::from_millis(700);
+/// Share of an engine's KV cache in which parts of prompts are assumed to be kept.
+const PROMPT_CACHE_SHARE: f64 = 0.7;
 /// Share of an engine's KV cache that granted calls may reserve.
 const KV_CACHE_SHARE: f64 = 0.92;
 
@@ -55,8 +58,9 @@
     /// Time before which no order is sent.
     pub(super) orders_paused_until: Now,
     calls: BTreeMap<PlacementId, GrantedCall>,
-    /// Prompt tokens of the calls whose first token has not come yet.
+    /// Unprocessed prompt tokens of the calls whose first token has not come yet.
     unstarted_tokens: u64,
+    prompt_cache: PromptCache,
     /// Part of the KV cache that the granted calls may need, in tokens.
     reserved_tokens: u64,
     /// Time before which no call is granted to it.
@@ -107,6 +111,8 @@
 struct GrantedCall {
     key: Option<AdapterKey>,
     prompt_tokens: u32,
+    /// Prompt tokens that were not assumed to be kept when it was granted.
+    unprocessed_tokens: u32,
     max_output_tokens: u32,
     granted_at: Now,
     expires_at: Now,
@@ -135,6 +141,7 @@
             orders_paused_until: Now::ZERO,
             calls: BTreeMap::new(),
             unstarted_tokens: 0,
+            prompt_cache: PromptCache::default(),
             reserved_tokens: 0,
             paused_until: Now::ZERO,
             consecutive_failures: 0,
@@ -200,12 +207,19 @@
         self.copies.values().filter(pending).count()
     }
 
-    pub(super) fn grant(
-        &mut self,
-        request: &PlacementRequest,
-        key: Option<&AdapterKey>,
-        now: Now,
-    ) -> Grant {
+    /// Returns the prompt tokens of a call that the engine is not assumed to keep.
+    pub(super) fn unprocessed_tokens(&self, queued: &QueuedCall) -> u32 {
+        let kept = self.prompt_cache.kept_tokens(&queued.prompt);
+        queued.request.tokens.saturating_sub(kept).max(1)
+    }
+
+    /// Grants a call to the engine, whose KV cache has `kv_tokens` tokens.
+    pub(super) fn grant(&mut self, queued: &QueuedCall, kv_tokens: u64, now: Now) -> Grant {
+        let request = &queued.request;
+        let key = queued.key.as_ref();
+        let unprocessed_tokens = self.unprocessed_tokens(queued);
+        let cached = (kv_tokens as f64 * PROMPT_CACHE_SHARE) as u64;
+        self.prompt_cache.record(&queued.prompt, cached, now);
         let copy = key.and_then(|k| self.copies.get_mut(k));
         let version = copy.as_ref().and_then(|c| c.version);
         if let Some(copy) = copy {
@@ -215,12 +229,13 @@
         let call = GrantedCall {
             key: key.cloned(),
             prompt_tokens: request.tokens,
+            unprocessed_tokens,
             max_output_tokens: request.output,
             granted_at: now,
             expires_at: request.deadline + CALL_EXPIRY_MARGIN,
             started: false,
         };
-        self.unstarted_tokens += u64::from(call.prompt_tokens);
+        self.unstarted_tokens += u64::from(call.unprocessed_tokens);
         self.reserved_tokens += call.reserved_tokens();
         if let Some(replaced) = self.calls.insert(request.call.clone(), call) {
             self.release_tokens(&replaced);
@@ -244,10 +259,10 @@
         }
         call.started = true;
         self.consecutive_failures = 0;
-        self.unstarted_tokens -= u64::from(call.prompt_tokens);
+        self.unstarted_tokens -= u64::from(call.unprocessed_tokens);
         let from = call.granted_at.max(self.last_first_token);
         self.prefill_rate
-            .record_sample(f64::from(call.prompt_tokens), from, now);
+            .record_sample(f64::from(call.unprocessed_tokens), from, now);
         self.last_first_token = now;
         let copy = call.key.as_ref().and_then(|k| self.copies.get_mut(k));
         let first = copy.as_ref().is_some_and(|c| c.load_complete_by > now);
@@ -272,7 +287,7 @@
     fn release_tokens(&mut self, call: &GrantedCall) {
         self.reserved_tokens -= call.reserved_tokens();
         if !call.started {
-            self.unstarted_tokens -= u64::from(call.prompt_tokens);
+            self.unstarted_tokens -= u64::from(call.unprocessed_tokens);
         }
     }
 
--- a/crates/fleet/src/scheduler/placement.rs
+++ b/crates/fleet/src/scheduler/placement.rs
@@ -6,6 +6,7 @@
 use super::engine_view::{AdapterCopy, CopyState, EngineView, ModelState};
 use super::estimate::{as_millis, millis};
 use super::order::OrderKind;
+use super::prompt_cache::PromptPath;
 use super::request::{Grant, PlacementRequest, Refusal, RefusalReason};
 use super::{Action, AdapterKey, QueuedCall, Scheduler};
 use crate::{InstanceId, Now};
@@ -23,6 +24,10 @@
 const COLD_LOAD_COST: Duration = Duration::from_millis(250);
 /// Cost of a load from the engine's host memory in addition to its duration.
 const WARM_LOAD_COST: Duration = Duration::from_millis(40);
+/// Cost of processing a prompt in addition to the wait for it, as a share of its
+/// duration, because other calls wait for it too. It favours engines that keep
+/// parts of the prompt.
+const PREFILL_COST_SHARE: f64 = 0.5;
 /// Maximum concurrent adapter loads on one engine; engines refuse more.
 const MAX_LOADS_PER_ENGINE: usize = 4;
 /// Concurrent loads from the weight store per engine of the zone that run at
@@ -49,6 +54,8 @@
     wait: Duration,
     /// Wait plus penalties; the candidate with the lowest cost is selected.
     cost: Duration,
+    /// Prompt tokens that the engine is not assumed to keep.
+    unprocessed_tokens: u32,
     prerequisite: Prerequisite,
 }
 
@@ -107,7 +114,7 @@
     /// `now`.
     #[must_use]
     pub fn expected_wait(&self, request: &PlacementRequest, now: Now) -> Duration {
-        self.expected_wait_of(&QueuedCall::new(request.clone(), 0), now)
+        self.expected_wait_of(&self.new_queued(request.clone(), 0), now)
     }
 
     fn expected_wait_of(&self, queued: &QueuedCall, now: Now) -> Duration {
@@ -122,6 +129,25 @@
         }
     }
 
+    /// Creates the queue's record of a call.
+    pub(super) fn new_queued(&self, request: PlacementRequest, serial: u64) -> QueuedCall {
+        let key = request.key();
+        let key_text: Box<str> = key
+            .as_ref()
+            .map(ToString::to_string)
+            .unwrap_or_default()
+            .into();
+        let version = key.as_ref().and_then(|k| self.versions.get(k)).copied();
+        QueuedCall {
+            prompt: PromptPath::new(&key_text, version, &request.parts),
+            key,
+            key_text,
+            request,
+            awaiting_slot: false,
+            serial,
+        }
+    }
+
     /// Returns the expected wait of a call behind the queued calls of this rank
     /// or a better one.
     fn queue_wait(&self, rank: QueueRank, queued: &QueuedCall, now: Now) -> Duration {
@@ -216,6 +242,8 @@
             return PlacementOutcome::Queued(UNPLACED_WAIT);
         };
         let max_prefill_backlog = self.limits.max_prefill_backlog;
+        let spec = self.specs.get(&queued.request.service);
+        let kv_tokens = spec.map_or(0, |s| s.kv_tokens);
         let version = queued.key.as_ref().and_then(|k| self.versions.get(k));
         let version = version.copied();
         let engine = self
@@ -224,7 +252,7 @@
             .expect("the candidate is one of the engines");
         match &candidate.prerequisite {
             Prerequisite::None if engine.prefill_backlog() <= max_prefill_backlog => {
-                let grant = engine.grant(&queued.request, queued.key.as_ref(), now);
+                let grant = engine.grant(queued, kv_tokens, now);
                 self.running.insert(grant.call.clone(), candidate.engine);
                 return PlacementOutcome::Granted(grant);
             }
@@ -241,7 +269,8 @@
             | Prerequisite::FreeSlot
             | Prerequisite::Load { .. } => {}
         }
-        *round.planned.entry(candidate.engine).or_default() += f64::from(queued.request.tokens);
+        *round.planned.entry(candidate.engine).or_default() +=
+            f64::from(candidate.unprocessed_tokens);
         queued.awaiting_slot = candidate.prerequisite == Prerequisite::FreeSlot;
         round
             .awaiting_slot
@@ -281,13 +310,17 @@
         now: Now,
     ) -> Option<Candidate> {
         let ahead = round.planned.get(&engine.id).copied().unwrap_or(0.0);
-        let prefill = millis((ahead + f64::from(queued.request.tokens)) / engine.prefill_rate());
+        let unprocessed_tokens = engine.unprocessed_tokens(queued);
+        let own_prefill = millis(f64::from(unprocessed_tokens) / engine.prefill_rate());
+        let prefill = millis(ahead / engine.prefill_rate()) + own_prefill;
+        let prefill_cost = own_prefill.mul_f64(PREFILL_COST_SHARE);
         let Some(key) = &queued.key else {
             let wait = engine.prefill_backlog() + prefill;
             return Some(Candidate {
                 engine: engine.id.clone(),
                 wait,
-                cost: wait,
+                cost: wait + prefill_cost,
+                unprocessed_tokens,
                 prerequisite: Prerequisite::None,
             });
         };
@@ -297,11 +330,12 @@
         // A load runs concurrently with the work already granted.
         let wait = engine.prefill_backlog().max(load) + prefill;
         let bias = millis(home_bias(&queued.key_text, &engine.id));
-        let cost = wait + bias + load_cost(engine, key, warm);
+        let cost = wait + bias + prefill_cost + load_cost(engine, key, warm);
         Some(Candidate {
             engine: engine.id.clone(),
             wait,
             cost,
+            unprocessed_tokens,
             prerequisite,
         })
     }
@@ -416,21 +450,6 @@
 }
 
 impl QueuedCall {
-    pub(super) fn new(request: PlacementRequest, serial: u64) -> Self {
-        let key = request.key();
-        Self {
-            key_text: key
-                .as_ref()
-                .map(ToString::to_string)
-                .unwrap_or_default()
-                .into(),
-            key,
-            request,
-            awaiting_slot: false,
-            serial,
-        }
-    }
-
     /// Returns the rank of the call on engines with a mean prefill rate of
     /// `tokens_per_ms`. Calls that can still start in time come
     /// first, because a late response is worth little but costs as much engine
--- a/crates/fleet/src/scheduler/request.rs
+++ b/crates/fleet/src/scheduler/request.rs
@@ -11,6 +11,15 @@
 /// at several instances has one for each attempt. Fields named `call` hold it.
 pub type PlacementId = Box<str>;
 
+/// A part of a prompt, which other prompts may share.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PromptPart {
+    /// Identifies its text.
+    pub id: u64,
+    /// Number of tokens.
+    pub tokens: u32,
+}
+
 /// A request to place a call on an engine. The gateway's `PlaceRequest` is its
 /// form between nodes, with relative times.
 #[derive(Clone, Debug, PartialEq)]
@@ -25,6 +34,8 @@
     pub adapter: Option<AdapterName>,
     /// Prompt tokens.
     pub tokens: u32,
+    /// Parts of the prompt in order; empty if they are not known.
+    pub parts: Vec<PromptPart>,
     /// Maximum tokens of the response.
     pub output: u32,
     /// Priority; 0 is the most urgent.
--- a/crates/fleet/tests/scheduler/support.rs
+++ b/crates/fleet/tests/scheduler/support.rs
@@ -109,6 +109,7 @@
         model: MODEL.into(),
         adapter: Some(adapter.into()),
         tokens: 1_400,
+        parts: Vec::new(),
         output: 22,
         priority: 1,
         objective_at: now + ms(1_000),
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -8,7 +8,7 @@
 use reedford_fleet::config::Configuration;
 use reedford_fleet::directory::Instance;
 use reedford_fleet::ownership::Fence;
-use reedford_fleet::scheduler::{EngineReport, Order, OrderOutcome};
+use reedford_fleet::scheduler::{EngineReport, Order, OrderOutcome, PromptPart};
 use reedford_fleet::{AdapterName, InstanceId, ModelName, WeightVersion};
 use std::time::Duration;
 
@@ -23,6 +23,8 @@
     pub model: Option<(ModelName, Option<AdapterName>)>,
     /// Number of prompt tokens.
     pub prompt_tokens: u32,
+    /// Parts of the prompt in order; empty if they are not known.
+    pub prompt_parts: Vec<PromptPart>,
     /// Maximum number of generated tokens.
     pub max_output_tokens: u32,
     /// Id of the last event that the caller received, to resume a stream.
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -5,7 +5,7 @@
 use futures::future::BoxFuture;
 use reedford_fleet::ownership::Holder;
 use reedford_fleet::scheduler::{
-    AdapterHash, Grant, PlacementId, PlacementRequest, Progress, Refusal,
+    AdapterHash, Grant, PlacementId, PlacementRequest, Progress, PromptPart, Refusal,
 };
 use reedford_fleet::{AdapterName, InstanceId, ModelName, Now, ServiceName, ZoneId};
 use serde::{Deserialize, Serialize};
@@ -30,6 +30,8 @@
     pub(crate) adapter: Option<AdapterName>,
     /// Number of prompt tokens.
     pub(crate) tokens: u32,
+    /// Parts of the prompt in order.
+    pub(crate) parts: Vec<PromptPart>,
     /// Maximum number of generated tokens.
     pub(crate) output: u32,
     pub(crate) priority: u8,
@@ -103,6 +105,7 @@
             model: self.model,
             adapter: self.adapter,
             tokens: self.tokens,
+            parts: self.parts,
             output: self.output,
             priority: self.priority,
             objective_at: now + self.due_in.unwrap_or_default(),
--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -289,6 +289,7 @@
         model,
         adapter,
         tokens: call.head.prompt_tokens,
+        parts: call.head.prompt_parts.clone(),
         output: call.head.max_output_tokens,
         priority: call.route.priority,
         due_in: call.objective_at.checked_sub(now),
