--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -69,6 +69,9 @@
     pub objective: Duration,
     /// Target for the longest gap between two events of a stream.
     pub max_gap: Option<Duration>,
+    /// Time without an event, also before the first, after which callers give up
+    /// a stream; `None` if they wait until their deadline.
+    pub max_silence: Option<Duration>,
     /// Priority; 0 is the most urgent.
     pub priority: u8,
 }
--- a/crates/fleet/src/scheduler/placement.rs
+++ b/crates/fleet/src/scheduler/placement.rs
@@ -189,7 +189,8 @@
         now: Now,
     ) -> Option<Refusal> {
         let left = queued.request.deadline.saturating_sub(now);
-        if wait < left.mul_f64(self.limits.max_wait_share) {
+        let in_time = now + wait < queued.request.first_token_by;
+        if in_time && wait < left.mul_f64(self.limits.max_wait_share) {
             return None;
         }
         let reason = if self.engines.values().any(|e| e.is_usable(now)) {
@@ -220,7 +221,7 @@
             };
             match outcome {
                 PlacementOutcome::Granted(grant) => actions.push(Action::Grant(grant)),
-                PlacementOutcome::Queued(wait) if now + wait < queued.request.deadline => {
+                PlacementOutcome::Queued(wait) if now + wait < queued.request.first_token_by => {
                     self.queue.push(queued);
                 }
                 PlacementOutcome::Queued(wait) => {
--- a/crates/fleet/src/scheduler/request.rs
+++ b/crates/fleet/src/scheduler/request.rs
@@ -42,6 +42,8 @@
     pub priority: u8,
     /// When the first token is due.
     pub objective_at: Now,
+    /// When the caller gives up unless it got the first token.
+    pub first_token_by: Now,
     /// When the caller stops waiting for the response.
     pub deadline: Now,
     /// Instances that must not be selected.
--- a/crates/fleet/tests/routes.rs
+++ b/crates/fleet/tests/routes.rs
@@ -18,6 +18,7 @@
         timeout: Duration::from_secs(2),
         objective: Duration::from_millis(300),
         max_gap: None,
+        max_silence: None,
         priority: 0,
     }
 }
--- a/crates/fleet/tests/scheduler/load_patterns.rs
+++ b/crates/fleet/tests/scheduler/load_patterns.rs
@@ -191,7 +191,7 @@
         };
         call.output = 100;
         zone.submit(call);
-        let next = zone.now() + ms(rng.random_range(0..=66));
+        let next = zone.now() + ms(rng.random_range(0..=40));
         zone.run(next);
     }
     let end = zone.now() + ms(6_000);
@@ -200,3 +200,27 @@
     let long = f64::from(tally.long_in_time) / f64::from(tally.long_submitted);
     assert!(long > in_time_share(&tally) / 2.0, "{tally:?}");
 }
+
+/// Load pattern: overload by callers with long deadlines who give up a stream
+/// without a first token after two seconds. They are refused before that.
+#[test]
+fn calls_are_not_held_until_their_callers_give_up() {
+    let mut zone = Zone::new(4);
+    let mut rng = StdRng::seed_from_u64(SEED);
+    let zipf = Zipf::new(ADAPTERS, ZIPF_EXPONENT).expect("valid");
+    for serial in 0..600 {
+        let adapter = format!("a{}", zipf.sample(&mut rng) as u64);
+        let mut call = request(&format!("c{serial}"), &adapter, zone.now());
+        call.tokens = rng.random_range(300..3_500);
+        call.first_token_by = zone.now() + ms(2_000);
+        call.deadline = zone.now() + ms(20_000);
+        zone.submit(call);
+        let next = zone.now() + ms(rng.random_range(0..=44));
+        zone.run(next);
+    }
+    let end = zone.now() + ms(22_000);
+    zone.run(end);
+    let tally = zone.tally;
+    assert!(tally.refused > 0, "{tally:?}");
+    assert_eq!(tally.after_caller_gave_up, 0, "{tally:?}");
+}
--- a/crates/fleet/tests/scheduler/main.rs
+++ b/crates/fleet/tests/scheduler/main.rs
@@ -3,5 +3,6 @@
 
 mod decisions;
 mod load_patterns;
+mod prompts;
 mod support;
 mod zone;
--- a/crates/fleet/tests/scheduler/support.rs
+++ b/crates/fleet/tests/scheduler/support.rs
@@ -113,6 +113,7 @@
         output: 22,
         priority: 1,
         objective_at: now + ms(1_000),
+        first_token_by: now + ms(5_000),
         deadline: now + ms(5_000),
         avoid: BTreeSet::new(),
     }
--- a/crates/fleet/tests/scheduler/zone.rs
+++ b/crates/fleet/tests/scheduler/zone.rs
@@ -54,6 +54,8 @@
     pub(crate) refused: u32,
     /// Refusals after more than a second in the queue.
     pub(crate) refused_late: u32,
+    /// Grants and refusals after the time at which callers give up.
+    pub(crate) after_caller_gave_up: u32,
     /// Calls in time, and all calls, among those with long prompts.
     pub(crate) long_in_time: u32,
     pub(crate) long_submitted: u32,
@@ -170,6 +172,9 @@
         match action {
             Action::Grant(grant) => {
                 let request = self.requests[&grant.call].clone();
+                if now >= request.first_token_by {
+                    self.tally.after_caller_gave_up += 1;
+                }
                 let adapter = request.adapter.clone().expect("every call has an adapter");
                 let engine = self.engines.get_mut(&grant.instance).expect("known");
                 if engine.loaded_at.get(&adapter).is_none_or(|at| *at > now) {
@@ -197,7 +202,10 @@
                 self.runs.insert(grant.call, run);
             }
             Action::Refuse(refusal) => {
-                self.requests.remove(&refusal.call);
+                let request = self.requests.remove(&refusal.call);
+                if request.is_some_and(|r| now >= r.first_token_by) {
+                    self.tally.after_caller_gave_up += 1;
+                }
                 self.tally.refused += 1;
                 if now > self.submitted_at[&refusal.call] + ms(LATE_REFUSAL_MS) {
                     self.tally.refused_late += 1;
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -30,6 +30,8 @@
     pub(crate) deadline: Now,
     /// Arrival plus the route's latency objective.
     pub(crate) objective_at: Now,
+    /// Time of the last event sent to the caller, or of the arrival.
+    pub(crate) silent_since: Now,
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -74,6 +76,7 @@
             arrived,
             deadline: arrived + timeout,
             objective_at: arrived + route.objective,
+            silent_since: arrived,
             head,
             route,
             service,
@@ -93,6 +96,16 @@
         self.deadline.saturating_sub(now)
     }
 
+    /// Returns for how long the caller still waits for the next event of a stream,
+    /// or for the response.
+    pub(crate) fn event_time_left(&self, now: Now) -> Duration {
+        let left = self.time_left(now);
+        match self.route.max_silence {
+            Some(silence) => left.min((self.silent_since + silence).saturating_sub(now)),
+            None => left,
+        }
+    }
+
     /// Hash of the call's id, used to spread calls evenly.
     pub(crate) fn id_hash(&self) -> u64 {
         xxh3_64(self.id.as_bytes())
--- a/crates/gateway/src/coordinator/actions.rs
+++ b/crates/gateway/src/coordinator/actions.rs
@@ -178,6 +178,7 @@
             }
             let spent = shared.now().saturating_sub(sent_at);
             req.patience = time_left.saturating_sub(spent);
+            req.first_token_in = req.first_token_in.saturating_sub(spent);
             req.due_in = req.due_in.map(|due| due.saturating_sub(spent));
             tx.send(Command::Place { req, response_tx });
         });
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -37,6 +37,8 @@
     pub(crate) priority: u8,
     /// Time until the first token is due; `None` if that time has passed.
     pub(crate) due_in: Option<Duration>,
+    /// Time until the caller gives up unless it gets the first token.
+    pub(crate) first_token_in: Duration,
     /// Time until the caller's deadline.
     pub(crate) patience: Duration,
     /// Instances that must not be granted.
@@ -109,6 +111,7 @@
             output: self.output,
             priority: self.priority,
             objective_at: now + self.due_in.unwrap_or_default(),
+            first_token_by: now + self.first_token_in,
             deadline: now + self.patience,
             avoid: self.avoid,
         }
--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -293,6 +293,7 @@
         output: call.head.max_output_tokens,
         priority: call.route.priority,
         due_in: call.objective_at.checked_sub(now),
+        first_token_in: call.event_time_left(now),
         patience: call.time_left(now),
         avoid: avoid.clone(),
         passed_on: false,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -161,8 +161,9 @@
 
     fn on_event(&mut self) {
         self.events += 1;
+        let now = self.gateway.shared.now();
+        self.call.silent_since = now;
         if self.events == 1 {
-            let now = self.gateway.shared.now();
             let took = now.saturating_sub(self.call.arrived);
             self.gateway
                 .metrics
