Fleet: refuse on arrival the calls for rare adapters that service never reaches

The wait of a late call was taken as twice the computed one, whatever the load. Change: a late call that needs a load is expected to wait longer the nearer the arrivals of such calls come to the rate at which slots become free.

--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -34,7 +34,7 @@
 use crate::directory::{Instance, InstanceState};
 use crate::{AdapterName, InstanceId, ModelName, Now, WeightVersion};
 use engine_view::EngineView;
-use estimate::{LoadTimeEstimate, PrefillRate, SlotTurnover};
+use estimate::{LoadDemand, LoadTimeEstimate, PrefillRate, SlotTurnover};
 use prompt_cache::PromptPath;
 use reedford_core::frequency::Frequency;
 use reedford_core::rendezvous;
@@ -137,6 +137,7 @@
     popularity: Frequency,
     load_estimate: LoadTimeEstimate,
     slot_turnover: SlotTurnover,
+    load_demand: LoadDemand,
     recent_model_loads: Vec<Now>,
     next_prune: Now,
     /// Number of calls submitted so far.
@@ -171,6 +172,7 @@
             popularity: Frequency::new(POPULARITY_HALF_LIFE),
             load_estimate: LoadTimeEstimate::default(),
             slot_turnover: SlotTurnover::default(),
+            load_demand: LoadDemand::default(),
             recent_model_loads: Vec::new(),
             next_prune: PRUNE_INTERVAL,
             serial: 0,
@@ -244,6 +246,9 @@
         if queued.key.is_some() {
             self.popularity.record(&queued.key_text, 1, now);
         }
+        if self.needs_load(&queued) {
+            self.load_demand.record(now);
+        }
         if let Some(refusal) = self.admission_refusal(&queued, expected, now) {
             return Some(refusal);
         }
--- a/crates/fleet/src/scheduler/estimate.rs
+++ b/crates/fleet/src/scheduler/estimate.rs
@@ -23,6 +23,8 @@
 const LOAD_MARGIN: Duration = Duration::from_millis(8);
 /// Window over which loads are counted.
 const TURNOVER_WINDOW: Duration = Duration::from_secs(2);
+/// Window over which arriving calls are counted.
+const DEMAND_WINDOW: Duration = Duration::from_secs(2);
 /// Time for which an adapter in uninterrupted use keeps its slot while others
 /// wait for one; a mid-range value of long responses.
 const MAX_SLOT_HOLD: Duration = Duration::from_secs(3);
@@ -144,3 +146,41 @@
         observed.max(minimum)
     }
 }
+
+/// Recent demand for adapter loads.
+#[derive(Clone, Debug, Default)]
+pub(super) struct LoadDemand {
+    arrivals: VecDeque<Now>,
+}
+
+impl LoadDemand {
+    /// Records the arrival of a call whose adapter has to be loaded.
+    pub(super) fn record(&mut self, now: Now) {
+        self.arrivals.push_back(now);
+        while self
+            .arrivals
+            .front()
+            .is_some_and(|at| *at + DEMAND_WINDOW < now)
+        {
+            self.arrivals.pop_front();
+        }
+    }
+
+    /// Returns the number of such calls per second.
+    pub(super) fn per_s(&self, now: Now) -> f64 {
+        let recent = self
+            .arrivals
+            .iter()
+            .filter(|at| **at + DEMAND_WINDOW >= now);
+        recent.count() as f64 / DEMAND_WINDOW.as_secs_f64()
+    }
+}
+
+/// Returns the factor by which a call that every new call overtakes waits longer
+/// than for the calls ahead of it, if new calls take the share `utilization` of
+/// the capacity.
+pub(super) fn overtaking_factor(utilization: f64) -> f64 {
+    /// Utilization at or above which such a call is practically never reached.
+    const MAX_UTILIZATION: f64 = 0.9;
+    1.0 / (1.0 - utilization.clamp(0.0, MAX_UTILIZATION))
+}
--- a/crates/fleet/src/scheduler/placement.rs
+++ b/crates/fleet/src/scheduler/placement.rs
@@ -4,7 +4,7 @@
 //! adapter's home engine, which is preferred when the costs are about equal.
 
 use super::engine_view::{AdapterCopy, CopyState, EngineView, ModelState};
-use super::estimate::{as_millis, millis};
+use super::estimate::{as_millis, millis, overtaking_factor};
 use super::order::OrderKind;
 use super::prompt_cache::PromptPath;
 use super::request::{Grant, PlacementRequest, Refusal, RefusalReason};
@@ -33,10 +33,10 @@
 /// Concurrent loads from the weight store per engine of the zone that run at
 /// full speed; more would only slow each other down.
 const FULL_SPEED_LOADS_PER_ENGINE: f64 = 0.67;
-/// Expected wait of a late call, as a multiple of its computed wait: while the
-/// zone is overloaded, about as many new calls overtake a late call as were ahead
-/// of it on arrival.
-const LATE_WAIT_FACTOR: u32 = 2;
+/// Minimum of the expected wait of a late call, as a multiple of its computed
+/// wait: while the zone is overloaded, about as many new calls overtake a late call
+/// as were ahead of it on arrival.
+const LATE_WAIT_FACTOR: f64 = 2.0;
 /// Expected wait of a call that no engine can run at the moment.
 const UNPLACED_WAIT: Duration = Duration::from_millis(1_000);
 /// Maximum of the suggested retry delay, as a share of the time until the
@@ -123,7 +123,7 @@
         let late = QueueRank { late: true, ..rank };
         if rank.late || now + wait > queued.request.objective_at {
             let wait = self.queue_wait(late, queued, now);
-            wait_with_overtaking(wait, queued, now)
+            wait.mul_f64(self.overtaking(queued, now))
         } else {
             wait
         }
@@ -148,6 +148,27 @@
         }
     }
 
+    /// Returns the factor on the wait of a call that will miss its objective: new
+    /// calls overtake it. One that waits for a slot is overtaken by all whose
+    /// adapters have to be loaded too, however many these are.
+    fn overtaking(&self, queued: &QueuedCall, now: Now) -> f64 {
+        if !self.needs_load(queued) {
+            return LATE_WAIT_FACTOR;
+        }
+        let engines = self.engines.values().filter(|e| e.is_usable(now));
+        let specs = engines.filter_map(|e| self.specs.get(&e.service));
+        let slots = specs.map(|s| s.adapter_slots).sum();
+        let freed_per_s = self.slot_turnover.per_s(slots, now);
+        let utilization = self.load_demand.per_s(now) / freed_per_s;
+        overtaking_factor(utilization).max(LATE_WAIT_FACTOR)
+    }
+
+    /// Whether the adapter of a call has to be loaded first.
+    pub(super) fn needs_load(&self, queued: &QueuedCall) -> bool {
+        let key = queued.key.as_ref();
+        key.is_some_and(|key| !self.holds_or_loads(key))
+    }
+
     /// Returns the expected wait of a call behind the queued calls of this rank
     /// or a better one.
     fn queue_wait(&self, rank: QueueRank, queued: &QueuedCall, now: Now) -> Duration {
@@ -214,9 +235,10 @@
         let mut actions = Vec::new();
         for mut queued in queue {
             let outcome = match self.place_call(&mut queued, &mut round, now) {
-                PlacementOutcome::Queued(wait) => {
-                    PlacementOutcome::Queued(wait_with_overtaking(wait, &queued, now))
+                PlacementOutcome::Queued(wait) if now + wait > queued.request.objective_at => {
+                    PlacementOutcome::Queued(wait.mul_f64(self.overtaking(&queued, now)))
                 }
+                queued @ PlacementOutcome::Queued(_) => queued,
                 granted @ PlacementOutcome::Granted(_) => granted,
             };
             match outcome {
@@ -505,16 +527,6 @@
     }
 }
 
-/// Returns the wait of a call, longer than the computed one if the call will miss
-/// its objective: calls that arrive while it is queued overtake it.
-fn wait_with_overtaking(wait: Duration, queued: &QueuedCall, now: Now) -> Duration {
-    if now + wait > queued.request.objective_at {
-        wait * LATE_WAIT_FACTOR
-    } else {
-        wait
-    }
-}
-
 fn home_bias(key: &str, engine: &str) -> f64 {
     let weight = rendezvous::weight(key, engine) as f64 / u64::MAX as f64;
     HOME_BIAS_MS * (1.0 - weight)
