Gateway: nodes report their running calls to a new coordinator

Test: a_new_coordinator_knows_the_calls_of_its_predecessor; without adoption it fails with 'a33 is in use'.

--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -28,6 +28,7 @@
 pub use order::{EngineReport, Order, OrderKind, OrderOutcome};
 pub use request::{
     Grant, PlacementId, PlacementRequest, Progress, PromptPart, Refusal, RefusalReason, Rejection,
+    RunningCall,
 };
 
 use crate::config::{Engine as EngineSpec, Model};
@@ -38,6 +39,7 @@
 use prompt_cache::PromptPath;
 use reedford_core::frequency::Frequency;
 use reedford_core::rendezvous;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::net::SocketAddr;
@@ -52,7 +54,7 @@
 const QUEUE_POLL_INTERVAL: Duration = Duration::from_millis(15);
 
 /// An adapter of a base model.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct AdapterKey {
     /// Name of the base model.
     pub model: ModelName,
@@ -140,6 +142,8 @@
     load_demand: LoadDemand,
     recent_model_loads: Vec<Now>,
     next_prune: Now,
+    /// Time before which no eviction is ordered.
+    evictions_from: Now,
     /// Number of calls submitted so far.
     serial: u64,
 }
@@ -175,6 +179,7 @@
             load_demand: LoadDemand::default(),
             recent_model_loads: Vec::new(),
             next_prune: PRUNE_INTERVAL,
+            evictions_from: Now::ZERO,
             serial: 0,
         }
     }
@@ -256,6 +261,35 @@
         None
     }
 
+    /// Orders no evictions before `from`. A new coordinator does not know yet
+    /// which adapters are in use.
+    pub const fn defer_evictions(&mut self, from: Now) {
+        self.evictions_from = from;
+    }
+
+    /// Adopts a call that another coordinator granted, as if it was granted here.
+    pub fn adopt(&mut self, running: RunningCall, now: Now) {
+        let Some(engine) = self.engines.get_mut(&running.instance) else {
+            return;
+        };
+        if running.deadline <= now || self.running.contains_key(&running.call) {
+            return;
+        }
+        self.running
+            .insert(running.call.clone(), running.instance.clone());
+        engine.adopt(running, now);
+    }
+
+    /// Records an adapter that calls requested before this node was coordinator,
+    /// and the engine on which it ran last. Adapters are recorded in the order in
+    /// which they were used.
+    pub fn record_recent(&mut self, key: &AdapterKey, instance: &str, now: Now) {
+        self.popularity.record(&key.to_string(), 1, now);
+        if let Some(engine) = self.engines.get_mut(instance) {
+            engine.assume_cached(key);
+        }
+    }
+
     /// Cancels a queued or granted call whose caller no longer waits.
     pub fn cancel(&mut self, call: &str, now: Now) {
         self.queue.retain(|q| &*q.request.call != call);
--- a/crates/fleet/src/scheduler/engine_view.rs
+++ b/crates/fleet/src/scheduler/engine_view.rs
@@ -3,7 +3,7 @@
 use super::estimate::{PrefillRate, millis};
 use super::order::{EngineReport, Order, OrderKind};
 use super::prompt_cache::PromptCache;
-use super::request::{Grant, PlacementId, Rejection};
+use super::request::{Grant, PlacementId, Rejection, RunningCall};
 use super::{AdapterKey, PlacementRequest, QueuedCall};
 use crate::directory::{Instance, InstanceState};
 use crate::{InstanceId, ModelName, Now, ServiceName, WeightVersion};
@@ -248,6 +248,36 @@
         }
     }
 
+    /// Adopts a call that another coordinator granted.
+    pub(super) fn adopt(&mut self, running: RunningCall, now: Now) {
+        if let Some(copy) = running.key.as_ref().and_then(|k| self.copies.get_mut(k)) {
+            copy.running_calls += 1;
+            copy.last_used = now;
+        }
+        let call = GrantedCall {
+            key: running.key,
+            prompt_tokens: running.tokens,
+            unprocessed_tokens: running.tokens,
+            max_output_tokens: running.output,
+            granted_at: now,
+            expires_at: running.deadline + CALL_EXPIRY_MARGIN,
+            started: running.started,
+        };
+        if !call.started {
+            self.unstarted_tokens += u64::from(call.unprocessed_tokens);
+        }
+        self.reserved_tokens += call.reserved_tokens();
+        self.calls.insert(running.call, call);
+    }
+
+    /// Assumes that the engine keeps an adapter in host memory, unless it is
+    /// resident.
+    pub(super) fn assume_cached(&mut self, key: &AdapterKey) {
+        if !self.copies.contains_key(key) {
+            self.remember_evicted(key);
+        }
+    }
+
     /// Records the first token of a call. Returns whether it is the first proof
     /// that the load of the call's adapter is complete.
     pub(super) fn on_started(&mut self, call: &str, now: Now) -> bool {
@@ -405,6 +435,10 @@
 
     pub(super) fn on_evicted(&mut self, key: &AdapterKey) {
         self.copies.remove(key);
+        self.remember_evicted(key);
+    }
+
+    fn remember_evicted(&mut self, key: &AdapterKey) {
         self.host_cache.retain(|k| k != key);
         self.host_cache.push_back(key.clone());
         if self.host_cache.len() > HOST_CACHE_ADAPTERS {
@@ -444,6 +478,12 @@
             copy.state = CopyState::Loading(now + ASSUMED_REMAINING_LOAD);
             self.copies.entry(key).or_insert(copy);
         }
+        // Calls may have been adopted before their adapters were known.
+        for (key, copy) in &mut self.copies {
+            let uses = |call: &&GrantedCall| call.key.as_ref() == Some(key);
+            let count = self.calls.values().filter(uses).count();
+            copy.running_calls = u32::try_from(count).unwrap_or(u32::MAX);
+        }
     }
 }
 
@@ -460,7 +500,6 @@
 
     fn with_usage_of(mut self, before: Option<&Self>) -> Self {
         if let Some(before) = before {
-            self.running_calls = before.running_calls;
             self.last_used = before.last_used;
         }
         self
--- a/crates/fleet/src/scheduler/placement.rs
+++ b/crates/fleet/src/scheduler/placement.rs
@@ -426,6 +426,9 @@
         round: &mut PlacementRound,
         now: Now,
     ) -> Option<AdapterKey> {
+        if now < self.evictions_from {
+            return None;
+        }
         if let Some(known) = round.victims.get(&engine.id) {
             return known.clone();
         }
--- a/crates/fleet/src/scheduler/request.rs
+++ b/crates/fleet/src/scheduler/request.rs
@@ -62,6 +62,25 @@
     }
 }
 
+/// A running call that another coordinator granted.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RunningCall {
+    /// Id of the placement.
+    pub call: PlacementId,
+    /// Engine that runs the call.
+    pub instance: InstanceId,
+    /// Adapter of the call; `None` for the base model itself.
+    pub key: Option<AdapterKey>,
+    /// Prompt tokens.
+    pub tokens: u32,
+    /// Maximum tokens of the response.
+    pub output: u32,
+    /// Whether the first token came.
+    pub started: bool,
+    /// When the caller stops waiting for the response.
+    pub deadline: Now,
+}
+
 /// Permission to send a call to an instance.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Grant {
--- a/crates/fleet/tests/scheduler/load_patterns.rs
+++ b/crates/fleet/tests/scheduler/load_patterns.rs
@@ -224,3 +224,27 @@
     assert!(tally.refused > 0, "{tally:?}");
     assert_eq!(tally.after_caller_gave_up, 0, "{tally:?}");
 }
+
+/// Load pattern: a busy zone whose coordinator is replaced again and again. No
+/// adapter in use is evicted, which [`Zone`] checks, and most calls are in time.
+#[test]
+fn a_new_coordinator_knows_the_calls_of_its_predecessor() {
+    let mut zone = Zone::new(4);
+    zone.set_decode_time(ms(1_500));
+    let mut rng = StdRng::seed_from_u64(SEED);
+    let zipf = Zipf::new(ADAPTERS, ZIPF_EXPONENT).expect("valid");
+    for serial in 1..=300 {
+        let adapter = format!("a{}", zipf.sample(&mut rng) as u64);
+        let mut call = request(&format!("c{serial}"), &adapter, zone.now());
+        call.tokens = rng.random_range(300..3_500);
+        zone.submit(call);
+        if serial % 50 == 0 {
+            zone.replace_coordinator();
+        }
+        let next = zone.now() + ms(rng.random_range(0..=160));
+        zone.run(next);
+    }
+    let end = zone.now() + ms(6_000);
+    zone.run(end);
+    assert!(in_time_share(&zone.tally) > 0.8, "{:?}", zone.tally);
+}
--- a/crates/fleet/tests/scheduler/zone.rs
+++ b/crates/fleet/tests/scheduler/zone.rs
@@ -1,22 +1,23 @@
 //! Simulation of a zone's engines: loads with a fixed duration, prompts processed
 //! one after the other, responses that take a fixed time. While it runs it checks
 //! that no engine is ordered to hold more adapters than it has slots, and that no
-//! adapter in use is evicted. The simulated engines don't respond to requests for
-//! reports.
+//! adapter in use is evicted.
 
-use crate::support::{ADAPTER_SLOTS, deliver_report, instance, ms, scheduler};
+use crate::support::{ADAPTER_SLOTS, MODEL, deliver_report, instance, key, ms, scheduler};
 use reedford_fleet::Now;
 use reedford_fleet::scheduler::{
-    Action, OrderKind, OrderOutcome, PlacementRequest, Progress, Rejection, Scheduler,
+    Action, EngineReport, OrderKind, OrderOutcome, PlacementRequest, Progress, Rejection,
+    RunningCall, Scheduler,
 };
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 /// Prompt tokens that an engine processes per millisecond, unless a test sets
 /// another rate.
 const PREFILL_TOKENS_PER_MS: f64 = 16.0;
 const COLD_LOAD_MS: u64 = 250;
 const WARM_LOAD_MS: u64 = 25;
-/// Duration of a response after its first token.
+/// Duration of a response after its first token, unless a test sets another.
 const DECODE_MS: u64 = 350;
 /// Prompts of this length or more are counted separately.
 const LONG_PROMPT_TOKENS: u32 = 10_000;
@@ -35,7 +36,7 @@
 }
 
 #[derive(Debug)]
-struct RunningCall {
+struct EngineRun {
     engine: Box<str>,
     adapter: Box<str>,
     first_token_at: Now,
@@ -70,10 +71,11 @@
     pub(crate) tally: Tally,
     now: Now,
     prefill_tokens_per_ms: f64,
+    decode: Duration,
     engines: BTreeMap<Box<str>, Engine>,
     requests: BTreeMap<Box<str>, PlacementRequest>,
     submitted_at: BTreeMap<Box<str>, Now>,
-    runs: BTreeMap<Box<str>, RunningCall>,
+    runs: BTreeMap<Box<str>, EngineRun>,
 }
 
 impl Zone {
@@ -83,6 +85,7 @@
             tally: Tally::default(),
             now: Now::ZERO,
             prefill_tokens_per_ms: PREFILL_TOKENS_PER_MS,
+            decode: ms(DECODE_MS),
             engines: BTreeMap::new(),
             requests: BTreeMap::new(),
             submitted_at: BTreeMap::new(),
@@ -102,6 +105,11 @@
         self.prefill_tokens_per_ms = tokens_per_ms;
     }
 
+    /// Sets the duration of all responses after their first token.
+    pub(crate) fn set_decode_time(&mut self, decode: Duration) {
+        self.decode = decode;
+    }
+
     pub(crate) fn now(&self) -> Now {
         self.now
     }
@@ -113,6 +121,40 @@
         self.runs.retain(|_, run| &*run.engine != engine);
     }
 
+    /// Replaces the scheduler by that of a new coordinator, to which nodes report
+    /// their running calls and repeat their requests.
+    pub(crate) fn replace_coordinator(&mut self) {
+        let now = self.now;
+        self.scheduler = scheduler();
+        self.scheduler.defer_evictions(now + ms(400));
+        for id in self.engines.keys() {
+            self.scheduler.on_instance(&instance(id, 1), now);
+        }
+        for (call, run) in &self.runs {
+            let running = RunningCall {
+                call: call.clone(),
+                instance: run.engine.clone(),
+                key: Some(key(&run.adapter)),
+                tokens: run.prompt_tokens,
+                output: 22,
+                started: run.started,
+                deadline: now + ms(5_000),
+            };
+            self.scheduler.adopt(running, now);
+            self.scheduler
+                .record_recent(&key(&run.adapter), &run.engine, now);
+        }
+        for request in self.requests.clone().into_values() {
+            if !self.runs.contains_key(&request.call)
+                && now < request.first_token_by
+                && self.scheduler.submit(request.clone(), now).is_some()
+            {
+                self.requests.remove(&request.call);
+                self.tally.refused += 1;
+            }
+        }
+    }
+
     pub(crate) fn submit(&mut self, request: PlacementRequest) {
         self.tally.submitted += 1;
         if request.tokens >= LONG_PROMPT_TOKENS {
@@ -160,6 +202,7 @@
         }
         for call in ended {
             let run = self.runs.remove(&call).expect("found just now");
+            self.requests.remove(&call);
             self.scheduler.progress(&call, Progress::Ended, now);
             if let Some(engine) = self.engines.get_mut(&run.engine) {
                 *engine.in_use.entry(run.adapter).or_default() -= 1;
@@ -190,11 +233,11 @@
                 let first_token_at = engine.prefill_ends.max(now) + ms(prefill_ms as u64);
                 engine.prefill_ends = first_token_at;
                 *engine.in_use.entry(adapter.clone()).or_default() += 1;
-                let run = RunningCall {
+                let run = EngineRun {
                     engine: grant.instance,
                     adapter,
                     first_token_at,
-                    ends_at: first_token_at + ms(DECODE_MS),
+                    ends_at: first_token_at + self.decode,
                     started: false,
                     objective_at: request.objective_at,
                     prompt_tokens: request.tokens,
@@ -220,13 +263,28 @@
                     .on_order_outcome(&order.instance, outcome, now);
             }
             Action::FetchReport { instance, .. } => {
-                self.scheduler.on_report(&instance, None, now);
+                let report = self.engines.get(&instance).map(|e| e.report(now));
+                self.scheduler.on_report(&instance, report.as_ref(), now);
             }
         }
     }
 }
 
 impl Engine {
+    fn report(&self, now: Now) -> EngineReport {
+        let (held, loading): (Vec<_>, Vec<_>) =
+            self.loaded_at.iter().partition(|(_, at)| **at <= now);
+        let held = held.into_iter().map(|(adapter, _)| (adapter.clone(), 1));
+        let loading = loading.into_iter().map(|(a, _)| (MODEL.into(), a.clone()));
+        EngineReport {
+            born: 1,
+            orders: self.orders,
+            busy: false,
+            models: BTreeMap::from([(MODEL.into(), held.collect())]),
+            loading: loading.collect(),
+        }
+    }
+
     fn apply_order(&mut self, kind: &OrderKind, now: Now, tally: &mut Tally) -> OrderOutcome {
         match kind {
             OrderKind::LoadAdapter { adapter, .. } => {
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -9,7 +9,7 @@
 
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
-use crate::peer::{PeerClients, PlaceRequest, PlaceResponse, ZoneLoad};
+use crate::peer::{CallsReport, PeerClients, PlaceRequest, PlaceResponse, ZoneLoad};
 use crate::settings::GatewaySettings;
 use crate::state::Shared;
 use reedford_fleet::Now;
@@ -33,6 +33,8 @@
 /// time, at or above which a call is refused on arrival; the rest is needed to
 /// generate the response.
 const MAX_WAIT_SHARE: f64 = 0.6;
+/// Time in which nodes report their calls to a new coordinator.
+const CALLS_REPORT_TIME: Duration = Duration::from_millis(400);
 /// Interval between reports of this zone's load.
 const LOAD_REPORT_INTERVAL: Duration = Duration::from_millis(250);
 /// Commands handled between two scheduling rounds.
@@ -206,6 +208,7 @@
             max_wait_share: MAX_WAIT_SHARE,
             load_share: 1.0 / self.ctx.cfg.zones.len().max(1) as f64,
         });
+        scheduler.defer_evictions(self.ctx.shared.now() + CALLS_REPORT_TIME);
         self.refresh(&mut scheduler);
         scheduler
     }
@@ -243,6 +246,7 @@
         let now = self.ctx.shared.now();
         match command {
             Command::Place { req, response_tx } => self.place(req, response_tx, now),
+            Command::Calls(report) => self.on_calls_report(report, now),
             Command::ZoneLoad(load) => self.on_zone_load(load, now),
             Command::Refresh => self.on_refresh(),
             Command::Progress { call, progress } => {
@@ -269,6 +273,24 @@
         }
     }
 
+    /// Adopts what a node reports to this node as a new coordinator.
+    fn on_calls_report(&mut self, report: CallsReport, now: Now) {
+        self.update_term();
+        let Some(term) = &mut self.term else { return };
+        tracing::info!(
+            event = "calls_adopted",
+            fence = term.fence,
+            running = report.running.len(),
+            recent = report.recent.len()
+        );
+        for (key, instance) in &report.recent {
+            term.scheduler.record_recent(key, instance, now);
+        }
+        for call in report.running {
+            term.scheduler.adopt(call.into_running_call(now), now);
+        }
+    }
+
     fn on_refresh(&mut self) {
         self.update_term();
         if let Some(mut term) = self.term.take() {
--- a/crates/gateway/src/coordinator/commands.rs
+++ b/crates/gateway/src/coordinator/commands.rs
@@ -1,6 +1,6 @@
 //! Commands to the coordinator's task.
 
-use crate::peer::{PlaceRequest, PlaceResponse, ZoneLoad};
+use crate::peer::{CallsReport, PlaceRequest, PlaceResponse, ZoneLoad};
 use reedford_fleet::InstanceId;
 use reedford_fleet::ownership::Fence;
 use reedford_fleet::scheduler::{EngineReport, OrderOutcome, PlacementId, Progress};
@@ -34,6 +34,8 @@
         instance: InstanceId,
         report: Option<EngineReport>,
     },
+    /// A node reported the calls that it runs on this zone's engines.
+    Calls(CallsReport),
     /// Another zone reported its load.
     ZoneLoad(ZoneLoad),
     /// The configuration, directory, versions or role changed.
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -1,5 +1,6 @@
 //! Starts a node, handles signals, and shuts the node down gracefully.
 
+use crate::calls_report::CallsReporter;
 use crate::coordinator::{Coordinator, CoordinatorContext, command_queue};
 use crate::dialect::Dialect;
 use crate::feeds::Feed;
@@ -190,6 +191,14 @@
         let (progress_tx, progress_task) =
             progress_queue(commands.clone(), Arc::clone(&peers), cfg.peers);
         node.tasks.spawn(progress_task.run(node.background.clone()));
+        let calls_reporter = CallsReporter {
+            shared: Arc::clone(&shared),
+            peers: Arc::clone(&peers),
+            commands: commands.clone(),
+            own_addr: cfg.peers,
+        };
+        node.tasks
+            .spawn(calls_reporter.run(node.background.clone()));
         let sync = Arc::new(StoreSync {
             dialect: Arc::clone(&dialect),
             stores: StoreClients {
--- a/crates/gateway/src/handler/attempt.rs
+++ b/crates/gateway/src/handler/attempt.rs
@@ -5,8 +5,9 @@
 use crate::call::Call;
 use crate::dialect::Dialect;
 use crate::placer::Placement;
-use reedford_fleet::InstanceId;
+use crate::state::LocalCall;
 use reedford_fleet::scheduler::{Grant, PlacementId, Progress, Refusal, RefusalReason, Rejection};
+use reedford_fleet::{InstanceId, ZoneId};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -19,7 +20,10 @@
 {
     gateway: Arc<Gateway<D>>,
     pub(crate) grant: Grant,
-    coordinator: Option<SocketAddr>,
+    /// Availability zone of the engine.
+    zone: ZoneId,
+    /// The coordinator that granted the attempt, if one did.
+    granted_by: Option<SocketAddr>,
     /// Whether the instance belongs to a plain service, whose calls the balancer
     /// counts.
     plain: bool,
@@ -54,11 +58,7 @@
         self.metrics.placement_wait(&call.route.name, waited);
         tracing::info!(event = "placed", id = %call.id, instance = %placement.grant.instance,
             version = ?placement.grant.version, waited_ms = waited.as_millis() as u64);
-        Ok(Attempt::new(
-            Arc::clone(self),
-            placement,
-            call.is_model_call,
-        ))
+        Ok(Attempt::new(Arc::clone(self), placement, call))
     }
 
     /// Requests an engine from the coordinator. A coordinator that is cut off
@@ -98,19 +98,31 @@
 where
     D: Dialect,
 {
-    fn new(gateway: Arc<Gateway<D>>, placement: Placement, is_model_call: bool) -> Self {
-        if !is_model_call {
-            gateway
-                .shared
-                .lock()
-                .balancer
-                .on_sent(&placement.grant.instance);
+    fn new(gateway: Arc<Gateway<D>>, placement: Placement, call: &Call) -> Self {
+        let grant = placement.grant;
+        let mut state = gateway.shared.lock();
+        let instance = state.directory.get(&grant.instance);
+        let zone = instance.map_or_else(|| state.zone.clone(), |i| i.zone.clone());
+        if call.is_model_call {
+            let local = LocalCall {
+                instance: grant.instance.clone(),
+                key: call.adapter(),
+                prompt_tokens: call.head.prompt_tokens,
+                max_output_tokens: call.head.max_output_tokens,
+                started: false,
+                deadline: call.deadline,
+            };
+            state.running.insert(grant.call.clone(), local);
+        } else {
+            state.balancer.on_sent(&grant.instance);
         }
+        drop(state);
         Self {
             gateway,
-            grant: placement.grant,
-            coordinator: placement.coordinator,
-            plain: !is_model_call,
+            grant,
+            zone,
+            granted_by: placement.coordinator,
+            plain: !call.is_model_call,
             started: false,
             ended: false,
         }
@@ -120,6 +132,9 @@
     pub(crate) fn report_started(&mut self) {
         if !self.started {
             self.started = true;
+            if let Some(local) = self.gateway.shared.lock().running.get_mut(&self.grant.call) {
+                local.started = true;
+            }
             self.report(Progress::Started);
         }
     }
@@ -139,15 +154,26 @@
             return;
         }
         self.ended = true;
+        let mut state = self.gateway.shared.lock();
         if self.plain {
-            let mut state = self.gateway.shared.lock();
             state.balancer.on_ended(&self.grant.instance);
+        } else {
+            state.running.remove(&self.grant.call);
         }
+        drop(state);
         self.report(progress);
     }
 
+    /// Reports progress to the coordinator of the engine's zone, which may have
+    /// changed since the grant.
     fn report(&self, progress: Progress) {
-        if let Some(coordinator) = self.coordinator {
+        if self.plain {
+            return;
+        }
+        let state = self.gateway.shared.lock();
+        let current = state.coordinator(&self.zone).map(|holder| holder.addr);
+        drop(state);
+        if let Some(coordinator) = current.or(self.granted_by) {
             self.gateway
                 .progress
                 .report(coordinator, self.grant.call.clone(), progress);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 //! node sends a call to an instance.
 
 mod call;
+mod calls_report;
 mod clock;
 mod coordinator;
 mod daemon;
--- a/crates/gateway/src/membership/coordinator_keys.rs
+++ b/crates/gateway/src/membership/coordinator_keys.rs
@@ -33,11 +33,11 @@
         tracing::info!(event = "coordinator", zone, node = %record.node, fence = revision);
         if zone == &*self.cfg.zone {
             state.role.on_holder(record.holder(revision));
-            self.shared.holder_changed.notify_waiters();
         } else {
             let holder = record.holder(revision);
             state.other_coordinators.insert(zone.into(), holder);
         }
+        self.shared.holder_changed.notify_waiters();
     }
 
     fn on_delete(&self, key: &str) {
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -5,7 +5,8 @@
 use futures::future::BoxFuture;
 use reedford_fleet::ownership::Holder;
 use reedford_fleet::scheduler::{
-    AdapterHash, Grant, PlacementId, PlacementRequest, Progress, PromptPart, Refusal,
+    AdapterHash, AdapterKey, Grant, PlacementId, PlacementRequest, Progress, PromptPart, Refusal,
+    RunningCall,
 };
 use reedford_fleet::{AdapterName, InstanceId, ModelName, Now, ServiceName, ZoneId};
 use serde::{Deserialize, Serialize};
@@ -77,6 +78,31 @@
     pub(crate) held: BTreeSet<AdapterHash>,
 }
 
+/// What a node reports to a new coordinator about the engines of its zone.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub(crate) struct CallsReport {
+    pub(crate) running: Vec<ReportedCall>,
+    /// Adapters of recent calls with the engines that they ran on, the latest
+    /// last.
+    pub(crate) recent: Vec<(AdapterKey, InstanceId)>,
+}
+
+/// A running call in a [`CallsReport`]; the scheduler's form is [`RunningCall`].
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct ReportedCall {
+    pub(crate) call: PlacementId,
+    pub(crate) instance: InstanceId,
+    pub(crate) key: Option<AdapterKey>,
+    /// Number of prompt tokens.
+    pub(crate) tokens: u32,
+    /// Maximum number of generated tokens.
+    pub(crate) output: u32,
+    /// Whether the first token came.
+    pub(crate) started: bool,
+    /// Time until the caller's deadline.
+    pub(crate) patience: Duration,
+}
+
 /// Requests between nodes.
 #[tarpc::service]
 pub(crate) trait Peer {
@@ -85,6 +111,9 @@
     async fn place(req: PlaceRequest) -> PlaceResponse;
     /// Reports the progress of granted calls.
     async fn progress(steps: Vec<(PlacementId, Progress)>);
+    /// Reports the sender's calls on the engines of the receiver's zone to a new
+    /// coordinator. Returns whether the receiver is the coordinator.
+    async fn calls(report: CallsReport) -> bool;
     /// Reports the load of the sender's zone.
     async fn load(load: ZoneLoad);
     /// Long-polls a coordinator for the changes of a feed after a revision, 0
@@ -118,6 +147,22 @@
     }
 }
 
+impl ReportedCall {
+    /// Converts the report to the scheduler's type; `now` is the time of arrival at
+    /// this node.
+    pub(crate) fn into_running_call(self, now: Now) -> RunningCall {
+        RunningCall {
+            call: self.call,
+            instance: self.instance,
+            key: self.key,
+            tokens: self.tokens,
+            output: self.output,
+            started: self.started,
+            deadline: now + self.patience,
+        }
+    }
+}
+
 impl reedford_rpc::Client for PeerClient {
     fn connect(addr: SocketAddr) -> BoxFuture<'static, io::Result<(Self, BoxFuture<'static, ()>)>> {
         async move {
--- a/crates/gateway/src/peer_server.rs
+++ b/crates/gateway/src/peer_server.rs
@@ -4,7 +4,9 @@
 use crate::coordinator::{Command, CommandTx};
 use crate::feeds::{Feed, FeedResponse};
 use crate::membership::ZONE_PREFIX;
-use crate::peer::{Peer, PeerRequest, PeerResponse, PlaceRequest, PlaceResponse, ZoneLoad};
+use crate::peer::{
+    CallsReport, Peer, PeerRequest, PeerResponse, PlaceRequest, PlaceResponse, ZoneLoad,
+};
 use crate::state::Shared;
 use futures::StreamExt as _;
 use reedford_fleet::ZoneId;
@@ -100,6 +102,14 @@
         }
     }
 
+    async fn calls(self, _: Context, report: CallsReport) -> bool {
+        let coordinates = self.shared.lock().role.held_fence().is_some();
+        if coordinates {
+            self.commands.send(Command::Calls(report));
+        }
+        coordinates
+    }
+
     async fn load(self, _: Context, load: ZoneLoad) {
         self.commands.send(Command::ZoneLoad(load));
     }
@@ -119,11 +129,6 @@
     }
 
     async fn coordinator(self, _: Context, zone: ZoneId) -> Option<Holder> {
-        let state = self.shared.lock();
-        if zone == state.zone {
-            state.role.holder().cloned()
-        } else {
-            state.other_coordinators.get(&zone).cloned()
-        }
+        self.shared.lock().coordinator(&zone).cloned()
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -12,7 +12,7 @@
 use reedford_fleet::directory::{Directory, Instance};
 use reedford_fleet::health::Health;
 use reedford_fleet::ownership::{Holder, Role};
-use reedford_fleet::scheduler::{AdapterKey, Grant};
+use reedford_fleet::scheduler::{AdapterKey, Grant, PlacementId};
 use reedford_fleet::zones::ZoneReport;
 use reedford_fleet::{InstanceId, Now, WeightVersion, ZoneId};
 use std::collections::BTreeMap;
@@ -34,8 +34,8 @@
     pub(crate) operators_revision: watch::Sender<i64>,
     /// Coordinator whose feed of the instances this node polls successfully.
     pub(crate) followed: watch::Sender<Option<SocketAddr>>,
-    /// Notified when the holder of the coordinator role of this zone becomes
-    /// known or changes.
+    /// Notified when the coordinator of an availability zone becomes known or
+    /// changes.
     pub(crate) holder_changed: Notify,
     /// Notified when this zone has lost its coordinator.
     pub(crate) role_vacant: Notify,
@@ -63,6 +63,8 @@
     /// The instance that each adapter ran on last, for placement while no
     /// coordinator can be reached.
     pub(crate) last_instances: BTreeMap<AdapterKey, LastInstance>,
+    /// This node's model calls that engines run.
+    pub(crate) running: BTreeMap<PlacementId, LocalCall>,
     pub(crate) connectivity: Connectivity,
     pub(crate) stopping: bool,
 }
@@ -75,6 +77,17 @@
     pub(crate) recorded_at: Now,
 }
 
+/// A model call that this node sent to an engine.
+#[derive(Clone, Debug)]
+pub(crate) struct LocalCall {
+    pub(crate) instance: InstanceId,
+    pub(crate) key: Option<AdapterKey>,
+    pub(crate) prompt_tokens: u32,
+    pub(crate) max_output_tokens: u32,
+    pub(crate) started: bool,
+    pub(crate) deadline: Now,
+}
+
 impl Shared {
     pub(crate) fn new(
         zone: ZoneId,
@@ -104,6 +117,7 @@
                 other_coordinators: BTreeMap::new(),
                 zone_loads: BTreeMap::new(),
                 last_instances: BTreeMap::new(),
+                running: BTreeMap::new(),
                 connectivity: Connectivity::default(),
                 stopping: false,
             }),
@@ -132,6 +146,15 @@
         self.connectivity.cut_off(now) && !self.role.leads(now)
     }
 
+    /// Returns the coordinator of a zone, if it is known.
+    pub(crate) fn coordinator(&self, zone: &str) -> Option<&Holder> {
+        if zone == &*self.zone {
+            self.role.holder()
+        } else {
+            self.other_coordinators.get(zone)
+        }
+    }
+
     /// Records the instance that an adapter runs on.
     pub(crate) fn record_last_instance(&mut self, key: AdapterKey, grant: &Grant, now: Now) {
         if self.last_instances.len() >= MAX_LAST_INSTANCES
