Gateway: a node that loses its coordinator's feed watches on without a listing

Cause: each loss of a coordinator made every node of its zone list instances (two pages), operators' keys and coordinators before it watched them. Change: a node that followed a coordinator knows the revision up to which it has all changes, and watches the store from there. A coordinator lists, since its feeds begin with a listing; so does a node after an outage. Test: nodes_follow_changes_when_their_coordinator_is_lost counts listings.

--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -190,7 +190,10 @@
         F: Fn(&[u8]) -> u64,
     {
         let mut state = self.lock();
-        let feed_state = state.by_feed.entry(feed).or_default();
+        // Without a listing the feed would be incomplete.
+        let Some(feed_state) = state.by_feed.get_mut(&feed) else {
+            return;
+        };
         feed_state.last_message = Some(now);
         feed_state.revision = feed_state.revision.max(revision);
         for change in changes {
@@ -202,6 +205,11 @@
         }
     }
 
+    /// Drops a feed that this node no longer keeps up to date.
+    pub(crate) fn clear(&self, feed: Feed) {
+        self.lock().by_feed.remove(&feed);
+    }
+
     /// Records that the store is unreachable.
     pub(crate) fn on_store_lost(&self, feed: Feed) {
         if let Some(state) = self.lock().by_feed.get_mut(&feed) {
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -343,6 +343,7 @@
         state.role.on_holder(record.holder(revision));
         state.role.on_renewed(renewed, ttl);
         drop(state);
+        self.shared.holder_changed.notify_waiters();
         self.commands.send(Command::Refresh);
     }
 
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -125,7 +125,10 @@
                     Some(addr) if watched.feed == Feed::Operators => {
                         self.fetch_changes(addr, &mut seen, &mut handler).await
                     }
-                    Some(addr) => self.poll_coordinator(addr, watched, &mut handler).await,
+                    Some(addr) => {
+                        self.poll_coordinator(addr, watched, &mut seen, &mut handler)
+                            .await
+                    }
                     None => {
                         self.shared
                             .store_retries
@@ -141,6 +144,7 @@
                     WatchEnd::CoordinatorFailed => direct_until = self.shared.now() + DIRECT_PERIOD,
                     WatchEnd::StoreFailed(error) if error.is_history_compacted() => {
                         tracing::info!(event = "history_gone", prefix = watched.prefix);
+                        seen = 0;
                     }
                     WatchEnd::StoreFailed(error) => {
                         self.on_store_lost(watched, &error, &mut store_lost);
@@ -237,22 +241,16 @@
         F: KeyHandler,
     {
         let store = self.client(watched);
-        let Listing { revision, entries } = match store.list(watched.prefix).await {
-            Ok(listing) => listing,
-            Err(error) => return WatchEnd::StoreFailed(error),
-        };
-        let absence = if std::mem::take(store_lost) {
-            tracing::info!(event = "store_regained", prefix = watched.prefix, revision);
-            Absence::Lapsed
-        } else {
-            Absence::Removed
-        };
-        self.on_store_response();
-        self.publish_listing(watched, revision, &entries, absence);
-        handler.on_listing(entries, absence);
-        handler.on_batch_end();
-        *seen = revision;
-        let mut watch = match store.watch(watched.prefix, revision + 1).await {
+        // A node that followed a coordinator knows all changes up to `seen`. The
+        // coordinator itself needs a listing, which its feeds begin with.
+        let resumed = *seen > 0 && !*store_lost && !self.is_coordinator();
+        if !resumed {
+            match self.list(watched, store, handler, store_lost).await {
+                Ok(revision) => *seen = revision,
+                Err(error) => return WatchEnd::StoreFailed(error),
+            }
+        }
+        let mut watch = match store.watch(watched.prefix, *seen + 1).await {
             Ok(watch) => watch,
             Err(error) => return WatchEnd::StoreFailed(error),
         };
@@ -260,6 +258,7 @@
             let next = tokio::select! {
                 next = watch.next() => next,
                 () = self.wait_until_outdated(watched, *seen) => return WatchEnd::SourceChanged,
+                () = self.wait_until_coordinator(), if resumed => return WatchEnd::SourceChanged,
             };
             match next {
                 Some(Ok(changes)) => {
@@ -289,6 +288,47 @@
         }
     }
 
+    /// Lists a prefix in the store; returns the revision of the listing.
+    async fn list<F>(
+        &self,
+        watched: WatchedPrefix<'_>,
+        store: &K,
+        handler: &mut F,
+        store_lost: &mut bool,
+    ) -> Result<i64, KvError>
+    where
+        F: KeyHandler,
+    {
+        let Listing { revision, entries } = store.list(watched.prefix).await?;
+        let absence = if std::mem::take(store_lost) {
+            tracing::info!(event = "store_regained", prefix = watched.prefix, revision);
+            Absence::Lapsed
+        } else {
+            Absence::Removed
+        };
+        self.on_store_response();
+        self.publish_listing(watched, revision, &entries, absence);
+        handler.on_listing(entries, absence);
+        handler.on_batch_end();
+        Ok(revision)
+    }
+
+    fn is_coordinator(&self) -> bool {
+        self.shared.lock().role.held_fence().is_some()
+    }
+
+    async fn wait_until_coordinator(&self) {
+        loop {
+            let changed = self.shared.holder_changed.notified();
+            let mut changed = std::pin::pin!(changed);
+            changed.as_mut().enable();
+            if self.is_coordinator() {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// Returns the client for a prefix: the short-polling one for instances,
     /// whose watch shows that the store responds, and the long-polling one for
     /// operators' keys while a coordinator reports their changes.
@@ -385,16 +425,15 @@
         &self,
         addr: SocketAddr,
         watched: WatchedPrefix<'_>,
+        seen: &mut i64,
         handler: &mut F,
     ) -> WatchEnd
     where
         F: KeyHandler,
     {
-        let mut after = 0;
+        self.shared.feeds.clear(watched.feed);
         let end = loop {
-            let Some(has_changes) = self
-                .request_feed(addr, watched.feed, &mut after, handler)
-                .await
+            let Some(has_changes) = self.request_feed(addr, watched.feed, seen, handler).await
             else {
                 break WatchEnd::CoordinatorFailed;
             };
@@ -421,6 +460,7 @@
     where
         F: KeyHandler,
     {
+        self.shared.feeds.clear(Feed::Operators);
         let mut followed = self.shared.followed.subscribe();
         let mut reported = self.shared.operators_revision.subscribe();
         loop {
