Gateway: after an outage of the store another source is tried first; old listings where they suffice

Change: a watch that waited for its turn asks for the coordinator's feed again before it uses the store; the time of direct use after a failed feed is a share of the staleness limit; the coordinators' keys at a start and the registrations are read from listings that may be seconds old.

--- a/crates/fleet/tests/budget.rs
+++ b/crates/fleet/tests/budget.rs
@@ -65,5 +65,8 @@
     for _ in 0..100 {
         budget.record_call("s", Now::ZERO);
     }
-    assert!(budget.try_withdraw("s", Now::ZERO), "a share of its own calls");
+    assert!(
+        budget.try_withdraw("s", Now::ZERO),
+        "a share of its own calls"
+    );
 }
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -230,7 +230,7 @@
             return Ok(false);
         }
         self.next_count = now + NODE_COUNT_INTERVAL;
-        let entries = self.store.list(NODE_PREFIX).await?.entries;
+        let entries = self.store.list_stale(NODE_PREFIX).await?.entries;
         let records = entries.iter().filter_map(|e| {
             serde_json::from_slice::<NodeRecord>(&e.value)
                 .inspect_err(|error| {
--- a/crates/gateway/src/store_retries.rs
+++ b/crates/gateway/src/store_retries.rs
@@ -38,20 +38,21 @@
         self.lock().on_failure(now, rand::random_range(JITTER));
     }
 
-    /// Waits until a request may be sent.
-    pub(crate) async fn wait_for_turn(&self, clock: &Clock) {
-        loop {
-            let recovered = self.recovered.notified();
-            let mut recovered = std::pin::pin!(recovered);
-            recovered.as_mut().enable();
-            let turn = self
-                .lock()
-                .try_take_turn(clock.now(), rand::random_range(JITTER));
-            let Err(next) = turn else { return };
-            if timeout_at(clock.instant(next), recovered).await.is_ok() {
-                return;
-            }
+    /// Takes a turn if one is due and returns true. Otherwise waits until one is
+    /// due, without taking it, and returns false: another source may be available
+    /// by then.
+    pub(crate) async fn take_or_await_turn(&self, clock: &Clock) -> bool {
+        let recovered = self.recovered.notified();
+        let mut recovered = std::pin::pin!(recovered);
+        recovered.as_mut().enable();
+        let turn = self
+            .lock()
+            .try_take_turn(clock.now(), rand::random_range(JITTER));
+        let Err(next) = turn else { return true };
+        if timeout_at(clock.instant(next), recovered).await.is_err() {
+            tracing::trace!(event = "store_turn");
         }
+        false
     }
 
     fn lock(&self) -> MutexGuard<'_, Turns> {
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -40,8 +40,8 @@
 /// second for changes.
 const FEED_POLL_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time for which the store is used directly after the coordinator failed to
-/// serve a feed.
-const DIRECT_PERIOD: Duration = Duration::from_millis(1_000);
+/// serve a feed, as a share of the limit on staleness.
+const DIRECT_PERIOD_SHARE: f64 = 0.4;
 /// Time for which a watch may lag behind a revision of operators' keys that
 /// another node reported, before the prefix is listed again.
 const MAX_OPERATORS_LAG: Duration = Duration::from_millis(200);
@@ -81,6 +81,17 @@
     pub(crate) pause: Duration,
 }
 
+/// What a watch knows of its prefix.
+#[derive(Clone, Copy, Debug, Default)]
+struct Known {
+    /// Revision up to which the handler has all changes; 0 if it has none.
+    revision: i64,
+    /// Whether the store has not responded since the last listing.
+    store_lost: bool,
+    /// Whether the store has discarded the changes after the last known revision.
+    history_gone: bool,
+}
+
 /// Why a watch ended.
 enum WatchEnd {
     /// A store request failed.
@@ -115,39 +126,39 @@
     ) where
         F: KeyHandler,
     {
-        let mut store_lost = false;
+        let mut known = Known::default();
         let mut direct_until = Now::ZERO;
-        // Revision up to which the handler knows all changes.
-        let mut seen = 0;
         let watching = async {
             loop {
                 let end = match self.wait_for_source(watched, direct_until).await {
                     Some(addr) if watched.feed == Feed::Operators => {
-                        self.fetch_changes(addr, &mut seen, &mut handler).await
+                        self.fetch_changes(addr, &mut known.revision, &mut handler)
+                            .await
                     }
                     Some(addr) => {
-                        self.poll_coordinator(addr, watched, &mut seen, &mut handler)
+                        self.poll_coordinator(addr, watched, &mut known.revision, &mut handler)
                             .await
                     }
-                    None => {
-                        self.shared
-                            .store_retries
-                            .wait_for_turn(&self.shared.clock)
-                            .await;
+                    None if self.take_or_await_turn().await => {
                         let until = direct_until;
-                        self.watch_store(watched, &mut handler, &mut store_lost, until, &mut seen)
+                        self.watch_store(watched, &mut handler, &mut known, until)
                             .await
                     }
+                    None => WatchEnd::SourceChanged,
                 };
                 match end {
                     WatchEnd::SourceChanged => {}
-                    WatchEnd::CoordinatorFailed => direct_until = self.shared.now() + DIRECT_PERIOD,
+                    WatchEnd::CoordinatorFailed => {
+                        let direct = self.staleness_limit.mul_f64(DIRECT_PERIOD_SHARE);
+                        direct_until = self.shared.now() + direct;
+                    }
                     WatchEnd::StoreFailed(error) if error.is_history_compacted() => {
                         tracing::info!(event = "history_gone", prefix = watched.prefix);
-                        seen = 0;
+                        known.revision = 0;
+                        known.history_gone = true;
                     }
                     WatchEnd::StoreFailed(error) => {
-                        self.on_store_lost(watched, &error, &mut store_lost);
+                        self.on_store_lost(watched, &error, &mut known);
                     }
                 }
             }
@@ -215,15 +226,15 @@
         self.shared.store_retries.on_response();
     }
 
-    fn on_store_lost(&self, watched: WatchedPrefix<'_>, error: &KvError, store_lost: &mut bool) {
+    fn on_store_lost(&self, watched: WatchedPrefix<'_>, error: &KvError, known: &mut Known) {
         let now = self.shared.now();
         self.shared.lock().connectivity.on_failure(now);
         self.shared.store_retries.on_failure(now);
         self.metrics.store_failure("watch");
         self.shared.feeds.on_store_lost(watched.feed);
-        if !*store_lost {
+        if !known.store_lost {
             tracing::warn!(event = "store_lost", prefix = watched.prefix, %error);
-            *store_lost = true;
+            known.store_lost = true;
         }
     }
 
@@ -233,36 +244,33 @@
         &self,
         watched: WatchedPrefix<'_>,
         handler: &mut F,
-        store_lost: &mut bool,
+        known: &mut Known,
         direct_until: Now,
-        seen: &mut i64,
     ) -> WatchEnd
     where
         F: KeyHandler,
     {
         let store = self.client(watched);
-        // A node that followed a coordinator knows all changes up to `seen`. The
+        // A node that followed a coordinator knows all changes up to a revision. The
         // coordinator itself needs a listing, which its feeds begin with.
-        let resumed = *seen > 0 && !*store_lost && !self.is_coordinator();
-        if !resumed {
-            match self.list(watched, store, handler, store_lost).await {
-                Ok(revision) => *seen = revision,
-                Err(error) => return WatchEnd::StoreFailed(error),
-            }
+        let resumed = known.revision > 0 && !known.store_lost && !self.is_coordinator();
+        if !resumed && let Err(error) = self.list(watched, store, handler, known).await {
+            return WatchEnd::StoreFailed(error);
         }
-        let mut watch = match store.watch(watched.prefix, *seen + 1).await {
+        let mut watch = match store.watch(watched.prefix, known.revision + 1).await {
             Ok(watch) => watch,
             Err(error) => return WatchEnd::StoreFailed(error),
         };
         loop {
             let next = tokio::select! {
                 next = watch.next() => next,
-                () = self.wait_until_outdated(watched, *seen) => return WatchEnd::SourceChanged,
+                () = self.wait_until_outdated(watched, known.revision) => return WatchEnd::SourceChanged,
                 () = self.wait_until_coordinator(), if resumed => return WatchEnd::SourceChanged,
             };
             match next {
                 Some(Ok(changes)) => {
-                    *seen = changes.revision.max(*seen);
+                    known.revision = known.revision.max(changes.revision);
+                    known.history_gone = false;
                     self.on_store_response();
                     self.publish_changes(watched, &changes);
                     let has_changes = !changes.changes.is_empty();
@@ -288,19 +296,26 @@
         }
     }
 
-    /// Lists a prefix in the store; returns the revision of the listing.
+    /// Lists a prefix in the store. A listing of the coordinators' keys may be old,
+    /// since the watch from its revision brings it up to date, unless the store no
+    /// longer has that history.
     async fn list<F>(
         &self,
         watched: WatchedPrefix<'_>,
         store: &K,
         handler: &mut F,
-        store_lost: &mut bool,
-    ) -> Result<i64, KvError>
+        known: &mut Known,
+    ) -> Result<(), KvError>
     where
         F: KeyHandler,
     {
-        let Listing { revision, entries } = store.list(watched.prefix).await?;
-        let absence = if std::mem::take(store_lost) {
+        let Listing { revision, entries } = match watched.feed {
+            Feed::Members if !known.history_gone && !self.is_coordinator() => {
+                store.list_stale(watched.prefix).await?
+            }
+            Feed::Members | Feed::Instances | Feed::Operators => store.list(watched.prefix).await?,
+        };
+        let absence = if std::mem::take(&mut known.store_lost) {
             tracing::info!(event = "store_regained", prefix = watched.prefix, revision);
             Absence::Lapsed
         } else {
@@ -310,7 +325,13 @@
         self.publish_listing(watched, revision, &entries, absence);
         handler.on_listing(entries, absence);
         handler.on_batch_end();
-        Ok(revision)
+        known.revision = revision;
+        Ok(())
+    }
+
+    async fn take_or_await_turn(&self) -> bool {
+        let retries = &self.shared.store_retries;
+        retries.take_or_await_turn(&self.shared.clock).await
     }
 
     fn is_coordinator(&self) -> bool {
--- a/crates/store/src/kv.rs
+++ b/crates/store/src/kv.rs
@@ -190,6 +190,15 @@
     /// Any [`KvError`].
     fn list(&self, prefix: &str) -> impl Future<Output = Result<Listing, KvError>> + Send;
 
+    /// Like [`Self::list`], but the listing may be a few seconds old, which a
+    /// service may offer at a lower cost.
+    ///
+    /// # Errors
+    /// Any [`KvError`].
+    fn list_stale(&self, prefix: &str) -> impl Future<Output = Result<Listing, KvError>> + Send {
+        self.list(prefix)
+    }
+
     /// Runs a transaction.
     ///
     /// # Errors
