Fleet: the limit on concurrent loads rises where the weight store has bandwidth left

Cause: the limit was two thirds of a zone's engines, which fits the first site (8 of 12). A single busy zone could use only its own part of the channel. Change: loads that do not take longer than the shortest estimate raise the limit while it is reached; longer ones lower it again, but not below the start. Loads beyond the width delay each other, but together they take no longer; too few leave the channel idle. Test: the_width_of_the_load_channel_is_learned, whose first case fails before.

--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -313,7 +313,9 @@
         match progress {
             Progress::Started => {
                 if engine.on_started(call, now) {
-                    self.load_estimate.record_met();
+                    let pending: usize = self.engines.values().map(EngineView::pending_loads).sum();
+                    let limit = self.load_estimate.limit(self.engines.len());
+                    self.load_estimate.record_met(pending as f64 + 1.0 >= limit);
                 }
             }
             Progress::Ended => {
--- a/crates/fleet/src/scheduler/estimate.rs
+++ b/crates/fleet/src/scheduler/estimate.rs
@@ -38,6 +38,23 @@
 /// estimate would make the calls of all other loads wait needlessly.
 const LOAD_ESTIMATE_DECREASE: f64 = 0.993;
 
+/// Range of the limit on concurrent loads from the weight store, per engine of the
+/// zone. It starts at the minimum: too many loads delay each other but together
+/// take no longer, while too few leave bandwidth unused. Engines refuse more than
+/// four at once.
+const LOADS_PER_ENGINE_RANGE: (f64, f64) = (0.67, 4.0);
+/// Minimum of the limit on concurrent loads of a zone.
+const MIN_CONCURRENT_LOADS: f64 = 2.0;
+/// Ratio of the estimate to the shortest one above which fewer loads run at once.
+const CONGESTED_LOAD_FACTOR: f64 = 1.3;
+/// Ratio below which bandwidth is considered to be left.
+const UNCONGESTED_LOAD_FACTOR: f64 = 1.15;
+/// Factor on the limit after a load that shows congestion.
+const LIMIT_DECREASE: f64 = 0.95;
+/// Factor on the limit after a load without congestion while the limit is
+/// reached.
+const LIMIT_INCREASE: f64 = 1.02;
+
 /// Converts milliseconds to a duration, saturating when out of range.
 pub(super) fn millis(ms: f64) -> Duration {
     Duration::try_from_secs_f64(ms.max(0.0) / 1e3).unwrap_or(Duration::MAX)
@@ -84,16 +101,26 @@
     }
 }
 
-/// Estimate of how long loads of adapters take.
+/// Estimate of how long loads of adapters take, and of how many may run at once.
+///
+/// The weight store's bandwidth is shared by all zones and not known. Loads that
+/// take longer than usual show that it is used up: then more of them would only
+/// slow each other down.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct LoadTimeEstimate {
     cold: Duration,
+    /// Shortest estimate so far.
+    shortest: Duration,
+    /// Concurrent loads per engine.
+    limit_per_engine: f64,
 }
 
 impl Default for LoadTimeEstimate {
     fn default() -> Self {
         Self {
             cold: INITIAL_COLD_LOAD,
+            shortest: INITIAL_COLD_LOAD,
+            limit_per_engine: LOADS_PER_ENGINE_RANGE.0,
         }
     }
 }
@@ -104,17 +131,36 @@
         self.cold.mul_f64(share) + LOAD_MARGIN
     }
 
+    /// Returns the number of loads from the weight store that `engines` engines
+    /// may run at once.
+    pub(super) fn limit(self, engines: usize) -> f64 {
+        (engines as f64 * self.limit_per_engine).max(MIN_CONCURRENT_LOADS)
+    }
+
     /// Records that a load was not complete after its estimated duration.
     pub(super) fn record_exceeded(&mut self) {
         self.cold = self.cold.mul_f64(LOAD_ESTIMATE_INCREASE).min(MAX_COLD_LOAD);
+        if self.cold > self.shortest.mul_f64(CONGESTED_LOAD_FACTOR) {
+            self.scale_limit(LIMIT_DECREASE);
+        }
     }
 
-    /// Records that a load was complete after its estimated duration.
-    pub(super) fn record_met(&mut self) {
+    /// Records that a load was complete after its estimated duration. `at_limit`
+    /// tells whether as many loads run as may.
+    pub(super) fn record_met(&mut self, at_limit: bool) {
         self.cold = self
             .cold
             .mul_f64(LOAD_ESTIMATE_DECREASE)
             .max(INITIAL_COLD_LOAD.mul_f64(0.5));
+        self.shortest = self.shortest.min(self.cold);
+        if at_limit && self.cold < self.shortest.mul_f64(UNCONGESTED_LOAD_FACTOR) {
+            self.scale_limit(LIMIT_INCREASE);
+        }
+    }
+
+    fn scale_limit(&mut self, factor: f64) {
+        let (min, max) = LOADS_PER_ENGINE_RANGE;
+        self.limit_per_engine = (self.limit_per_engine * factor).clamp(min, max);
     }
 }
 
--- a/crates/fleet/src/scheduler/placement.rs
+++ b/crates/fleet/src/scheduler/placement.rs
@@ -30,9 +30,6 @@
 const PREFILL_COST_SHARE: f64 = 0.5;
 /// Maximum concurrent adapter loads on one engine; engines refuse more.
 const MAX_LOADS_PER_ENGINE: usize = 4;
-/// Concurrent loads from the weight store per engine of the zone that run at
-/// full speed; more would only slow each other down.
-const FULL_SPEED_LOADS_PER_ENGINE: f64 = 0.67;
 /// Minimum of the expected wait of a late call, as a multiple of its computed
 /// wait: while the zone is overloaded, about as many new calls overtake a late call
 /// as were ahead of it on arrival.
@@ -415,7 +412,7 @@
 
     /// Whether another load may start without slowing down those in progress.
     fn may_load(&self, warm: bool, round: &PlacementRound) -> bool {
-        let limit = (self.engines.len() as f64 * FULL_SPEED_LOADS_PER_ENGINE).max(2.0);
+        let limit = self.load_estimate.limit(self.engines.len());
         warm || (round.pending_loads as f64) < limit
     }
 
