Fleet: a refused caller is told the whole expected wait

Change: Retry-After is the expected wait, still at most 0.3 of the time that is left. Test: a_refused_caller_is_told_to_come_back_after_the_expected_wait.

--- a/crates/fleet/src/scheduler/placement.rs
+++ b/crates/fleet/src/scheduler/placement.rs
@@ -216,7 +216,7 @@
         } else {
             RefusalReason::NoEngine
         };
-        Some(refusal(queued, reason, wait / 2, now))
+        Some(refusal(queued, reason, wait, now))
     }
 
     /// Grants or refuses the queued calls, or orders loads for them, best rank
@@ -244,7 +244,7 @@
                     self.queue.push(queued);
                 }
                 PlacementOutcome::Queued(wait) => {
-                    let refusal = refusal(&queued, RefusalReason::Deadline, wait / 2, now);
+                    let refusal = refusal(&queued, RefusalReason::Deadline, wait, now);
                     actions.push(Action::Refuse(refusal));
                 }
             }
--- a/crates/fleet/tests/scheduler/decisions.rs
+++ b/crates/fleet/tests/scheduler/decisions.rs
@@ -8,6 +8,7 @@
 use reedford_fleet::scheduler::{
     Action, OrderKind, OrderOutcome, Progress, RefusalReason, Rejection, Scheduler,
 };
+use std::time::Duration;
 use test_case::test_case;
 
 /// Submits a call on `adapter` and returns the resulting actions.
@@ -312,3 +313,23 @@
     scheduler.poll(ms(6_000));
     assert_eq!(scheduler.stats().running, 0);
 }
+
+/// A caller that comes back earlier than the queue takes would be refused again.
+#[test]
+fn a_refused_caller_is_told_to_come_back_after_the_expected_wait() {
+    const MAX_RETRY_DELAY: Duration = Duration::from_millis(6_000);
+    let mut scheduler = scheduler_with_engine(&["a"]);
+    for n in 0..40 {
+        let mut call = request(&format!("c{n}"), "a", ms(0));
+        call.tokens = 3_000;
+        call.deadline = ms(20_000);
+        call.first_token_by = ms(4_000);
+        let expected = scheduler.expected_wait(&call, ms(0));
+        if let Some(refusal) = scheduler.submit(call, ms(0)) {
+            assert_eq!(refusal.retry_after, expected.min(MAX_RETRY_DELAY));
+            return;
+        }
+        scheduler.poll(ms(0));
+    }
+    panic!("no call was refused");
+}
