Fleet: only calls that wait for a slot are refused for being overtaken

The factor for calls that new ones overtake was applied to every late call whose adapter had to be loaded. Change: it applies to calls that have to wait for a free slot. Result: a_late_call_is_not_refused_while_slots_are_free fails before, passes now; the flash of rare adapters still passes.

--- a/crates/fleet/src/scheduler/placement.rs
+++ b/crates/fleet/src/scheduler/placement.rs
@@ -77,6 +77,14 @@
     priority: u8,
 }
 
+/// Expected wait for the first token.
+#[derive(Clone, Copy, Debug)]
+struct ExpectedWait {
+    wait: Duration,
+    /// Whether a slot for the adapter has to become free.
+    awaiting_slot: bool,
+}
+
 /// Outcome of a queued call in one placement round.
 enum PlacementOutcome {
     /// The call can be sent.
@@ -116,14 +124,14 @@
 
     fn expected_wait_of(&self, queued: &QueuedCall, now: Now) -> Duration {
         let rank = queued.rank(self.mean_prefill_rate(), now);
-        let wait = self.queue_wait(rank, queued, now);
-        let late = QueueRank { late: true, ..rank };
-        if rank.late || now + wait > queued.request.objective_at {
-            let wait = self.queue_wait(late, queued, now);
-            wait.mul_f64(self.overtaking(queued, now))
-        } else {
-            wait
+        let expected = self.queue_wait(rank, queued, now);
+        if !rank.late && now + expected.wait <= queued.request.objective_at {
+            return expected.wait;
         }
+        let late = QueueRank { late: true, ..rank };
+        let expected = self.queue_wait(late, queued, now);
+        let factor = self.overtaking(expected.awaiting_slot, now);
+        expected.wait.mul_f64(factor)
     }
 
     /// Creates the queue's record of a call.
@@ -148,8 +156,8 @@
     /// Returns the factor on the wait of a call that will miss its objective: new
     /// calls overtake it. One that waits for a slot is overtaken by all whose
     /// adapters have to be loaded too, however many these are.
-    fn overtaking(&self, queued: &QueuedCall, now: Now) -> f64 {
-        if !self.needs_load(queued) {
+    fn overtaking(&self, awaiting_slot: bool, now: Now) -> f64 {
+        if !awaiting_slot {
             return LATE_WAIT_FACTOR;
         }
         let engines = self.engines.values().filter(|e| e.is_usable(now));
@@ -168,7 +176,7 @@
 
     /// Returns the expected wait of a call behind the queued calls of this rank
     /// or a better one.
-    fn queue_wait(&self, rank: QueueRank, queued: &QueuedCall, now: Now) -> Duration {
+    fn queue_wait(&self, rank: QueueRank, queued: &QueuedCall, now: Now) -> ExpectedWait {
         let mut round = self.new_round(now);
         let mut tokens = 0.0;
         let rate = self.mean_prefill_rate();
@@ -180,7 +188,16 @@
         }
         self.plan_tokens(tokens, &mut round.planned, now);
         let candidate = self.best_candidate(queued, &mut round, now);
-        candidate.map_or(UNPLACED_WAIT, |c| c.wait)
+        candidate.map_or(
+            ExpectedWait {
+                wait: UNPLACED_WAIT,
+                awaiting_slot: false,
+            },
+            |c| ExpectedWait {
+                wait: c.wait,
+                awaiting_slot: c.prerequisite == Prerequisite::FreeSlot,
+            },
+        )
     }
 
     fn new_round(&self, now: Now) -> PlacementRound {
@@ -233,7 +250,9 @@
         for mut queued in queue {
             let outcome = match self.place_call(&mut queued, &mut round, now) {
                 PlacementOutcome::Queued(wait) if now + wait > queued.request.objective_at => {
-                    PlacementOutcome::Queued(wait.mul_f64(self.overtaking(&queued, now)))
+                    PlacementOutcome::Queued(
+                        wait.mul_f64(self.overtaking(queued.awaiting_slot, now)),
+                    )
                 }
                 queued @ PlacementOutcome::Queued(_) => queued,
                 granted @ PlacementOutcome::Granted(_) => granted,
--- a/crates/fleet/tests/scheduler/load_patterns.rs
+++ b/crates/fleet/tests/scheduler/load_patterns.rs
@@ -280,3 +280,25 @@
     let share = in_time_share(&zone.tally);
     assert!(share > channel.min_in_time, "{share} {:?}", zone.tally);
 }
+
+/// Load pattern: the first calls after a start, all for adapters that have to be
+/// loaded, on engines with free slots. A long prompt among them, which will be
+/// late, is not taken for one that waits for a slot.
+#[test]
+fn a_late_call_is_not_refused_while_slots_are_free() {
+    let mut zone = Zone::new(2);
+    for n in 0..4 {
+        let mut call = request(&format!("c{n}"), &format!("a{n}"), zone.now());
+        call.tokens = 500;
+        zone.submit(call);
+        let next = zone.now() + ms(300);
+        zone.run(next);
+    }
+    let mut long = request("long", "a9", zone.now());
+    long.tokens = 14_000;
+    zone.submit(long);
+    let end = zone.now() + ms(4_000);
+    zone.run(end);
+    assert_eq!(zone.tally.refused, 0, "{:?}", zone.tally);
+    assert_eq!(zone.tally.in_time + zone.tally.late, 5, "{:?}", zone.tally);
+}
