Gateway: a silent instance is kept until another one has taken the call

Cause: silence was handled as a failure. The connection was closed first; only then was a retry taken from the budget and another instance sought. Without a retry, without another instance, or with one that rejected the call there was no way back. The same order discarded an instance's error response for a retry that no instance took.

Now another instance is sought while the silent one may still respond: a search ends in a granted instance and a retry taken from the budget, or is repeated every 0.5 s. A stream has both instances for at most 250 ms, until the second has begun or rejected it; whichever sends an event first keeps the call. An error response is kept until another instance takes the call, and returned if that one fails too.

Ruled out by reading: a change of the configuration cancels no call (calls hold their own copy of the route, queued ones are refused), and callers' connections are closed only while no request has been read.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -92,6 +92,12 @@
         })
     }
 
+    /// Whether the call may run at one more instance after `runs` attempts that may
+    /// have run it.
+    pub(crate) const fn may_run_again(&self, runs: u32) -> bool {
+        self.route.kind.retryable() && runs < self.route.attempts
+    }
+
     pub(crate) fn time_left(&self, now: Now) -> Duration {
         self.deadline.saturating_sub(now)
     }
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -2,8 +2,10 @@
 //! returns the response.
 
 mod attempt;
+mod replacement;
 
 pub(crate) use attempt::Attempt;
+pub(crate) use replacement::{STREAM_SILENCE_FACTOR, Sent};
 
 use crate::call::{Call, Unroutable};
 use crate::dialect::Dialect;
@@ -25,7 +27,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{sleep_until, timeout};
+use tokio::time::timeout;
 
 /// Attempts of one call that instances may reject before the call is refused.
 const MAX_REJECTED_ATTEMPTS: u32 = 3;
@@ -55,10 +57,17 @@
 pub(crate) struct CallerService<D>(pub(crate) Arc<Gateway<D>>);
 
 /// Outcome of one attempt of a call that is not streamed.
-enum UnaryOutcome {
+enum UnaryOutcome<D>
+where
+    D: Dialect,
+{
     Response(Reply),
-    /// The call has to be retried; the retry has been taken from the budget.
-    Retry,
+    /// The call goes on at another instance. The instance's response, if it sent
+    /// one, reports an error.
+    Replaced {
+        next: Attempt<D>,
+        failure: Option<Reply>,
+    },
     /// The call may have run, but its response is lost.
     Lost(&'static str),
     /// The call did not run.
@@ -131,22 +140,35 @@
         // Attempts that may have run the call.
         let mut runs = 0;
         let mut rejected = 0;
+        // Error response of an earlier attempt, returned if no later one succeeds.
+        let mut failure = None;
+        let mut next = None;
         loop {
-            let attempt = match self.find_instance(&call, &tried).await {
+            let attempt = match self.next_attempt(&call, &tried, next.take()).await {
                 Ok(attempt) => attempt,
-                Err(refusal) => return self.reply_refused(&call, runs, &refusal),
+                Err(refusal) => {
+                    return failure.unwrap_or_else(|| self.reply_refused(&call, runs, &refusal));
+                }
             };
             let instance = attempt.grant.instance.clone();
-            match self.attempt_unary(&call, attempt, runs).await {
+            match self.attempt_unary(&call, attempt, &tried, runs + 1).await {
                 UnaryOutcome::Response(reply) => {
                     self.record_end(&call, &instance, "answered", 0);
                     return reply;
                 }
-                UnaryOutcome::Retry => runs += 1,
+                UnaryOutcome::Replaced {
+                    next: attempt,
+                    failure: reply,
+                } => {
+                    runs += 1;
+                    next = Some(attempt);
+                    failure = reply.or(failure);
+                }
                 UnaryOutcome::Lost(why) => {
                     runs += 1;
-                    if !self.try_retry(&call, runs, why) {
-                        return self.reply_lost(&call, &instance, why);
+                    next = self.try_replace(&call, &tried, &instance, runs, why).await;
+                    if next.is_none() {
+                        return failure.unwrap_or_else(|| self.reply_lost(&call, &instance, why));
                     }
                 }
                 UnaryOutcome::NotRun(rejection) => {
@@ -154,7 +176,8 @@
                     let retry = rejected < MAX_REJECTED_ATTEMPTS
                         && self.try_withdraw_retry(&call, "refused");
                     if !retry {
-                        return self.reply_not_run(&call, runs, rejection);
+                        return failure
+                            .unwrap_or_else(|| self.reply_not_run(&call, runs, rejection));
                     }
                 }
             }
@@ -162,58 +185,65 @@
         }
     }
 
+    /// Returns the attempt that was secured, or finds an instance for one.
+    async fn next_attempt(
+        self: &Arc<Self>,
+        call: &Call,
+        tried: &BTreeSet<InstanceId>,
+        secured: Option<Attempt<D>>,
+    ) -> Result<Attempt<D>, Refusal> {
+        match secured {
+            Some(attempt) => Ok(attempt),
+            None => self.find_instance(call, tried).await,
+        }
+    }
+
+    /// Sends a call and reads the complete response. `runs` counts the attempts
+    /// that may have run the call, including this one.
     async fn attempt_unary(
         self: &Arc<Self>,
         call: &Call,
         mut attempt: Attempt<D>,
+        tried: &BTreeSet<InstanceId>,
         runs: u32,
-    ) -> UnaryOutcome {
-        let outcome = self.send_unary(call, &attempt, runs).await;
+    ) -> UnaryOutcome<D> {
+        let instance = &attempt.grant.instance;
+        let retry_at = self.shared.now() + call.route.objective.mul_f64(RETRY_TIMEOUT_FACTOR);
+        let outcome = tokio::select! {
+            biased;
+            outcome = self.send_unary(call, &attempt) => outcome,
+            next = self.replace_silent(call, tried, instance, runs, retry_at) => {
+                return UnaryOutcome::Replaced { next, failure: None };
+            }
+        };
         match outcome {
             UnaryOutcome::NotRun(rejection) => attempt.report_rejected(rejection),
-            UnaryOutcome::Response(ref reply) if reply.status().is_server_error() => {
-                let may_retry = call.route.kind.retryable() && runs + 1 < call.route.attempts;
-                if may_retry && self.try_withdraw_retry(call, "failed") {
-                    return UnaryOutcome::Retry;
-                }
+            UnaryOutcome::Response(reply) if reply.status().is_server_error() => {
+                let next = self
+                    .try_replace(call, tried, instance, runs, "failed")
+                    .await;
+                return match next {
+                    Some(next) => UnaryOutcome::Replaced {
+                        next,
+                        failure: Some(reply),
+                    },
+                    None => UnaryOutcome::Response(reply),
+                };
             }
-            UnaryOutcome::Response(_) | UnaryOutcome::Lost(_) | UnaryOutcome::Retry => {}
+            UnaryOutcome::Response(_) | UnaryOutcome::Lost(_) | UnaryOutcome::Replaced { .. } => {}
         }
         outcome
     }
 
-    /// Sends a call and reads the complete response. Gives up with
-    /// [`UnaryOutcome::Retry`] if there is none by [`Self::retry_at`] and a retry
-    /// can be taken from the budget.
-    async fn send_unary(&self, call: &Call, attempt: &Attempt<D>, runs: u32) -> UnaryOutcome {
-        let sending = async {
-            match self.sender.send(call, &attempt.grant, None, false).await {
-                SendOutcome::Response(response) => {
-                    let read = self.read_response(call, attempt, *response).await;
-                    read.map_or_else(UnaryOutcome::Lost, UnaryOutcome::Response)
-                }
-                SendOutcome::NotRun(rejection) => UnaryOutcome::NotRun(rejection),
-                SendOutcome::Lost(why) => UnaryOutcome::Lost(why),
-            }
-        };
-        let mut sending = std::pin::pin!(sending);
-        if let Some(at) = self.retry_at(call, runs) {
-            tokio::select! {
-                biased;
-                outcome = sending.as_mut() => return outcome,
-                () = sleep_until(self.shared.clock.instant(at)) => {}
-            }
-            if self.try_withdraw_retry(call, "silent") {
-                return UnaryOutcome::Retry;
+    async fn send_unary(&self, call: &Call, attempt: &Attempt<D>) -> UnaryOutcome<D> {
+        match self.sender.send(call, &attempt.grant, None).await {
+            SendOutcome::Response(response) => {
+                let read = self.read_response(call, attempt, *response).await;
+                read.map_or_else(UnaryOutcome::Lost, UnaryOutcome::Response)
             }
+            SendOutcome::NotRun(rejection) => UnaryOutcome::NotRun(rejection),
+            SendOutcome::Lost(why) => UnaryOutcome::Lost(why),
         }
-        sending.await
-    }
-
-    /// Returns when an idempotent call without a response is retried.
-    fn retry_at(&self, call: &Call, runs: u32) -> Option<reedford_fleet::Now> {
-        let may_retry = call.route.kind.retryable() && runs + 1 < call.route.attempts;
-        may_retry.then(|| self.shared.now() + call.route.objective.mul_f64(RETRY_TIMEOUT_FACTOR))
     }
 
     async fn read_response(
@@ -259,44 +289,53 @@
         // Attempts that may have run the call.
         let mut runs = 0;
         let mut rejected = 0;
+        // Error response of an earlier attempt, returned if no later one succeeds.
+        let mut failure = None;
+        let mut next = None;
         loop {
-            let mut attempt = match self.find_instance(&call, &tried).await {
+            let mut attempt = match self.next_attempt(&call, &tried, next.take()).await {
                 Ok(attempt) => attempt,
-                Err(refusal) => return self.reply_refused(&call, runs, &refusal),
+                Err(refusal) => {
+                    return failure.unwrap_or_else(|| self.reply_refused(&call, runs, &refusal));
+                }
             };
             let instance = attempt.grant.instance.clone();
-            let last = call.head.last_event_id.clone();
-            let may_retry = call.route.kind.retryable() && runs + 1 < call.route.attempts;
-            match self
-                .sender
-                .send(&call, &attempt.grant, last.as_deref(), may_retry)
-                .await
-            {
-                SendOutcome::Response(response) if response.incoming.status.is_success() => {
+            let last = call.head.last_event_id.as_deref();
+            let sent = self.send_stream(&call, &attempt, last, &tried, runs + 1);
+            match sent.await {
+                Sent::Outcome(SendOutcome::Response(response))
+                    if response.incoming.status.is_success() =>
+                {
                     return self.relay(call, *response, attempt, tried, runs + 1);
                 }
-                SendOutcome::Response(response) => {
+                Sent::Outcome(SendOutcome::Response(response)) => {
                     runs += 1;
-                    self.sender
-                        .record_outcome(&attempt.grant, CallOutcome::Failed);
-                    if !self.try_retry(&call, runs, "failed") {
-                        let reply = self.read_response(&call, &attempt, *response).await;
+                    let reply = self.read_response(&call, &attempt, *response).await;
+                    attempt.end();
+                    next = self
+                        .try_replace(&call, &tried, &instance, runs, "failed")
+                        .await;
+                    if next.is_none() {
                         return reply.unwrap_or_else(|why| self.reply_lost(&call, &instance, why));
                     }
+                    failure = reply.ok().or(failure);
                 }
-                SendOutcome::Lost(why) => {
+                Sent::Outcome(SendOutcome::Lost(why)) => {
                     runs += 1;
-                    if !self.try_retry(&call, runs, why) {
-                        return self.reply_lost(&call, &instance, why);
+                    attempt.end();
+                    next = self.try_replace(&call, &tried, &instance, runs, why).await;
+                    if next.is_none() {
+                        return failure.unwrap_or_else(|| self.reply_lost(&call, &instance, why));
                     }
                 }
-                SendOutcome::NotRun(rejection) => {
+                Sent::Outcome(SendOutcome::NotRun(rejection)) => {
                     attempt.report_rejected(rejection);
                     rejected += 1;
                     let retry = rejected < MAX_REJECTED_ATTEMPTS
                         && self.try_withdraw_retry(&call, "refused");
                     if !retry {
-                        return self.reply_not_run(&call, runs, rejection);
+                        return failure
+                            .unwrap_or_else(|| self.reply_not_run(&call, runs, rejection));
                     }
                     // The same instance may be granted again, e.g. once its load of
                     // the adapter is complete.
@@ -304,6 +343,10 @@
                         continue;
                     }
                 }
+                Sent::Replaced(attempt) => {
+                    runs += 1;
+                    next = Some(attempt);
+                }
             }
             tried.insert(instance);
         }
@@ -325,15 +368,6 @@
         reply::from_instance(status, headers, body)
     }
 
-    /// Returns whether a call that may have run is retried, and takes the retry
-    /// from the budget.
-    fn try_retry(&self, call: &Call, runs: u32, why: &'static str) -> bool {
-        why != "deadline"
-            && call.route.kind.retryable()
-            && runs < call.route.attempts
-            && self.try_withdraw_retry(call, why)
-    }
-
     /// Takes one retry from the budget if it allows one; returns whether it did.
     pub(crate) fn try_withdraw_retry(&self, call: &Call, why: &'static str) -> bool {
         let now = self.shared.now();
--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -13,10 +13,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Timeout for the response head, and then for the first event, of a stream that
-/// may be retried, as a multiple of the route's objective.
-pub(crate) const STREAM_TIMEOUT_FACTOR: f64 = 2.0;
-
 /// Sends calls to instances.
 #[derive(Debug)]
 pub(crate) struct Sender<D> {
@@ -46,15 +42,13 @@
 where
     D: Dialect,
 {
-    /// Sends a call and waits for the head of the response: until the call's
-    /// deadline, or, if `may_retry`, only until [`STREAM_TIMEOUT_FACTOR`] times
-    /// the objective has passed.
+    /// Sends a call and waits for the head of the response until the call's
+    /// deadline.
     pub(crate) async fn send(
         &self,
         call: &Call,
         grant: &Grant,
         last_event_id: Option<&str>,
-        may_retry: bool,
     ) -> SendOutcome {
         let req = match self.request(call, grant, last_event_id) {
             Ok(req) => req,
@@ -63,7 +57,10 @@
                 return SendOutcome::NotRun(Rejection::Unreachable);
             }
         };
-        let limit = self.head_deadline(call, may_retry);
+        let limit = HeadDeadline {
+            at: self.shared.clock.instant(call.deadline),
+            reason: LostReason::Deadline,
+        };
         let sent = send_request(&self.pool, grant.addr, req, Reuse::Allowed, limit).await;
         match sent {
             Ok(incoming) => self.read_head(call, grant, incoming).await,
@@ -81,20 +78,6 @@
         }
     }
 
-    fn head_deadline(&self, call: &Call, may_retry: bool) -> HeadDeadline {
-        let now = self.shared.now();
-        let retry_deadline = now + call.route.objective.mul_f64(STREAM_TIMEOUT_FACTOR);
-        let (at, reason) = if may_retry && retry_deadline < call.deadline {
-            (retry_deadline, LostReason::FirstByteTimeout)
-        } else {
-            (call.deadline, LostReason::Deadline)
-        };
-        HeadDeadline {
-            at: self.shared.clock.instant(at),
-            reason,
-        }
-    }
-
     async fn read_head(
         &self,
         call: &Call,
@@ -174,6 +157,13 @@
         Ok(req)
     }
 
+    /// Handles an instance that is given up because it sends nothing. Its idle
+    /// connections may be dead, too.
+    pub(crate) fn on_silent(&self, grant: &Grant, outcome: CallOutcome) {
+        self.pool.drop_idle(grant.addr);
+        self.record_outcome(grant, outcome);
+    }
+
     /// Records the outcome of a call for its instance's health.
     pub(crate) fn record_outcome(&self, grant: &Grant, outcome: CallOutcome) {
         let now = self.shared.now();
