Gateway: a silent instance is given up only once another has begun the call

What callers saw: as before, when the second instance rejected a call or failed it: 502, or a broken stream, although the first one went on later.

A call and a stream without a head had no overlap at all; in a stream, connecting counted as overlap, and the second instance was dropped when the first one broke.

Now both kinds use one mechanism (handler/replacement.rs). A call that is not a stream runs at both instances, and the first success counts. A stream connects to the second instance first and then has both for at most 250 ms; a rejection leaves the first in place. No search starts without a retry in the budget. An error response is held for at most half of the time that its caller waits, and its body is awaited for 250 ms.

Remains: a second instance that rejects a stream later than 250 ms after it was sent ends the stream if no further one takes it; after a move, silence of the second instance is not limited (routes allow two attempts).

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -68,16 +68,22 @@
 
     /// Takes one retry from the budget; returns whether one was left.
     pub fn try_withdraw(&mut self, service: &str, now: Now) -> bool {
+        let left = self.has_retry(service, now);
+        if left {
+            let recent = self.services.entry(service.into()).or_default();
+            recent.retries.push_back(now);
+        }
+        left
+    }
+
+    /// Whether the budget has a retry left.
+    pub fn has_retry(&mut self, service: &str, now: Now) -> bool {
         let limits = self.limits;
         let allowance_share = limits.allowance / self.nodes as f64;
         let recent = self.services.entry(service.into()).or_default();
         recent.prune(now, limits.window);
         let limit = USABLE_SHARE * (limits.ratio * recent.calls.len() as f64 + allowance_share);
-        if recent.retries.len() as f64 + 1.0 > limit {
-            return false;
-        }
-        recent.retries.push_back(now);
-        true
+        recent.retries.len() as f64 + 1.0 <= limit
     }
 }
 
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -5,7 +5,7 @@
 mod replacement;
 
 pub(crate) use attempt::Attempt;
-pub(crate) use replacement::{STREAM_SILENCE_FACTOR, Sent};
+pub(crate) use replacement::{Attempts, Moved, StreamState};
 
 use crate::call::{Call, Unroutable};
 use crate::dialect::Dialect;
@@ -20,11 +20,9 @@
 use http_body_util::{BodyExt as _, StreamBody};
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
-use reedford_fleet::InstanceId;
 use reedford_fleet::health::CallOutcome;
 use reedford_fleet::scheduler::{Refusal, Rejection};
 use reedford_front::HttpService;
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -38,6 +36,11 @@
 /// Time without a response after which an idempotent call is retried, as a
 /// fraction of the route's objective.
 const RETRY_TIMEOUT_FACTOR: f64 = 0.8;
+/// Time without a response head, and then without a first event, after which a
+/// stream is moved to another instance, as a multiple of the route's objective.
+pub(crate) const STREAM_SILENCE_FACTOR: f64 = 2.0;
+/// Timeout for reading the body of a stream's error response.
+const ERROR_BODY_TIMEOUT: Duration = Duration::from_millis(250);
 /// Timeout for reading a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -57,23 +60,39 @@
 pub(crate) struct CallerService<D>(pub(crate) Arc<Gateway<D>>);
 
 /// Outcome of one attempt of a call that is not streamed.
-enum UnaryOutcome<D>
-where
-    D: Dialect,
-{
+enum UnaryOutcome {
     Response(Reply),
-    /// The call goes on at another instance. The instance's response, if it sent
-    /// one, reports an error.
-    Replaced {
-        next: Attempt<D>,
-        failure: Option<Reply>,
-    },
     /// The call may have run, but its response is lost.
     Lost(&'static str),
     /// The call did not run.
     NotRun(Rejection),
 }
 
+impl UnaryOutcome {
+    fn is_success(&self) -> bool {
+        match self {
+            Self::Response(reply) => !reply.status().is_server_error(),
+            Self::Lost(_) | Self::NotRun(_) => false,
+        }
+    }
+
+    /// Takes an attempt that did not run the call out of the count.
+    const fn counted(self, attempts: &mut Attempts) -> Self {
+        if matches!(self, Self::NotRun(_)) {
+            attempts.runs -= 1;
+        }
+        self
+    }
+
+    /// Returns the outcome that tells the caller more.
+    fn or(self, other: Self) -> Self {
+        match (&self, &other) {
+            (Self::Response(_), _) | (_, Self::NotRun(_)) => self,
+            (_, Self::Response(_) | Self::Lost(_)) => other,
+        }
+    }
+}
+
 impl<D> HttpService for CallerService<D>
 where
     D: Dialect,
@@ -136,52 +155,52 @@
 
     /// Serves a call whose response is not a stream.
     async fn serve_unary(self: &Arc<Self>, call: Call) -> Reply {
-        let mut tried = BTreeSet::new();
-        // Attempts that may have run the call.
-        let mut runs = 0;
+        let mut attempts = Attempts::default();
         let mut rejected = 0;
         // Error response of an earlier attempt, returned if no later one succeeds.
         let mut failure = None;
         let mut next = None;
         loop {
-            let attempt = match self.next_attempt(&call, &tried, next.take()).await {
+            let mut attempt = match self.next_attempt(&call, &attempts, next.take()).await {
                 Ok(attempt) => attempt,
                 Err(refusal) => {
+                    let runs = attempts.runs;
                     return failure.unwrap_or_else(|| self.reply_refused(&call, runs, &refusal));
                 }
             };
             let instance = attempt.grant.instance.clone();
-            match self.attempt_unary(&call, attempt, &tried, runs + 1).await {
+            match self.attempt_unary(&call, &attempt, &mut attempts).await {
                 UnaryOutcome::Response(reply) => {
-                    self.record_end(&call, &instance, "answered", 0);
-                    return reply;
-                }
-                UnaryOutcome::Replaced {
-                    next: attempt,
-                    failure: reply,
-                } => {
-                    runs += 1;
-                    next = Some(attempt);
-                    failure = reply.or(failure);
+                    attempt.end();
+                    if reply.status().is_server_error() {
+                        next = self.try_replace_failed(&call, &attempts, &instance).await;
+                    }
+                    if next.is_none() {
+                        self.record_end(&call, &instance, "answered", 0);
+                        return reply;
+                    }
+                    failure = Some(reply);
                 }
                 UnaryOutcome::Lost(why) => {
-                    runs += 1;
-                    next = self.try_replace(&call, &tried, &instance, runs, why).await;
+                    attempt.end();
+                    next = self.try_replace(&call, &attempts, &instance, why).await;
                     if next.is_none() {
                         return failure.unwrap_or_else(|| self.reply_lost(&call, &instance, why));
                     }
                 }
                 UnaryOutcome::NotRun(rejection) => {
+                    attempt.report_rejected(rejection);
                     rejected += 1;
                     let retry = rejected < MAX_REJECTED_ATTEMPTS
                         && self.try_withdraw_retry(&call, "refused");
                     if !retry {
+                        let runs = attempts.runs;
                         return failure
                             .unwrap_or_else(|| self.reply_not_run(&call, runs, rejection));
                     }
                 }
             }
-            tried.insert(instance);
+            attempts.tried.insert(instance);
         }
     }
 
@@ -189,53 +208,66 @@
     async fn next_attempt(
         self: &Arc<Self>,
         call: &Call,
-        tried: &BTreeSet<InstanceId>,
+        attempts: &Attempts,
         secured: Option<Attempt<D>>,
     ) -> Result<Attempt<D>, Refusal> {
         match secured {
             Some(attempt) => Ok(attempt),
-            None => self.find_instance(call, tried).await,
+            None => self.find_instance(call, &attempts.tried).await,
         }
     }
 
-    /// Sends a call and reads the complete response. `runs` counts the attempts
-    /// that may have run the call, including this one.
+    /// Sends a call and reads the complete response. If the instance is silent, the
+    /// call is sent to another one as well, and the first success counts.
     async fn attempt_unary(
         self: &Arc<Self>,
         call: &Call,
-        mut attempt: Attempt<D>,
-        tried: &BTreeSet<InstanceId>,
-        runs: u32,
-    ) -> UnaryOutcome<D> {
+        attempt: &Attempt<D>,
+        attempts: &mut Attempts,
+    ) -> UnaryOutcome {
+        let first = self.send_unary(call, attempt);
+        let mut first = std::pin::pin!(first);
         let instance = &attempt.grant.instance;
-        let retry_at = self.shared.now() + call.route.objective.mul_f64(RETRY_TIMEOUT_FACTOR);
-        let outcome = tokio::select! {
-            biased;
-            outcome = self.send_unary(call, &attempt) => outcome,
-            next = self.replace_silent(call, tried, instance, runs, retry_at) => {
-                return UnaryOutcome::Replaced { next, failure: None };
-            }
-        };
-        match outcome {
-            UnaryOutcome::NotRun(rejection) => attempt.report_rejected(rejection),
-            UnaryOutcome::Response(reply) if reply.status().is_server_error() => {
-                let next = self
-                    .try_replace(call, tried, instance, runs, "failed")
-                    .await;
-                return match next {
-                    Some(next) => UnaryOutcome::Replaced {
-                        next,
-                        failure: Some(reply),
-                    },
-                    None => UnaryOutcome::Response(reply),
-                };
+        attempts.runs += 1;
+        let mut from = self.shared.now() + call.route.objective.mul_f64(RETRY_TIMEOUT_FACTOR);
+        loop {
+            let mut next = tokio::select! {
+                biased;
+                outcome = first.as_mut() => return outcome.counted(attempts),
+                next = self.replace_silent(call, attempts, instance, from) => next,
+            };
+            attempts.runs += 1;
+            attempts.tried.insert(next.grant.instance.clone());
+            let outcome = {
+                let second = self.send_unary(call, &next);
+                let mut second = std::pin::pin!(second);
+                tokio::select! {
+                    biased;
+                    outcome = first.as_mut() => {
+                        let outcome = outcome.counted(attempts);
+                        if outcome.is_success() {
+                            return outcome;
+                        }
+                        return outcome.or(second.await.counted(attempts));
+                    }
+                    outcome = second.as_mut() => outcome,
+                }
+            };
+            match outcome.counted(attempts) {
+                UnaryOutcome::NotRun(rejection) => {
+                    next.report_rejected(rejection);
+                    from = self.shared.now();
+                }
+                outcome if outcome.is_success() => {
+                    self.sender.on_silent(&attempt.grant);
+                    return outcome;
+                }
+                outcome => return first.await.counted(attempts).or(outcome),
             }
-            UnaryOutcome::Response(_) | UnaryOutcome::Lost(_) | UnaryOutcome::Replaced { .. } => {}
         }
-        outcome
     }
 
-    async fn send_unary(&self, call: &Call, attempt: &Attempt<D>) -> UnaryOutcome<D> {
+    async fn send_unary(&self, call: &Call, attempt: &Attempt<D>) -> UnaryOutcome {
         match self.sender.send(call, &attempt.grant, None).await {
             SendOutcome::Response(response) => {
                 let read = self.read_response(call, attempt, *response).await;
@@ -285,55 +317,53 @@
 
     /// Serves a call whose response is a stream of events.
     async fn serve_stream(self: &Arc<Self>, call: Call) -> Reply {
-        let mut tried = BTreeSet::new();
-        // Attempts that may have run the call.
-        let mut runs = 0;
+        let mut attempts = Attempts::default();
         let mut rejected = 0;
         // Error response of an earlier attempt, returned if no later one succeeds.
         let mut failure = None;
         let mut next = None;
         loop {
-            let mut attempt = match self.next_attempt(&call, &tried, next.take()).await {
+            let mut attempt = match self.next_attempt(&call, &attempts, next.take()).await {
                 Ok(attempt) => attempt,
                 Err(refusal) => {
+                    let runs = attempts.runs;
                     return failure.unwrap_or_else(|| self.reply_refused(&call, runs, &refusal));
                 }
             };
-            let instance = attempt.grant.instance.clone();
             let last = call.head.last_event_id.as_deref();
-            let sent = self.send_stream(&call, &attempt, last, &tried, runs + 1);
-            match sent.await {
-                Sent::Outcome(SendOutcome::Response(response))
-                    if response.incoming.status.is_success() =>
-                {
-                    return self.relay(call, *response, attempt, tried, runs + 1);
+            let sent = self
+                .send_stream(&call, &mut attempt, last, &mut attempts)
+                .await;
+            let instance = attempt.grant.instance.clone();
+            match sent {
+                SendOutcome::Response(response) if response.incoming.status.is_success() => {
+                    return self.relay(call, *response, attempt, attempts);
                 }
-                Sent::Outcome(SendOutcome::Response(response)) => {
-                    runs += 1;
-                    let reply = self.read_response(&call, &attempt, *response).await;
+                SendOutcome::Response(response) => {
+                    let read = self.read_response(&call, &attempt, *response);
+                    let reply = timeout(ERROR_BODY_TIMEOUT, read).await;
+                    let reply = reply.unwrap_or(Err("unreadable"));
                     attempt.end();
-                    next = self
-                        .try_replace(&call, &tried, &instance, runs, "failed")
-                        .await;
+                    next = self.try_replace_failed(&call, &attempts, &instance).await;
                     if next.is_none() {
                         return reply.unwrap_or_else(|why| self.reply_lost(&call, &instance, why));
                     }
                     failure = reply.ok().or(failure);
                 }
-                Sent::Outcome(SendOutcome::Lost(why)) => {
-                    runs += 1;
+                SendOutcome::Lost(why) => {
                     attempt.end();
-                    next = self.try_replace(&call, &tried, &instance, runs, why).await;
+                    next = self.try_replace(&call, &attempts, &instance, why).await;
                     if next.is_none() {
                         return failure.unwrap_or_else(|| self.reply_lost(&call, &instance, why));
                     }
                 }
-                Sent::Outcome(SendOutcome::NotRun(rejection)) => {
+                SendOutcome::NotRun(rejection) => {
                     attempt.report_rejected(rejection);
                     rejected += 1;
                     let retry = rejected < MAX_REJECTED_ATTEMPTS
                         && self.try_withdraw_retry(&call, "refused");
                     if !retry {
+                        let runs = attempts.runs;
                         return failure
                             .unwrap_or_else(|| self.reply_not_run(&call, runs, rejection));
                     }
@@ -343,13 +373,43 @@
                         continue;
                     }
                 }
-                Sent::Replaced(attempt) => {
-                    runs += 1;
-                    next = Some(attempt);
-                }
             }
-            tried.insert(instance);
+            attempts.tried.insert(instance);
+        }
+    }
+
+    /// Sends a stream's call and waits for the head of the response. If the instance
+    /// is silent, `attempt` may be replaced by one at another instance.
+    pub(crate) async fn send_stream(
+        self: &Arc<Self>,
+        call: &Call,
+        attempt: &mut Attempt<D>,
+        last_event_id: Option<&str>,
+        attempts: &mut Attempts,
+    ) -> SendOutcome {
+        attempts.runs += 1;
+        let stream = StreamState {
+            call,
+            instance: &attempt.grant.instance,
+            last_event_id,
+            silence_limit: call.route.objective.mul_f64(STREAM_SILENCE_FACTOR),
+        };
+        let sending = self.sender.send(call, &attempt.grant, last_event_id);
+        let is_lost = |sent: &SendOutcome| !sent.is_success();
+        let moved = self.move_if_silent(&stream, attempts, sending, is_lost);
+        let sent = match moved.await {
+            Moved::Stayed(sent) => sent,
+            Moved::Switched(next, sent) => {
+                self.sender.on_silent(&attempt.grant);
+                attempts.tried.insert(attempt.grant.instance.clone());
+                *attempt = next;
+                sent
+            }
+        };
+        if matches!(sent, SendOutcome::NotRun(_)) {
+            attempts.runs -= 1;
         }
+        sent
     }
 
     fn relay(
@@ -357,12 +417,11 @@
         call: Call,
         response: PendingResponse,
         attempt: Attempt<D>,
-        tried: BTreeSet<InstanceId>,
-        runs: u32,
+        attempts: Attempts,
     ) -> Reply {
         let status = response.incoming.status;
         let headers = response.incoming.headers.clone();
-        let relay = Relay::new(Arc::clone(self), call, response, attempt, tried, runs);
+        let relay = Relay::new(Arc::clone(self), call, response, attempt, attempts);
         let events = futures::stream::unfold(relay, Relay::next);
         let body = StreamBody::new(events).boxed_unsync();
         reply::from_instance(status, headers, body)
--- a/crates/gateway/src/handler/replacement.rs
+++ b/crates/gateway/src/handler/replacement.rs
@@ -1,61 +1,126 @@
 //! Replaces an instance that doesn't respond to a call.
 //!
 //! A silent instance may be sound and respond later. Its attempt is therefore
-//! given up only once another instance is granted to the call and the retry is
-//! taken from the budget.
+//! given up only once another instance has taken the call.
 
 use super::{Attempt, Gateway};
 use crate::call::Call;
 use crate::dialect::Dialect;
 use crate::sender::SendOutcome;
-use reedford_fleet::health::CallOutcome;
 use reedford_fleet::{InstanceId, Now};
 use std::collections::BTreeSet;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{sleep, sleep_until};
+use tokio::time::{sleep, sleep_until, timeout};
 
-/// Time without a response head, and then without a first event, after which a
-/// stream is moved to another instance, as a multiple of the route's objective.
-pub(crate) const STREAM_SILENCE_FACTOR: f64 = 2.0;
 /// Pause between two searches for a replacement.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(500);
+/// Longest time for which two instances may run a stream, while the second has
+/// neither rejected nor begun it.
+const MAX_OVERLAP: Duration = Duration::from_millis(250);
 
-/// What became of a call that was sent to an instance.
-pub(crate) enum Sent<D>
+/// Attempts at a call.
+#[derive(Debug, Default)]
+pub(crate) struct Attempts {
+    /// Instances that are not tried again.
+    pub(crate) tried: BTreeSet<InstanceId>,
+    /// Number of attempts that may have run the call.
+    pub(crate) runs: u32,
+}
+
+/// A stream at an instance.
+pub(crate) struct StreamState<'a> {
+    pub(crate) call: &'a Call,
+    pub(crate) instance: &'a InstanceId,
+    pub(crate) last_event_id: Option<&'a str>,
+    /// How long the instance may send nothing before another one is sought.
+    pub(crate) silence_limit: Duration,
+}
+
+/// Where a stream goes on after its instance was silent.
+pub(crate) enum Moved<D, T>
 where
     D: Dialect,
 {
-    Outcome(SendOutcome),
-    /// The instance was silent; the call goes on at this one.
-    Replaced(Attempt<D>),
+    /// At its instance, which went on with this.
+    Stayed(T),
+    /// At another instance, with the outcome of the attempt there. The silent
+    /// instance's connection is closed.
+    Switched(Attempt<D>, SendOutcome),
+}
+
+/// How an overlap of two instances ended.
+enum Overlap<F>
+where
+    F: Future,
+{
+    /// The silent instance went on.
+    First(F::Output),
+    /// The second instance responded or failed. The silent one may still go on
+    /// unless it was given up.
+    Second(SendOutcome, Option<Pin<Box<F>>>),
 }
 
 impl<D> Gateway<D>
 where
     D: Dialect,
 {
-    /// Sends a stream's call. If there is no response head in time, the instance
-    /// is replaced. `runs` counts the attempts that may have run the call,
-    /// including this one.
-    pub(crate) async fn send_stream(
+    /// Waits for what comes next from the stream's instance. If nothing comes in
+    /// time, the stream is moved to another instance. `is_lost` tells whether the
+    /// instance has failed the stream.
+    pub(crate) async fn move_if_silent<F, P>(
         self: &Arc<Self>,
-        call: &Call,
-        attempt: &Attempt<D>,
-        last_event_id: Option<&str>,
-        tried: &BTreeSet<InstanceId>,
-        runs: u32,
-    ) -> Sent<D> {
-        let limit = call.route.objective.mul_f64(STREAM_SILENCE_FACTOR);
-        let instance = &attempt.grant.instance;
-        tokio::select! {
-            biased;
-            outcome = self.sender.send(call, &attempt.grant, last_event_id) => {
-                Sent::Outcome(outcome)
-            }
-            next = self.replace_silent(call, tried, instance, runs, self.shared.now() + limit) => {
-                self.sender.on_silent(&attempt.grant, CallOutcome::Unreachable);
-                Sent::Replaced(next)
+        stream: &StreamState<'_>,
+        attempts: &mut Attempts,
+        next_of_instance: F,
+        is_lost: P,
+    ) -> Moved<D, F::Output>
+    where
+        F: Future,
+        P: Fn(&F::Output) -> bool,
+    {
+        let StreamState { call, instance, .. } = *stream;
+        let mut first = Box::pin(next_of_instance);
+        let mut from = self.shared.now() + stream.silence_limit;
+        loop {
+            let mut next = tokio::select! {
+                biased;
+                output = first.as_mut() => return Moved::Stayed(output),
+                next = self.replace_silent(call, attempts, instance, from) => next,
+            };
+            tracing::info!(event = "stream_silent", id = %call.id, %instance,
+                next = %next.grant.instance);
+            let conn = tokio::select! {
+                biased;
+                output = first.as_mut() => return Moved::Stayed(output),
+                conn = self.sender.connect(call, &next.grant) => conn,
+            };
+            attempts.tried.insert(next.grant.instance.clone());
+            from = self.shared.now() + SEARCH_INTERVAL;
+            let conn = match conn {
+                Ok(conn) => conn,
+                Err(rejection) => {
+                    next.report_rejected(rejection);
+                    continue;
+                }
+            };
+            attempts.runs += 1;
+            let last = stream.last_event_id;
+            let second = self.sender.send_on(conn, call, &next.grant, last);
+            match overlap(first, second, &is_lost).await {
+                Overlap::First(output) => return Moved::Stayed(output),
+                Overlap::Second(sent, None) => return Moved::Switched(next, sent),
+                Overlap::Second(sent, Some(_)) if sent.is_success() => {
+                    return Moved::Switched(next, sent);
+                }
+                Overlap::Second(sent, Some(still_silent)) => {
+                    first = still_silent;
+                    if let SendOutcome::NotRun(rejection) = sent {
+                        attempts.runs -= 1;
+                        next.report_rejected(rejection);
+                    }
+                }
             }
         }
     }
@@ -65,43 +130,81 @@
     pub(crate) async fn replace_silent(
         self: &Arc<Self>,
         call: &Call,
-        tried: &BTreeSet<InstanceId>,
+        attempts: &Attempts,
         silent: &InstanceId,
-        runs: u32,
         from: Now,
     ) -> Attempt<D> {
-        if !call.may_run_again(runs) {
+        if !call.may_run_again(attempts.runs) {
             return std::future::pending().await;
         }
         sleep_until(self.shared.clock.instant(from)).await;
         loop {
-            let next = self.try_replace(call, tried, silent, runs, "silent").await;
-            if let Some(next) = next {
+            if let Some(next) = self.try_replace(call, attempts, silent, "silent").await {
                 return next;
             }
             let searched = self.shared.now().saturating_sub(from);
-            tracing::info!(event = "silent_instance_kept", id = %call.id, instance = %silent, runs,
-                searched_ms = searched.as_millis() as u64);
+            tracing::info!(event = "silent_instance_kept", id = %call.id, instance = %silent,
+                runs = attempts.runs, searched_ms = searched.as_millis() as u64);
             sleep(SEARCH_INTERVAL).await;
         }
     }
 
+    /// Like [`Self::try_replace`], for a call whose error response is at hand: the
+    /// caller waits for the search only as long as a later response is still of
+    /// use to it.
+    pub(crate) async fn try_replace_failed(
+        self: &Arc<Self>,
+        call: &Call,
+        attempts: &Attempts,
+        instance: &InstanceId,
+    ) -> Option<Attempt<D>> {
+        let longest = call.event_time_left(self.shared.now()) / 2;
+        let search = self.try_replace(call, attempts, instance, "failed");
+        timeout(longest, search).await.ok().flatten()
+    }
+
     /// Finds another instance for a call that may have run at `instance`, and takes
     /// the retry from the budget; `None` if the call must not or can't be retried.
     pub(crate) async fn try_replace(
         self: &Arc<Self>,
         call: &Call,
-        tried: &BTreeSet<InstanceId>,
+        attempts: &Attempts,
         instance: &InstanceId,
-        runs: u32,
         why: &'static str,
     ) -> Option<Attempt<D>> {
-        if why == "deadline" || !call.may_run_again(runs) {
+        if why == "deadline" || !call.may_run_again(attempts.runs) {
             return None;
         }
-        let mut avoid = tried.clone();
+        let now = self.shared.now();
+        if !self.shared.lock().budget.has_retry(&call.service, now) {
+            return None;
+        }
+        let mut avoid = attempts.tried.clone();
         avoid.insert(instance.clone());
         let next = self.find_instance(call, &avoid).await.ok()?;
         self.try_withdraw_retry(call, why).then_some(next)
     }
 }
+
+/// Runs a call at a silent instance and at a second one until one of them goes on
+/// or the time for both is over.
+async fn overlap<F, S, P>(mut first: Pin<Box<F>>, second: S, is_lost: P) -> Overlap<F>
+where
+    F: Future,
+    S: Future<Output = SendOutcome>,
+    P: Fn(&F::Output) -> bool,
+{
+    let mut second = std::pin::pin!(second);
+    tokio::select! {
+        biased;
+        output = first.as_mut() => {
+            if !is_lost(&output) {
+                return Overlap::First(output);
+            }
+        }
+        sent = second.as_mut() => return Overlap::Second(sent, Some(first)),
+        () = sleep(MAX_OVERLAP) => {}
+    }
+    drop(first);
+    Overlap::Second(second.await, None)
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,26 +8,21 @@
 
 use crate::call::Call;
 use crate::dialect::Dialect;
-use crate::handler::{Attempt, Gateway, STREAM_SILENCE_FACTOR, Sent};
+use crate::handler::{Attempt, Attempts, Gateway, Moved, STREAM_SILENCE_FACTOR, StreamState};
 use crate::reply::Truncated;
 use crate::sender::{PendingResponse, SendOutcome, idle_timeout};
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use hyper::body::{Frame, Incoming};
-use reedford_fleet::Now;
 use reedford_fleet::health::CallOutcome;
 use reedford_targets::{Connection, Event, EventReader};
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{sleep, timeout_at};
+use tokio::time::timeout_at;
 
 /// Gap between events after which another instance is sought for a stream, as a
 /// multiple of the route's [`max_gap`](reedford_fleet::config::Route::max_gap).
 const STALL_FACTOR: u32 = 4;
-/// Longest time for which two instances may run a call, while the second has
-/// neither rejected nor begun it.
-const MAX_OVERLAP: Duration = Duration::from_millis(250);
 /// `max_gap` of routes that set none.
 const DEFAULT_MAX_GAP: Duration = Duration::from_millis(500);
 
@@ -40,9 +35,7 @@
     call: Call,
     source: Option<EventSource>,
     attempt: Attempt<D>,
-    tried: BTreeSet<Box<str>>,
-    /// Attempts that may have run the call.
-    runs: u32,
+    attempts: Attempts,
     last_event_id: Option<Box<str>>,
     events: u64,
     done: bool,
@@ -71,16 +64,14 @@
         call: Call,
         response: PendingResponse,
         attempt: Attempt<D>,
-        tried: BTreeSet<Box<str>>,
-        runs: u32,
+        attempts: Attempts,
     ) -> Self {
         Self {
             gateway,
             call,
             source: Some(EventSource::new(response)),
             attempt,
-            tried,
-            runs,
+            attempts,
             last_event_id: None,
             events: 0,
             done: false,
@@ -112,87 +103,50 @@
 
     async fn next_event(&mut self) -> Result<Bytes, NoEvent> {
         loop {
-            let deadline = self.gateway.shared.clock.instant(self.call.deadline);
-            let silent_at = self.silent_at();
-            let Some(source) = &mut self.source else {
+            let Some(mut source) = self.source.take() else {
                 return Err(NoEvent::Broken("no_source"));
             };
-            let instance = &self.attempt.grant.instance;
-            let next = tokio::select! {
-                biased;
-                event = timeout_at(deadline, source.next_event()) => {
-                    let event = event.unwrap_or(Err(NoEvent::Broken("deadline")));
-                    return self.on_event(event);
-                }
-                next = self.gateway
-                    .replace_silent(&self.call, &self.tried, instance, self.runs, silent_at) => next,
+            let reading = async move {
+                let event = source.next_event().await;
+                (event, source)
             };
-            if let Some(event) = self.switch_to(next).await {
-                return self.on_event(event);
-            }
-        }
-    }
-
-    /// Returns when to seek another instance unless an event comes before.
-    fn silent_at(&self) -> Now {
-        let limit = if self.events == 0 {
-            self.call.route.objective.mul_f64(STREAM_SILENCE_FACTOR)
-        } else {
-            self.call.route.max_gap.unwrap_or(DEFAULT_MAX_GAP) * STALL_FACTOR
-        };
-        self.gateway.shared.now() + limit
-    }
-
-    /// Sends the call to another instance while the silent one may still go on.
-    /// Returns the next event if it comes from the silent one first.
-    async fn switch_to(&mut self, mut next: Attempt<D>) -> Option<Result<Event, NoEvent>> {
-        tracing::info!(event = "stream_silent", id = %self.call.id, events = self.events,
-            instance = %self.attempt.grant.instance, next = %next.grant.instance);
-        let last = self.last_event_id.clone();
-        let sent = {
-            let sending = self
+            let stream = StreamState {
+                call: &self.call,
+                instance: &self.attempt.grant.instance,
+                last_event_id: self.last_event_id.as_deref(),
+                silence_limit: silence_limit(&self.call, self.events),
+            };
+            let is_lost =
+                |(event, _): &(Result<Event, NoEvent>, _)| matches!(event, Err(NoEvent::Broken(_)));
+            let moving = self
                 .gateway
-                .sender
-                .send(&self.call, &next.grant, last.as_deref());
-            let mut sending = std::pin::pin!(sending);
-            let overlap = tokio::select! {
-                biased;
-                event = next_event_of(&mut self.source) => {
-                    // The other instance may have begun the call.
-                    self.runs += 1;
-                    return Some(event);
+                .move_if_silent(&stream, &mut self.attempts, reading, is_lost);
+            let deadline = self.gateway.shared.clock.instant(self.call.deadline);
+            let moved = timeout_at(deadline, moving).await;
+            let (next, sent) = match moved.map_err(|_elapsed| NoEvent::Broken("deadline"))? {
+                Moved::Stayed((event, source)) => {
+                    self.source = Some(source);
+                    return self.on_event(event);
                 }
-                sent = sending.as_mut() => Some(sent),
-                () = sleep(MAX_OVERLAP) => None,
+                Moved::Switched(next, sent) => (next, sent),
             };
-            match overlap {
-                Some(sent) => sent,
-                None => {
-                    self.source = None;
-                    self.attempt.end();
-                    sending.await
+            self.gateway.sender.on_silent(&self.attempt.grant);
+            self.attempts
+                .tried
+                .insert(self.attempt.grant.instance.clone());
+            self.attempt = next;
+            match sent {
+                SendOutcome::Response(response) if response.incoming.status.is_success() => {
+                    self.source = Some(EventSource::new(*response));
+                }
+                SendOutcome::Response(_) => return Err(NoEvent::Broken("failed")),
+                SendOutcome::Lost(why) => return Err(NoEvent::Broken(why)),
+                SendOutcome::NotRun(rejection) => {
+                    self.attempts.runs -= 1;
+                    self.attempt.report_rejected(rejection);
+                    return Err(NoEvent::Broken("silent"));
                 }
             }
-        };
-        match sent {
-            SendOutcome::Response(response) if response.incoming.status.is_success() => {
-                self.runs += 1;
-                self.gateway
-                    .sender
-                    .on_silent(&self.attempt.grant, CallOutcome::Failed);
-                self.attempt.end();
-                self.tried.insert(self.attempt.grant.instance.clone());
-                self.source = Some(EventSource::new(*response));
-                self.attempt = next;
-                return None;
-            }
-            SendOutcome::Response(_) | SendOutcome::Lost(_) => self.runs += 1,
-            SendOutcome::NotRun(rejection) => next.report_rejected(rejection),
-        }
-        self.tried.insert(next.grant.instance.clone());
-        match self.source {
-            Some(_) => None,
-            None => Some(Err(NoEvent::Broken("silent"))),
         }
     }
 
@@ -252,47 +206,30 @@
                 .sender
                 .record_outcome(&self.attempt.grant, CallOutcome::Failed);
         }
-        let mut replaced = self.attempt.grant.instance.clone();
-        let mut next = None;
         loop {
-            if next.is_none() {
-                next = self
-                    .gateway
-                    .try_replace(&self.call, &self.tried, &replaced, self.runs, why)
-                    .await;
-            }
-            self.tried.insert(replaced);
-            let Some(attempt) = next.take() else {
+            let broken = self.attempt.grant.instance.clone();
+            let next = self
+                .gateway
+                .try_replace(&self.call, &self.attempts, &broken, why)
+                .await;
+            self.attempts.tried.insert(broken);
+            let Some(next) = next else {
                 return false;
             };
-            self.attempt = attempt;
-            replaced = self.attempt.grant.instance.clone();
+            self.attempt = next;
             tracing::info!(event = "stream_resumed", id = %self.call.id, why,
-                instance = %replaced, events = self.events);
+                instance = %self.attempt.grant.instance, events = self.events);
             let last = self.last_event_id.as_deref();
-            let sent = self.gateway.send_stream(
-                &self.call,
-                &self.attempt,
-                last,
-                &self.tried,
-                self.runs + 1,
-            );
+            let sent =
+                self.gateway
+                    .send_stream(&self.call, &mut self.attempt, last, &mut self.attempts);
             match sent.await {
-                Sent::Outcome(SendOutcome::Response(response))
-                    if response.incoming.status.is_success() =>
-                {
-                    self.runs += 1;
+                SendOutcome::Response(response) if response.incoming.status.is_success() => {
                     self.source = Some(EventSource::new(*response));
                     return true;
                 }
-                Sent::Outcome(SendOutcome::Response(_) | SendOutcome::Lost(_)) => self.runs += 1,
-                Sent::Outcome(SendOutcome::NotRun(rejection)) => {
-                    self.attempt.report_rejected(rejection);
-                }
-                Sent::Replaced(attempt) => {
-                    self.runs += 1;
-                    next = Some(attempt);
-                }
+                SendOutcome::Response(_) | SendOutcome::Lost(_) => {}
+                SendOutcome::NotRun(rejection) => self.attempt.report_rejected(rejection),
             }
             self.attempt.end();
         }
@@ -322,11 +259,13 @@
     }
 }
 
-/// Returns the next event of a source; waits forever if there is none.
-async fn next_event_of(source: &mut Option<EventSource>) -> Result<Event, NoEvent> {
-    match source {
-        Some(source) => source.next_event().await,
-        None => std::future::pending().await,
+/// Returns how long a stream may send nothing after its first `events` events
+/// before another instance is sought.
+fn silence_limit(call: &Call, events: u64) -> Duration {
+    if events == 0 {
+        call.route.objective.mul_f64(STREAM_SILENCE_FACTOR)
+    } else {
+        call.route.max_gap.unwrap_or(DEFAULT_MAX_GAP) * STALL_FACTOR
     }
 }
 
--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -8,10 +8,12 @@
 use reedford_fleet::health::CallOutcome;
 use reedford_fleet::scheduler::{Grant, Rejection};
 use reedford_targets::{
-    CallError, HeadDeadline, IncomingResponse, LostReason, Pool, Reuse, send_request,
+    CallError, Connection, HeadDeadline, IncomingResponse, LostReason, NotSentReason, Pool,
+    send_request_on,
 };
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::timeout_at;
 
 /// Sends calls to instances.
 #[derive(Debug)]
@@ -32,6 +34,15 @@
     Lost(&'static str),
 }
 
+impl SendOutcome {
+    pub(crate) fn is_success(&self) -> bool {
+        match self {
+            Self::Response(response) => response.incoming.status.is_success(),
+            Self::NotRun(_) | Self::Lost(_) => false,
+        }
+    }
+}
+
 /// A response whose head was received.
 #[derive(Debug)]
 pub(crate) struct PendingResponse {
@@ -49,6 +60,33 @@
         call: &Call,
         grant: &Grant,
         last_event_id: Option<&str>,
+    ) -> SendOutcome {
+        match self.connect(call, grant).await {
+            Ok(conn) => self.send_on(conn, call, grant, last_event_id).await,
+            Err(rejection) => SendOutcome::NotRun(rejection),
+        }
+    }
+
+    /// Takes an idle connection to an instance, or opens one.
+    pub(crate) async fn connect(
+        &self,
+        call: &Call,
+        grant: &Grant,
+    ) -> Result<Connection, Rejection> {
+        let deadline = self.shared.clock.instant(call.deadline);
+        timeout_at(deadline, self.pool.acquire(grant.addr))
+            .await
+            .unwrap_or(Err(NotSentReason::Deadline))
+            .map_err(|reason| self.on_not_sent(call, grant, &reason))
+    }
+
+    /// Like [`Self::send`], on a connection of [`Self::connect`].
+    pub(crate) async fn send_on(
+        &self,
+        conn: Connection,
+        call: &Call,
+        grant: &Grant,
+        last_event_id: Option<&str>,
     ) -> SendOutcome {
         let req = match self.request(call, grant, last_event_id) {
             Ok(req) => req,
@@ -61,13 +99,10 @@
             at: self.shared.clock.instant(call.deadline),
             reason: LostReason::Deadline,
         };
-        let sent = send_request(&self.pool, grant.addr, req, Reuse::Allowed, limit).await;
-        match sent {
+        match send_request_on(&self.pool, conn, req, limit).await {
             Ok(incoming) => self.read_head(call, grant, incoming).await,
             Err(CallError::NotSent(reason)) => {
-                self.record_outcome(grant, CallOutcome::Unreachable);
-                tracing::info!(event = "not_sent", id = %call.id, instance = %grant.instance, %reason);
-                SendOutcome::NotRun(Rejection::Unreachable)
+                SendOutcome::NotRun(self.on_not_sent(call, grant, &reason))
             }
             Err(CallError::Lost(reason)) => {
                 if reason != LostReason::Deadline {
@@ -78,6 +113,12 @@
         }
     }
 
+    fn on_not_sent(&self, call: &Call, grant: &Grant, reason: &NotSentReason) -> Rejection {
+        self.record_outcome(grant, CallOutcome::Unreachable);
+        tracing::info!(event = "not_sent", id = %call.id, instance = %grant.instance, %reason);
+        Rejection::Unreachable
+    }
+
     async fn read_head(
         &self,
         call: &Call,
@@ -159,9 +200,9 @@
 
     /// Handles an instance that is given up because it sends nothing. Its idle
     /// connections may be dead, too.
-    pub(crate) fn on_silent(&self, grant: &Grant, outcome: CallOutcome) {
+    pub(crate) fn on_silent(&self, grant: &Grant) {
         self.pool.drop_idle(grant.addr);
-        self.record_outcome(grant, outcome);
+        self.record_outcome(grant, CallOutcome::Failed);
     }
 
     /// Records the outcome of a call for its instance's health.
--- a/crates/targets/src/exchange.rs
+++ b/crates/targets/src/exchange.rs
@@ -136,6 +136,25 @@
     })
 }
 
+/// Like [`send_request`], but prefers `conn`. Another connection is used if `conn`
+/// was closed before the request was sent.
+///
+/// # Errors
+/// [`CallError::NotSent`] only if the request never reached the encoder.
+pub async fn send_request_on(
+    pool: &Pool,
+    conn: Connection,
+    req: Request<Full<Bytes>>,
+    limit: HeadDeadline,
+) -> Result<IncomingResponse, CallError> {
+    let addr = conn.addr;
+    match send(pool, conn, req, limit).await {
+        Ok(res) => Ok(res),
+        Err(SendError::NotSent(req)) => send_request(pool, addr, *req, Reuse::Allowed, limit).await,
+        Err(SendError::Lost(reason)) => Err(reason.into()),
+    }
+}
+
 /// Reads the body of a response to its end. Each wait for more data is limited
 /// to `progress`.
 ///
--- a/crates/targets/src/lib.rs
+++ b/crates/targets/src/lib.rs
@@ -29,6 +29,7 @@
 };
 pub use exchange::{
     BufferedResponse, HeadDeadline, IncomingResponse, Reuse, read_body, send_request,
+    send_request_on,
 };
 pub use options::{DispatchOptions, PlainRequest, Timeouts};
 pub use pool::{Connection, Pool};
--- a/crates/targets/src/pool.rs
+++ b/crates/targets/src/pool.rs
@@ -72,6 +72,17 @@
         None
     }
 
+    /// Takes an idle connection, or opens one.
+    ///
+    /// # Errors
+    /// As [`Self::connect`].
+    pub async fn acquire(&self, addr: SocketAddr) -> Result<Connection, NotSentReason> {
+        match self.take(addr).await {
+            Some(conn) => Ok(conn),
+            None => self.connect(addr).await,
+        }
+    }
+
     /// Opens a connection.
     ///
     /// # Errors
