Logs: software versions of instances and resumptions by callers

`placed`, `stream_resumed` and `instance_started` now carry the version, and `stream_resumption` the attempt that began the stream and its last event. The version is a required field of an instance's entry, like the fields beside it.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -8,7 +8,9 @@
 //! further listings meanwhile. Any other instance that is missing from a listing,
 //! and any that the store reports as removed, is removed at once.
 
-use crate::{AdapterName, InstanceId, ModelName, Now, ServiceName, WeightVersion, ZoneId};
+use crate::{
+    AdapterName, InstanceId, ModelName, Now, ServiceName, SoftwareVersion, WeightVersion, ZoneId,
+};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -52,6 +54,8 @@
     pub addr: SocketAddr,
     /// Availability zone.
     pub zone: ZoneId,
+    /// Version of its software.
+    pub software: SoftwareVersion,
     /// Calls that it runs at once.
     pub slots: u32,
     /// Whether it accepts calls.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -40,3 +40,5 @@
 pub type AdapterName = Box<str>;
 /// Version of an adapter's or a base model's weights; increases with each new one.
 pub type WeightVersion = u64;
+/// Version of an instance's software; versions are not ordered.
+pub type SoftwareVersion = Box<str>;
--- a/crates/fleet/tests/directory.rs
+++ b/crates/fleet/tests/directory.rs
@@ -14,6 +14,7 @@
         service: "s".into(),
         addr: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), port),
         zone: "z1".into(),
+        software: "v1".into(),
         slots: 6,
         state,
         born,
--- a/crates/fleet/tests/scheduler/support.rs
+++ b/crates/fleet/tests/scheduler/support.rs
@@ -31,6 +31,7 @@
         service: SERVICE.into(),
         addr: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 7_000),
         zone: "z1".into(),
+        software: "v1".into(),
         slots: 64,
         state: InstanceState::Ready,
         born,
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -29,6 +29,9 @@
     pub max_output_tokens: u32,
     /// Id of the last event that the caller received, to resume a stream.
     pub last_event_id: Option<Box<str>>,
+    /// Id of the caller's attempt that brought the first event of the stream to
+    /// resume.
+    pub resumes: Option<Box<str>>,
 }
 
 /// What this node adds to a call that it sends to an instance.
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -255,6 +255,10 @@
 
     /// Serves a call whose response is a stream of events.
     async fn serve_stream(self: &Arc<Self>, call: Call) -> Reply {
+        if let Some(last) = &call.head.last_event_id {
+            tracing::info!(event = "stream_resumption", id = %call.id, %last,
+                resumes = ?call.head.resumes);
+        }
         let mut tried = BTreeSet::new();
         // Attempts that may have run the call.
         let mut runs = 0;
--- a/crates/gateway/src/handler/attempt.rs
+++ b/crates/gateway/src/handler/attempt.rs
@@ -7,7 +7,7 @@
 use crate::placer::Placement;
 use crate::state::LocalCall;
 use reedford_fleet::scheduler::{Grant, PlacementId, Progress, Refusal, RefusalReason, Rejection};
-use reedford_fleet::{InstanceId, ZoneId};
+use reedford_fleet::{InstanceId, SoftwareVersion, ZoneId};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -22,6 +22,9 @@
     pub(crate) grant: Grant,
     /// Availability zone of the engine.
     zone: ZoneId,
+    /// Version of the instance's software at the time of the placement, if the
+    /// instance was known.
+    pub(crate) software: Option<SoftwareVersion>,
     /// The coordinator that granted the attempt, if one did.
     granted_by: Option<SocketAddr>,
     /// Whether the instance belongs to a plain service, whose calls the balancer
@@ -56,9 +59,11 @@
         };
         let waited = self.shared.now().saturating_sub(requested);
         self.metrics.placement_wait(&call.route.name, waited);
-        tracing::info!(event = "placed", id = %call.id, instance = %placement.grant.instance,
-            version = ?placement.grant.version, waited_ms = waited.as_millis() as u64);
-        Ok(Attempt::new(Arc::clone(self), placement, call))
+        let attempt = Attempt::new(Arc::clone(self), placement, call);
+        tracing::info!(event = "placed", id = %call.id, instance = %attempt.grant.instance,
+            software = ?attempt.software, version = ?attempt.grant.version,
+            waited_ms = waited.as_millis() as u64);
+        Ok(attempt)
     }
 
     /// Requests an engine from the coordinator. A coordinator that is cut off
@@ -103,6 +108,7 @@
         let mut state = gateway.shared.lock();
         let instance = state.directory.get(&grant.instance);
         let zone = instance.map_or_else(|| state.zone.clone(), |i| i.zone.clone());
+        let software = instance.map(|i| i.software.clone());
         if call.is_model_call {
             let local = LocalCall {
                 instance: grant.instance.clone(),
@@ -121,6 +127,7 @@
             gateway,
             grant,
             zone,
+            software,
             granted_by: placement.coordinator,
             plain: !call.is_model_call,
             started: false,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -216,7 +216,8 @@
             };
             self.attempt = attempt;
             tracing::info!(event = "stream_resumed", id = %self.call.id, why,
-                instance = %self.attempt.grant.instance, events = self.events);
+                instance = %self.attempt.grant.instance, software = ?self.attempt.software,
+                events = self.events);
             let last = self.last_event_id.clone();
             let may_retry = self.runs + 1 < self.call.route.attempts;
             let sent = self
--- a/crates/gateway/src/sync/instances.rs
+++ b/crates/gateway/src/sync/instances.rs
@@ -33,7 +33,8 @@
                 DirectoryChange::Started(instance) => {
                     state.health.forget(&instance);
                     state.balancer.forget(&instance);
-                    tracing::info!(event = "instance_started", %instance);
+                    let software = state.directory.get(&instance).map(|i| &i.software);
+                    tracing::info!(event = "instance_started", %instance, ?software);
                 }
                 DirectoryChange::Leaving(instance) => {
                     tracing::info!(event = "instance_leaving", %instance);
