Streams go on only at the software version that began them

Cause: an instance for a call that resumes a stream, and for an attempt within a response, was chosen without regard to the instance that sent the first event; the directory did not keep software versions, and no node knew where a stream of another node began.

The same cause also acted in the weights of split routes, which could draw another service for the resuming attempt.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -20,6 +20,10 @@
 /// within about two seconds.
 pub const ABSENCE_GRACE: Duration = Duration::from_millis(2_200);
 
+/// How long a software version is remembered after its last instance was removed,
+/// or started again with another version.
+const VERSION_RETENTION: Duration = Duration::from_secs(300);
+
 /// How long a removal is remembered; peers learn of it within seconds.
 const REMOVED_RETENTION: Duration = Duration::from_secs(30);
 
@@ -93,6 +97,9 @@
     missing_since: BTreeMap<InstanceId, Now>,
     /// Removal times, kept for [`REMOVED_RETENTION`].
     removed_at: BTreeMap<InstanceId, Now>,
+    /// When an instance of a software version last ended, kept for
+    /// [`VERSION_RETENTION`].
+    ended_versions: BTreeMap<(ServiceName, SoftwareVersion), Now>,
 }
 
 impl Directory {
@@ -119,13 +126,13 @@
             }
         }
         for instance in listed {
-            changes.extend(self.on_entry(instance));
+            changes.extend(self.on_entry(instance, now));
         }
         changes
     }
 
     /// Adds or updates one instance.
-    pub fn on_entry(&mut self, instance: Instance) -> Option<DirectoryChange> {
+    pub fn on_entry(&mut self, instance: Instance, now: Now) -> Option<DirectoryChange> {
         self.missing_since.remove(&instance.id);
         let id = instance.id.clone();
         let known = self.instances.get(&id);
@@ -141,14 +148,20 @@
             _ => Some(DirectoryChange::Started(id.clone())),
         };
         self.removed_at.remove(&id);
-        self.instances.insert(id, instance);
+        let software = instance.software.clone();
+        if let Some(before) = self.instances.insert(id, instance)
+            && before.software != software
+        {
+            self.record_end(before, now);
+        }
         change
     }
 
     /// Removes an instance.
     pub fn on_removed(&mut self, id: &str, now: Now) -> Option<DirectoryChange> {
         self.missing_since.remove(id);
-        self.instances.remove(id)?;
+        let removed = self.instances.remove(id)?;
+        self.record_end(removed, now);
         self.removed_at.insert(id.into(), now);
         Some(DirectoryChange::Removed(id.into()))
     }
@@ -163,6 +176,8 @@
             .collect();
         self.removed_at
             .retain(|_, at| now.saturating_sub(*at) < REMOVED_RETENTION);
+        self.ended_versions
+            .retain(|_, at| now.saturating_sub(*at) < VERSION_RETENTION);
         expired
             .iter()
             .filter_map(|id| self.on_removed(id, now))
@@ -193,6 +208,27 @@
             .filter(move |i| &*i.service == service && i.state == InstanceState::Ready)
     }
 
+    /// Returns the software version of a service if all instances known since `since`
+    /// had the same one.
+    #[must_use]
+    pub fn only_version(&self, service: &str, since: Now) -> Option<&SoftwareVersion> {
+        let current = self.instances.values().filter(|i| &*i.service == service);
+        let ended = self
+            .ended_versions
+            .iter()
+            .filter(|((name, _), at)| &**name == service && **at >= since);
+        let mut versions = current
+            .map(|i| &i.software)
+            .chain(ended.map(|((_, version), _)| version));
+        let first = versions.next()?;
+        versions.all(|version| version == first).then_some(first)
+    }
+
+    fn record_end(&mut self, instance: Instance, now: Now) {
+        let version = (instance.service, instance.software);
+        self.ended_versions.insert(version, now);
+    }
+
     /// Returns all instances.
     pub fn all(&self) -> impl Iterator<Item = &Instance> {
         self.instances.values()
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 //! | [`budget`] | whether a call may be retried |
 //! | [`health`] | which instances are ejected after failures |
 //! | [`ownership`] | whether this node coordinates its availability zone |
+//! | [`stream_versions`] | at which service and software version a stream may be resumed |
 //! | [`store_retries`] | when to try a store again that does not respond |
 //! | [`connectivity`] | whether this node is cut off from the store and its peers |
 //! | [`zones`] | which availability zone places a call |
@@ -28,10 +29,13 @@
 pub mod ownership;
 pub mod scheduler;
 pub mod store_retries;
+pub mod stream_versions;
 pub mod zones;
 
 pub use reedford_core::{InstanceId, Now, ZoneId};
 
+/// Id that a caller gives one attempt of its request.
+pub type AttemptId = Box<str>;
 /// Name of a service.
 pub type ServiceName = Box<str>;
 /// Name of a base model.
--- a/crates/fleet/src/scheduler/engine_view.rs
+++ b/crates/fleet/src/scheduler/engine_view.rs
@@ -6,7 +6,7 @@
 use super::request::{Grant, PlacementId, Rejection, RunningCall};
 use super::{AdapterKey, PlacementRequest, QueuedCall};
 use crate::directory::{Instance, InstanceState};
-use crate::{InstanceId, ModelName, Now, ServiceName, WeightVersion};
+use crate::{InstanceId, ModelName, Now, ServiceName, SoftwareVersion, WeightVersion};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -33,6 +33,7 @@
     pub(super) id: InstanceId,
     pub(super) addr: SocketAddr,
     pub(super) service: ServiceName,
+    pub(super) software: SoftwareVersion,
     /// Start time of its incarnation, in Unix milliseconds.
     pub(super) born: u64,
     pub(super) ready: bool,
@@ -126,6 +127,7 @@
             id: instance.id.clone(),
             addr: instance.addr,
             service: instance.service.clone(),
+            software: instance.software.clone(),
             born: instance.born,
             ready: instance.state == InstanceState::Ready,
             models: BTreeMap::new(),
@@ -165,6 +167,12 @@
         engine
     }
 
+    /// Whether it may run a call by its service and software version.
+    pub(super) fn serves(&self, request: &PlacementRequest) -> bool {
+        let required = request.software.as_ref();
+        self.service == request.service && required.is_none_or(|v| *v == self.software)
+    }
+
     /// Whether calls may be granted to it.
     pub(super) fn is_usable(&self, now: Now) -> bool {
         self.ready && now >= self.paused_until
--- a/crates/fleet/src/scheduler/placement.rs
+++ b/crates/fleet/src/scheduler/placement.rs
@@ -223,6 +223,11 @@
         wait: Duration,
         now: Now,
     ) -> Option<Refusal> {
+        let mut engines = self.engines.values();
+        let required = queued.request.software.is_some();
+        if required && !engines.any(|e| e.ready && e.serves(&queued.request)) {
+            return Some(refusal(queued, RefusalReason::VersionGone, wait, now));
+        }
         let left = queued.request.deadline.saturating_sub(now);
         let in_time = now + wait < queued.request.first_token_by;
         if in_time && wait < left.mul_f64(self.limits.max_wait_share) {
@@ -327,7 +332,7 @@
         let spec = self.specs.get(&queued.request.service)?;
         self.engines
             .values()
-            .filter(|e| e.service == queued.request.service && e.is_usable(now))
+            .filter(|e| e.serves(&queued.request) && e.is_usable(now))
             .filter(|e| !queued.request.avoid.contains(&e.id))
             .filter(|e| {
                 matches!(
--- a/crates/fleet/src/scheduler/request.rs
+++ b/crates/fleet/src/scheduler/request.rs
@@ -1,7 +1,7 @@
 //! Placement requests of nodes, and the scheduler's responses.
 
 use super::AdapterKey;
-use crate::{AdapterName, InstanceId, ModelName, Now, ServiceName, WeightVersion};
+use crate::{AdapterName, InstanceId, ModelName, Now, ServiceName, SoftwareVersion, WeightVersion};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -48,6 +48,8 @@
     pub deadline: Now,
     /// Instances that must not be selected.
     pub avoid: BTreeSet<InstanceId>,
+    /// Software version that the engine must have, to resume a stream.
+    pub software: Option<SoftwareVersion>,
 }
 
 impl PlacementRequest {
@@ -115,6 +117,12 @@
     Deadline,
     /// No engine is available.
     NoEngine,
+    /// The call resumes a stream, and it isn't known which of several software
+    /// versions began it.
+    UnknownVersion,
+    /// The call resumes a stream, and no instance of the software version that
+    /// began it accepts calls.
+    VersionGone,
 }
 
 impl RefusalReason {
@@ -125,6 +133,8 @@
             Self::Overload => "overload",
             Self::Deadline => "deadline",
             Self::NoEngine => "no_engine",
+            Self::UnknownVersion => "unknown_version",
+            Self::VersionGone => "version_gone",
         }
     }
 }
--- a/crates/fleet/src/zones.rs
+++ b/crates/fleet/src/zones.rs
@@ -64,11 +64,9 @@
     call: ArrivingCall<'_>,
     now: Now,
 ) -> Option<&'a str> {
-    let usable =
-        |report: &ZoneReport| now.saturating_sub(report.at) < REPORT_TTL && report.engines > 0;
     let reports: Vec<(&str, &ZoneReport)> = reports
         .iter()
-        .filter(|(_, report)| usable(report))
+        .filter(|(_, report)| is_usable(report, now))
         .map(|(zone, report)| (&**zone, report))
         .collect();
     if !call.held
@@ -80,6 +78,29 @@
     less_loaded_zone(&reports, call)
 }
 
+/// Returns the zone to forward a call to that only instances in the zones `serving`
+/// can run; `None` to place it in `own_zone`.
+#[must_use]
+pub fn forward_zone_among<'a>(
+    own_zone: &'a str,
+    reports: &'a BTreeMap<ZoneId, ZoneReport>,
+    serving: &BTreeSet<&'a str>,
+    now: Now,
+) -> Option<&'a str> {
+    if serving.contains(own_zone) {
+        return None;
+    }
+    let wait = |zone: &str| {
+        let report = reports.get(zone).filter(|r| is_usable(r, now));
+        report.map_or(Duration::MAX, |report| report.wait)
+    };
+    serving.iter().copied().min_by_key(|zone| wait(zone))
+}
+
+fn is_usable(report: &ZoneReport, now: Now) -> bool {
+    now.saturating_sub(report.at) < REPORT_TTL && report.engines > 0
+}
+
 /// Returns the least loaded zone that holds the call's adapter, if the call
 /// starts sooner there than after a load in this zone, which does not hold it.
 fn holding_zone<'a>(reports: &[(&'a str, &ZoneReport)], call: ArrivingCall<'_>) -> Option<&'a str> {
--- a/crates/fleet/tests/directory.rs
+++ b/crates/fleet/tests/directory.rs
@@ -56,15 +56,15 @@
 }; "at another address")]
 fn an_entry_replaces_an_earlier_one(case: EntryCase) {
     let mut directory = Directory::default();
-    directory.on_entry(ready("a", 5));
-    assert_eq!(directory.on_entry(case.next), case.change);
+    directory.on_entry(ready("a", 5), Now::ZERO);
+    assert_eq!(directory.on_entry(case.next, Now::ZERO), case.change);
     assert_eq!(directory.ready("s").count() == 1, case.usable);
 }
 
 #[test]
 fn a_removal_takes_effect_at_once() {
     let mut directory = Directory::default();
-    directory.on_entry(ready("a", 5));
+    directory.on_entry(ready("a", 5), Now::ZERO);
     let change = directory.on_removed("a", Now::ZERO);
     assert_eq!(change, Some(DirectoryChange::Removed("a".into())));
     assert_eq!(directory.ready("s").count(), 0);
@@ -91,7 +91,7 @@
     );
     directory.on_listing(vec![ready("b", 5)], Absence::Lapsed, start);
     if case.reappears {
-        directory.on_entry(ready("a", 5));
+        directory.on_entry(ready("a", 5), Now::ZERO);
     }
     directory.expire(start + case.after);
     assert_eq!(directory.get("a").is_some(), case.known);
@@ -125,11 +125,56 @@
 #[test]
 fn an_instance_that_left_is_distinguished_from_an_unknown_one() {
     let mut directory = Directory::default();
-    directory.on_entry(instance("a", 5, 7_000, InstanceState::Leaving));
-    directory.on_entry(ready("b", 5));
+    directory.on_entry(instance("a", 5, 7_000, InstanceState::Leaving), Now::ZERO);
+    directory.on_entry(ready("b", 5), Now::ZERO);
     directory.on_removed("b", Now::ZERO);
     assert!(directory.is_leaving_or_removed("a") && directory.is_leaving_or_removed("b"));
     assert!(!directory.is_leaving_or_removed("new"));
-    directory.on_entry(ready("b", 6));
+    directory.on_entry(ready("b", 6), Now::ZERO);
     assert!(!directory.is_leaving_or_removed("b"), "it was restarted");
 }
+
+/// What happens to instance `a` with version v1, beside `b` with version v2, from
+/// 10 s on.
+#[derive(Clone, Copy)]
+enum VersionChange {
+    None,
+    Removed,
+    RestartedWithV2,
+    Heartbeat,
+}
+
+struct VersionCase {
+    change: VersionChange,
+    since: Duration,
+    only: Option<&'static str>,
+}
+
+/// Guards against a stream of a version that has just left and that goes on at the
+/// remaining one, because its origin is unknown.
+#[test_case(VersionCase { change: VersionChange::None, since: Duration::ZERO, only: None }; "two versions")]
+#[test_case(VersionCase { change: VersionChange::Heartbeat, since: Duration::from_secs(11), only: None }; "two versions that stay")]
+#[test_case(VersionCase { change: VersionChange::Removed, since: Duration::from_secs(9), only: None }; "one has left since")]
+#[test_case(VersionCase { change: VersionChange::Removed, since: Duration::from_secs(11), only: Some("v2") }; "one left before")]
+#[test_case(VersionCase { change: VersionChange::RestartedWithV2, since: Duration::from_secs(9), only: None }; "one was restarted with the other version since")]
+#[test_case(VersionCase { change: VersionChange::RestartedWithV2, since: Duration::from_secs(11), only: Some("v2") }; "one was restarted with the other version before")]
+fn a_version_counts_until_streams_of_its_instances_have_ended(case: VersionCase) {
+    const AT: Now = Duration::from_secs(10);
+    let v2 = |id: &str, born| Instance {
+        software: "v2".into(),
+        ..ready(id, born)
+    };
+    let mut directory = Directory::default();
+    directory.on_entry(ready("a", 5), Now::ZERO);
+    directory.on_entry(v2("b", 5), Now::ZERO);
+    match case.change {
+        VersionChange::None => None,
+        VersionChange::Removed => directory.on_removed("a", AT),
+        VersionChange::RestartedWithV2 => directory.on_entry(v2("a", 6), AT),
+        VersionChange::Heartbeat => directory.on_entry(ready("a", 5), AT),
+    };
+    directory.expire(AT);
+    let only = directory.only_version("s", case.since);
+    assert_eq!(only.map(|version| &**version), case.only);
+    assert_eq!(directory.only_version("other", case.since), None);
+}
--- a/crates/fleet/tests/scheduler/decisions.rs
+++ b/crates/fleet/tests/scheduler/decisions.rs
@@ -255,6 +255,28 @@
     assert!(refusal.retry_after <= ms(1_200) / 3);
 }
 
+/// Guards against a resumed stream that is placed at an engine of another software
+/// version, or that waits for one of its own when there is none.
+#[test]
+fn a_resumed_stream_is_placed_at_its_software_version_only() {
+    let mut scheduler = scheduler_with_engine(&["a"]);
+    let mut other = instance("e2", 1);
+    other.software = "v2".into();
+    scheduler.on_instance(&other, ms(1));
+    deliver_report(&mut scheduler, "e2", &["a"], 0, ms(1));
+    for (call, software, engine) in [("c1", "v1", "e1"), ("c2", "v2", "e2"), ("c3", "v2", "e2")] {
+        let mut resumed = request(call, "a", ms(2));
+        resumed.software = Some(software.into());
+        assert_eq!(scheduler.submit(resumed, ms(2)), None);
+        let actions = scheduler.poll(ms(2));
+        assert_eq!(&*grants(&actions)[0].instance, engine, "{call}");
+    }
+    let mut gone = request("c4", "a", ms(3));
+    gone.software = Some("v3".into());
+    let refusal = scheduler.submit(gone, ms(3)).expect("refused");
+    assert_eq!(refusal.reason, RefusalReason::VersionGone);
+}
+
 #[test]
 fn a_call_with_too_long_a_wait_is_refused_on_arrival() {
     let mut scheduler = scheduler_with_engine(&["a"]);
--- a/crates/fleet/tests/scheduler/support.rs
+++ b/crates/fleet/tests/scheduler/support.rs
@@ -117,6 +117,7 @@
         first_token_by: now + ms(5_000),
         deadline: now + ms(5_000),
         avoid: BTreeSet::new(),
+        software: None,
     }
 }
 
--- a/crates/fleet/tests/zones.rs
+++ b/crates/fleet/tests/zones.rs
@@ -2,7 +2,7 @@
 
 use reedford_fleet::Now;
 use reedford_fleet::scheduler::AdapterKey;
-use reedford_fleet::zones::{ArrivingCall, ZoneReport, forward_zone};
+use reedford_fleet::zones::{ArrivingCall, ZoneReport, forward_zone, forward_zone_among};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use test_case::test_case;
@@ -88,3 +88,29 @@
         case.forwarded
     );
 }
+
+/// Guards against a resumed stream that waits in a zone without an instance of its
+/// version.
+#[test_case(&["own", "near"], None; "own zone")]
+#[test_case(&["near", "far"], Some("near"); "least loaded zone")]
+#[test_case(&["far", "silent"], Some("far"); "zone with a recent report")]
+#[test_case(&["silent"], Some("silent"); "zone without a report")]
+#[test_case(&[], None; "no zone")]
+fn a_call_that_only_some_zones_can_run_is_forwarded_to_one(
+    serving: &[&'static str],
+    forwarded: Option<&str>,
+) {
+    let report = |wait_ms| ZoneReport {
+        wait: ms(wait_ms),
+        engines: 1,
+        free_slots: 0,
+        held: BTreeSet::new(),
+        at: NOW,
+    };
+    let reports = BTreeMap::from([("far".into(), report(90)), ("near".into(), report(20))]);
+    let serving = serving.iter().copied().collect();
+    assert_eq!(
+        forward_zone_among("own", &reports, &serving, NOW),
+        forwarded
+    );
+}
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -5,8 +5,10 @@
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Uri};
 use reedford_fleet::config::{Route, RouteTable, Service};
+use reedford_fleet::directory::Instance;
 use reedford_fleet::scheduler::AdapterKey;
-use reedford_fleet::{Now, ServiceName};
+use reedford_fleet::stream_versions::StreamOrigin;
+use reedford_fleet::{Now, ServiceName, SoftwareVersion};
 use std::sync::Arc;
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
@@ -32,6 +34,8 @@
     pub(crate) objective_at: Now,
     /// Time of the last event sent to the caller, or of the arrival.
     pub(crate) silent_since: Now,
+    /// Software version that the call may run on, once its stream has begun.
+    pub(crate) required_software: Option<SoftwareVersion>,
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -72,11 +76,12 @@
             uri: parts.uri,
             headers: parts.headers,
             body: Bytes::new(),
-            is_model_call: spec.engine.is_some() && head.model.is_some(),
+            is_model_call: is_model_call(spec, &head),
             arrived,
             deadline: arrived + timeout,
             objective_at: arrived + route.objective,
             silent_since: arrived,
+            required_software: None,
             head,
             route,
             service,
@@ -92,6 +97,23 @@
         })
     }
 
+    /// Requires the service and software version at which the stream began that the
+    /// call resumes.
+    pub(crate) fn set_origin(&mut self, origin: StreamOrigin, routes: Option<&RouteTable>) {
+        // The weights of a split route may lead this attempt to another service.
+        let spec = routes.and_then(|r| r.config().services.get(&origin.service));
+        self.is_model_call = spec.is_some_and(|spec| is_model_call(spec, &self.head));
+        self.service = origin.service;
+        self.required_software = Some(origin.software);
+    }
+
+    /// Whether an instance has the software version that the call requires, if it
+    /// requires one.
+    pub(crate) fn accepts(&self, instance: &Instance) -> bool {
+        let required = self.required_software.as_ref();
+        required.is_none_or(|version| *version == instance.software)
+    }
+
     pub(crate) fn time_left(&self, now: Now) -> Duration {
         self.deadline.saturating_sub(now)
     }
@@ -112,6 +134,10 @@
     }
 }
 
+fn is_model_call(service: &Service, head: &CallHead) -> bool {
+    service.engine.is_some() && head.model.is_some()
+}
+
 fn host(parts: &Parts) -> Option<&str> {
     let host_header = parts.headers.get(hyper::header::HOST);
     host_header
--- a/crates/gateway/src/calls_report.rs
+++ b/crates/gateway/src/calls_report.rs
@@ -2,7 +2,7 @@
 //! that their predecessors granted.
 
 use crate::coordinator::{Command, CommandTx};
-use crate::peer::{CallsReport, PeerClients, ReportedCall};
+use crate::peer::{CallsReport, PeerClients, ReportedCall, StreamRecord};
 use crate::state::{Shared, State};
 use reedford_fleet::ownership::{Fence, Holder};
 use reedford_fleet::{Now, ZoneId};
@@ -24,6 +24,9 @@
 /// Maximum number of recent adapters in a report.
 const MAX_RECENT: usize = 64;
 
+/// Maximum number of streams in a report.
+const MAX_STREAMS: usize = 512;
+
 /// Sends a report to each new coordinator.
 #[derive(Debug)]
 pub(crate) struct CallsReporter {
@@ -70,7 +73,7 @@
     async fn report(&self, zone: ZoneId, holder: Holder) {
         let now = self.shared.now();
         let report = calls_report(&self.shared.lock(), &zone, now);
-        if report.running.is_empty() && report.recent.is_empty() {
+        if report.running.is_empty() && report.recent.is_empty() && report.streams.is_empty() {
             return;
         }
         if holder.addr == self.own_addr {
@@ -101,7 +104,25 @@
     }
 }
 
-/// Returns what concerns the engines of a zone.
+/// Returns the origins of recent streams that the coordinator of a zone records.
+fn stream_records(state: &State, zone: &str) -> Vec<StreamRecord> {
+    let recorded =
+        |attempt: &str| zone == &*state.zone || state.second_recording_zone(attempt) == Some(zone);
+    let newest = state.stream_versions.newest();
+    let newest = newest
+        .filter(|(attempt, _)| recorded(attempt))
+        .take(MAX_STREAMS);
+    let mut records: Vec<_> = newest
+        .map(|(attempt, origin)| StreamRecord {
+            attempt: attempt.clone(),
+            origin: origin.clone(),
+        })
+        .collect();
+    records.reverse();
+    records
+}
+
+/// Returns what concerns the engines of a zone, and the recent streams.
 fn calls_report(state: &State, zone: &str, now: Now) -> CallsReport {
     let in_zone = |instance: &str| {
         state
@@ -137,5 +158,6 @@
             .skip(older)
             .map(|(key, last)| (key.clone(), last.instance.clone()))
             .collect(),
+        streams: stream_records(state, zone),
     }
 }
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -354,7 +354,16 @@
             expected,
         };
         let state = self.ctx.shared.lock();
-        let zone = zones::forward_zone(&self.ctx.cfg.zone, &state.zone_loads, call, now)?;
+        let own_zone = &*self.ctx.cfg.zone;
+        let zone = match &request.software {
+            None => zones::forward_zone(own_zone, &state.zone_loads, call, now)?,
+            Some(software) => {
+                let ready = state.directory.ready(&request.service);
+                let serving = ready.filter(|i| i.software == *software);
+                let serving = serving.map(|i| &*i.zone).collect();
+                zones::forward_zone_among(own_zone, &state.zone_loads, &serving, now)?
+            }
+        };
         state.other_coordinators.get(zone).map(|holder| holder.addr)
     }
 
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -2,6 +2,7 @@
 //! returns the response.
 
 mod attempt;
+mod stream_origin;
 
 pub(crate) use attempt::Attempt;
 
@@ -20,7 +21,7 @@
 use hyper::{Request, StatusCode};
 use reedford_fleet::InstanceId;
 use reedford_fleet::health::CallOutcome;
-use reedford_fleet::scheduler::{Refusal, Rejection};
+use reedford_fleet::scheduler::{Refusal, RefusalReason, Rejection};
 use reedford_front::HttpService;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -254,10 +255,11 @@
     }
 
     /// Serves a call whose response is a stream of events.
-    async fn serve_stream(self: &Arc<Self>, call: Call) -> Reply {
-        if let Some(last) = &call.head.last_event_id {
-            tracing::info!(event = "stream_resumption", id = %call.id, %last,
-                resumes = ?call.head.resumes);
+    async fn serve_stream(self: &Arc<Self>, mut call: Call) -> Reply {
+        if call.head.last_event_id.is_some()
+            && let Err(refusal) = self.require_origin(&mut call).await
+        {
+            return self.reply_refused(&call, 0, &refusal);
         }
         let mut tried = BTreeSet::new();
         // Attempts that may have run the call.
@@ -355,7 +357,15 @@
         if runs > 0 {
             return reply::plain_text(StatusCode::BAD_GATEWAY, "no instance answered");
         }
-        self.reply_unavailable("there is no room in time", refusal.retry_after)
+        let text = match refusal.reason {
+            RefusalReason::Overload | RefusalReason::Deadline | RefusalReason::NoEngine => {
+                "there is no room in time"
+            }
+            RefusalReason::UnknownVersion | RefusalReason::VersionGone => {
+                "no instance can continue the stream"
+            }
+        };
+        self.reply_unavailable(text, refusal.retry_after)
     }
 
     fn reply_not_run(&self, call: &Call, runs: u32, rejection: Rejection) -> Reply {
--- a/crates/gateway/src/handler/attempt.rs
+++ b/crates/gateway/src/handler/attempt.rs
@@ -67,7 +67,8 @@
     }
 
     /// Requests an engine from the coordinator. A coordinator that is cut off
-    /// from the store may grant an engine that is leaving; such a grant is
+    /// from the store may grant an engine that is leaving or has been restarted
+    /// with another software version; such a grant is
     /// given back to the coordinator and another engine is requested.
     async fn find_engine(
         self: &Arc<Self>,
@@ -81,12 +82,7 @@
                 .request_engine(call, placement_id.clone(), &avoid)
                 .await?;
             let instance = placement.grant.instance.clone();
-            if !self
-                .shared
-                .lock()
-                .directory
-                .is_leaving_or_removed(&instance)
-            {
+            if self.may_use(call, &instance) {
                 return Ok(placement);
             }
             tracing::info!(event = "place_left", id = %call.id, %instance);
@@ -97,6 +93,16 @@
             avoid.insert(instance);
         }
     }
+
+    /// Whether a granted engine may run a call, by this node's directory.
+    fn may_use(&self, call: &Call, instance: &str) -> bool {
+        let state = self.shared.lock();
+        let known = state.directory.get(instance);
+        // A new instance may be unknown to this node, but not its version, if the
+        // call requires one.
+        known.map_or(call.required_software.is_none(), |i| call.accepts(i))
+            && !state.directory.is_leaving_or_removed(instance)
+    }
 }
 
 impl<D> Attempt<D>
--- /dev/null
+++ b/crates/gateway/src/handler/stream_origin.rs
@@ -0,0 +1,188 @@
+//! Records where streams began, and finds it when a caller resumes one.
+//!
+//! The node that relays a stream records its origin and reports it to two
+//! coordinators: that of its own zone and that of another one, so that the origin
+//! outlives the node and either coordinator.
+
+use super::Gateway;
+use crate::call::Call;
+use crate::dialect::Dialect;
+use crate::peer::StreamRecord;
+use crate::state::State;
+use futures::StreamExt as _;
+use futures::stream::FuturesUnordered;
+use reedford_fleet::scheduler::{Refusal, RefusalReason};
+use reedford_fleet::stream_versions::StreamOrigin;
+use reedford_fleet::{Now, ServiceName, SoftwareVersion};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Timeout for a query to a coordinator, as long as the slowest round trip between
+/// zones with a margin.
+const QUERY_TIMEOUT: Duration = Duration::from_millis(150);
+/// Longest search for an origin while a coordinator is unknown or unreachable.
+const MAX_SEARCH: Duration = Duration::from_millis(500);
+/// Pause between two rounds of queries.
+const SEARCH_PAUSE: Duration = Duration::from_millis(50);
+/// Retry delay sent to callers whose streams can't be resumed now; nodes report
+/// the origins that they know to a new coordinator in that time.
+const UNRESUMABLE_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+impl<D> Gateway<D>
+where
+    D: Dialect,
+{
+    /// Records the origin of a stream at its first event, and requires its version
+    /// of further attempts. `software` is the version of the instance, if known.
+    pub(crate) fn record_origin(&self, call: &mut Call, software: Option<SoftwareVersion>) {
+        let now = self.shared.now();
+        let mut state = self.shared.lock();
+        let required = call.required_software.take().or(software);
+        call.required_software = required.or_else(|| only_version(&state, &call.service, now));
+        let Some(software) = call.required_software.clone() else {
+            tracing::info!(event = "stream_origin_unknown", id = %call.id);
+            return;
+        };
+        let origin = StreamOrigin {
+            service: call.service.clone(),
+            software,
+        };
+        let attempts = [Some(&call.id), call.head.resumes.as_ref()];
+        let attempts = attempts.into_iter().flatten().filter(|id| !id.is_empty());
+        let records: Vec<StreamRecord> = attempts
+            .map(|attempt| StreamRecord {
+                attempt: attempt.clone(),
+                origin: origin.clone(),
+            })
+            .collect();
+        state.record_streams(records.iter().cloned(), now);
+        let coordinators = recording_coordinators(&state, &call.id);
+        drop(state);
+        for addr in coordinators {
+            for record in &records {
+                self.progress.report_stream(addr, record.clone());
+            }
+        }
+    }
+
+    /// Requires of a call that resumes a stream the service and software version
+    /// that began it.
+    ///
+    /// # Errors
+    /// When the origin is unknown while instances of several versions may have sent
+    /// the first event, or when no instance of that version accepts calls.
+    pub(super) async fn require_origin(&self, call: &mut Call) -> Result<(), Refusal> {
+        let found = match &call.head.resumes {
+            Some(attempt) => self.find_origin(attempt).await,
+            None => None,
+        };
+        let now = self.shared.now();
+        let state = self.shared.lock();
+        let known = found.is_some();
+        let origin = found.or_else(|| {
+            let software = only_version(&state, &call.service, now)?;
+            let service = call.service.clone();
+            Some(StreamOrigin { service, software })
+        });
+        let outcome = match &origin {
+            None => Err(RefusalReason::UnknownVersion),
+            Some(origin) if !accepts_calls(&state, call, origin) => Err(RefusalReason::VersionGone),
+            Some(_) => Ok(()),
+        };
+        if outcome.is_ok()
+            && let Some(origin) = origin.clone()
+        {
+            call.set_origin(origin, state.routes.as_deref());
+        }
+        drop(state);
+        tracing::info!(event = "stream_resumption", id = %call.id, resumes = ?call.head.resumes,
+            last = ?call.head.last_event_id, known, software = ?origin.as_ref().map(|o| &o.software),
+            outcome = outcome.err().map_or("resumed", RefusalReason::name));
+        outcome.map_err(|reason| Refusal {
+            call: call.id.clone(),
+            reason,
+            retry_after: UNRESUMABLE_RETRY_AFTER,
+        })
+    }
+
+    /// Returns the origin of the stream of a caller's attempt, if this node or a
+    /// coordinator knows it.
+    async fn find_origin(&self, attempt: &str) -> Option<StreamOrigin> {
+        let started = self.shared.now();
+        loop {
+            let (own, coordinators, complete) = {
+                let state = self.shared.lock();
+                let own = state.stream_versions.get(attempt).cloned();
+                let holders = state.other_coordinators.values().chain(state.role.holder());
+                let addrs: BTreeSet<SocketAddr> = holders.map(|h| h.addr).collect();
+                (own, addrs, state.role.holder().is_some())
+            };
+            if own.is_some() {
+                return own;
+            }
+            let mut queries: FuturesUnordered<_> = coordinators
+                .into_iter()
+                .filter(|addr| *addr != self.placer.own_addr)
+                .map(|addr| self.query_origin(addr, attempt))
+                .collect();
+            let mut complete = complete;
+            while let Some(answer) = queries.next().await {
+                match answer {
+                    Some(Some(origin)) => return Some(origin),
+                    Some(None) => {}
+                    None => complete = false,
+                }
+            }
+            let searched = self.shared.now().saturating_sub(started);
+            if complete || searched >= MAX_SEARCH {
+                return None;
+            }
+            sleep(SEARCH_PAUSE).await;
+        }
+    }
+
+    /// Returns a coordinator's answer, or `None` if it doesn't respond.
+    async fn query_origin(&self, addr: SocketAddr, attempt: &str) -> Option<Option<StreamOrigin>> {
+        let attempt = attempt.into();
+        let query = self
+            .placer
+            .peers
+            .call(addr, QUERY_TIMEOUT, |peer, cx| async move {
+                peer.stream_origin(cx, attempt).await
+            });
+        query
+            .await
+            .inspect_err(|error| tracing::info!(event = "origin_unanswered", %addr, %error))
+            .ok()
+    }
+}
+
+/// Returns the only software version that instances of a service had while a
+/// stream that may still be resumed could begin. A node that is cut off may not
+/// know of all instances.
+fn only_version(state: &State, service: &ServiceName, now: Now) -> Option<SoftwareVersion> {
+    if state.cut_off(now) {
+        return None;
+    }
+    let since = now.saturating_sub(state.stream_lifetime());
+    state.directory.only_version(service, since).cloned()
+}
+
+/// Whether the route of a call leads to the service of a stream's origin, and an
+/// instance there accepts calls and has the version.
+fn accepts_calls(state: &State, call: &Call, origin: &StreamOrigin) -> bool {
+    let mut services = call.route.services.iter();
+    let mut ready = state.directory.ready(&origin.service);
+    services.any(|(name, _)| *name == origin.service)
+        && ready.any(|i| i.software == origin.software)
+}
+
+/// Returns the coordinators that record the origin of a stream.
+fn recording_coordinators(state: &State, attempt: &str) -> BTreeSet<SocketAddr> {
+    let second = state.second_recording_zone(attempt);
+    let second = second.and_then(|zone| state.other_coordinators.get(zone));
+    let holders = second.into_iter().chain(state.role.holder());
+    holders.map(|holder| holder.addr).collect()
+}
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -8,7 +8,10 @@
     AdapterHash, AdapterKey, Grant, PlacementId, PlacementRequest, Progress, PromptPart, Refusal,
     RunningCall,
 };
-use reedford_fleet::{AdapterName, InstanceId, ModelName, Now, ServiceName, ZoneId};
+use reedford_fleet::stream_versions::StreamOrigin;
+use reedford_fleet::{
+    AdapterName, AttemptId, InstanceId, ModelName, Now, ServiceName, SoftwareVersion, ZoneId,
+};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::io;
@@ -44,6 +47,8 @@
     pub(crate) patience: Duration,
     /// Instances that must not be granted.
     pub(crate) avoid: BTreeSet<InstanceId>,
+    /// Software version that the instance must have, to resume a stream.
+    pub(crate) software: Option<SoftwareVersion>,
     /// Whether another coordinator forwarded the call; a call is forwarded at
     /// most once.
     pub(crate) passed_on: bool,
@@ -85,6 +90,15 @@
     /// Adapters of recent calls with the engines that they ran on, the latest
     /// last.
     pub(crate) recent: Vec<(AdapterKey, InstanceId)>,
+    /// Origins of recent streams, the latest last.
+    pub(crate) streams: Vec<StreamRecord>,
+}
+
+/// The origin of the stream that an attempt of a caller received events of.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct StreamRecord {
+    pub(crate) attempt: AttemptId,
+    pub(crate) origin: StreamOrigin,
 }
 
 /// A running call in a [`CallsReport`]; the scheduler's form is [`RunningCall`].
@@ -109,8 +123,10 @@
     /// Requests an instance from a zone's coordinator, which responds once it
     /// has decided.
     async fn place(req: PlaceRequest) -> PlaceResponse;
-    /// Reports the progress of granted calls.
-    async fn progress(steps: Vec<(PlacementId, Progress)>);
+    /// Reports the progress of granted calls and the origins of streams.
+    async fn progress(steps: Vec<(PlacementId, Progress)>, streams: Vec<StreamRecord>);
+    /// Asks where the stream of a caller's attempt began.
+    async fn stream_origin(attempt: AttemptId) -> Option<StreamOrigin>;
     /// Reports the sender's calls on the engines of the receiver's zone to a new
     /// coordinator. Returns whether the receiver is the coordinator.
     async fn calls(report: CallsReport) -> bool;
@@ -143,6 +159,7 @@
             first_token_by: now + self.first_token_in,
             deadline: now + self.patience,
             avoid: self.avoid,
+            software: self.software,
         }
     }
 }
--- a/crates/gateway/src/peer_server.rs
+++ b/crates/gateway/src/peer_server.rs
@@ -5,13 +5,15 @@
 use crate::feeds::{Feed, FeedResponse};
 use crate::membership::ZONE_PREFIX;
 use crate::peer::{
-    CallsReport, Peer, PeerRequest, PeerResponse, PlaceRequest, PlaceResponse, ZoneLoad,
+    CallsReport, Peer, PeerRequest, PeerResponse, PlaceRequest, PlaceResponse, StreamRecord,
+    ZoneLoad,
 };
 use crate::state::Shared;
 use futures::StreamExt as _;
-use reedford_fleet::ZoneId;
 use reedford_fleet::ownership::Holder;
 use reedford_fleet::scheduler::{PlacementId, Progress};
+use reedford_fleet::stream_versions::StreamOrigin;
+use reedford_fleet::{AttemptId, ZoneId};
 use reedford_store::KeyValue;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -96,20 +98,35 @@
         self.commands.place(req).await
     }
 
-    async fn progress(self, _: Context, steps: Vec<(PlacementId, Progress)>) {
+    async fn progress(
+        self,
+        _: Context,
+        steps: Vec<(PlacementId, Progress)>,
+        streams: Vec<StreamRecord>,
+    ) {
+        let now = self.shared.now();
+        self.shared.lock().record_streams(streams, now);
         for (call, progress) in steps {
             self.commands.send(Command::Progress { call, progress });
         }
     }
 
-    async fn calls(self, _: Context, report: CallsReport) -> bool {
-        let coordinates = self.shared.lock().role.held_fence().is_some();
+    async fn calls(self, _: Context, mut report: CallsReport) -> bool {
+        let now = self.shared.now();
+        let mut state = self.shared.lock();
+        let coordinates = state.role.held_fence().is_some();
         if coordinates {
+            state.record_streams(std::mem::take(&mut report.streams), now);
+            drop(state);
             self.commands.send(Command::Calls(report));
         }
         coordinates
     }
 
+    async fn stream_origin(self, _: Context, attempt: AttemptId) -> Option<StreamOrigin> {
+        self.shared.lock().stream_versions.get(&attempt).cloned()
+    }
+
     async fn load(self, _: Context, load: ZoneLoad) {
         self.commands.send(Command::ZoneLoad(load));
     }
--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -181,7 +181,9 @@
             }
             None => (any_engine(&state, call, &self.zone, now)?, None),
         };
-        let usable = !avoid.contains(&instance.id) && !state.health.is_ejected(&instance.id, now);
+        let usable = !avoid.contains(&instance.id)
+            && call.accepts(instance)
+            && !state.health.is_ejected(&instance.id, now);
         usable.then(|| Grant {
             call: placement_id.clone(),
             instance: instance.id.clone(),
@@ -202,7 +204,7 @@
         let ready: Vec<&Instance> = state
             .directory
             .ready(&call.service)
-            .filter(|i| !avoid.contains(&i.id))
+            .filter(|i| !avoid.contains(&i.id) && call.accepts(i))
             .collect();
         let usable = state.health.usable(ready.iter().map(|i| &*i.id), now);
         let candidates: Vec<Candidate<'_>> = ready
@@ -252,7 +254,9 @@
 ) -> Option<(&'a Instance, Option<WeightVersion>)> {
     let wanted = state.versions.get(key).copied();
     let ready = state.directory.ready(&call.service);
-    let usable = ready.filter(|i| !avoid.contains(&i.id) && !state.health.is_ejected(&i.id, now));
+    let usable = ready.filter(|i| {
+        !avoid.contains(&i.id) && call.accepts(i) && !state.health.is_ejected(&i.id, now)
+    });
     let listing: Vec<_> = usable
         .filter_map(|i| {
             let model = i.models.iter().find(|m| m.name == key.model)?;
@@ -270,7 +274,7 @@
         .all()
         .filter(|i| i.service == call.service && i.state == InstanceState::Ready);
     let usable: Vec<&Instance> = ready
-        .filter(|i| &*i.zone == zone && !state.health.is_ejected(&i.id, now))
+        .filter(|i| &*i.zone == zone && call.accepts(i) && !state.health.is_ejected(&i.id, now))
         .collect();
     let index = call.id_hash() as usize % usable.len().max(1);
     usable.get(index).copied()
@@ -296,6 +300,7 @@
         first_token_in: call.event_time_left(now),
         patience: call.time_left(now),
         avoid: avoid.clone(),
+        software: call.required_software.clone(),
         passed_on: false,
     })
 }
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -1,8 +1,8 @@
-//! Reports the progress of granted calls to coordinators, batched by
-//! coordinator.
+//! Reports the progress of granted calls and the origins of streams to
+//! coordinators, batched by coordinator.
 
 use crate::coordinator::{Command, CommandTx};
-use crate::peer::PeerClients;
+use crate::peer::{PeerClients, StreamRecord};
 use reedford_fleet::scheduler::{PlacementId, Progress};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -16,18 +16,24 @@
 /// Maximum number of reports in one message.
 const MAX_REPORTS: usize = 64;
 
-/// Progress of a call, and the coordinator to report it to.
+/// A report, and the coordinator to send it to.
 #[derive(Debug)]
-struct ProgressReport {
+struct Report {
     coordinator: SocketAddr,
-    call: PlacementId,
-    progress: Progress,
+    subject: Subject,
+}
+
+/// What a report is about.
+#[derive(Debug)]
+enum Subject {
+    Progress(PlacementId, Progress),
+    Stream(StreamRecord),
 }
 
 /// Queues reports.
 #[derive(Clone, Debug)]
 pub(crate) struct ProgressTx {
-    reports: mpsc::UnboundedSender<ProgressReport>,
+    reports: mpsc::UnboundedSender<Report>,
     commands: CommandTx,
     own_addr: SocketAddr,
 }
@@ -35,7 +41,7 @@
 /// Sends queued reports.
 #[derive(Debug)]
 pub(crate) struct ProgressTask {
-    reports: mpsc::UnboundedReceiver<ProgressReport>,
+    reports: mpsc::UnboundedReceiver<Report>,
     peers: Arc<PeerClients>,
 }
 
@@ -61,10 +67,20 @@
             self.commands.send(Command::Progress { call, progress });
             return;
         }
-        let report = ProgressReport {
+        self.send(coordinator, Subject::Progress(call, progress));
+    }
+
+    /// Reports the origin of a stream to the coordinator of another node.
+    pub(crate) fn report_stream(&self, coordinator: SocketAddr, record: StreamRecord) {
+        if coordinator != self.own_addr {
+            self.send(coordinator, Subject::Stream(record));
+        }
+    }
+
+    fn send(&self, coordinator: SocketAddr, subject: Subject) {
+        let report = Report {
             coordinator,
-            call,
-            progress,
+            subject,
         };
         if self.reports.send(report).is_err() {
             tracing::debug!(event = "progress_after_stop");
@@ -83,24 +99,32 @@
             if received.is_none_or(|count| count == 0) {
                 return;
             }
-            let mut by_addr: BTreeMap<SocketAddr, Vec<(PlacementId, Progress)>> = BTreeMap::new();
+            let mut by_addr: BTreeMap<SocketAddr, (Vec<_>, Vec<_>)> = BTreeMap::new();
             for report in buf.drain(..) {
-                let reports = by_addr.entry(report.coordinator).or_default();
-                reports.push((report.call, report.progress));
+                let (steps, streams) = by_addr.entry(report.coordinator).or_default();
+                match report.subject {
+                    Subject::Progress(call, progress) => steps.push((call, progress)),
+                    Subject::Stream(record) => streams.push(record),
+                }
             }
             let messages = by_addr
                 .into_iter()
-                .map(|(addr, reports)| self.send(addr, reports));
+                .map(|(addr, (steps, streams))| self.send(addr, steps, streams));
             futures::future::join_all(messages).await;
         }
     }
 
-    async fn send(&self, addr: SocketAddr, reports: Vec<(PlacementId, Progress)>) {
-        let count = reports.len();
+    async fn send(
+        &self,
+        addr: SocketAddr,
+        steps: Vec<(PlacementId, Progress)>,
+        streams: Vec<StreamRecord>,
+    ) {
+        let count = steps.len() + streams.len();
         let sent = self
             .peers
             .call(addr, MESSAGE_TIMEOUT, |peer, cx| async move {
-                peer.progress(cx, reports).await
+                peer.progress(cx, steps, streams).await
             })
             .await;
         if let Err(error) = sent {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -169,6 +169,10 @@
                 .metrics
                 .first_event(&self.call.route.name, took);
         }
+        if self.events == 1 {
+            let software = self.attempt.software.clone();
+            self.gateway.record_origin(&mut self.call, software);
+        }
         self.attempt.report_started();
     }
 
@@ -195,7 +199,8 @@
     }
 
     fn may_resume(&self) -> bool {
-        self.call.route.kind.retryable() && self.runs < self.call.route.attempts
+        let version_known = self.events == 0 || self.call.required_software.is_some();
+        version_known && self.call.route.kind.retryable() && self.runs < self.call.route.attempts
     }
 
     /// Resumes the stream at another instance; returns whether one was found.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,7 +4,9 @@
 
 use crate::clock::Clock;
 use crate::feeds::Feeds;
+use crate::peer::StreamRecord;
 use crate::store_retries::StoreRetries;
+use reedford_core::rendezvous;
 use reedford_fleet::balancer::Balancer;
 use reedford_fleet::budget::{RetryBudget, RetryLimits};
 use reedford_fleet::config::RouteTable;
@@ -13,6 +15,7 @@
 use reedford_fleet::health::Health;
 use reedford_fleet::ownership::{Holder, Role};
 use reedford_fleet::scheduler::{AdapterKey, Grant, PlacementId};
+use reedford_fleet::stream_versions::{StreamVersions, stream_lifetime};
 use reedford_fleet::zones::ZoneReport;
 use reedford_fleet::{InstanceId, Now, WeightVersion, ZoneId};
 use std::collections::BTreeMap;
@@ -66,6 +69,8 @@
     /// This node's model calls that engines run.
     pub(crate) running: BTreeMap<PlacementId, LocalCall>,
     pub(crate) connectivity: Connectivity,
+    /// Origins of the streams that this node relayed, and of those reported to it.
+    pub(crate) stream_versions: StreamVersions,
     pub(crate) stopping: bool,
 }
 
@@ -119,6 +124,7 @@
                 last_instances: BTreeMap::new(),
                 running: BTreeMap::new(),
                 connectivity: Connectivity::default(),
+                stream_versions: StreamVersions::default(),
                 stopping: false,
             }),
         }
@@ -176,6 +182,32 @@
         self.last_instances.insert(key, last);
     }
 
+    /// Returns how long after its first event a stream may be resumed.
+    pub(crate) fn stream_lifetime(&self) -> Duration {
+        let routes = self.routes.as_ref();
+        routes.map_or(Duration::MAX, |routes| stream_lifetime(routes.config()))
+    }
+
+    /// Returns the zone whose coordinator records the origin of a stream in addition
+    /// to that of this zone.
+    pub(crate) fn second_recording_zone(&self, attempt: &str) -> Option<&str> {
+        let others = self.other_coordinators.keys().map(|zone| &**zone);
+        rendezvous::first(attempt, others)
+    }
+
+    /// Records the origins of streams.
+    pub(crate) fn record_streams<I>(&mut self, streams: I, now: Now)
+    where
+        I: IntoIterator<Item = StreamRecord>,
+    {
+        let lifetime = self.stream_lifetime();
+        for record in streams {
+            self.stream_versions
+                .record(record.attempt, record.origin, now);
+        }
+        self.stream_versions.expire(lifetime, now);
+    }
+
     /// Returns an instance if it accepts calls.
     pub(crate) fn ready_instance(&self, id: &str) -> Option<&Instance> {
         let instance = self.directory.get(id)?;
--- a/crates/gateway/src/sync/instances.rs
+++ b/crates/gateway/src/sync/instances.rs
@@ -72,7 +72,8 @@
                 let Some(instance) = self.read(&change.key, &value) else {
                     return;
                 };
-                self.sync.shared.lock().directory.on_entry(instance)
+                let now = self.sync.shared.now();
+                self.sync.shared.lock().directory.on_entry(instance, now)
             }
             ChangeKind::Delete => {
                 let Some(id) = self.sync.dialect.instance_id(&change.key) else {
