--- a/crates/fleet/tests/scheduler/support.rs
+++ b/crates/fleet/tests/scheduler/support.rs
@@ -31,6 +31,7 @@
         service: SERVICE.into(),
         addr: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 7_000),
         zone: "z1".into(),
+        software: "v1".into(),
         slots: 64,
         state: InstanceState::Ready,
         born,
@@ -116,6 +117,7 @@
         first_token_by: now + ms(5_000),
         deadline: now + ms(5_000),
         avoid: BTreeSet::new(),
+        software: None,
     }
 }
 
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -3,6 +3,7 @@
 
 mod attempt;
 mod replacement;
+mod stream_origin;
 
 pub(crate) use attempt::Attempt;
 pub(crate) use replacement::{Attempts, Moved, StreamState};
@@ -21,7 +22,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 use reedford_fleet::health::CallOutcome;
-use reedford_fleet::scheduler::{Refusal, Rejection};
+use reedford_fleet::scheduler::{Refusal, RefusalReason, Rejection};
 use reedford_front::HttpService;
 use std::sync::Arc;
 use std::time::Duration;
@@ -316,7 +317,12 @@
     }
 
     /// Serves a call whose response is a stream of events.
-    async fn serve_stream(self: &Arc<Self>, call: Call) -> Reply {
+    async fn serve_stream(self: &Arc<Self>, mut call: Call) -> Reply {
+        if call.head.last_event_id.is_some()
+            && let Err(refusal) = self.require_origin(&mut call).await
+        {
+            return self.reply_refused(&call, 0, &refusal);
+        }
         let mut attempts = Attempts::default();
         let mut rejected = 0;
         // Error response of an earlier attempt, returned if no later one succeeds.
@@ -444,7 +450,15 @@
         if runs > 0 {
             return reply::plain_text(StatusCode::BAD_GATEWAY, "no instance answered");
         }
-        self.reply_unavailable("there is no room in time", refusal.retry_after)
+        let text = match refusal.reason {
+            RefusalReason::Overload | RefusalReason::Deadline | RefusalReason::NoEngine => {
+                "there is no room in time"
+            }
+            RefusalReason::UnknownVersion | RefusalReason::VersionGone => {
+                "no instance can continue the stream"
+            }
+        };
+        self.reply_unavailable(text, refusal.retry_after)
     }
 
     fn reply_not_run(&self, call: &Call, runs: u32, rejection: Rejection) -> Reply {
--- a/crates/gateway/src/handler/attempt.rs
+++ b/crates/gateway/src/handler/attempt.rs
@@ -7,7 +7,7 @@
 use crate::placer::Placement;
 use crate::state::LocalCall;
 use reedford_fleet::scheduler::{Grant, PlacementId, Progress, Refusal, RefusalReason, Rejection};
-use reedford_fleet::{InstanceId, ZoneId};
+use reedford_fleet::{InstanceId, SoftwareVersion, ZoneId};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -22,6 +22,9 @@
     pub(crate) grant: Grant,
     /// Availability zone of the engine.
     zone: ZoneId,
+    /// Version of the instance's software at the time of the placement, if the
+    /// instance was known.
+    pub(crate) software: Option<SoftwareVersion>,
     /// The coordinator that granted the attempt, if one did.
     granted_by: Option<SocketAddr>,
     /// Whether the instance belongs to a plain service, whose calls the balancer
@@ -56,13 +59,16 @@
         };
         let waited = self.shared.now().saturating_sub(requested);
         self.metrics.placement_wait(&call.route.name, waited);
-        tracing::info!(event = "placed", id = %call.id, instance = %placement.grant.instance,
-            version = ?placement.grant.version, waited_ms = waited.as_millis() as u64);
-        Ok(Attempt::new(Arc::clone(self), placement, call))
+        let attempt = Attempt::new(Arc::clone(self), placement, call);
+        tracing::info!(event = "placed", id = %call.id, instance = %attempt.grant.instance,
+            software = ?attempt.software, version = ?attempt.grant.version,
+            waited_ms = waited.as_millis() as u64);
+        Ok(attempt)
     }
 
     /// Requests an engine from the coordinator. A coordinator that is cut off
-    /// from the store may grant an engine that is leaving; such a grant is
+    /// from the store may grant an engine that is leaving or has been restarted
+    /// with another software version; such a grant is
     /// given back to the coordinator and another engine is requested.
     async fn find_engine(
         self: &Arc<Self>,
@@ -76,12 +82,7 @@
                 .request_engine(call, placement_id.clone(), &avoid)
                 .await?;
             let instance = placement.grant.instance.clone();
-            if !self
-                .shared
-                .lock()
-                .directory
-                .is_leaving_or_removed(&instance)
-            {
+            if self.may_use(call, &instance) {
                 return Ok(placement);
             }
             tracing::info!(event = "place_left", id = %call.id, %instance);
@@ -92,6 +93,16 @@
             avoid.insert(instance);
         }
     }
+
+    /// Whether a granted engine may run a call, by this node's directory.
+    fn may_use(&self, call: &Call, instance: &str) -> bool {
+        let state = self.shared.lock();
+        let known = state.directory.get(instance);
+        // A new instance may be unknown to this node, but not its version, if the
+        // call requires one.
+        known.map_or(call.required_software.is_none(), |i| call.accepts(i))
+            && !state.directory.is_leaving_or_removed(instance)
+    }
 }
 
 impl<D> Attempt<D>
@@ -103,6 +114,7 @@
         let mut state = gateway.shared.lock();
         let instance = state.directory.get(&grant.instance);
         let zone = instance.map_or_else(|| state.zone.clone(), |i| i.zone.clone());
+        let software = instance.map(|i| i.software.clone());
         if call.is_model_call {
             let local = LocalCall {
                 instance: grant.instance.clone(),
@@ -121,6 +133,7 @@
             gateway,
             grant,
             zone,
+            software,
             granted_by: placement.coordinator,
             plain: !call.is_model_call,
             started: false,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -173,6 +173,10 @@
                 .metrics
                 .first_event(&self.call.route.name, took);
         }
+        if self.events == 1 {
+            let software = self.attempt.software.clone();
+            self.gateway.record_origin(&mut self.call, software);
+        }
         self.attempt.report_started();
     }
 
@@ -218,7 +222,8 @@
             };
             self.attempt = next;
             tracing::info!(event = "stream_resumed", id = %self.call.id, why,
-                instance = %self.attempt.grant.instance, events = self.events);
+                instance = %self.attempt.grant.instance, software = ?self.attempt.software,
+                events = self.events);
             let last = self.last_event_id.as_deref();
             let sent =
                 self.gateway
--- a/crates/gateway/src/sync/instances.rs
+++ b/crates/gateway/src/sync/instances.rs
@@ -33,7 +33,8 @@
                 DirectoryChange::Started(instance) => {
                     state.health.forget(&instance);
                     state.balancer.forget(&instance);
-                    tracing::info!(event = "instance_started", %instance);
+                    let software = state.directory.get(&instance).map(|i| &i.software);
+                    tracing::info!(event = "instance_started", %instance, ?software);
                 }
                 DirectoryChange::Leaving(instance) => {
                     tracing::info!(event = "instance_leaving", %instance);
@@ -71,7 +72,8 @@
                 let Some(instance) = self.read(&change.key, &value) else {
                     return;
                 };
-                self.sync.shared.lock().directory.on_entry(instance)
+                let now = self.sync.shared.now();
+                self.sync.shared.lock().directory.on_entry(instance, now)
             }
             ChangeKind::Delete => {
                 let Some(id) = self.sync.dialect.instance_id(&change.key) else {
