Model: one function that ends a search at the first counterexample

Four specifications had the same loop. The numbers of states and the lengths of the counterexamples don't change: cargo test -p reedford-model (dev profile): 13 passed.

--- a/crates/model/src/claims.rs
+++ b/crates/model/src/claims.rs
@@ -14,7 +14,7 @@
 
 pub use execution::Execution;
 
-use crate::search::{Outcome, explore};
+use crate::search::{Outcome, explore, until_counterexample};
 
 /// Checked in every state.
 pub const INVARIANTS: [&str; 4] = [
@@ -229,23 +229,14 @@
 
 /// Searches the cases in order, up to the first counterexample.
 pub fn check(mutation: Option<Mutation>) -> Vec<Outcome> {
-    let outcomes = CASES.iter().map(|(case, bodies)| {
+    until_counterexample(CASES.iter().map(|(case, bodies)| {
         explore(
             case,
             &initial_state(*bodies),
             |s| enabled_steps(s, mutation),
             violated_invariant,
         )
-    });
-    let mut checked = Vec::new();
-    for outcome in outcomes {
-        let failed = outcome.counterexample.is_some();
-        checked.push(outcome);
-        if failed {
-            break;
-        }
-    }
-    checked
+    }))
 }
 
 fn initial_state(bodies: [u8; ATTEMPT_COUNT]) -> State {
--- a/crates/model/src/orders.rs
+++ b/crates/model/src/orders.rs
@@ -27,7 +27,7 @@
 mod coordinator;
 mod steps;
 
-use crate::search::{Outcome, explore};
+use crate::search::{Outcome, explore, until_counterexample};
 use coordinator::Coordinator;
 
 /// Checked in every state; of a mutation, only the first, which the second serves.
@@ -311,22 +311,15 @@
 /// Searches the cases that `mutation` affects, in order, up to the first
 /// counterexample.
 pub fn check(mutation: Option<Mutation>) -> Vec<Outcome> {
-    let mut outcomes = Vec::new();
     let is_affected = |b: &&Bounds| mutation.is_none_or(|m| m.affects(b));
-    for bounds in CASES.iter().filter(is_affected) {
-        let outcome = explore(
+    until_counterexample(CASES.iter().filter(is_affected).map(|bounds| {
+        explore(
             bounds.name,
             &initial_state(bounds),
             |s| steps::enabled_steps(s, mutation, bounds),
             |s| violated_invariant(s, mutation),
-        );
-        let failed = outcome.counterexample.is_some();
-        outcomes.push(outcome);
-        if failed {
-            break;
-        }
-    }
-    outcomes
+        )
+    }))
 }
 
 fn initial_state(bounds: &Bounds) -> State {
--- a/crates/model/src/ownership.rs
+++ b/crates/model/src/ownership.rs
@@ -17,7 +17,7 @@
 mod instance;
 mod steps;
 
-use crate::search::{Outcome, explore};
+use crate::search::{Outcome, explore, until_counterexample};
 use instance::Instance;
 
 /// Checked in every state.
@@ -232,22 +232,14 @@
 
 /// Searches the cases in order, up to the first counterexample.
 pub fn check(mutation: Option<Mutation>) -> Vec<Outcome> {
-    let mut outcomes = Vec::new();
-    for bounds in &CASES {
-        let enabled_steps = |s: &State| steps::enabled_steps(s, mutation, bounds);
-        let outcome = explore(
+    until_counterexample(CASES.iter().map(|bounds| {
+        explore(
             bounds.name,
             &initial_state(bounds),
-            enabled_steps,
+            |s| steps::enabled_steps(s, mutation, bounds),
             violated_invariant,
-        );
-        let failed = outcome.counterexample.is_some();
-        outcomes.push(outcome);
-        if failed {
-            break;
-        }
-    }
-    outcomes
+        )
+    }))
 }
 
 fn initial_state(bounds: &Bounds) -> State {
--- a/crates/model/src/permits.rs
+++ b/crates/model/src/permits.rs
@@ -14,7 +14,7 @@
 mod owner;
 mod steps;
 
-use crate::search::{Outcome, explore};
+use crate::search::{Outcome, explore, until_counterexample};
 use owner::Owner;
 
 /// Checked in every state.
@@ -315,23 +315,15 @@
 /// Searches the cases that `mutation` affects, in order, up to the first
 /// counterexample.
 pub fn check(mutation: Option<Mutation>) -> Vec<Outcome> {
-    let mut outcomes = Vec::new();
     let is_affected = |b: &&Bounds| mutation.is_none_or(|m| m.affects(b));
-    for bounds in CASES.iter().filter(is_affected) {
-        let enabled_steps = |s: &State| steps::enabled_steps(s, mutation, bounds);
-        let outcome = explore(
+    until_counterexample(CASES.iter().filter(is_affected).map(|bounds| {
+        explore(
             bounds.name,
             &initial_state(bounds),
-            enabled_steps,
+            |s| steps::enabled_steps(s, mutation, bounds),
             violated_invariant,
-        );
-        let failed = outcome.counterexample.is_some();
-        outcomes.push(outcome);
-        if failed {
-            break;
-        }
-    }
-    outcomes
+        )
+    }))
 }
 
 fn initial_state(bounds: &Bounds) -> State {
--- a/crates/model/src/search.rs
+++ b/crates/model/src/search.rs
@@ -82,6 +82,23 @@
     }
 }
 
+/// Collects the outcomes of searches up to the first that has a counterexample.
+/// Later searches are not run.
+pub fn until_counterexample<I>(outcomes: I) -> Vec<Outcome>
+where
+    I: IntoIterator<Item = Outcome>,
+{
+    let mut searched = Vec::new();
+    for outcome in outcomes {
+        let failed = outcome.counterexample.is_some();
+        searched.push(outcome);
+        if failed {
+            break;
+        }
+    }
+    searched
+}
+
 fn trace<S, A, FS, FV>(path: &[S], enabled_steps: FS, violated_invariant: FV) -> Trace
 where
     S: Debug + Eq,
