Model: the coordinator role over a store restored from backups

Adds the specification `coordinator`: two nodes, a store with revisions, lease ids and an era that is restored from a backup, delayed conditional claims, feeds between nodes, versions of the configuration, and an instance that leaves and restarts. Fencing tokens are (era, revision).

What the search refuted on the way: - A node that waits from its start, not from when it learns its first era, gives orders while the holder of the era before still does (WaitCountedFromStart, 8 steps). - A claim that fails on a key naming the same node takes the key for its own, though the key is bound to the node's earlier lease and about to be removed (KeyOfEarlierLease, 8 steps, without a restore), or was written late by a claim of an older era with the same lease id (LateClaimAcrossEras, 12 steps). The key names era and lease now.

--- a/crates/model/src/flags.rs
+++ b/crates/model/src/flags.rs
@@ -6,7 +6,7 @@
         /// Prints the shortest counterexample of one mutation.
         optional --mutation name: String
         /// Searches only `Ownership`, `Permits`, `Claims`,
-        /// `Configuration` or `Orders`.
+        /// `Configuration`, `Orders` or `Coordinator`.
         optional --spec name: String
     }
 }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -16,9 +16,11 @@
 //! | [`claims`] | at most one run of a non-idempotent request |
 //! | [`configuration`] | revisions of the configuration (the rules): edits, distribution, restarts |
 //! | [`orders`] | late orders to an engine of the gateway: never more than its room |
+//! | [`coordinator`] | the gateway's coordinator role over a store restored from backups |
 
 pub mod claims;
 pub mod configuration;
+pub mod coordinator;
 pub mod orders;
 pub mod ownership;
 pub mod permits;
--- a/crates/model/src/spec.rs
+++ b/crates/model/src/spec.rs
@@ -1,7 +1,7 @@
 //! The list of specifications, for the program and the tests.
 
 use crate::search::Outcome;
-use crate::{claims, configuration, orders, ownership, permits};
+use crate::{claims, configuration, coordinator, orders, ownership, permits};
 
 /// A specification.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -16,16 +16,19 @@
     Configuration,
     /// See [`orders`].
     Orders,
+    /// See [`coordinator`].
+    Coordinator,
 }
 
 impl Spec {
     /// All specifications.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::Ownership,
         Self::Permits,
         Self::Claims,
         Self::Configuration,
         Self::Orders,
+        Self::Coordinator,
     ];
 
     /// Returns the invariants, each of which is checked in every state.
@@ -36,6 +39,7 @@
             Self::Claims => &claims::INVARIANTS,
             Self::Configuration => &configuration::INVARIANTS,
             Self::Orders => &orders::INVARIANTS,
+            Self::Coordinator => &coordinator::INVARIANTS,
         }
     }
 
@@ -47,6 +51,7 @@
             Self::Claims => debug_names(&claims::Mutation::ALL),
             Self::Configuration => debug_names(&configuration::Mutation::ALL),
             Self::Orders => debug_names(&orders::Mutation::ALL),
+            Self::Coordinator => debug_names(&coordinator::Mutation::ALL),
         }
     }
 
@@ -58,6 +63,7 @@
             Self::Claims => claims::check(None),
             Self::Configuration => configuration::check(None),
             Self::Orders => orders::check(None),
+            Self::Coordinator => coordinator::check(None),
         }
     }
 
@@ -80,6 +86,8 @@
             Self::Orders => {
                 find_by_debug_name(&orders::Mutation::ALL, name).map(|m| orders::check(Some(m)))
             }
+            Self::Coordinator => find_by_debug_name(&coordinator::Mutation::ALL, name)
+                .map(|m| coordinator::check(Some(m))),
         }
     }
 }
--- a/crates/model/tests/search.rs
+++ b/crates/model/tests/search.rs
@@ -16,6 +16,7 @@
 #[test_case(Case { spec: Spec::Claims, min_states: 40_000 }; "claims")]
 #[test_case(Case { spec: Spec::Configuration, min_states: 600 }; "configuration")]
 #[test_case(Case { spec: Spec::Orders, min_states: 1_100_000 }; "orders")]
+#[test_case(Case { spec: Spec::Coordinator, min_states: 2_600_000 }; "coordinator")]
 fn protocol_without_mutation_keeps_its_invariants(case: Case) {
     let mut states = 0;
     for outcome in case.spec.check() {
@@ -36,6 +37,7 @@
 #[test_case(Spec::Claims; "claims")]
 #[test_case(Spec::Configuration; "configuration")]
 #[test_case(Spec::Orders; "orders")]
+#[test_case(Spec::Coordinator; "coordinator")]
 fn each_mutation_breaks_an_invariant(spec: Spec) {
     let mutations = spec.mutations();
     assert!(!mutations.is_empty());
