Scheduler: an order without a response holds its room until it is excluded

Cause: a model load outlasted its estimate, because three engines loaded at once; the scheduler took the model as loaded and ordered an adapter, which got no response. The report showed busy and no model; busy was not read, so the model was ordered again. The engine's response to that repeated order does not count as an accepted order, but was counted. The late adapter order then took the number that the scheduler had given to the second model order, later numbers matched, and the engine held one adapter that the scheduler did not know.

Class: a count that is derived from responses in place of reports. Now only a response that proves that the order was counted advances the count; after the others a report comes first. Orders without a response are kept until the engine's count passes theirs; their adapters hold slots (Unresolved), also over a restart under the same id (for 30 s) and over a lapsed entry. A model is loaded when a report shows it; a busy engine is ordered nothing. Reports of an earlier incarnation or with a lower count are not applied.

Ruled out: a stale report (applied 2.7 s after the model's order, which it counts), a restart (one instance_started).

--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -24,6 +24,7 @@
 mod prompt_cache;
 mod request;
 mod synchronize;
+mod unresolved;
 
 pub use order::{EngineReport, Order, OrderKind, OrderOutcome};
 pub use request::{
@@ -44,6 +45,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
+use unresolved::UnresolvedOrders;
 
 /// Half-life of the request counts by which adapters are selected for eviction;
 /// popularity shifts within seconds.
@@ -131,6 +133,9 @@
     limits: Limits,
     specs: BTreeMap<Box<str>, EngineSpec>,
     engines: BTreeMap<InstanceId, EngineView>,
+    /// Orders without a response to engines that left the directory. They may be
+    /// carried out by the next incarnation under the same id.
+    departed: BTreeMap<InstanceId, UnresolvedOrders>,
     /// Newest known version of each adapter.
     versions: BTreeMap<AdapterKey, WeightVersion>,
     queue: Vec<QueuedCall>,
@@ -170,6 +175,7 @@
             limits,
             specs: BTreeMap::new(),
             engines: BTreeMap::new(),
+            departed: BTreeMap::new(),
             versions: BTreeMap::new(),
             queue: Vec::new(),
             running: BTreeMap::new(),
@@ -198,10 +204,14 @@
             Some(engine) if engine.born == instance.born && engine.addr == instance.addr => {
                 engine.ready = instance.state == InstanceState::Ready;
             }
+            // The entry is older than a report of the engine.
+            Some(engine) if instance.born != 0 && instance.born < engine.born => {}
             _ => {
                 self.forget(&instance.id);
                 let rate = PrefillRate::new(self.mean_prefill_rate());
-                let engine = EngineView::new(instance, rate, now);
+                let mut unresolved = self.departed.remove(&instance.id).unwrap_or_default();
+                unresolved.outlive_incarnation(now);
+                let engine = EngineView::new(instance, rate, unresolved, now);
                 self.engines.insert(instance.id.clone(), engine);
             }
         }
@@ -209,8 +219,9 @@
 
     /// Drops an engine that left the directory, with the calls granted to it.
     pub fn forget(&mut self, id: &str) {
-        if self.engines.remove(id).is_some() {
+        if let Some(engine) = self.engines.remove(id) {
             self.running.retain(|_, engine| &**engine != id);
+            self.departed.insert(id.into(), engine.into_unresolved());
         }
     }
 
@@ -431,6 +442,10 @@
         }
         if now >= self.next_prune {
             self.popularity.prune(now);
+            self.departed.retain(|_, orders| {
+                orders.outlive_incarnation(now);
+                orders.len() > 0
+            });
             self.next_prune = now + PRUNE_INTERVAL;
         }
     }
--- a/crates/fleet/src/scheduler/engine_view.rs
+++ b/crates/fleet/src/scheduler/engine_view.rs
@@ -4,6 +4,7 @@
 use super::order::{EngineReport, Order, OrderKind};
 use super::prompt_cache::PromptCache;
 use super::request::{Grant, PlacementId, Rejection, RunningCall};
+use super::unresolved::UnresolvedOrders;
 use super::{AdapterKey, PlacementRequest, QueuedCall};
 use crate::directory::{Instance, InstanceState};
 use crate::{InstanceId, ModelName, Now, ServiceName, WeightVersion};
@@ -26,6 +27,8 @@
 const PROMPT_CACHE_SHARE: f64 = 0.7;
 /// Share of an engine's KV cache that granted calls may reserve.
 const KV_CACHE_SHARE: f64 = 0.92;
+/// Pause between two reports of an engine that loads or unloads a base model.
+const BUSY_REPORT_PAUSE: Duration = Duration::from_millis(250);
 
 /// State of an engine, derived from grants, orders and reports.
 #[derive(Clone, Debug)]
@@ -46,6 +49,10 @@
     pub(super) accepted_orders: Option<u64>,
     /// The order that was sent and whose outcome is not known yet.
     pub(super) pending_order: Option<Order>,
+    /// Orders without a response that it may still carry out.
+    pub(super) unresolved: UnresolvedOrders,
+    /// Number of accepted orders in the last report that was applied.
+    reported_orders: u64,
     pub(super) order_queue: VecDeque<OrderKind>,
     /// When to fetch a report from it, if one is needed.
     pub(super) report_due: Option<Now>,
@@ -74,7 +81,8 @@
 /// State of a base model on an engine.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum ModelState {
-    /// A load was accepted and is expected to complete at this time.
+    /// A load was accepted and is expected to complete at this time. Only a report
+    /// shows that it is complete, because loads slow each other down.
     Loading(Now),
     /// Loaded.
     Resident,
@@ -105,6 +113,8 @@
     Resident,
     /// An order to evict it is queued, was sent, or is being carried out.
     Evicting,
+    /// An order to load it has no response, and the engine may still load it.
+    Unresolved,
 }
 
 #[derive(Clone, Debug)]
@@ -120,8 +130,14 @@
 }
 
 impl EngineView {
-    /// Creates the view of an engine whose prefill rate is expected to be `prefill_rate`.
-    pub(super) fn new(instance: &Instance, prefill_rate: PrefillRate, now: Now) -> Self {
+    /// Creates the view of an engine whose prefill rate is expected to be `prefill_rate`;
+    /// `unresolved` are the orders that were sent to it earlier.
+    pub(super) fn new(
+        instance: &Instance,
+        prefill_rate: PrefillRate,
+        unresolved: UnresolvedOrders,
+        now: Now,
+    ) -> Self {
         let mut engine = Self {
             id: instance.id.clone(),
             addr: instance.addr,
@@ -133,6 +149,8 @@
             host_cache: VecDeque::new(),
             accepted_orders: None,
             pending_order: None,
+            unresolved,
+            reported_orders: 0,
             order_queue: VecDeque::new(),
             report_due: Some(now),
             fetching_report: false,
@@ -162,9 +180,27 @@
                     .insert(key, AdapterCopy::resident(Some(*version), now));
             }
         }
+        engine.hold_unresolved();
         engine
     }
 
+    /// Returns the orders that the engine may carry out after it left the directory.
+    pub(super) fn into_unresolved(mut self) -> UnresolvedOrders {
+        if let Some(pending) = self.pending_order {
+            self.unresolved.push(pending);
+        }
+        self.unresolved
+    }
+
+    /// Keeps a slot for each adapter that an unresolved order may load.
+    fn hold_unresolved(&mut self) {
+        for key in self.unresolved.loads() {
+            let mut copy = AdapterCopy::resident(None, Now::ZERO);
+            copy.state = CopyState::Unresolved;
+            self.copies.entry(key).or_insert(copy);
+        }
+    }
+
     /// Whether calls may be granted to it.
     pub(super) fn is_usable(&self, now: Now) -> bool {
         self.ready && now >= self.paused_until
@@ -353,7 +389,7 @@
     }
 
     /// Cancels the orders that have not been sent. The adapter of an order that
-    /// was sent keeps its slot until the outcome is known.
+    /// was sent keeps its slot until it is resolved.
     pub(super) fn cancel_unsent_orders(&mut self) {
         self.order_queue.clear();
         let sent = self.pending_order.as_ref().and_then(|o| o.kind.adapter());
@@ -364,6 +400,7 @@
                 copy.state = CopyState::Resident;
             }
         }
+        self.hold_unresolved();
     }
 
     /// Handles an adapter that the engine unexpectedly does not hold: either its
@@ -400,18 +437,13 @@
         expired
     }
 
-    /// Marks loads whose expected end has passed as complete.
+    /// Marks loads of adapters whose expected end has passed as complete.
     pub(super) fn complete_loads(&mut self, now: Now) {
         for copy in self.copies.values_mut() {
             if matches!(copy.state, CopyState::Loading(at) if at <= now) {
                 copy.state = CopyState::Resident;
             }
         }
-        for state in self.models.values_mut() {
-            if matches!(state, ModelState::Loading(at) if *at <= now) {
-                *state = ModelState::Resident;
-            }
-        }
     }
 
     /// Returns the time of the next expected end of a load, due report or due
@@ -419,18 +451,13 @@
     pub(super) fn next_change(&self) -> Option<Now> {
         let loads = self.copies.values().filter_map(|c| match c.state {
             CopyState::Loading(at) => Some(at),
-            CopyState::Ordered | CopyState::Resident | CopyState::Evicting => None,
-        });
-        let models = self.models.values().filter_map(|s| match s {
-            ModelState::Loading(at) => Some(*at),
-            ModelState::Resident => None,
+            CopyState::Ordered
+            | CopyState::Resident
+            | CopyState::Evicting
+            | CopyState::Unresolved => None,
         });
         let orders = (!self.order_queue.is_empty()).then_some(self.orders_paused_until);
-        loads
-            .chain(models)
-            .chain(self.report_due)
-            .chain(orders)
-            .min()
+        loads.chain(self.report_due).chain(orders).min()
     }
 
     pub(super) fn on_evicted(&mut self, key: &AdapterKey) {
@@ -446,10 +473,23 @@
         }
     }
 
+    /// Whether a report is older than this view. The number of accepted orders only
+    /// increases while an incarnation runs.
+    pub(super) const fn is_outdated(&self, report: &EngineReport) -> bool {
+        let earlier_incarnation = report.born != 0 && report.born < self.born;
+        earlier_incarnation || report.born == self.born && report.orders < self.reported_orders
+    }
+
     /// Replaces the models and adapters of this view with those of the engine's
     /// report. No order may have been sent since the engine wrote the report.
     pub(super) fn on_report(&mut self, report: &EngineReport, now: Now) {
+        if report.born > self.born {
+            self.born = report.born;
+            self.unresolved.outlive_incarnation(now);
+        }
         self.accepted_orders = Some(report.orders);
+        self.reported_orders = report.orders;
+        self.unresolved.resolve(report.orders, now);
         self.order_queue.clear();
         let before = std::mem::take(&mut self.copies);
         for (model, adapters) in &report.models {
@@ -465,8 +505,17 @@
             }
         }
         self.models.retain(|model, state| {
-            report.models.contains_key(model) || matches!(state, ModelState::Loading(_))
+            let loading = report.busy && matches!(state, ModelState::Loading(_));
+            loading || report.models.contains_key(model)
         });
+        if report.busy {
+            // It accepts no order now.
+            let ends = self.models.values().filter_map(|s| match s {
+                ModelState::Loading(at) => Some(*at),
+                ModelState::Resident => None,
+            });
+            self.report_due = ends.chain([now + BUSY_REPORT_PAUSE]).max();
+        }
         for (model, adapter) in &report.loading {
             let key = AdapterKey {
                 model: model.clone(),
@@ -478,6 +527,7 @@
             copy.state = CopyState::Loading(now + ASSUMED_REMAINING_LOAD);
             self.copies.entry(key).or_insert(copy);
         }
+        self.hold_unresolved();
         // Calls may have been adopted before their adapters were known.
         for (key, copy) in &mut self.copies {
             let uses = |call: &&GrantedCall| call.key.as_ref() == Some(key);
@@ -512,7 +562,8 @@
 
     /// Whether calls for version `wanted` can run on it, now or once it is loaded.
     pub(super) fn serves(&self, wanted: Option<WeightVersion>) -> bool {
-        self.state != CopyState::Evicting && !self.is_stale(wanted)
+        let leaves_or_may_come = matches!(self.state, CopyState::Evicting | CopyState::Unresolved);
+        !leaves_or_may_come && !self.is_stale(wanted)
     }
 
     /// Whether its version is older than the one wanted.
--- a/crates/fleet/src/scheduler/placement.rs
+++ b/crates/fleet/src/scheduler/placement.rs
@@ -418,6 +418,12 @@
                 self.load_estimate.expected(false),
             )),
             CopyState::Resident | CopyState::Evicting => None,
+            CopyState::Unresolved => {
+                let fits = engine.copies.len() <= adapter_slots as usize
+                    && engine.pending_loads() < MAX_LOADS_PER_ENGINE
+                    && self.may_load(warm, round);
+                fits.then_some((Prerequisite::Load { evict: None }, load))
+            }
             CopyState::Ordered => Some((Prerequisite::LoadCompletion, load)),
             CopyState::Loading(at) => Some((Prerequisite::LoadCompletion, at.saturating_sub(now))),
         }
@@ -537,7 +543,8 @@
 /// Returns the cost of loading an adapter on an engine in addition to the load's
 /// duration.
 fn load_cost(engine: &EngineView, key: &AdapterKey, warm: bool) -> Duration {
-    if engine.copies.contains_key(key) {
+    let copy = engine.copies.get(key);
+    if copy.is_some_and(|c| c.state != CopyState::Unresolved) {
         Duration::ZERO
     } else if warm {
         WARM_LOAD_COST
--- a/crates/fleet/src/scheduler/synchronize.rs
+++ b/crates/fleet/src/scheduler/synchronize.rs
@@ -53,25 +53,31 @@
         actions
     }
 
-    /// Applies an engine's report; `None` if the engine did not respond.
-    pub fn on_report(&mut self, id: &str, report: Option<&EngineReport>, now: Now) {
+    /// Applies an engine's report; `None` if the engine did not respond. Returns
+    /// whether it was applied; another one is fetched otherwise.
+    pub fn on_report(&mut self, id: &str, report: Option<&EngineReport>, now: Now) -> bool {
         let Some(engine) = self.engines.get_mut(id) else {
-            return;
+            return false;
         };
         engine.fetching_report = false;
         let Some(report) = report else {
             engine.report_due = Some(now + REPORT_RETRY_PAUSE);
             engine.on_unreachable(now);
-            return;
+            return false;
         };
         engine.on_response();
         let outdated =
             engine.pending_order.is_some() || now < engine.last_order_outcome_at + REPORT_LAG;
         if outdated && engine.last_order_outcome_at > Now::ZERO {
             engine.report_due = Some(engine.last_order_outcome_at + REPORT_LAG);
-            return;
+            return false;
+        }
+        if engine.is_outdated(report) {
+            engine.report_due = Some(now + REPORT_LAG);
+            return false;
         }
         engine.on_report(report, now);
+        true
     }
 
     /// Returns the next order of each engine that has no order pending.
@@ -121,7 +127,12 @@
         engine.last_order_outcome_at = now;
         match outcome {
             OrderOutcome::Accepted | OrderOutcome::Done => {
-                engine.accepted_orders = Some(order.after + 1);
+                if engine.is_counted(&order, outcome) {
+                    engine.accepted_orders = Some(order.after + 1);
+                } else {
+                    engine.accepted_orders = None;
+                    engine.report_due = Some(now + REPORT_LAG);
+                }
                 engine.conflicts = 0;
                 engine.on_response();
                 let is_done = outcome == OrderOutcome::Done;
@@ -158,10 +169,13 @@
                 engine.order_queue.push_front(order.kind);
                 engine.orders_paused_until = now + CONFLICT_PAUSE;
             }
-            OrderOutcome::Conflict
-            | OrderOutcome::Fenced
-            | OrderOutcome::Refused
-            | OrderOutcome::Unknown => engine.resynchronize(order.kind, now),
+            OrderOutcome::Unknown => {
+                engine.unresolved.push(order.clone());
+                engine.resynchronize(order.kind, now);
+            }
+            OrderOutcome::Conflict | OrderOutcome::Fenced | OrderOutcome::Refused => {
+                engine.resynchronize(order.kind, now);
+            }
         }
     }
 
@@ -171,7 +185,8 @@
             .engines
             .values()
             .filter(|e| e.is_usable(now) && e.models.is_empty() && e.accepted_orders.is_some())
-            .filter(|e| e.pending_order.is_none() && e.order_queue.is_empty() && !e.fetching_report)
+            .filter(|e| e.pending_order.is_none() && e.order_queue.is_empty())
+            .filter(|e| !e.fetching_report && e.report_due.is_none())
             .map(|e| e.id.clone())
             .collect();
         for id in without_model {
@@ -182,12 +197,12 @@
                 continue;
             };
             let spec = self.specs.get(&engine.service);
-            let Some(model) = spec.and_then(|s| s.models.first()) else {
+            let first = spec.and_then(|s| s.models.first()).map(|m| &m.name);
+            // Another model would not fit beside one that may still be loaded.
+            let Some(model) = engine.unresolved.model().or(first).cloned() else {
                 continue;
             };
-            engine.order_queue.push_back(OrderKind::LoadModel {
-                model: model.name.clone(),
-            });
+            engine.order_queue.push_back(OrderKind::LoadModel { model });
         }
     }
 
@@ -235,6 +250,19 @@
 }
 
 impl EngineView {
+    /// Whether the response to an accepted order proves that the engine counted it.
+    /// An engine does not count an order whose effect is in place or on its way. An
+    /// eviction that was not counted makes the next order conflict; that does not
+    /// hold while an unresolved order may take the number.
+    fn is_counted(&self, order: &Order, outcome: OrderOutcome) -> bool {
+        let proven = match (&order.kind, outcome) {
+            (OrderKind::LoadModel { .. }, _)
+            | (OrderKind::LoadAdapter { .. }, OrderOutcome::Done) => false,
+            (OrderKind::LoadAdapter { .. } | OrderKind::UnloadAdapter { .. }, _) => true,
+        };
+        proven && !self.unresolved.compete_with(order)
+    }
+
     fn on_load_accepted(&mut self, key: &AdapterKey, time: Duration, now: Now) {
         self.host_cache.retain(|k| k != key);
         if let Some(copy) = self.copies.get_mut(key) {
--- a/crates/fleet/tests/scheduler/late_orders.rs
+++ b/crates/fleet/tests/scheduler/late_orders.rs
@@ -4,8 +4,8 @@
 //! coordinator is replaced meanwhile.
 
 use crate::support::{
-    ADAPTER_SLOTS, MODEL, deliver_report, instance, ms, order_labels, orders, request, scheduler,
-    scheduler_with_engine,
+    ADAPTER_SLOTS, MODEL, deliver_report, instance, key, ms, order_labels, orders, request,
+    scheduler, scheduler_with_engine,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -209,7 +209,9 @@
                 Response::Order(outcome) => {
                     self.scheduler.on_order_outcome(ENGINE, outcome, now);
                 }
-                Response::Report(report) => self.scheduler.on_report(ENGINE, Some(&report), now),
+                Response::Report(report) => {
+                    self.scheduler.on_report(ENGINE, Some(&report), now);
+                }
             }
         }
     }
@@ -444,3 +446,77 @@
     let last = order_labels(&scheduler.poll(ms(1_303)));
     assert_eq!(last, ["+g"], "the excluded order frees its slot");
 }
+
+fn report_of(born: u64, orders: u64, adapters: &[&str]) -> EngineReport {
+    let held = adapters.iter().map(|a| ((*a).into(), 1)).collect();
+    EngineReport {
+        born,
+        models: BTreeMap::from([(MODEL.into(), held)]),
+        ..empty_report(orders, false)
+    }
+}
+
+/// Guards against the use of a slot that an order to an earlier incarnation may
+/// still take: an engine that restarts under its id counts its orders anew.
+#[test_case(ms(2_000), false; "soon")]
+#[test_case(ms(40_000), true; "when no longer expected")]
+fn limit_an_order_to_an_earlier_incarnation_holds_its_slot(at: Now, frees_slot: bool) {
+    let mut scheduler = scheduler_with_engine(&[]);
+    scheduler.submit(request("c1", "e", ms(1)), ms(1));
+    scheduler.poll(ms(1));
+    scheduler.on_order_outcome(ENGINE, OrderOutcome::Unknown, ms(501));
+    scheduler.cancel("c1", ms(502));
+    scheduler.forget(ENGINE);
+    scheduler.on_instance(&instance(ENGINE, 2), ms(600));
+    let held = report_of(2, 0, &["a", "b", "c", "d"]);
+    poll_and_report(&mut scheduler, &held, ms(600));
+    scheduler.submit(request("c2", "a", at), at);
+    scheduler.poll(at);
+    scheduler.progress("c2", Progress::Rejected(Rejection::Missing), at);
+    poll_and_report(&mut scheduler, &held, at + ms(1));
+    scheduler.submit(request("c3", "f", at + ms(2)), at + ms(2));
+    let ordered = order_labels(&scheduler.poll(at + ms(2)));
+    assert_eq!(ordered == ["+f"], frees_slot, "{ordered:?}");
+}
+
+struct ReportCase {
+    report: EngineReport,
+    applied: bool,
+}
+
+/// Guards against reports that are older than the view: their number of accepted
+/// orders would be that of an earlier state.
+#[test_case(ReportCase { report: report_of(2, 3, &["b"]), applied: true }; "no order since")]
+#[test_case(ReportCase { report: report_of(2, 4, &["b"]), applied: true }; "an order since")]
+#[test_case(ReportCase { report: report_of(2, 2, &["b"]), applied: false }; "fewer orders")]
+#[test_case(ReportCase { report: report_of(1, 9, &["b"]), applied: false }; "earlier incarnation")]
+#[test_case(ReportCase { report: report_of(3, 0, &["b"]), applied: true }; "later incarnation")]
+fn limit_a_report_older_than_the_view_is_not_applied(case: ReportCase) {
+    let mut scheduler = scheduler();
+    scheduler.on_instance(&instance(ENGINE, 2), Now::ZERO);
+    poll_and_report(&mut scheduler, &report_of(2, 3, &["a"]), Now::ZERO);
+    scheduler.submit(request("c1", "a", ms(1)), ms(1));
+    scheduler.poll(ms(1));
+    scheduler.progress("c1", Progress::Rejected(Rejection::Missing), ms(2));
+    scheduler.poll(ms(3));
+    let applied = scheduler.on_report(ENGINE, Some(&case.report), ms(3));
+    assert_eq!(applied, case.applied);
+    let held = &scheduler.held_adapters()[ENGINE];
+    assert_eq!(held.contains(&key("b")), case.applied, "{held:?}");
+    let again = scheduler.poll(ms(1_000));
+    assert_eq!(again.is_empty(), case.applied, "another report: {again:?}");
+}
+
+/// Guards against a view that an older entry of the directory sets back after a
+/// report of the engine's next incarnation.
+#[test]
+fn limit_an_entry_older_than_a_report_does_not_replace_the_view() {
+    let mut scheduler = scheduler_with_engine(&["a"]);
+    scheduler.submit(request("c1", "a", ms(1)), ms(1));
+    scheduler.poll(ms(1));
+    scheduler.progress("c1", Progress::Rejected(Rejection::Missing), ms(2));
+    poll_and_report(&mut scheduler, &report_of(2, 0, &["b"]), ms(3));
+    scheduler.on_instance(&instance(ENGINE, 1), ms(4));
+    assert!(scheduler.held_adapters()[ENGINE].contains(&key("b")));
+    assert!(scheduler.poll(ms(5)).is_empty());
+}
