Coordinator: log what an engine's report shows beside what was assumed

One line for each report: incarnation, orders, busy, models, adapters, loading, the assumed count, unresolved orders and the age of the last outcome.

--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -127,6 +127,17 @@
     pub load_time: Duration,
 }
 
+/// What a scheduler assumes about the orders to an engine, for logs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct OrderStatus {
+    /// Number of orders that the engine has accepted, if known.
+    pub accepted: Option<u64>,
+    /// Orders without a response that the engine may still carry out.
+    pub unresolved: usize,
+    /// Time since the last outcome of an order, if there was one.
+    pub outcome_age: Option<Duration>,
+}
+
 /// The scheduler of one zone.
 #[derive(Clone, Debug)]
 pub struct Scheduler {
@@ -424,6 +435,18 @@
         }
     }
 
+    /// Returns what is assumed about the orders to an engine.
+    #[must_use]
+    pub fn order_status(&self, id: &str, now: Now) -> Option<OrderStatus> {
+        let engine = self.engines.get(id)?;
+        let outcome_at = engine.last_order_outcome_at;
+        Some(OrderStatus {
+            accepted: engine.accepted_orders,
+            unresolved: engine.unresolved.len(),
+            outcome_age: (outcome_at > Now::ZERO).then(|| now.saturating_sub(outcome_at)),
+        })
+    }
+
     /// Returns the adapters that each engine holds or loads; engines without any
     /// are included.
     #[must_use]
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -265,11 +265,7 @@
                 fence,
                 instance,
                 report,
-            } => {
-                if self.term.as_ref().is_some_and(|t| t.fence == fence) {
-                    self.with_scheduler(|s| s.on_report(&instance, report.as_ref(), now));
-                }
-            }
+            } => self.on_report(fence, &instance, report.as_ref(), now),
         }
     }
 
--- a/crates/gateway/src/coordinator/actions.rs
+++ b/crates/gateway/src/coordinator/actions.rs
@@ -9,11 +9,14 @@
 use http_body_util::Full;
 use hyper::Request;
 use reedford_fleet::ownership::Fence;
-use reedford_fleet::scheduler::{Action, Grant, Order, OrderKind, OrderOutcome, Progress, Refusal};
+use reedford_fleet::scheduler::{
+    Action, EngineReport, Grant, Order, OrderKind, OrderOutcome, Progress, Refusal,
+};
 use reedford_fleet::{InstanceId, Now};
 use reedford_targets::{
     BufferedResponse, CallError, HeadDeadline, LostReason, Pool, Reuse, read_body, send_request,
 };
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -130,6 +133,32 @@
         });
     }
 
+    /// Applies an engine's report, and logs what it shows beside what was assumed.
+    pub(super) fn on_report(
+        &mut self,
+        fence: Fence,
+        instance: &str,
+        report: Option<&EngineReport>,
+        now: Now,
+    ) {
+        let term = self.term.as_mut().filter(|t| t.fence == fence);
+        let Some(scheduler) = term.map(|t| &mut t.scheduler) else {
+            return;
+        };
+        let before = scheduler.order_status(instance, now);
+        let applied = scheduler.on_report(instance, report, now);
+        let (Some(report), Some(before)) = (report, before) else {
+            return;
+        };
+        let after = scheduler.order_status(instance, now);
+        tracing::info!(event = "engine_report", instance, fence, applied, born = report.born,
+            orders = report.orders, busy = report.busy, models = report.models.len(),
+            adapters = report.models.values().map(BTreeMap::len).sum::<usize>(),
+            loading = report.loading.len(), assumed = ?before.accepted,
+            unresolved = after.map(|a| a.unresolved),
+            age_ms = before.outcome_age.map(|a| a.as_millis() as u64));
+    }
+
     pub(super) fn on_order_outcome(
         &mut self,
         fence: Fence,
