Scheduler: cancel the load of an order that was not sent to a paused engine

An engine that a call found unreachable is paused; when its pending order then turned out not to have been sent, on_unreachable returned early and the adapter stayed ordered with no order in the queue: its slot was taken and its calls waited until the next report.

--- a/crates/fleet/src/scheduler/synchronize.rs
+++ b/crates/fleet/src/scheduler/synchronize.rs
@@ -162,7 +162,11 @@
                     }
                 }
             }
-            OrderOutcome::NotSent => engine.on_unreachable(now),
+            OrderOutcome::NotSent => {
+                engine.on_unreachable(now);
+                // The engine may have been paused already.
+                engine.cancel_unsent_orders();
+            }
             OrderOutcome::Conflict if engine.conflicts < MAX_CONFLICTS => {
                 // Usually the engine is still loading an adapter.
                 engine.conflicts += 1;
--- a/crates/fleet/tests/scheduler/late_orders.rs
+++ b/crates/fleet/tests/scheduler/late_orders.rs
@@ -479,6 +479,20 @@
     assert_eq!(ordered == ["+f"], frees_slot, "{ordered:?}");
 }
 
+/// Guards against an adapter that waits for good for an order that was never sent,
+/// if the engine was found unreachable just before.
+#[test]
+fn a_load_that_was_not_sent_to_a_paused_engine_is_cancelled() {
+    let mut scheduler = scheduler_with_engine(&["a"]);
+    scheduler.submit(request("c1", "a", ms(1)), ms(1));
+    scheduler.submit(request("c2", "b", ms(1)), ms(1));
+    assert_eq!(order_labels(&scheduler.poll(ms(1))), ["+b"]);
+    scheduler.progress("c1", Progress::Rejected(Rejection::Unreachable), ms(2));
+    scheduler.on_order_outcome(ENGINE, OrderOutcome::NotSent, ms(3));
+    assert!(!scheduler.held_adapters()[ENGINE].contains(&key("b")));
+    assert_eq!(order_labels(&scheduler.poll(ms(1_000))), ["+b"]);
+}
+
 struct ReportCase {
     report: EngineReport,
     applied: bool,
