--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -258,18 +258,14 @@
             }
             Command::OrderCompleted {
                 fence,
-                instance,
+                order,
                 outcome,
-            } => self.on_order_outcome(fence, &instance, outcome, now),
+            } => self.on_order_outcome(fence, &order, outcome, now),
             Command::ReportFetched {
                 fence,
                 instance,
                 report,
-            } => {
-                if self.term.as_ref().is_some_and(|t| t.fence == fence) {
-                    self.with_scheduler(|s| s.on_report(&instance, report.as_ref(), now));
-                }
-            }
+            } => self.on_report(fence, &instance, report.as_ref(), now),
         }
     }
 
