Coordinator: ignore the outcome of an order to an engine's earlier incarnation

A late response of the incarnation before would have been applied to the order that the next one was sent, and counted there. An order names its incarnation, and its outcome is applied only while it is pending. The test is of the new check; without it there was nothing to ask.

--- a/crates/fleet/src/scheduler/order.rs
+++ b/crates/fleet/src/scheduler/order.rs
@@ -12,6 +12,8 @@
     pub instance: InstanceId,
     /// Address of the engine.
     pub addr: SocketAddr,
+    /// Start time of the engine's incarnation, in Unix milliseconds.
+    pub born: u64,
     /// Number of orders that the engine has accepted before this one. The engine
     /// refuses the order if its own count differs, so that an order delivered
     /// late has no effect.
--- a/crates/fleet/src/scheduler/synchronize.rs
+++ b/crates/fleet/src/scheduler/synchronize.rs
@@ -98,6 +98,7 @@
             let order = Order {
                 instance: engine.id.clone(),
                 addr: engine.addr,
+                born: engine.born,
                 after,
                 kind,
             };
@@ -107,6 +108,14 @@
         actions
     }
 
+    /// Whether the outcome of an order is awaited. It is not if the engine restarted
+    /// or left the directory since.
+    #[must_use]
+    pub fn is_pending(&self, order: &Order) -> bool {
+        let engine = self.engines.get(&order.instance);
+        engine.is_some_and(|e| e.pending_order.as_ref() == Some(order))
+    }
+
     /// Applies the outcome of the pending order of an engine.
     pub fn on_order_outcome(&mut self, id: &str, outcome: OrderOutcome, now: Now) {
         let Some(order) = self
--- a/crates/fleet/tests/scheduler/late_orders.rs
+++ b/crates/fleet/tests/scheduler/late_orders.rs
@@ -493,6 +493,23 @@
     assert_eq!(order_labels(&scheduler.poll(ms(1_000))), ["+b"]);
 }
 
+/// Guards against the outcome of an order to an earlier incarnation that is taken
+/// for that of an order to the next one.
+#[test]
+fn an_order_to_an_earlier_incarnation_is_not_pending() {
+    let mut scheduler = scheduler_with_engine(&[]);
+    scheduler.submit(request("c1", "a", ms(1)), ms(1));
+    let first_actions = scheduler.poll(ms(1));
+    let earlier = orders(&first_actions)[0];
+    assert!(scheduler.is_pending(earlier));
+    scheduler.on_instance(&instance(ENGINE, 2), ms(2));
+    let actions = poll_and_report(&mut scheduler, &report_of(2, 0, &[]), ms(3));
+    let next = orders(&actions)[0];
+    assert_eq!((next.after, &next.kind), (earlier.after, &earlier.kind));
+    assert!(scheduler.is_pending(next));
+    assert!(!scheduler.is_pending(earlier));
+}
+
 struct ReportCase {
     report: EngineReport,
     applied: bool,
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -258,9 +258,9 @@
             }
             Command::OrderCompleted {
                 fence,
-                instance,
+                order,
                 outcome,
-            } => self.on_order_outcome(fence, &instance, outcome, now),
+            } => self.on_order_outcome(fence, &order, outcome, now),
             Command::ReportFetched {
                 fence,
                 instance,
--- a/crates/gateway/src/coordinator/actions.rs
+++ b/crates/gateway/src/coordinator/actions.rs
@@ -101,7 +101,7 @@
             }
             tx.send(Command::OrderCompleted {
                 fence,
-                instance: order.instance,
+                order,
                 outcome,
             });
         });
@@ -162,7 +162,7 @@
     pub(super) fn on_order_outcome(
         &mut self,
         fence: Fence,
-        instance: &str,
+        order: &Order,
         outcome: OrderOutcome,
         now: Now,
     ) {
@@ -174,7 +174,11 @@
             self.update_term();
             return;
         }
-        self.with_scheduler(|s| s.on_order_outcome(instance, outcome, now));
+        self.with_scheduler(|s| {
+            if s.is_pending(order) {
+                s.on_order_outcome(&order.instance, outcome, now);
+            }
+        });
     }
 
     /// Requests a placement from another zone's coordinator, and queues the
--- a/crates/gateway/src/coordinator/commands.rs
+++ b/crates/gateway/src/coordinator/commands.rs
@@ -3,7 +3,7 @@
 use crate::peer::{CallsReport, PlaceRequest, PlaceResponse, ZoneLoad};
 use reedford_fleet::InstanceId;
 use reedford_fleet::ownership::Fence;
-use reedford_fleet::scheduler::{EngineReport, OrderOutcome, PlacementId, Progress};
+use reedford_fleet::scheduler::{EngineReport, Order, OrderOutcome, PlacementId, Progress};
 use tokio::sync::{mpsc, oneshot};
 
 #[derive(Debug)]
@@ -25,7 +25,7 @@
     /// token of the term in which the order was sent.
     OrderCompleted {
         fence: Fence,
-        instance: InstanceId,
+        order: Order,
         outcome: OrderOutcome,
     },
     /// An engine's report, or `None` if the request for it failed.
