--- a/crates/fleet/src/scheduler/synchronize.rs
+++ b/crates/fleet/src/scheduler/synchronize.rs
@@ -98,6 +98,7 @@
             let order = Order {
                 instance: engine.id.clone(),
                 addr: engine.addr,
+                born: engine.born,
                 after,
                 kind,
             };
--- a/crates/fleet/tests/scheduler/late_orders.rs
+++ b/crates/fleet/tests/scheduler/late_orders.rs
@@ -499,14 +499,14 @@
 fn an_order_to_an_earlier_incarnation_is_not_pending() {
     let mut scheduler = scheduler_with_engine(&[]);
     scheduler.submit(request("c1", "a", ms(1)), ms(1));
-    let actions = scheduler.poll(ms(1));
-    let earlier = orders(&actions)[0];
+    let first_actions = scheduler.poll(ms(1));
+    let earlier = orders(&first_actions)[0];
     assert!(scheduler.is_pending(earlier));
     scheduler.on_instance(&instance(ENGINE, 2), ms(2));
-    poll_and_report(&mut scheduler, &report_of(2, 0, &[]), ms(3));
-    scheduler.submit(request("c2", "b", ms(4)), ms(4));
-    let actions = scheduler.poll(ms(4));
-    assert!(scheduler.is_pending(orders(&actions)[0]));
+    let actions = poll_and_report(&mut scheduler, &report_of(2, 0, &[]), ms(3));
+    let next = orders(&actions)[0];
+    assert_eq!((next.after, &next.kind), (earlier.after, &earlier.kind));
+    assert!(scheduler.is_pending(next));
     assert!(!scheduler.is_pending(earlier));
 }
 
