Instances that announce in a response that they are leaving get nothing more

Cause: a node learned only from the store that an instance is leaving. The platform's instances now say so in the head of every response too, also while their entries still say ready.

Change: the head of each response (calls, heads of streams, refusals, orders, reports) is read for the announcement. The directory keeps it with the start time of the incarnation that the request was meant for (a grant carries it), and shows the instance as leaving until an entry with a later start time comes, so that calls, retries, placement, homes, orders and reports treat it as one that the store shows as leaving. Nodes report it to the coordinator of their zone, coordinators to each other, and the change feeds carry the list (at most 128 instances). An engine that is leaving, by its entry or by announcement, now gets neither orders nor requests for reports; before, orders that were queued or had a conflict were still sent to it.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -7,7 +7,11 @@
 //! long before it is removed ([`Absence::Lapsed`]), even if it is missing from
 //! further listings meanwhile. Any other instance that is missing from a listing,
 //! and any that the store reports as removed, is removed at once.
+//!
+//! An instance that announced in a response that it is leaving is leaving, even
+//! if its entry says that it is ready ([`crate::departures`]).
 
+use crate::departures::{DepartureSource, Departures, LeavingInstances};
 use crate::{AdapterName, InstanceId, ModelName, Now, ServiceName, WeightVersion, ZoneId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -21,6 +25,9 @@
 /// How long a removal is remembered; peers learn of it within seconds.
 const REMOVED_RETENTION: Duration = Duration::from_secs(30);
 
+/// Limit on the announcements in [`Directory::unlisted_departures`].
+const MAX_UNLISTED_DEPARTURES: usize = 128;
+
 /// Whether an instance accepts calls.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum InstanceState {
@@ -89,6 +96,9 @@
     missing_since: BTreeMap<InstanceId, Now>,
     /// Removal times, kept for [`REMOVED_RETENTION`].
     removed_at: BTreeMap<InstanceId, Now>,
+    departures: Departures,
+    /// Instances whose own entry says that they are leaving.
+    listed_leaving: BTreeSet<InstanceId>,
 }
 
 impl Directory {
@@ -121,13 +131,21 @@
     }
 
     /// Adds or updates one instance.
-    pub fn on_entry(&mut self, instance: Instance) -> Option<DirectoryChange> {
+    pub fn on_entry(&mut self, mut instance: Instance) -> Option<DirectoryChange> {
         self.missing_since.remove(&instance.id);
         let id = instance.id.clone();
         let known = self.instances.get(&id);
         if known.is_some_and(|k| k.born > instance.born) {
             return None;
         }
+        match instance.state {
+            InstanceState::Ready => _ = self.listed_leaving.remove(&id),
+            InstanceState::Leaving => _ = self.listed_leaving.insert(id.clone()),
+        }
+        self.departures.on_incarnation(&id, instance.born);
+        if self.departures.covers(&id, instance.born) {
+            instance.state = InstanceState::Leaving;
+        }
         let change = match known {
             Some(k) if k.born == instance.born && k.addr == instance.addr => {
                 let started_leaving =
@@ -141,9 +159,51 @@
         change
     }
 
+    /// Records that the incarnation of an instance with the start time `born`
+    /// announced that it is leaving. Returns whether this was not known.
+    pub fn on_departure(&mut self, id: &str, born: u64, source: DepartureSource, now: Now) -> bool {
+        let known = self.instances.get_mut(id);
+        if known.as_ref().is_some_and(|k| k.born > born) {
+            return false;
+        }
+        if let Some(known) = known {
+            known.state = InstanceState::Leaving;
+        }
+        self.departures.record(id, born, source, now)
+    }
+
+    /// Returns the latest announcements of instances that are ready according to
+    /// the store.
+    #[must_use]
+    pub fn unlisted_departures(&self) -> LeavingInstances {
+        self.select_departures(|_| true)
+    }
+
+    /// Returns those of [`Self::unlisted_departures`] that this node received from
+    /// the instances themselves.
+    #[must_use]
+    pub fn received_departures(&self) -> LeavingInstances {
+        self.select_departures(|source| source == DepartureSource::Response)
+    }
+
+    fn select_departures<F>(&self, selects: F) -> LeavingInstances
+    where
+        F: Fn(DepartureSource) -> bool,
+    {
+        let listed_ready =
+            |id: &str| self.instances.contains_key(id) && !self.listed_leaving.contains(id);
+        let latest = self.departures.latest();
+        latest
+            .filter(|(id, _, source)| selects(*source) && listed_ready(id))
+            .take(MAX_UNLISTED_DEPARTURES)
+            .map(|(id, born, _)| (id.clone(), born))
+            .collect()
+    }
+
     /// Removes an instance.
     pub fn on_removed(&mut self, id: &str, now: Now) -> Option<DirectoryChange> {
         self.missing_since.remove(id);
+        self.listed_leaving.remove(id);
         self.instances.remove(id)?;
         self.removed_at.insert(id.into(), now);
         Some(DirectoryChange::Removed(id.into()))
@@ -172,7 +232,7 @@
     pub fn is_leaving_or_removed(&self, id: &str) -> bool {
         match self.instances.get(id) {
             Some(instance) => instance.state == InstanceState::Leaving,
-            None => self.removed_at.contains_key(id),
+            None => self.removed_at.contains_key(id) || self.departures.contains(id),
         }
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 //! | module | decides |
 //! |---|---|
 //! | [`config`] | route and service of a call |
+//! | [`departures`] | which instances announced that they are leaving |
 //! | [`directory`] | which instances may be used, also during outages of the store |
 //! | [`scheduler`] | where model calls run, which adapters are loaded and evicted |
 //! | [`balancer`] | which instance of a plain service runs a call |
@@ -23,6 +24,7 @@
 pub mod budget;
 pub mod config;
 pub mod connectivity;
+pub mod departures;
 pub mod directory;
 pub mod health;
 pub mod ownership;
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -197,6 +197,9 @@
         match self.engines.get_mut(&instance.id) {
             Some(engine) if engine.born == instance.born && engine.addr == instance.addr => {
                 engine.ready = instance.state == InstanceState::Ready;
+                if !engine.ready {
+                    engine.cancel_unsent_orders();
+                }
             }
             _ => {
                 self.forget(&instance.id);
--- a/crates/fleet/src/scheduler/engine_view.rs
+++ b/crates/fleet/src/scheduler/engine_view.rs
@@ -244,6 +244,7 @@
             call: request.call.clone(),
             instance: self.id.clone(),
             addr: self.addr,
+            born: self.born,
             version,
         }
     }
@@ -426,10 +427,11 @@
             ModelState::Resident => None,
         });
         let orders = (!self.order_queue.is_empty()).then_some(self.orders_paused_until);
+        // A leaving engine gets neither.
+        let requests = self.report_due.into_iter().chain(orders);
         loads
             .chain(models)
-            .chain(self.report_due)
-            .chain(orders)
+            .chain(requests.filter(|_| self.ready))
             .min()
     }
 
--- a/crates/fleet/src/scheduler/request.rs
+++ b/crates/fleet/src/scheduler/request.rs
@@ -90,6 +90,8 @@
     pub instance: InstanceId,
     /// Address of the instance.
     pub addr: SocketAddr,
+    /// Start time of the instance's incarnation, in Unix milliseconds.
+    pub born: u64,
     /// Version of the adapter on the instance, if known.
     pub version: Option<WeightVersion>,
 }
--- a/crates/fleet/tests/directory.rs
+++ b/crates/fleet/tests/directory.rs
@@ -1,6 +1,7 @@
 //! Which instances may be used, also during outages of the store.
 
 use reedford_fleet::Now;
+use reedford_fleet::departures::{DepartureSource, LeavingInstances};
 use reedford_fleet::directory::{
     ABSENCE_GRACE, Absence, Directory, DirectoryChange, Instance, InstanceState,
 };
@@ -132,3 +133,70 @@
     directory.on_entry(ready("b", 6));
     assert!(!directory.is_leaving_or_removed("b"), "it was restarted");
 }
+
+struct DepartureCase {
+    /// Entries that arrive before and after the incarnation with the start time 5
+    /// announces that it is leaving.
+    before: Option<Instance>,
+    after: Option<Instance>,
+    usable: bool,
+    /// Whether other nodes have to learn of it.
+    passed_on: bool,
+}
+
+#[test_case(DepartureCase { before: Some(ready("a", 5)), after: None, usable: false, passed_on: true }; "ready according to the store")]
+#[test_case(DepartureCase { before: Some(ready("a", 5)), after: Some(ready("a", 5)), usable: false, passed_on: true }; "heartbeat")]
+#[test_case(DepartureCase {
+    before: Some(ready("a", 5)),
+    after: Some(instance("a", 5, 7_001, InstanceState::Ready)),
+    usable: false,
+    passed_on: true,
+}; "at another address")]
+#[test_case(DepartureCase {
+    before: Some(ready("a", 5)),
+    after: Some(instance("a", 5, 7_000, InstanceState::Leaving)),
+    usable: false,
+    passed_on: false,
+}; "the store shows it")]
+#[test_case(DepartureCase { before: Some(ready("a", 5)), after: Some(ready("a", 6)), usable: true, passed_on: false }; "restarted")]
+#[test_case(DepartureCase { before: Some(ready("a", 6)), after: None, usable: true, passed_on: false }; "announced by an earlier incarnation")]
+#[test_case(DepartureCase { before: Some(ready("a", 4)), after: None, usable: false, passed_on: true }; "announced by a later incarnation")]
+#[test_case(DepartureCase { before: None, after: Some(ready("a", 5)), usable: false, passed_on: true }; "announced before its entry is known")]
+fn an_announcement_that_an_instance_is_leaving_overrides_its_entry(case: DepartureCase) {
+    let mut directory = Directory::default();
+    case.before.map(|entry| directory.on_entry(entry));
+    directory.on_departure("a", 5, DepartureSource::Node, Now::ZERO);
+    case.after.map(|entry| directory.on_entry(entry));
+    assert_eq!(directory.ready("s").count() == 1, case.usable);
+    assert_eq!(directory.is_leaving_or_removed("a"), !case.usable);
+    let passed_on = !directory.unlisted_departures().is_empty();
+    assert_eq!(passed_on, case.passed_on);
+}
+
+/// An entry may expire and reappear, e.g. after an outage of the store.
+#[test]
+fn an_announcement_outlives_the_entry_of_its_instance() {
+    let mut directory = Directory::default();
+    directory.on_entry(ready("a", 5));
+    assert!(directory.on_departure("a", 5, DepartureSource::Response, Now::ZERO));
+    assert!(!directory.on_departure("a", 5, DepartureSource::Node, Now::ZERO));
+    directory.on_removed("a", Now::ZERO);
+    assert!(directory.unlisted_departures().is_empty());
+    directory.on_entry(ready("a", 5));
+    assert!(directory.is_leaving_or_removed("a"));
+    let received = LeavingInstances::from([("a".into(), 5)]);
+    assert_eq!(directory.received_departures(), received);
+}
+
+#[test]
+fn the_announcements_passed_on_are_bounded_to_the_latest() {
+    let mut directory = Directory::default();
+    for n in 0..2_000 {
+        let id = format!("i{n}");
+        directory.on_entry(ready(&id, 5));
+        directory.on_departure(&id, 5, DepartureSource::Node, Duration::from_millis(n));
+    }
+    let passed_on = directory.unlisted_departures();
+    assert!((1..=128).contains(&passed_on.len()));
+    assert!(passed_on.contains_key("i1999") && !passed_on.contains_key("i0"));
+}
--- a/crates/fleet/tests/scheduler/decisions.rs
+++ b/crates/fleet/tests/scheduler/decisions.rs
@@ -5,6 +5,7 @@
     scheduler_with_engine,
 };
 use reedford_fleet::Now;
+use reedford_fleet::directory::{Instance, InstanceState};
 use reedford_fleet::scheduler::{
     Action, OrderKind, OrderOutcome, Progress, RefusalReason, Rejection, Scheduler,
 };
@@ -333,3 +334,24 @@
     }
     panic!("no call was refused");
 }
+
+/// Guards against an order that is repeated, and a report that is fetched, after the
+/// engine has announced that it is leaving.
+#[test_case(OrderOutcome::Conflict; "an order to repeat")]
+#[test_case(OrderOutcome::Unknown; "a report to fetch")]
+fn a_leaving_engine_gets_neither_orders_nor_requests_for_reports(outcome: OrderOutcome) {
+    let mut scheduler = scheduler_with_engine(&[]);
+    assert_eq!(
+        order_labels(&submit_and_poll(&mut scheduler, "c1", "a", ms(1))),
+        ["+a"]
+    );
+    let leaving = Instance {
+        state: InstanceState::Leaving,
+        ..instance("e1", 1)
+    };
+    scheduler.on_instance(&leaving, ms(2));
+    scheduler.on_order_outcome("e1", outcome, ms(3));
+    assert_eq!(scheduler.poll(ms(2_000)), []);
+    let next_poll = scheduler.next_poll(ms(2_000));
+    assert!(next_poll.is_none_or(|at| at > ms(2_000)), "{next_poll:?}");
+}
--- a/crates/fleet/tests/scheduler/load_patterns.rs
+++ b/crates/fleet/tests/scheduler/load_patterns.rs
@@ -302,3 +302,29 @@
     assert_eq!(zone.tally.refused, 0, "{:?}", zone.tally);
     assert_eq!(zone.tally.in_time + zone.tally.late, 5, "{:?}", zone.tally);
 }
+
+/// Load pattern: a third of the engines announce at once that they are leaving,
+/// while their entries still say that they are ready. They get no call, order or
+/// request for a report from then on, which [`Zone`] checks, and their adapters
+/// are loaded elsewhere.
+#[test]
+fn a_third_of_the_engines_leave_at_once_by_announcement_only() {
+    let mut zone = Zone::new(6);
+    let mut rng = StdRng::seed_from_u64(SEED);
+    let zipf = Zipf::new(ADAPTERS, ZIPF_EXPONENT).expect("valid");
+    for serial in 0..240 {
+        if serial == 80 {
+            zone.announce_departure("e1");
+            zone.announce_departure("e4");
+        }
+        let adapter = format!("a{}", zipf.sample(&mut rng) as u64);
+        let mut call = request(&format!("c{serial}"), &adapter, zone.now());
+        call.tokens = rng.random_range(300..3_500);
+        zone.submit(call);
+        let next = zone.now() + ms(rng.random_range(0..=160));
+        zone.run(next);
+    }
+    let end = zone.now() + ms(6_000);
+    zone.run(end);
+    assert!(in_time_share(&zone.tally) > 0.85, "{:?}", zone.tally);
+}
--- a/crates/fleet/tests/scheduler/zone.rs
+++ b/crates/fleet/tests/scheduler/zone.rs
@@ -1,10 +1,12 @@
 //! Simulation of a zone's engines: loads with a fixed duration, prompts processed
 //! one after the other, responses that take a fixed time. While it runs it checks
-//! that no engine is ordered to hold more adapters than it has slots, and that no
-//! adapter in use is evicted.
+//! that no engine is ordered to hold more adapters than it has slots, that no
+//! adapter in use is evicted, and that nothing is sent to a leaving engine.
 
 use crate::support::{ADAPTER_SLOTS, MODEL, deliver_report, instance, key, ms, scheduler};
 use reedford_fleet::Now;
+use reedford_fleet::departures::DepartureSource;
+use reedford_fleet::directory::Directory;
 use reedford_fleet::scheduler::{
     Action, EngineReport, OrderKind, OrderOutcome, PlacementRequest, Progress, Rejection,
     RunningCall, Scheduler,
@@ -75,6 +77,8 @@
     /// Concurrent cold loads at full speed; more slow each other down.
     load_channel: usize,
     engines: BTreeMap<Box<str>, Engine>,
+    directory: Directory,
+    leaving: BTreeSet<Box<str>>,
     requests: BTreeMap<Box<str>, PlacementRequest>,
     submitted_at: BTreeMap<Box<str>, Now>,
     runs: BTreeMap<Box<str>, EngineRun>,
@@ -90,12 +94,15 @@
             decode: ms(DECODE_MS),
             load_channel: usize::MAX,
             engines: BTreeMap::new(),
+            directory: Directory::default(),
+            leaving: BTreeSet::new(),
             requests: BTreeMap::new(),
             submitted_at: BTreeMap::new(),
             runs: BTreeMap::new(),
         };
         for n in 0..engines {
             let id = format!("e{n}");
+            zone.directory.on_entry(instance(&id, 1));
             zone.scheduler.on_instance(&instance(&id, 1), Now::ZERO);
             deliver_report(&mut zone.scheduler, &id, &[], 0, Now::ZERO);
             zone.engines.insert(id.into(), Engine::default());
@@ -129,6 +136,22 @@
         self.runs.retain(|_, run| &*run.engine != engine);
     }
 
+    /// Announces that an engine is leaving, while its entry still says that it is
+    /// ready.
+    pub(crate) fn announce_departure(&mut self, engine: &str) {
+        self.leaving.insert(engine.into());
+        self.directory
+            .on_departure(engine, 1, DepartureSource::Node, self.now);
+        self.directory.on_entry(instance(engine, 1));
+        for known in self.directory.all() {
+            self.scheduler.on_instance(known, self.now);
+        }
+    }
+
+    fn check_not_leaving(&self, engine: &str) {
+        assert!(!self.leaving.contains(engine), "{engine} is leaving");
+    }
+
     /// Replaces the scheduler by that of a new coordinator, to which nodes report
     /// their running calls and repeat their requests.
     pub(crate) fn replace_coordinator(&mut self) {
@@ -222,6 +245,7 @@
         let now = self.now;
         match action {
             Action::Grant(grant) => {
+                self.check_not_leaving(&grant.instance);
                 let request = self.requests[&grant.call].clone();
                 if now >= request.first_token_by {
                     self.tally.after_caller_gave_up += 1;
@@ -263,6 +287,7 @@
                 }
             }
             Action::Order(order) => {
+                self.check_not_leaving(&order.instance);
                 let loading = self.engines.values().flat_map(|e| e.loaded_at.values());
                 let loading = loading.filter(|at| **at > now + ms(WARM_LOAD_MS)).count();
                 let slowdown = (loading + 1) as f64 / self.load_channel as f64;
@@ -275,6 +300,7 @@
                     .on_order_outcome(&order.instance, outcome, now);
             }
             Action::FetchReport { instance, .. } => {
+                self.check_not_leaving(&instance);
                 let report = self.engines.get(&instance).map(|e| e.report(now));
                 self.scheduler.on_report(&instance, report.as_ref(), now);
             }
--- a/crates/gateway/src/coordinator/actions.rs
+++ b/crates/gateway/src/coordinator/actions.rs
@@ -5,6 +5,7 @@
 use super::{Coordinator, respond};
 use crate::dialect::Dialect;
 use crate::peer::{PlaceRequest, PlaceResponse, ZoneLoad};
+use crate::state::Shared;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
@@ -29,6 +30,18 @@
 /// Timeout for a load report to another coordinator.
 const LOAD_REPORT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Sends requests to one engine.
+struct EngineClient<D> {
+    dialect: Arc<D>,
+    shared: Arc<Shared>,
+    pool: Arc<Pool>,
+    instance: InstanceId,
+    addr: SocketAddr,
+    /// Start time of the engine's incarnation; `None` if the engine has left the
+    /// directory.
+    born: Option<u64>,
+}
+
 impl<D> Coordinator<D>
 where
     D: Dialect,
@@ -79,22 +92,21 @@
             .ctx
             .dialect
             .order_request(&order, &self.ctx.cfg.node, fence);
-        let pool = Arc::clone(&self.ctx.pool);
-        let dialect = Arc::clone(&self.ctx.dialect);
+        let engine = self.engine_client(&order.instance, order.addr);
         let metrics = Arc::clone(&self.ctx.metrics);
         let tx = self.command_tx.clone();
         self.ctx.tasks.spawn(async move {
             let sent = Instant::now();
-            let result = send_to_engine(&pool, order.addr, req).await;
+            let result = engine.send(req).await;
             let outcome = match &result {
-                Ok(res) => dialect.parse_order_response(res.status, &res.body),
+                Ok(res) => engine.dialect.parse_order_response(res.status, &res.body),
                 Err(CallError::NotSent(_)) => OrderOutcome::NotSent,
                 Err(CallError::Lost(_)) => OrderOutcome::Unknown,
             };
             log_order(&order, fence, outcome, sent.elapsed());
             metrics.order(outcome);
             if let Ok(res) = result {
-                res.into_body(&pool);
+                res.into_body(&engine.pool);
             }
             tx.send(Command::OrderCompleted {
                 fence,
@@ -106,13 +118,13 @@
 
     fn fetch_report(&self, instance: InstanceId, addr: SocketAddr, fence: Fence) {
         let req = self.ctx.dialect.report_request();
-        let pool = Arc::clone(&self.ctx.pool);
-        let dialect = Arc::clone(&self.ctx.dialect);
+        let engine = self.engine_client(&instance, addr);
         let tx = self.command_tx.clone();
         self.ctx.tasks.spawn(async move {
-            let report = match send_to_engine(&pool, addr, req).await {
-                Ok(res) => dialect
-                    .parse_report(&res.into_body(&pool))
+            let report = match engine.send(req).await {
+                Ok(res) => engine
+                    .dialect
+                    .parse_report(&res.into_body(&engine.pool))
                     .inspect_err(|error| {
                         tracing::warn!(event = "report_unreadable", %instance, %error);
                     })
@@ -130,6 +142,18 @@
         });
     }
 
+    fn engine_client(&self, instance: &str, addr: SocketAddr) -> EngineClient<D> {
+        let state = self.ctx.shared.lock();
+        EngineClient {
+            dialect: Arc::clone(&self.ctx.dialect),
+            shared: Arc::clone(&self.ctx.shared),
+            pool: Arc::clone(&self.ctx.pool),
+            instance: instance.into(),
+            addr,
+            born: state.directory.get(instance).map(|i| i.born),
+        }
+    }
+
     pub(super) fn on_order_outcome(
         &mut self,
         fence: Fence,
@@ -199,17 +223,24 @@
     }
 }
 
-async fn send_to_engine(
-    pool: &Pool,
-    addr: SocketAddr,
-    req: Request<Full<Bytes>>,
-) -> Result<BufferedResponse, CallError> {
-    let limit = HeadDeadline {
-        at: Instant::now() + ENGINE_TIMEOUT,
-        reason: LostReason::FirstByteTimeout,
-    };
-    let incoming = send_request(pool, addr, req, Reuse::Allowed, limit).await?;
-    Ok(read_body(pool, incoming, ENGINE_TIMEOUT, Some(limit.at)).await?)
+impl<D> EngineClient<D>
+where
+    D: Dialect,
+{
+    async fn send(&self, req: Request<Full<Bytes>>) -> Result<BufferedResponse, CallError> {
+        let limit = HeadDeadline {
+            at: Instant::now() + ENGINE_TIMEOUT,
+            reason: LostReason::FirstByteTimeout,
+        };
+        let incoming = send_request(&self.pool, self.addr, req, Reuse::Allowed, limit).await?;
+        let head = self
+            .dialect
+            .parse_response(incoming.status, &incoming.headers);
+        if let Some(born) = self.born {
+            self.shared.on_response_head(&self.instance, born, &head);
+        }
+        Ok(read_body(&self.pool, incoming, ENGINE_TIMEOUT, Some(limit.at)).await?)
+    }
 }
 
 fn log_order(order: &Order, fence: Fence, outcome: OrderOutcome, took: Duration) {
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -2,6 +2,7 @@
 
 use crate::calls_report::CallsReporter;
 use crate::coordinator::{Coordinator, CoordinatorContext, command_queue};
+use crate::departures::DeparturesReporter;
 use crate::dialect::Dialect;
 use crate::feeds::Feed;
 use crate::handler::{CallerService, Gateway};
@@ -199,6 +200,14 @@
         };
         node.tasks
             .spawn(calls_reporter.run(node.background.clone()));
+        let departures_reporter = DeparturesReporter {
+            shared: Arc::clone(&shared),
+            peers: Arc::clone(&peers),
+            commands: commands.clone(),
+            own_addr: cfg.peers,
+        };
+        node.tasks
+            .spawn(departures_reporter.run(node.background.clone()));
         let sync = Arc::new(StoreSync {
             dialect: Arc::clone(&dialect),
             stores: StoreClients {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -55,6 +55,8 @@
     pub attempt_id: Option<Box<str>>,
     /// The instance's load.
     pub load: Option<ReportedLoad>,
+    /// Whether the instance is leaving and takes no new requests.
+    pub leaving: bool,
 }
 
 /// Why an instance rejected a call.
@@ -103,7 +105,8 @@
     /// Replaces the header fields of a call with those for an instance.
     fn set_dispatch_headers(&self, headers: &mut HeaderMap, dispatch: &Dispatch<'_>);
 
-    /// Parses the head of an instance's response.
+    /// Parses the head of an instance's response to a call, an order or a request
+    /// for a report.
     fn parse_response(&self, status: StatusCode, headers: &HeaderMap) -> ResponseHead;
 
     /// Returns the header field that tells a caller when to retry.
--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -11,6 +11,7 @@
 //! newest revision, and nodes request their feed only when that increases.
 
 use reedford_fleet::Now;
+use reedford_fleet::departures::LeavingInstances;
 use reedford_fleet::directory::{ABSENCE_GRACE, Absence};
 use reedford_store::{Change, ChangeKind, Entry};
 use serde::{Deserialize, Serialize};
@@ -57,12 +58,15 @@
 }
 
 /// Data sent with every response, whatever the feed.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub(crate) struct FeedMetadata {
     /// Newest revision of the keys that operators write.
     pub(crate) operators: i64,
     /// Number of nodes in the fleet, 0 if not known.
     pub(crate) nodes: usize,
+    /// Instances that are leaving although the store does not show it.
+    #[serde(default)]
+    pub(crate) leaving: LeavingInstances,
 }
 
 /// Response to a poll of a feed.
@@ -230,6 +234,19 @@
         self.lock().metadata.nodes = nodes;
     }
 
+    /// Sets the instances that are leaving although the store does not show it.
+    /// Returns whether they changed.
+    pub(crate) fn set_leaving(&self, leaving: LeavingInstances) -> bool {
+        let mut state = self.lock();
+        if state.metadata.leaving == leaving {
+            return false;
+        }
+        state.metadata.leaving = leaving;
+        drop(state);
+        self.changed.notify_waiters();
+        true
+    }
+
     /// Returns the changes after a revision, or all keys if it is 0 or too old;
     /// waits for a change if there is none. `clock` returns the current time.
     pub(crate) async fn poll<C>(
@@ -259,7 +276,7 @@
 
     fn response(&self, feed: Feed, after: i64, now: Now) -> FeedResponse {
         let state = self.lock();
-        let metadata = state.metadata;
+        let metadata = state.metadata.clone();
         let Some(known) = state.by_feed.get(&feed) else {
             return FeedResponse::Unknown;
         };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod clock;
 mod coordinator;
 mod daemon;
+mod departures;
 pub mod dialect;
 mod feeds;
 mod handler;
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -3,6 +3,7 @@
 use crate::feeds::{Feed, FeedResponse};
 use futures::FutureExt as _;
 use futures::future::BoxFuture;
+use reedford_fleet::departures::LeavingInstances;
 use reedford_fleet::ownership::Holder;
 use reedford_fleet::scheduler::{
     AdapterHash, AdapterKey, Grant, PlacementId, PlacementRequest, Progress, PromptPart, Refusal,
@@ -116,6 +117,9 @@
     async fn calls(report: CallsReport) -> bool;
     /// Reports the load of the sender's zone.
     async fn load(load: ZoneLoad);
+    /// Reports instances that announced to the sender, or to a node that reported it
+    /// to the sender, that they are leaving.
+    async fn leaving(instances: LeavingInstances);
     /// Long-polls a coordinator for the changes of a feed after a revision, 0
     /// for all keys. `operators` is the newest revision of operators' keys that
     /// the sender knows. Responds within a second.
--- a/crates/gateway/src/peer_server.rs
+++ b/crates/gateway/src/peer_server.rs
@@ -10,6 +10,7 @@
 use crate::state::Shared;
 use futures::StreamExt as _;
 use reedford_fleet::ZoneId;
+use reedford_fleet::departures::{DepartureSource, LeavingInstances};
 use reedford_fleet::ownership::Holder;
 use reedford_fleet::scheduler::{PlacementId, Progress};
 use reedford_store::KeyValue;
@@ -114,6 +115,12 @@
         self.commands.send(Command::ZoneLoad(load));
     }
 
+    async fn leaving(self, _: Context, instances: LeavingInstances) {
+        for (id, born) in &instances {
+            self.shared.on_departure(id, *born, DepartureSource::Node);
+        }
+    }
+
     async fn news(self, _: Context, feed: Feed, after: i64, operators: i64) -> FeedResponse {
         self.shared.lock().connectivity.on_success();
         let clock = || self.shared.now();
--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -186,6 +186,7 @@
             call: placement_id.clone(),
             instance: instance.id.clone(),
             addr: instance.addr,
+            born: instance.born,
             version,
         })
     }
@@ -221,6 +222,7 @@
                 call: placement_id,
                 instance: instance.id.clone(),
                 addr: instance.addr,
+                born: instance.born,
                 version: None,
             },
             coordinator: None,
--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -104,6 +104,8 @@
         let head = self
             .dialect
             .parse_response(incoming.status, &incoming.headers);
+        self.shared
+            .on_response_head(&grant.instance, grant.born, &head);
         if let Some(load) = head.load {
             let now = self.shared.now();
             self.shared
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -39,6 +39,8 @@
     pub(crate) holder_changed: Notify,
     /// Notified when this zone has lost its coordinator.
     pub(crate) role_vacant: Notify,
+    /// Notified when other nodes have to learn of a leaving instance.
+    pub(crate) departures_changed: Notify,
     /// Notified when a call found no coordinator.
     pub(crate) coordinator_wanted: Notify,
     state: Mutex<State>,
@@ -103,6 +105,7 @@
             followed: watch::Sender::new(None),
             holder_changed: Notify::new(),
             role_vacant: Notify::new(),
+            departures_changed: Notify::new(),
             coordinator_wanted: Notify::new(),
             state: Mutex::new(State {
                 routes: None,
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -19,6 +19,7 @@
 use instances::InstanceEntries;
 use operators::OperatorKeys;
 use reedford_fleet::Now;
+use reedford_fleet::departures::DepartureSource;
 use reedford_fleet::directory::Absence;
 use reedford_store::{Change, ChangeKind, Changes, Entry, KeyValue, KvError, Listing};
 use std::net::SocketAddr;
@@ -588,6 +589,9 @@
         if metadata.nodes > 0 {
             self.shared.lock().budget.set_node_count(metadata.nodes);
         }
+        for (id, born) in &metadata.leaving {
+            self.shared.on_departure(id, *born, DepartureSource::Node);
+        }
         let revision = metadata.operators;
         self.shared.operators_revision.send_if_modified(|known| {
             let newer = *known < revision;
--- a/crates/gateway/src/sync/instances.rs
+++ b/crates/gateway/src/sync/instances.rs
@@ -36,7 +36,7 @@
                     tracing::info!(event = "instance_started", %instance);
                 }
                 DirectoryChange::Leaving(instance) => {
-                    tracing::info!(event = "instance_leaving", %instance);
+                    tracing::info!(event = "instance_leaving", %instance, by = "store");
                 }
                 DirectoryChange::Removed(instance) => {
                     state.health.forget(&instance);
@@ -88,6 +88,7 @@
         let now = self.sync.shared.now();
         let expired = self.sync.shared.lock().directory.expire(now);
         self.apply(expired);
+        self.sync.shared.publish_departures();
         self.sync.commands.send(Command::Refresh);
     }
 }
