--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -7,7 +7,11 @@
 //! long before it is removed ([`Absence::Lapsed`]), even if it is missing from
 //! further listings meanwhile. Any other instance that is missing from a listing,
 //! and any that the store reports as removed, is removed at once.
+//!
+//! An instance that announced in a response that it is leaving is leaving, even
+//! if its entry says that it is ready ([`crate::departures`]).
 
+use crate::departures::{DepartureSource, Departures, LeavingInstances};
 use crate::{
     AdapterName, InstanceId, ModelName, Now, ServiceName, SoftwareVersion, WeightVersion, ZoneId,
 };
@@ -27,6 +31,9 @@
 /// How long a removal is remembered; peers learn of it within seconds.
 const REMOVED_RETENTION: Duration = Duration::from_secs(30);
 
+/// Limit on the announcements in [`Directory::unlisted_departures`].
+const MAX_UNLISTED_DEPARTURES: usize = 128;
+
 /// Whether an instance accepts calls.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum InstanceState {
@@ -100,6 +107,9 @@
     /// When an instance of a software version last ended, kept for
     /// [`VERSION_RETENTION`].
     ended_versions: BTreeMap<(ServiceName, SoftwareVersion), Now>,
+    departures: Departures,
+    /// Instances whose own entry says that they are leaving.
+    listed_leaving: BTreeSet<InstanceId>,
 }
 
 impl Directory {
@@ -132,13 +142,21 @@
     }
 
     /// Adds or updates one instance.
-    pub fn on_entry(&mut self, instance: Instance, now: Now) -> Option<DirectoryChange> {
+    pub fn on_entry(&mut self, mut instance: Instance, now: Now) -> Option<DirectoryChange> {
         self.missing_since.remove(&instance.id);
         let id = instance.id.clone();
         let known = self.instances.get(&id);
         if known.is_some_and(|k| k.born > instance.born) {
             return None;
         }
+        match instance.state {
+            InstanceState::Ready => _ = self.listed_leaving.remove(&id),
+            InstanceState::Leaving => _ = self.listed_leaving.insert(id.clone()),
+        }
+        self.departures.on_incarnation(&id, instance.born);
+        if self.departures.covers(&id, instance.born) {
+            instance.state = InstanceState::Leaving;
+        }
         let change = match known {
             Some(k) if k.born == instance.born && k.addr == instance.addr => {
                 let started_leaving =
@@ -157,11 +175,53 @@
         change
     }
 
+    /// Records that the incarnation of an instance with the start time `born`
+    /// announced that it is leaving. Returns whether this was not known.
+    pub fn on_departure(&mut self, id: &str, born: u64, source: DepartureSource, now: Now) -> bool {
+        let known = self.instances.get_mut(id);
+        if known.as_ref().is_some_and(|k| k.born > born) {
+            return false;
+        }
+        if let Some(known) = known {
+            known.state = InstanceState::Leaving;
+        }
+        self.departures.record(id, born, source, now)
+    }
+
+    /// Returns the latest announcements of instances that are ready according to
+    /// the store.
+    #[must_use]
+    pub fn unlisted_departures(&self) -> LeavingInstances {
+        self.select_departures(|_| true)
+    }
+
+    /// Returns those of [`Self::unlisted_departures`] that this node received from
+    /// the instances themselves.
+    #[must_use]
+    pub fn received_departures(&self) -> LeavingInstances {
+        self.select_departures(|source| source == DepartureSource::Response)
+    }
+
+    fn select_departures<F>(&self, selects: F) -> LeavingInstances
+    where
+        F: Fn(DepartureSource) -> bool,
+    {
+        let listed_ready =
+            |id: &str| self.instances.contains_key(id) && !self.listed_leaving.contains(id);
+        let latest = self.departures.latest();
+        latest
+            .filter(|(id, _, source)| selects(*source) && listed_ready(id))
+            .take(MAX_UNLISTED_DEPARTURES)
+            .map(|(id, born, _)| (id.clone(), born))
+            .collect()
+    }
+
     /// Removes an instance.
     pub fn on_removed(&mut self, id: &str, now: Now) -> Option<DirectoryChange> {
         self.missing_since.remove(id);
         let removed = self.instances.remove(id)?;
         self.record_end(removed, now);
+        self.listed_leaving.remove(id);
         self.removed_at.insert(id.into(), now);
         Some(DirectoryChange::Removed(id.into()))
     }
@@ -191,7 +251,7 @@
     pub fn is_leaving_or_removed(&self, id: &str) -> bool {
         match self.instances.get(id) {
             Some(instance) => instance.state == InstanceState::Leaving,
-            None => self.removed_at.contains_key(id),
+            None => self.removed_at.contains_key(id) || self.departures.contains(id),
         }
     }
 
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -214,6 +214,9 @@
         match self.engines.get_mut(&instance.id) {
             Some(engine) if engine.born == instance.born && engine.addr == instance.addr => {
                 engine.ready = instance.state == InstanceState::Ready;
+                if !engine.ready {
+                    engine.cancel_unsent_orders();
+                }
             }
             // The entry is older than a report of the engine.
             Some(engine) if instance.born != 0 && instance.born < engine.born => {}
--- a/crates/fleet/src/scheduler/engine_view.rs
+++ b/crates/fleet/src/scheduler/engine_view.rs
@@ -288,6 +288,7 @@
             call: request.call.clone(),
             instance: self.id.clone(),
             addr: self.addr,
+            born: self.born,
             version,
         }
     }
@@ -465,7 +466,9 @@
             | CopyState::Unresolved => None,
         });
         let orders = (!self.order_queue.is_empty()).then_some(self.orders_paused_until);
-        loads.chain(self.report_due).chain(orders).min()
+        // A leaving engine gets neither.
+        let requests = self.report_due.into_iter().chain(orders);
+        loads.chain(requests.filter(|_| self.ready)).min()
     }
 
     pub(super) fn on_evicted(&mut self, key: &AdapterKey) {
--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -188,6 +188,7 @@
             call: placement_id.clone(),
             instance: instance.id.clone(),
             addr: instance.addr,
+            born: instance.born,
             version,
         })
     }
@@ -223,6 +224,7 @@
                 call: placement_id,
                 instance: instance.id.clone(),
                 addr: instance.addr,
+                born: instance.born,
                 version: None,
             },
             coordinator: None,
