Instances that answer 503 with Retry-After get nothing from the node until then

Cause: a node ignored Retry-After on an instance's refusal, and sent it further calls, retries, orders and requests for reports at once.

The node avoids held instances, names them to the coordinator as ones to avoid, and gives grants of them back as full; other nodes are not bound. The coordinator's scheduler sends a held engine neither orders nor requests for reports and counts the rest of the hold in the estimate of a load there. While all instances of a service are held a call waits if that takes at most half of its remaining time, and is refused at once otherwise (outcome `held`).

Not covered: a call is still refused after three instances in a row refused it (MAX_REJECTED_ATTEMPTS in the handler), also when a fourth could serve it.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 //! | [`budget`] | whether a call may be retried |
 //! | [`health`] | which instances are ejected after failures |
 //! | [`ownership`] | whether this node coordinates its availability zone |
+//! | [`pushback`] | which instances asked this node to send nothing for a time |
 //! | [`store_retries`] | when to try a store again that does not respond |
 //! | [`connectivity`] | whether this node is cut off from the store and its peers |
 //! | [`zones`] | which availability zone places a call |
@@ -28,6 +29,7 @@
 pub mod directory;
 pub mod health;
 pub mod ownership;
+pub mod pushback;
 pub mod scheduler;
 pub mod store_retries;
 pub mod zones;
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -210,6 +210,13 @@
         }
     }
 
+    /// Sends no orders and no requests for reports to an engine before `until`.
+    pub fn hold_engine(&mut self, id: &str, until: Now) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.held_until = engine.held_until.max(until);
+        }
+    }
+
     /// Drops an engine that left the directory, with the calls granted to it.
     pub fn forget(&mut self, id: &str) {
         if self.engines.remove(id).is_some() {
--- a/crates/fleet/src/scheduler/engine_view.rs
+++ b/crates/fleet/src/scheduler/engine_view.rs
@@ -57,6 +57,8 @@
     pub(super) conflicts: u32,
     /// Time before which no order is sent.
     pub(super) orders_paused_until: Now,
+    /// Time before which it is sent neither orders nor requests for reports.
+    pub(super) held_until: Now,
     calls: BTreeMap<PlacementId, GrantedCall>,
     /// Unprocessed prompt tokens of the calls whose first token has not come yet.
     unstarted_tokens: u64,
@@ -139,6 +141,7 @@
             last_order_outcome_at: Now::ZERO,
             conflicts: 0,
             orders_paused_until: Now::ZERO,
+            held_until: Now::ZERO,
             calls: BTreeMap::new(),
             unstarted_tokens: 0,
             prompt_cache: PromptCache::default(),
@@ -170,6 +173,11 @@
         self.ready && now >= self.paused_until
     }
 
+    /// Whether orders and requests for reports may be sent to it.
+    pub(super) fn takes_requests(&self, now: Now) -> bool {
+        self.ready && now >= self.held_until
+    }
+
     pub(super) const fn prefill_rate(&self) -> f64 {
         self.prefill_rate.per_ms()
     }
@@ -427,8 +435,8 @@
             ModelState::Resident => None,
         });
         let orders = (!self.order_queue.is_empty()).then_some(self.orders_paused_until);
-        // A leaving engine gets neither.
         let requests = self.report_due.into_iter().chain(orders);
+        let requests = requests.map(|at| at.max(self.held_until));
         loads
             .chain(models)
             .chain(requests.filter(|_| self.ready))
--- a/crates/fleet/src/scheduler/placement.rs
+++ b/crates/fleet/src/scheduler/placement.rs
@@ -392,7 +392,8 @@
         now: Now,
     ) -> Option<(Prerequisite, Duration)> {
         let version = self.versions.get(key).copied();
-        let load = self.load_estimate.expected(warm);
+        let held = engine.held_until.saturating_sub(now);
+        let load = held + self.load_estimate.expected(warm);
         let Some(copy) = engine.copies.get(key) else {
             if engine.pending_loads() < MAX_LOADS_PER_ENGINE && self.may_load(warm, round) {
                 if engine.copies.len() < adapter_slots as usize {
@@ -415,7 +416,7 @@
             // Replacing a version has to wait for the calls that run on it.
             CopyState::Resident if copy.running_calls == 0 => Some((
                 Prerequisite::Load { evict: None },
-                self.load_estimate.expected(false),
+                held + self.load_estimate.expected(false),
             )),
             CopyState::Resident | CopyState::Evicting => None,
             CopyState::Ordered => Some((Prerequisite::LoadCompletion, load)),
--- a/crates/fleet/src/scheduler/request.rs
+++ b/crates/fleet/src/scheduler/request.rs
@@ -117,6 +117,8 @@
     Deadline,
     /// No engine is available.
     NoEngine,
+    /// All instances asked the calling node to send nothing for a time.
+    Held,
 }
 
 impl RefusalReason {
@@ -127,6 +129,7 @@
             Self::Overload => "overload",
             Self::Deadline => "deadline",
             Self::NoEngine => "no_engine",
+            Self::Held => "held",
         }
     }
 }
--- a/crates/fleet/src/scheduler/synchronize.rs
+++ b/crates/fleet/src/scheduler/synchronize.rs
@@ -32,7 +32,8 @@
     /// Fetches the reports that are due.
     pub(super) fn synchronize(&mut self, now: Now) -> Vec<Action> {
         let mut actions = Vec::new();
-        for engine in self.engines.values_mut().filter(|e| e.ready) {
+        let engines = self.engines.values_mut();
+        for engine in engines.filter(|e| e.takes_requests(now)) {
             let due = engine.report_due.is_some_and(|at| at <= now);
             let report_is_current = now >= engine.last_order_outcome_at + REPORT_LAG
                 || engine.last_order_outcome_at == Now::ZERO;
@@ -78,7 +79,8 @@
     pub(super) fn next_orders(&mut self, now: Now) -> Vec<Action> {
         self.order_missing_models(now);
         let mut actions = Vec::new();
-        for engine in self.engines.values_mut().filter(|e| e.ready) {
+        let engines = self.engines.values_mut();
+        for engine in engines.filter(|e| e.takes_requests(now)) {
             let Some(after) = engine.accepted_orders else {
                 continue;
             };
--- a/crates/fleet/tests/scheduler/decisions.rs
+++ b/crates/fleet/tests/scheduler/decisions.rs
@@ -355,3 +355,33 @@
     let next_poll = scheduler.next_poll(ms(2_000));
     assert!(next_poll.is_none_or(|at| at > ms(2_000)), "{next_poll:?}");
 }
+
+/// Guards against orders and requests for reports to an engine before the end of
+/// the time for which it asked to be sent nothing.
+#[test_case(OrderOutcome::Conflict; "an order to repeat")]
+#[test_case(OrderOutcome::Unknown; "a report to fetch")]
+fn a_held_engine_gets_neither_orders_nor_requests_for_reports(outcome: OrderOutcome) {
+    let mut scheduler = scheduler_with_engine(&[]);
+    submit_and_poll(&mut scheduler, "c1", "a", ms(1));
+    scheduler.hold_engine("e1", ms(1_500));
+    scheduler.on_order_outcome("e1", outcome, ms(3));
+    assert_eq!(scheduler.poll(ms(1_499)), []);
+    let next_poll = scheduler.next_poll(ms(1_499));
+    assert!(next_poll.is_some_and(|at| at >= ms(1_500)), "{next_poll:?}");
+    assert_eq!(scheduler.poll(ms(1_500)).len(), 1);
+}
+
+/// A load on a held engine starts at the end of its hold.
+#[test]
+fn a_load_goes_to_an_engine_that_is_not_held() {
+    for held in ["e1", "e2"] {
+        let mut scheduler = scheduler_with_engine(&[]);
+        scheduler.on_instance(&instance("e2", 1), Now::ZERO);
+        deliver_report(&mut scheduler, "e2", &[], 0, Now::ZERO);
+        scheduler.hold_engine(held, ms(1_500));
+        let actions = submit_and_poll(&mut scheduler, "c1", "a", ms(1));
+        let order = orders(&actions);
+        assert_eq!(order.len(), 1);
+        assert_ne!(&*order[0].instance, held);
+    }
+}
--- a/crates/fleet/tests/scheduler/load_patterns.rs
+++ b/crates/fleet/tests/scheduler/load_patterns.rs
@@ -328,3 +328,35 @@
     zone.run(end);
     assert!(in_time_share(&zone.tally) > 0.85, "{:?}", zone.tally);
 }
+
+/// Load pattern: all engines but one ask to be sent nothing for two seconds. Until
+/// then they get nothing, which [`Zone`] checks; the last one serves what it can,
+/// the rest is refused without being held, and afterwards all are used again.
+#[test]
+fn all_engines_but_one_ask_to_be_left_alone() {
+    let mut zone = Zone::new(4);
+    let mut rng = StdRng::seed_from_u64(SEED);
+    let zipf = Zipf::new(ADAPTERS, ZIPF_EXPONENT).expect("valid");
+    let mut served_in_hold = 0;
+    for serial in 0..240 {
+        if serial == 80 {
+            zone.push_back(&["e0", "e1", "e2"], ms(2_000));
+            served_in_hold = zone.tally.in_time;
+        }
+        if serial == 100 {
+            served_in_hold = zone.tally.in_time - served_in_hold;
+        }
+        let adapter = format!("a{}", zipf.sample(&mut rng) as u64);
+        let mut call = request(&format!("c{serial}"), &adapter, zone.now());
+        call.tokens = rng.random_range(300..3_500);
+        zone.submit(call);
+        let next = zone.now() + ms(rng.random_range(0..=200));
+        zone.run(next);
+    }
+    let end = zone.now() + ms(6_000);
+    zone.run(end);
+    let tally = zone.tally;
+    assert!(served_in_hold > 5, "{served_in_hold} {tally:?}");
+    assert!(in_time_share(&tally) > 0.85, "{tally:?}");
+    assert!(tally.refused_late < 5, "{tally:?}");
+}
--- a/crates/fleet/tests/scheduler/zone.rs
+++ b/crates/fleet/tests/scheduler/zone.rs
@@ -1,14 +1,17 @@
 //! Simulation of a zone's engines: loads with a fixed duration, prompts processed
 //! one after the other, responses that take a fixed time. While it runs it checks
 //! that no engine is ordered to hold more adapters than it has slots, that no
-//! adapter in use is evicted, and that nothing is sent to a leaving engine.
+//! adapter in use is evicted, and that nothing is sent to a leaving engine
+//! or to one that asked to be sent nothing for a time. All calls come from the node
+//! that is the coordinator.
 
 use crate::support::{ADAPTER_SLOTS, MODEL, deliver_report, instance, key, ms, scheduler};
 use reedford_fleet::Now;
 use reedford_fleet::departures::DepartureSource;
 use reedford_fleet::directory::Directory;
+use reedford_fleet::pushback::Pushback;
 use reedford_fleet::scheduler::{
-    Action, EngineReport, OrderKind, OrderOutcome, PlacementRequest, Progress, Rejection,
+    Action, EngineReport, Grant, OrderKind, OrderOutcome, PlacementRequest, Progress, Rejection,
     RunningCall, Scheduler,
 };
 use std::collections::{BTreeMap, BTreeSet};
@@ -79,6 +82,7 @@
     engines: BTreeMap<Box<str>, Engine>,
     directory: Directory,
     leaving: BTreeSet<Box<str>>,
+    pushback: Pushback,
     requests: BTreeMap<Box<str>, PlacementRequest>,
     submitted_at: BTreeMap<Box<str>, Now>,
     runs: BTreeMap<Box<str>, EngineRun>,
@@ -96,6 +100,7 @@
             engines: BTreeMap::new(),
             directory: Directory::default(),
             leaving: BTreeSet::new(),
+            pushback: Pushback::default(),
             requests: BTreeMap::new(),
             submitted_at: BTreeMap::new(),
             runs: BTreeMap::new(),
@@ -148,8 +153,22 @@
         }
     }
 
-    fn check_not_leaving(&self, engine: &str) {
+    /// Engines ask the node to send nothing for `pause`.
+    pub(crate) fn push_back(&mut self, engines: &[&str], pause: Duration) {
+        for engine in engines {
+            let until = self.pushback.record(engine, 1, pause, self.now);
+            self.scheduler.hold_engine(engine, until);
+        }
+    }
+
+    fn is_available(&self, engine: &str) -> bool {
+        self.pushback.available_at(engine, 1, self.now) <= self.now
+    }
+
+    fn check_accepts_requests(&self, engine: &str) {
         assert!(!self.leaving.contains(engine), "{engine} is leaving");
+        let held_until = self.pushback.held_until(engine, 1, self.now);
+        assert_eq!(held_until, None, "{engine} is held");
     }
 
     /// Replaces the scheduler by that of a new coordinator, to which nodes report
@@ -186,7 +205,20 @@
         }
     }
 
-    pub(crate) fn submit(&mut self, request: PlacementRequest) {
+    /// Gives a grant back, as the node does for an engine that asked it to wait.
+    fn give_back(&mut self, grant: &Grant, mut request: PlacementRequest) {
+        let rejected = Progress::Rejected(Rejection::Full);
+        self.scheduler.progress(&grant.call, rejected, self.now);
+        request.avoid.insert(grant.instance.clone());
+        if self.scheduler.submit(request, self.now).is_some() {
+            self.requests.remove(&grant.call);
+            self.tally.refused += 1;
+        }
+    }
+
+    pub(crate) fn submit(&mut self, mut request: PlacementRequest) {
+        let unavailable = self.engines.keys().filter(|id| !self.is_available(id));
+        request.avoid = unavailable.cloned().collect();
         self.tally.submitted += 1;
         if request.tokens >= LONG_PROMPT_TOKENS {
             self.tally.long_submitted += 1;
@@ -217,6 +249,7 @@
         for (call, run) in &mut self.runs {
             if !run.started && run.first_token_at <= now {
                 run.started = true;
+                self.pushback.on_response(&run.engine, now);
                 if run.prompt_tokens >= LONG_PROMPT_TOKENS {
                     self.tally.long_served += 1;
                 }
@@ -245,8 +278,13 @@
         let now = self.now;
         match action {
             Action::Grant(grant) => {
-                self.check_not_leaving(&grant.instance);
                 let request = self.requests[&grant.call].clone();
+                if !self.is_available(&grant.instance) {
+                    self.give_back(&grant, request);
+                    return;
+                }
+                self.check_accepts_requests(&grant.instance);
+                self.pushback.on_sent(&grant.instance, now);
                 if now >= request.first_token_by {
                     self.tally.after_caller_gave_up += 1;
                 }
@@ -287,7 +325,7 @@
                 }
             }
             Action::Order(order) => {
-                self.check_not_leaving(&order.instance);
+                self.check_accepts_requests(&order.instance);
                 let loading = self.engines.values().flat_map(|e| e.loaded_at.values());
                 let loading = loading.filter(|at| **at > now + ms(WARM_LOAD_MS)).count();
                 let slowdown = (loading + 1) as f64 / self.load_channel as f64;
@@ -300,7 +338,7 @@
                     .on_order_outcome(&order.instance, outcome, now);
             }
             Action::FetchReport { instance, .. } => {
-                self.check_not_leaving(&instance);
+                self.check_accepts_requests(&instance);
                 let report = self.engines.get(&instance).map(|e| e.report(now));
                 self.scheduler.on_report(&instance, report.as_ref(), now);
             }
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -228,6 +228,10 @@
         let in_own_zone = |zone: &str| zone == &*self.ctx.cfg.zone;
         for instance in state.directory.all().filter(|i| in_own_zone(&i.zone)) {
             scheduler.on_instance(instance, now);
+            let held_until = state.pushback.held_until(&instance.id, instance.born, now);
+            if let Some(until) = held_until {
+                scheduler.hold_engine(&instance.id, until);
+            }
         }
         let removed: Vec<_> = scheduler
             .held_adapters()
--- a/crates/gateway/src/departures.rs
+++ b/crates/gateway/src/departures.rs
@@ -60,6 +60,29 @@
         if head.leaving {
             self.on_departure(id, born, DepartureSource::Response);
         }
+        match &head.pushback {
+            Some(Ok(pause)) => self.on_pushback(id, born, *pause),
+            Some(Err(text)) => {
+                tracing::warn!(event = "pushback_unreadable", instance = id, value = %text);
+            }
+            None => {
+                let now = self.now();
+                self.lock().pushback.on_response(id, now);
+            }
+        }
+    }
+
+    fn on_pushback(&self, id: &str, born: u64, pause: Duration) {
+        let now = self.now();
+        let until = self.lock().pushback.record(id, born, pause, now);
+        tracing::info!(
+            event = "instance_pushback",
+            instance = id,
+            born,
+            asked_ms = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX),
+            held_ms = until.saturating_sub(now).as_millis() as u64
+        );
+        self.instances_changed.notify_one();
     }
 
     /// Makes the announcements that the store does not show available to other
@@ -67,7 +90,7 @@
     pub(crate) fn publish_departures(&self) {
         let unlisted = self.lock().directory.unlisted_departures();
         if self.feeds.set_leaving(unlisted) {
-            self.departures_changed.notify_one();
+            self.instances_changed.notify_one();
         }
     }
 }
@@ -83,7 +106,7 @@
                 holder_changed.as_mut().enable();
                 let complete = self.report_all(&mut reported).await;
                 tokio::select! {
-                    () = self.shared.departures_changed.notified() => {
+                    () = self.shared.instances_changed.notified() => {
                         self.commands.send(Command::Refresh);
                         sleep(COLLECTION_TIME).await;
                     }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -57,6 +57,9 @@
     pub load: Option<ReportedLoad>,
     /// Whether the instance is leaving and takes no new requests.
     pub leaving: bool,
+    /// Time for which the instance, which refused the request, asks to be sent
+    /// nothing; the text of the field if it can't be read.
+    pub pushback: Option<Result<Duration, Box<str>>>,
 }
 
 /// Why an instance rejected a call.
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -32,7 +32,7 @@
 /// Retry delay sent to callers while this node has no configuration.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Retry delay sent to callers when there is no instance.
-const NO_INSTANCE_RETRY_AFTER: Duration = Duration::from_millis(250);
+pub(crate) const NO_INSTANCE_RETRY_AFTER: Duration = Duration::from_millis(250);
 /// Time without a response after which an idempotent call is retried, as a
 /// fraction of the route's objective.
 const RETRY_TIMEOUT_FACTOR: f64 = 0.8;
--- a/crates/gateway/src/handler/attempt.rs
+++ b/crates/gateway/src/handler/attempt.rs
@@ -1,12 +1,12 @@
 //! One attempt of a call at an instance: finds the instance, and reports the
 //! attempt's progress to the coordinator that granted it.
 
-use super::{Gateway, NO_INSTANCE_RETRY_AFTER};
+use super::Gateway;
 use crate::call::Call;
 use crate::dialect::Dialect;
 use crate::placer::Placement;
 use crate::state::LocalCall;
-use reedford_fleet::scheduler::{Grant, PlacementId, Progress, Refusal, RefusalReason, Rejection};
+use reedford_fleet::scheduler::{Grant, PlacementId, Progress, Refusal, Rejection};
 use reedford_fleet::{InstanceId, ZoneId};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -47,12 +47,8 @@
         } else {
             let placement_id = new_placement_id(call);
             self.placer
-                .select_plain(call, placement_id.clone(), tried)
-                .ok_or(Refusal {
-                    call: placement_id,
-                    reason: RefusalReason::NoEngine,
-                    retry_after: NO_INSTANCE_RETRY_AFTER,
-                })?
+                .wait_for_plain(call, placement_id, tried)
+                .await?
         };
         let waited = self.shared.now().saturating_sub(requested);
         self.metrics.placement_wait(&call.route.name, waited);
@@ -61,9 +57,9 @@
         Ok(Attempt::new(Arc::clone(self), placement, call))
     }
 
-    /// Requests an engine from the coordinator. A coordinator that is cut off
-    /// from the store may grant an engine that is leaving; such a grant is
-    /// given back to the coordinator and another engine is requested.
+    /// Requests an engine from the coordinator. It may grant an engine that is
+    /// leaving, if it is cut off from the store, or one that asked this node to wait;
+    /// such a grant is given back and another engine is requested.
     async fn find_engine(
         self: &Arc<Self>,
         call: &Call,
@@ -76,22 +72,30 @@
                 .request_engine(call, placement_id.clone(), &avoid)
                 .await?;
             let instance = placement.grant.instance.clone();
-            if !self
-                .shared
-                .lock()
-                .directory
-                .is_leaving_or_removed(&instance)
-            {
+            let Some(rejection) = self.unusable(&placement.grant) else {
                 return Ok(placement);
-            }
-            tracing::info!(event = "place_left", id = %call.id, %instance);
+            };
+            tracing::info!(event = "place_left", id = %call.id, %instance, why = ?rejection);
             if let Some(coordinator) = placement.coordinator {
-                let progress = Progress::Rejected(Rejection::Unreachable);
+                let progress = Progress::Rejected(rejection);
                 self.progress.report(coordinator, placement_id, progress);
             }
             avoid.insert(instance);
         }
     }
+
+    /// Returns why a granted engine can't be used by this node now.
+    fn unusable(&self, grant: &Grant) -> Option<Rejection> {
+        let now = self.shared.now();
+        let state = self.shared.lock();
+        if state.directory.is_leaving_or_removed(&grant.instance) {
+            return Some(Rejection::Unreachable);
+        }
+        let available_at = state
+            .pushback
+            .available_at(&grant.instance, grant.born, now);
+        (available_at > now).then_some(Rejection::Full)
+    }
 }
 
 impl<D> Attempt<D>
@@ -101,6 +105,8 @@
     fn new(gateway: Arc<Gateway<D>>, placement: Placement, call: &Call) -> Self {
         let grant = placement.grant;
         let mut state = gateway.shared.lock();
+        let now = gateway.shared.now();
+        state.pushback.on_sent(&grant.instance, now);
         let instance = state.directory.get(&grant.instance);
         let zone = instance.map_or_else(|| state.zone.clone(), |i| i.zone.clone());
         if call.is_model_call {
--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -2,6 +2,7 @@
 
 use crate::call::Call;
 use crate::coordinator::CommandTx;
+use crate::handler::NO_INSTANCE_RETRY_AFTER;
 use crate::peer::{PeerClients, PlaceRequest, PlaceResponse};
 use crate::state::{Shared, State};
 use reedford_fleet::WeightVersion;
@@ -27,6 +28,13 @@
 /// role takes about that long.
 const NO_COORDINATOR_RETRY_AFTER: Duration = Duration::from_millis(700);
 
+/// Longest wait for an instance that asked this node to wait, as a share of the
+/// caller's remaining time.
+const MAX_HOLD_SHARE: f64 = 0.5;
+/// Longest retry delay sent to callers when all instances asked this node to wait;
+/// a retry may reach another node.
+const MAX_HELD_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Retry delay sent to callers when this node is cut off; the retry may reach
 /// another node.
 const CUT_OFF_RETRY_AFTER: Duration = Duration::from_millis(50);
@@ -51,7 +59,8 @@
 }
 
 impl Placer {
-    /// Requests an engine for a model call from the zone's coordinator.
+    /// Requests an engine for a model call from the zone's coordinator. Engines that
+    /// asked this node to wait are avoided, and waited for if there are no others.
     pub(crate) async fn request_engine(
         &self,
         call: &Call,
@@ -60,6 +69,10 @@
     ) -> Result<Placement, Refusal> {
         let started = self.shared.now();
         loop {
+            let held = self
+                .wait_until_available(call, &placement_id, avoid)
+                .await?;
+            let avoid = &(avoid | &held);
             let now = self.shared.now();
             if let Some(response) = self
                 .request_placement(call, &placement_id, avoid, now)
@@ -179,7 +192,7 @@
                 let last = last_engine(&state, &key);
                 last.or_else(|| listed_engine(&state, call, &key, avoid, now))?
             }
-            None => (any_engine(&state, call, &self.zone, now)?, None),
+            None => (any_engine(&state, call, &self.zone, avoid, now)?, None),
         };
         let usable = !avoid.contains(&instance.id) && !state.health.is_ejected(&instance.id, now);
         usable.then(|| Grant {
@@ -191,8 +204,82 @@
         })
     }
 
+    /// Selects an instance of a plain service, or waits until one is available that
+    /// asked this node to wait.
+    pub(crate) async fn wait_for_plain(
+        &self,
+        call: &Call,
+        placement_id: PlacementId,
+        avoid: &BTreeSet<InstanceId>,
+    ) -> Result<Placement, Refusal> {
+        let held = self
+            .wait_until_available(call, &placement_id, avoid)
+            .await?;
+        self.select_plain(call, placement_id.clone(), &(avoid | &held))
+            .ok_or(Refusal {
+                call: placement_id,
+                reason: RefusalReason::NoEngine,
+                retry_after: NO_INSTANCE_RETRY_AFTER,
+            })
+    }
+
+    /// Waits while all instances that a call may use asked this node to wait, and
+    /// returns those that still do. Refuses the call if that takes too much of the
+    /// caller's time.
+    async fn wait_until_available(
+        &self,
+        call: &Call,
+        placement_id: &PlacementId,
+        avoid: &BTreeSet<InstanceId>,
+    ) -> Result<BTreeSet<InstanceId>, Refusal> {
+        loop {
+            let now = self.shared.now();
+            let (available_at, held) = self.availability(call, avoid, now);
+            if available_at <= now {
+                return Ok(held);
+            }
+            let wait = available_at - now;
+            if wait > call.event_time_left(now).mul_f64(MAX_HOLD_SHARE) {
+                tracing::info!(event = "held_off", id = %call.id, held = held.len(),
+                    wait_ms = wait.as_millis() as u64);
+                return Err(Refusal {
+                    call: placement_id.clone(),
+                    reason: RefusalReason::Held,
+                    retry_after: wait.min(MAX_HELD_RETRY_AFTER),
+                });
+            }
+            sleep(wait).await;
+        }
+    }
+
+    /// Returns when the first of the instances that a call may use is available, `now`
+    /// also if there are none, and those that are not available now.
+    fn availability(
+        &self,
+        call: &Call,
+        avoid: &BTreeSet<InstanceId>,
+        now: Now,
+    ) -> (Now, BTreeSet<InstanceId>) {
+        let state = self.shared.lock();
+        if state.pushback.is_over(now) {
+            return (now, BTreeSet::new());
+        }
+        let usable = state.directory.ready(&call.service);
+        let usable = usable.filter(|i| !avoid.contains(&i.id));
+        let mut earliest = None;
+        let mut held = BTreeSet::new();
+        for instance in usable {
+            let at = state.available_at(instance, now);
+            earliest = Some(earliest.map_or(at, |e: Now| e.min(at)));
+            if at > now {
+                held.insert(instance.id.clone());
+            }
+        }
+        (earliest.unwrap_or(now), held)
+    }
+
     /// Selects an instance of a plain service.
-    pub(crate) fn select_plain(
+    fn select_plain(
         &self,
         call: &Call,
         placement_id: PlacementId,
@@ -266,13 +353,20 @@
     listing.get(index).copied()
 }
 
-fn any_engine<'a>(state: &'a State, call: &Call, zone: &str, now: Now) -> Option<&'a Instance> {
+fn any_engine<'a>(
+    state: &'a State,
+    call: &Call,
+    zone: &str,
+    avoid: &BTreeSet<InstanceId>,
+    now: Now,
+) -> Option<&'a Instance> {
     let ready = state
         .directory
         .all()
         .filter(|i| i.service == call.service && i.state == InstanceState::Ready);
     let usable: Vec<&Instance> = ready
-        .filter(|i| &*i.zone == zone && !state.health.is_ejected(&i.id, now))
+        .filter(|i| &*i.zone == zone && !avoid.contains(&i.id))
+        .filter(|i| !state.health.is_ejected(&i.id, now))
         .collect();
     let index = call.id_hash() as usize % usable.len().max(1);
     usable.get(index).copied()
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -12,6 +12,7 @@
 use reedford_fleet::directory::{Directory, Instance};
 use reedford_fleet::health::Health;
 use reedford_fleet::ownership::{Holder, Role};
+use reedford_fleet::pushback::Pushback;
 use reedford_fleet::scheduler::{AdapterKey, Grant, PlacementId};
 use reedford_fleet::zones::ZoneReport;
 use reedford_fleet::{InstanceId, Now, WeightVersion, ZoneId};
@@ -39,8 +40,9 @@
     pub(crate) holder_changed: Notify,
     /// Notified when this zone has lost its coordinator.
     pub(crate) role_vacant: Notify,
-    /// Notified when other nodes have to learn of a leaving instance.
-    pub(crate) departures_changed: Notify,
+    /// Notified when the coordinator's task, or other nodes, have to learn what an
+    /// instance stated in a response.
+    pub(crate) instances_changed: Notify,
     /// Notified when a call found no coordinator.
     pub(crate) coordinator_wanted: Notify,
     state: Mutex<State>,
@@ -55,6 +57,7 @@
     pub(crate) versions: BTreeMap<AdapterKey, WeightVersion>,
     pub(crate) health: Health,
     pub(crate) balancer: Balancer,
+    pub(crate) pushback: Pushback,
     pub(crate) budget: RetryBudget,
     pub(crate) role: Role,
     pub(crate) zone: ZoneId,
@@ -105,7 +108,7 @@
             followed: watch::Sender::new(None),
             holder_changed: Notify::new(),
             role_vacant: Notify::new(),
-            departures_changed: Notify::new(),
+            instances_changed: Notify::new(),
             coordinator_wanted: Notify::new(),
             state: Mutex::new(State {
                 routes: None,
@@ -114,6 +117,7 @@
                 versions: BTreeMap::new(),
                 health: Health::default(),
                 balancer: Balancer::default(),
+                pushback: Pushback::default(),
                 budget: RetryBudget::new(retries),
                 role,
                 zone,
@@ -179,6 +183,12 @@
         self.last_instances.insert(key, last);
     }
 
+    /// Returns when a call may be sent to an instance, as far as it asked this node
+    /// to wait; `now` if at once.
+    pub(crate) fn available_at(&self, instance: &Instance, now: Now) -> Now {
+        self.pushback.available_at(&instance.id, instance.born, now)
+    }
+
     /// Returns an instance if it accepts calls.
     pub(crate) fn ready_instance(&self, id: &str) -> Option<&Instance> {
         let instance = self.directory.get(id)?;
