--- a/crates/fleet/src/scheduler/request.rs
+++ b/crates/fleet/src/scheduler/request.rs
@@ -125,6 +125,8 @@
     /// The call resumes a stream, and no instance of the software version that
     /// began it accepts calls.
     VersionGone,
+    /// All instances asked the calling node to send nothing for a time.
+    Held,
 }
 
 impl RefusalReason {
@@ -137,6 +139,7 @@
             Self::NoEngine => "no_engine",
             Self::UnknownVersion => "unknown_version",
             Self::VersionGone => "version_gone",
+            Self::Held => "held",
         }
     }
 }
