--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -21,6 +21,36 @@
 /// to targets as the fencing token.
 pub type Epoch = u64;
 
+/// Number of a store's history. It rises when the store is restored from a copy and
+/// so loses its latest changes; revisions of different eras are not comparable.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Era(u64);
+
+impl Era {
+    /// The era of a store that was never restored.
+    pub const FIRST: Self = Self(0);
+
+    /// Creates the era with this number.
+    #[must_use]
+    pub const fn new(number: u64) -> Self {
+        Self(number)
+    }
+
+    /// Returns the number.
+    #[must_use]
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for Era {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
 /// An adapter and its version, as named by callers.
 #[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct AdapterVersion {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -29,5 +29,5 @@
 pub mod table;
 
 pub use ids::{
-    AdapterVersion, Epoch, GroupName, Incarnation, InstanceId, Now, PermitId, WorkerId, ZoneId,
+    AdapterVersion, Epoch, Era, GroupName, Incarnation, InstanceId, Now, PermitId, WorkerId, ZoneId,
 };
--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -58,6 +58,12 @@
         self.nodes = nodes.max(1);
     }
 
+    /// Returns the number of nodes that share the allowance.
+    #[must_use]
+    pub const fn node_count(&self) -> usize {
+        self.nodes
+    }
+
     /// Counts a call that arrived at `now`.
     pub fn record_call(&mut self, service: &str, now: Now) {
         let window = self.limits.window;
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -7,6 +7,11 @@
 //! long before it is removed ([`Absence::Lapsed`]), even if it is missing from
 //! further listings meanwhile. Any other instance that is missing from a listing,
 //! and any that the store reports as removed, is removed at once.
+//!
+//! A store that was restored from a copy may have forgotten entries, which are
+//! kept in the same way, and may list instances that are gone or name one ready
+//! that is leaving ([`Absence::Restored`]). An instance that was removed before
+//! is then used again only after its entry was written anew.
 
 use crate::{AdapterName, InstanceId, ModelName, Now, ServiceName, WeightVersion, ZoneId};
 use std::collections::{BTreeMap, BTreeSet};
@@ -21,6 +26,10 @@
 /// How long a removal is remembered; peers learn of it within seconds.
 const REMOVED_RETENTION: Duration = Duration::from_secs(30);
 
+/// How long after a restore of the store an entry may be out of date; by then the
+/// platform has removed those of instances that are gone.
+const RESTORED_ENTRIES_DOUBTFUL: Duration = Duration::from_secs(10);
+
 /// Whether an instance accepts calls.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum InstanceState {
@@ -69,6 +78,9 @@
     Removed,
     /// The store was unavailable, and the entry may have expired meanwhile.
     Lapsed,
+    /// The store was restored from a copy, which may lack the entry. The listed
+    /// entries may be out of date.
+    Restored,
 }
 
 /// A change to the directory.
@@ -87,8 +99,18 @@
 pub struct Directory {
     instances: BTreeMap<InstanceId, Instance>,
     missing_since: BTreeMap<InstanceId, Now>,
-    /// Removal times, kept for [`REMOVED_RETENTION`].
-    removed_at: BTreeMap<InstanceId, Now>,
+    /// Removed incarnations, kept for [`REMOVED_RETENTION`].
+    removed: BTreeMap<InstanceId, Removal>,
+    /// When the store was last listed after it had been restored from a copy.
+    restored_at: Option<Now>,
+}
+
+/// The removal of an instance.
+#[derive(Clone, Copy, Debug)]
+struct Removal {
+    at: Now,
+    /// Start time of the incarnation, in Unix milliseconds.
+    born: u64,
 }
 
 impl Directory {
@@ -105,7 +127,7 @@
         let mut changes = Vec::new();
         for id in absent.cloned().collect::<Vec<_>>() {
             match absence {
-                Absence::Lapsed => {
+                Absence::Lapsed | Absence::Restored => {
                     self.missing_since.entry(id).or_insert(now);
                 }
                 // Missing since the first listing after an outage: kept until
@@ -114,14 +136,33 @@
                 Absence::Removed => changes.extend(self.on_removed(&id, now)),
             }
         }
+        if absence == Absence::Restored {
+            self.restored_at = Some(now);
+        }
         for instance in listed {
-            changes.extend(self.on_entry(instance));
+            if !self.is_outdated(&instance, now) {
+                changes.extend(self.on_entry(instance));
+            }
         }
         changes
     }
 
-    /// Adds or updates one instance.
-    pub fn on_entry(&mut self, instance: Instance) -> Option<DirectoryChange> {
+    /// Whether a listed entry is of an incarnation that was removed before the
+    /// store was restored. An entry that is written anew arrives as a change.
+    fn is_outdated(&self, listed: &Instance, now: Now) -> bool {
+        let removal = self.removed.get(&listed.id);
+        removal
+            .zip(self.restored_at)
+            .is_some_and(|(removal, restored_at)| {
+                removal.born == listed.born
+                    && removal.at <= restored_at
+                    && now < restored_at + RESTORED_ENTRIES_DOUBTFUL
+            })
+    }
+
+    /// Adds or updates one instance. An incarnation that is leaving stays so,
+    /// whatever its entry says.
+    pub fn on_entry(&mut self, mut instance: Instance) -> Option<DirectoryChange> {
         self.missing_since.remove(&instance.id);
         let id = instance.id.clone();
         let known = self.instances.get(&id);
@@ -132,11 +173,14 @@
             Some(k) if k.born == instance.born && k.addr == instance.addr => {
                 let started_leaving =
                     k.state == InstanceState::Ready && instance.state == InstanceState::Leaving;
+                if k.state == InstanceState::Leaving {
+                    instance.state = InstanceState::Leaving;
+                }
                 started_leaving.then(|| DirectoryChange::Leaving(id.clone()))
             }
             _ => Some(DirectoryChange::Started(id.clone())),
         };
-        self.removed_at.remove(&id);
+        self.removed.remove(&id);
         self.instances.insert(id, instance);
         change
     }
@@ -144,8 +188,8 @@
     /// Removes an instance.
     pub fn on_removed(&mut self, id: &str, now: Now) -> Option<DirectoryChange> {
         self.missing_since.remove(id);
-        self.instances.remove(id)?;
-        self.removed_at.insert(id.into(), now);
+        let born = self.instances.remove(id)?.born;
+        self.removed.insert(id.into(), Removal { at: now, born });
         Some(DirectoryChange::Removed(id.into()))
     }
 
@@ -157,8 +201,8 @@
             .filter(|(_, since)| now.saturating_sub(**since) >= ABSENCE_GRACE)
             .map(|(id, _)| id.clone())
             .collect();
-        self.removed_at
-            .retain(|_, at| now.saturating_sub(*at) < REMOVED_RETENTION);
+        self.removed
+            .retain(|_, removal| now.saturating_sub(removal.at) < REMOVED_RETENTION);
         expired
             .iter()
             .filter_map(|id| self.on_removed(id, now))
@@ -172,7 +216,7 @@
     pub fn is_leaving_or_removed(&self, id: &str) -> bool {
         match self.instances.get(id) {
             Some(instance) => instance.state == InstanceState::Leaving,
-            None => self.removed_at.contains_key(id),
+            None => self.removed.contains_key(id),
         }
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -30,7 +30,7 @@
 pub mod store_retries;
 pub mod zones;
 
-pub use reedford_core::{InstanceId, Now, ZoneId};
+pub use reedford_core::{Era, InstanceId, Now, ZoneId};
 
 /// Name of a service.
 pub type ServiceName = Box<str>;
--- a/crates/fleet/src/ownership.rs
+++ b/crates/fleet/src/ownership.rs
@@ -2,9 +2,10 @@
 //! orders loads and evictions on the zone's engines.
 //!
 //! The role is a key in the platform's store, created if absent and bound to
-//! the lease of the node that holds the role, its holder. The key's store
-//! revision is the fencing token of the holder's orders: it increases with each
-//! claim, and engines refuse a lower token than they have seen.
+//! the lease of the node that holds the role, its holder. The fencing token of
+//! the holder's orders is composed of the store's era and the key's revision
+//! ([`fence`]): it increases with each claim, and engines refuse a lower token
+//! than they have seen.
 //!
 //! A holder leads, that is, gives orders, only while its lease is certain to be
 //! valid: until the time to live has passed since it sent the last successful
@@ -15,8 +16,15 @@
 //! response from the store therefore asks peers of its zone whether they get
 //! one ([`may_lead_without_store`]). An order that is delayed in transit until
 //! a later claim is harmless, because engines refuse its lower fencing token.
+//!
+//! A store that was restored from a copy has ended all leases ([`Role::on_era`]).
+//! A holder stops at once when it learns of the new era, and claims anew. Another
+//! node that claims first gives no orders until the previous holder, which may
+//! not know of the new era, has stopped too. A key that was written under an
+//! earlier era's lease names no holder: it came back with the copy or from a
+//! claim that was delayed. It is replaced on its revision.
 
-use crate::{InstanceId, Now};
+use crate::{Era, InstanceId, Now};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -24,6 +32,13 @@
 /// Fencing token of a coordinator's term.
 pub type Fence = u64;
 
+/// Bits of a fencing token that hold the revision, the era being above them. A
+/// store reaches this many changes after 34 years of a thousand a second.
+const REVISION_BITS: u32 = 40;
+/// Bits of a fencing token. Engines may decode it as a double, which is exact up
+/// to this size.
+const FENCE_BITS: u32 = 53;
+
 /// Pause between two attempts to claim, so that a lost race costs few store
 /// requests.
 const CLAIM_PAUSE: Duration = Duration::from_millis(250);
@@ -35,6 +50,23 @@
 /// next query.
 const STORE_REPORTS_TTL: Duration = Duration::from_millis(1_500);
 
+/// Time after the start of an era in which a holder of an earlier era that the
+/// store does not respond to may still lead: peers may have confirmed the outage
+/// while the store came back, and their reports took up to 600 ms.
+const REPORTED_OUTAGE_TAIL: Duration = STORE_REPORTS_TTL.saturating_add(Duration::from_millis(600));
+
+/// Returns the fencing token of a claim at `revision` in `era`; `None` if it
+/// can't be represented. Within an era the store gives each change a higher
+/// revision. A later era outweighs every revision of the earlier ones, so tokens
+/// also increase if no node remembers the highest.
+#[must_use]
+pub fn fence(era: Era, revision: i64) -> Option<Fence> {
+    let revision = Fence::try_from(revision).ok()?;
+    let representable =
+        revision >> REVISION_BITS == 0 && era.get() >> (FENCE_BITS - REVISION_BITS) == 0;
+    representable.then_some(era.get() << REVISION_BITS | revision)
+}
+
 /// A peer's report on the platform's store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum StoreReport {
@@ -70,6 +102,14 @@
     pub fence: Fence,
 }
 
+impl Holder {
+    /// Returns the era of the store in which the role was claimed.
+    #[must_use]
+    pub const fn era(&self) -> Era {
+        Era::new(self.fence >> REVISION_BITS)
+    }
+}
+
 /// What this node knows of the coordinator role of its zone.
 #[derive(Clone, Debug)]
 pub struct Role {
@@ -81,6 +121,16 @@
     claim_delay: Duration,
     /// Time until which this node may give orders, if it is the holder.
     leads_until: Now,
+    /// Time from which it may, because a holder of an earlier era gives none.
+    leads_from: Now,
+    /// Era of the store; `None` until the store has responded.
+    era: Option<Era>,
+    /// Whether this node led when it learned of the era, and the role was not
+    /// claimed since. Then no other node led.
+    led_into_era: bool,
+    /// Revision of a key that names no holder, which a claim replaces; 0 if there
+    /// is no key.
+    replaced_revision: i64,
     /// Highest fencing token that is known to be superseded.
     superseded: Fence,
 }
@@ -98,30 +148,85 @@
             next_claim: Now::ZERO,
             claim_delay,
             leads_until: Now::ZERO,
+            leads_from: Now::ZERO,
+            era: None,
+            led_into_era: false,
+            replaced_revision: 0,
             superseded: 0,
         }
     }
 
     /// Returns the last known holder; `None` while the role is vacant, unless
-    /// this node held it last.
+    /// this node held it last. The holder of an earlier era is returned until
+    /// there is another: most likely it claims again, and other nodes need not
+    /// turn to the store meanwhile.
     #[must_use]
     pub fn holder(&self) -> Option<&Holder> {
         let vacant = self.vacant_since.is_some() && self.held_fence().is_none();
-        self.holder.as_ref().filter(|_| !vacant)
+        self.holder
+            .as_ref()
+            .filter(|holder| !vacant || self.is_past(holder))
     }
 
     /// Returns the fencing token if this incarnation of this node holds the role.
     #[must_use]
     pub fn held_fence(&self) -> Option<Fence> {
         let holder = self.holder.as_ref()?;
-        (holder.node == self.node && holder.incarnation == self.incarnation).then_some(holder.fence)
+        (self.is_self(holder) && !self.is_past(holder)).then_some(holder.fence)
+    }
+
+    fn is_self(&self, holder: &Holder) -> bool {
+        holder.node == self.node && holder.incarnation == self.incarnation
+    }
+
+    /// Whether a holder's lease ended with its era.
+    fn is_past(&self, holder: &Holder) -> bool {
+        self.era.is_some_and(|era| holder.era() < era)
     }
 
     /// Whether this incarnation of this node holds the role and no other node
     /// can have claimed it.
     #[must_use]
     pub fn leads(&self, now: Now) -> bool {
-        self.held_fence().is_some() && now < self.leads_until
+        self.held_fence().is_some() && (self.leads_from..self.leads_until).contains(&now)
+    }
+
+    /// Records the store's era. If it has risen, this node no longer holds the
+    /// role, and claims it again at once if it held it, otherwise after `jitter`.
+    /// `ttl` is the time to live of the holder's lease. Returns whether the era
+    /// has risen.
+    pub fn on_era(&mut self, era: Era, ttl: Duration, jitter: Duration, now: Now) -> bool {
+        let Some(known) = self.era else {
+            self.era = Some(era);
+            return false;
+        };
+        if era <= known {
+            return false;
+        }
+        let led = self.leads(now);
+        self.era = Some(era);
+        // A holder that was learned from a peer may be of the new era already.
+        if self
+            .holder
+            .as_ref()
+            .is_none_or(|holder| self.is_past(holder))
+        {
+            self.vacant_since = None;
+            self.replaced_revision = 0;
+            self.leads_until = now;
+            self.led_into_era = led;
+        }
+        if !led {
+            self.leads_from = now + ttl.max(REPORTED_OUTAGE_TAIL);
+        }
+        if !self
+            .holder
+            .as_ref()
+            .is_some_and(|holder| self.is_self(holder))
+        {
+            self.next_claim = now + jitter;
+        }
+        true
     }
 
     /// Records that a renewal sent at `sent` reached the store while the lease,
@@ -152,9 +257,10 @@
     }
 
     /// Records the holder that the store names; one with a lower fencing token
-    /// than the known holder's is ignored.
+    /// than the known holder's or of an earlier era is ignored.
     pub fn on_holder(&mut self, holder: Holder) {
         let newer = holder.fence > self.superseded
+            && !self.is_past(&holder)
             && self
                 .holder
                 .as_ref()
@@ -162,6 +268,7 @@
         if newer {
             self.holder = Some(holder);
             self.vacant_since = None;
+            self.led_into_era = false;
         }
     }
 
@@ -180,6 +287,33 @@
 
     /// Records that the role is vacant in the store.
     pub fn on_vacant(&mut self, now: Now) {
+        self.replaced_revision = 0;
+        self.vacate(now);
+    }
+
+    /// Records that the role's key at `revision` was written under a lease of an
+    /// earlier era. If it was written over the key of a holder of this era, that
+    /// holder stops before a node that replaces the key gives orders. `ttl` is the
+    /// time to live of the holder's lease.
+    pub fn on_past_holder(&mut self, revision: i64, ttl: Duration, now: Now) {
+        if self.replaced_revision == revision && self.vacant_since.is_some() {
+            return;
+        }
+        self.replaced_revision = revision;
+        if !self.led_into_era {
+            self.leads_from = self.leads_from.max(now + ttl.max(REPORTED_OUTAGE_TAIL));
+        }
+        self.vacate(now);
+    }
+
+    /// Returns the revision that the role's key must have for a claim; 0 if it
+    /// must be absent.
+    #[must_use]
+    pub const fn replaced_revision(&self) -> i64 {
+        self.replaced_revision
+    }
+
+    fn vacate(&mut self, now: Now) {
         if self.vacant_since.is_none() {
             self.vacant_since = Some(now);
             self.leads_until = now;
@@ -201,7 +335,8 @@
         let Some(since) = self.vacant_since else {
             return false;
         };
-        let wait = if self.held_fence().is_some() {
+        let was_held = self.holder.as_ref().is_some_and(|h| self.is_self(h));
+        let wait = if was_held {
             Duration::ZERO
         } else {
             self.claim_delay
--- a/crates/fleet/tests/directory.rs
+++ b/crates/fleet/tests/directory.rs
@@ -132,3 +132,47 @@
     directory.on_entry(ready("b", 6));
     assert!(!directory.is_leaving_or_removed("b"), "it was restarted");
 }
+
+/// Entries of instances that this node knows to be gone or leaving, as listed by a
+/// store that was restored from a copy.
+struct RestoredEntryCase {
+    /// What the copy lists.
+    listed: Instance,
+    usable: bool,
+}
+
+/// Guards against calls to an instance that only the copy names ready.
+#[test_case(RestoredEntryCase { listed: ready("gone", 5), usable: false }; "removed")]
+#[test_case(RestoredEntryCase { listed: ready("leaving", 5), usable: false }; "leaving")]
+#[test_case(RestoredEntryCase { listed: ready("gone", 6), usable: true }; "removed, but started again")]
+#[test_case(RestoredEntryCase { listed: ready("leaving", 6), usable: true }; "leaving, but started again")]
+fn a_restored_store_does_not_bring_instances_back(case: RestoredEntryCase) {
+    let mut directory = Directory::default();
+    directory.on_entry(ready("gone", 5));
+    directory.on_removed("gone", Now::ZERO);
+    directory.on_entry(ready("leaving", 5));
+    directory.on_entry(instance("leaving", 5, 7_000, InstanceState::Leaving));
+    let listed = vec![case.listed.clone()];
+    let now = Duration::from_secs(5);
+    directory.on_listing(listed.clone(), Absence::Restored, now);
+    assert_eq!(directory.ready("s").count() == 1, case.usable);
+    directory.on_listing(listed, Absence::Removed, now * 2);
+    assert_eq!(
+        directory.ready("s").count() == 1,
+        case.usable,
+        "listed again"
+    );
+    directory.on_entry(ready("gone", 5));
+    assert!(directory.get("gone").is_some(), "it wrote its entry anew");
+}
+
+#[test]
+fn an_instance_that_a_restored_store_has_forgotten_is_kept_for_a_grace_time() {
+    let mut directory = Directory::default();
+    directory.on_entry(ready("a", 5));
+    directory.on_listing(Vec::new(), Absence::Restored, Now::ZERO);
+    directory.expire(ABSENCE_GRACE / 2);
+    assert!(directory.get("a").is_some());
+    directory.expire(ABSENCE_GRACE);
+    assert!(directory.get("a").is_none());
+}
--- a/crates/fleet/tests/ownership.rs
+++ b/crates/fleet/tests/ownership.rs
@@ -1,7 +1,7 @@
 //! Which node coordinates a zone.
 
-use reedford_fleet::Now;
-use reedford_fleet::ownership::{Holder, Role, StoreReport};
+use reedford_fleet::ownership::{Holder, Role, StoreReport, fence};
+use reedford_fleet::{Era, Now};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 use test_case::test_case;
@@ -156,3 +156,122 @@
     role.on_peer_holder(holder("third", 1, 6));
     assert!(role.holder().is_some());
 }
+
+/// A claim in an era of the store.
+struct FenceCase {
+    era: u64,
+    revision: i64,
+    fence: Option<u64>,
+}
+
+#[test_case(FenceCase { era: 0, revision: 7, fence: Some(7) }; "without eras it is the revision")]
+#[test_case(FenceCase { era: 1, revision: 7, fence: Some((1 << 40) + 7) }; "a later era outweighs any revision")]
+#[test_case(FenceCase { era: 8_191, revision: (1 << 40) - 1, fence: Some((1 << 53) - 1) }; "the highest")]
+#[test_case(FenceCase { era: 8_192, revision: 7, fence: None }; "era too high")]
+#[test_case(FenceCase { era: 0, revision: 1 << 40, fence: None }; "revision too high")]
+#[test_case(FenceCase { era: 0, revision: -1, fence: None }; "negative revision")]
+fn a_fencing_token_is_composed_of_era_and_revision(case: FenceCase) {
+    let fence = fence(Era::new(case.era), case.revision);
+    assert_eq!(fence, case.fence);
+    if let Some(fence) = fence {
+        assert_eq!(holder("me", 1, fence).era(), Era::new(case.era));
+    }
+}
+
+const ERA_1: u64 = 1 << 40;
+const JITTER: Duration = Duration::from_millis(800);
+
+/// Returns a role that was last held by `node` in the first era, with the lease of
+/// this node renewed at 100 ms, and that learns of the next era at `at`.
+fn role_in_next_era(node: &str, at: Now) -> Role {
+    let mut role = role();
+    role.on_era(Era::FIRST, TTL, JITTER, ms(0));
+    role.on_holder(holder(node, 1, 500));
+    role.on_renewed(ms(100), TTL);
+    assert!(role.on_era(Era::new(1), TTL, JITTER, at));
+    role
+}
+
+/// Guards against a lease that is used after the store was restored from a copy.
+#[test]
+fn a_lease_ends_with_its_era() {
+    let mut role = role_in_next_era("me", ms(200));
+    assert_eq!(role.held_fence(), None);
+    assert!(!role.leads(ms(201)));
+    role.on_holder(holder("me", 1, 500));
+    role.on_renewed(ms(210), TTL);
+    assert!(!role.leads(ms(211)), "a late response of the earlier era");
+    role.on_vacant(ms(220));
+    assert!(
+        role.try_start_claim(ms(220)),
+        "the last holder claims first"
+    );
+    role.on_holder(holder("me", 1, ERA_1 + 20));
+    role.on_renewed(ms(220), TTL);
+    assert!(role.leads(ms(230)), "no other node led when the era rose");
+}
+
+/// Guards against two nodes that give orders at once after the store was restored:
+/// the last holder may not know of the era yet.
+#[test]
+fn another_node_leads_after_the_last_holder_has_stopped() {
+    let mut role = role_in_next_era("other", ms(200));
+    assert!(role.holder().is_some(), "it still serves feeds");
+    role.on_vacant(ms(210));
+    assert!(
+        !role.try_start_claim(ms(900)),
+        "not all nodes claim at once"
+    );
+    assert!(role.try_start_claim(ms(1_000)));
+    role.on_holder(holder("me", 1, ERA_1 + 20));
+    role.on_renewed(ms(1_000), TTL * 3);
+    assert!(!role.leads(ms(2_200)));
+    assert!(role.leads(ms(2_400)));
+}
+
+/// Guards against a node that waits for a holder of an earlier era at its start.
+#[test]
+fn the_first_known_era_is_not_a_rise() {
+    let mut role = role();
+    assert!(!role.on_era(Era::new(3), TTL, JITTER, ms(0)));
+    role.on_vacant(ms(0));
+    assert!(role.try_start_claim(ms(100)));
+    role.on_holder(holder("me", 1, 3 * ERA_1 + 1));
+    role.on_renewed(ms(100), TTL);
+    assert!(role.leads(ms(110)));
+}
+
+/// Guards against a claim of an earlier era that takes effect late, over the key of
+/// a holder: the holder stops, and the key is replaced on its revision.
+#[test]
+fn a_key_of_an_earlier_era_is_replaced() {
+    let mut role = role_in_next_era("me", ms(200));
+    role.on_past_holder(7, TTL, ms(210));
+    assert_eq!(role.replaced_revision(), 7);
+    assert!(role.try_start_claim(ms(210)));
+    role.on_holder(holder("me", 1, ERA_1 + 20));
+    role.on_renewed(ms(220), TTL);
+    assert!(role.leads(ms(230)));
+    role.on_past_holder(30, TTL, ms(300));
+    assert!(!role.leads(ms(310)), "another node may replace the key");
+    assert_eq!(role.replaced_revision(), 30);
+    role.on_vacant(ms(400));
+    assert_eq!(role.replaced_revision(), 0);
+}
+
+/// Guards against a holder that is forgotten because a peer reports one of an
+/// earlier era, or is known before the era.
+#[test]
+fn holders_are_ordered_by_era_first() {
+    let mut role = role_in_next_era("other", ms(200));
+    role.on_vacant(ms(210));
+    role.on_peer_holder(holder("third", 1, 900));
+    assert_eq!(role.holder().map(|h| &*h.node), Some("other"));
+    role.on_peer_holder(holder("fourth", 1, 2 * ERA_1 + 1));
+    assert!(role.on_era(Era::new(2), TTL, JITTER, ms(300)));
+    assert_eq!(role.holder().map(|h| &*h.node), Some("fourth"));
+    assert!(
+        !role.on_era(Era::new(1), TTL, JITTER, ms(400)),
+        "eras only rise"
+    );
+}
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -1,7 +1,7 @@
 //! Starts a node, handles signals, and shuts the node down gracefully.
 
 use crate::calls_report::CallsReporter;
-use crate::coordinator::{Coordinator, CoordinatorContext, command_queue};
+use crate::coordinator::{Command, CommandTx, Coordinator, CoordinatorContext, command_queue};
 use crate::dialect::Dialect;
 use crate::feeds::Feed;
 use crate::handler::{CallerService, Gateway};
@@ -144,6 +144,7 @@
             role,
             cfg.retries,
             cfg.staleness_limit,
+            stores.eras.clone(),
         ));
         let (commands, rx) = command_queue();
         let background = CancellationToken::new();
@@ -205,6 +206,7 @@
                 short_poll: Arc::clone(&stores.short_poll),
                 medium_poll: stores.medium_poll,
                 long_poll: stores.long_poll,
+                eras: stores.eras,
             },
             shared: Arc::clone(&shared),
             metrics: Arc::clone(&metrics),
@@ -214,6 +216,11 @@
             staleness_limit: cfg.staleness_limit,
         });
         node.spawn_watches(&sync, &commands);
+        let following = follow_eras(Arc::clone(&shared), Arc::clone(&cfg), commands.clone());
+        let stop = node.background.clone();
+        node.tasks.spawn(async move {
+            stop.run_until_cancelled(following).await;
+        });
         let membership = Membership {
             cfg: Arc::clone(&cfg),
             store: stores.short_poll,
@@ -223,6 +230,8 @@
             incarnation,
             peers: Arc::clone(&peers),
             next_count: Duration::ZERO,
+            next_registration: Duration::ZERO,
+            count_holds_until: Duration::ZERO,
             zone_peers: None,
         };
         node.tasks.spawn(membership.run(node.membership.clone()));
@@ -282,11 +291,8 @@
         Ok(node)
     }
 
-    fn spawn_watches<D, K>(
-        &self,
-        sync: &Arc<StoreSync<D, K>>,
-        commands: &crate::coordinator::CommandTx,
-    ) where
+    fn spawn_watches<D, K>(&self, sync: &Arc<StoreSync<D, K>>, commands: &CommandTx)
+    where
         D: Dialect,
         K: KeyValue + std::fmt::Debug + 'static,
     {
@@ -377,6 +383,20 @@
     }
 }
 
+/// Applies each new era of the store to the coordinator role as soon as any
+/// response or peer shows it.
+async fn follow_eras(shared: Arc<Shared>, cfg: Arc<GatewaySettings>, commands: CommandTx) {
+    let mut eras = shared.eras.subscribe();
+    loop {
+        if shared.apply_era(&cfg) {
+            commands.send(Command::Refresh);
+        }
+        if eras.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 struct Signals {
     hangup: Signal,
     interrupt: Signal,
--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -7,12 +7,16 @@
 //! to it lately ([`MAX_FEED_AGE_SHARE`]); otherwise the nodes use the store
 //! themselves.
 //!
+//! Each response names the era of the store that it describes. A node that knows a
+//! later era than the coordinator gets no feed until the coordinator has listed the
+//! store in that era; revisions are those of the response's era.
+//!
 //! Operators' keys change rarely. The responses of the other feeds carry their
 //! newest revision, and nodes request their feed only when that increases.
 
-use reedford_fleet::Now;
 use reedford_fleet::directory::{ABSENCE_GRACE, Absence};
-use reedford_store::{Change, ChangeKind, Entry};
+use reedford_fleet::{Era, Now};
+use reedford_store::{Change, ChangeKind, Changes, Entry, Listing, Position};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -59,7 +63,8 @@
 /// Data sent with every response, whatever the feed.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
 pub(crate) struct FeedMetadata {
-    /// Newest revision of the keys that operators write.
+    /// Newest revision of the keys that operators write, in the era of the
+    /// response; 0 if none is known in it.
     pub(crate) operators: i64,
     /// Number of nodes in the fleet, 0 if not known.
     pub(crate) nodes: usize,
@@ -70,6 +75,8 @@
 pub(crate) enum FeedResponse {
     /// All keys of the feed.
     Listing {
+        #[serde(default)]
+        era: Era,
         revision: i64,
         items: Vec<FeedItem>,
         /// Whether the store was unreachable shortly before, so that entries
@@ -80,6 +87,8 @@
     },
     /// Changes since the revision of the request.
     Changes {
+        #[serde(default)]
+        era: Era,
         revision: i64,
         items: Vec<FeedItem>,
         #[serde(rename = "aside")]
@@ -100,7 +109,10 @@
 #[derive(Debug, Default)]
 struct State {
     by_feed: BTreeMap<Feed, FeedState>,
-    metadata: FeedMetadata,
+    /// Position of the newest of the keys that operators write.
+    operators: Position,
+    /// Number of nodes in the fleet, 0 if not known.
+    nodes: usize,
 }
 
 #[derive(Debug, Default)]
@@ -108,6 +120,8 @@
     items: BTreeMap<Box<str>, StoredValue>,
     /// Keys that changed; their values are in `items`.
     log: VecDeque<LoggedChange>,
+    /// Era of the store, to which all revisions belong.
+    era: Era,
     /// The log is complete after this revision.
     log_after: i64,
     revision: i64,
@@ -126,8 +140,10 @@
 struct StoredValue {
     value: Box<str>,
     revision: i64,
-    /// Hash of the part of the value that other nodes need.
-    digest: u64,
+    /// Hash of the part of the value that other nodes need; `None` if the value
+    /// comes from a copy of the store, so that the next write is passed on even if
+    /// it changes nothing.
+    digest: Option<u64>,
 }
 
 impl Feeds {
@@ -144,8 +160,7 @@
     pub(crate) fn on_listing<F>(
         &self,
         feed: Feed,
-        revision: i64,
-        entries: &[Entry],
+        listing: &Listing,
         digest: F,
         absence: Absence,
         now: Now,
@@ -154,22 +169,24 @@
     {
         let mut state = self.lock();
         let recovered_at = match absence {
-            Absence::Lapsed => Some(now),
+            Absence::Lapsed | Absence::Restored => Some(now),
             Absence::Removed => state.by_feed.get(&feed).and_then(|f| f.recovered_at),
         };
-        let stored = entries.iter().map(|entry| {
+        let is_current = absence != Absence::Restored;
+        let stored = listing.entries.iter().map(|entry: &Entry| {
             let stored = StoredValue {
                 value: String::from_utf8_lossy(&entry.value).into(),
                 revision: entry.revision,
-                digest: digest(&entry.value),
+                digest: is_current.then(|| digest(&entry.value)),
             };
             (entry.key.clone(), stored)
         });
         let new = FeedState {
             items: stored.collect(),
             log: VecDeque::new(),
-            log_after: revision,
-            revision,
+            era: listing.era,
+            log_after: listing.revision,
+            revision: listing.revision,
             last_message: Some(now),
             recovered_at,
         };
@@ -178,29 +195,24 @@
         self.changed.notify_waiters();
     }
 
-    /// Applies a message from the store's watch; `changes` may be empty.
-    pub(crate) fn on_changes<F>(
-        &self,
-        feed: Feed,
-        revision: i64,
-        changes: &[Change],
-        digest: F,
-        now: Now,
-    ) where
+    /// Applies a message from the store's watch, which may have no changes.
+    pub(crate) fn on_changes<F>(&self, feed: Feed, changes: &Changes, digest: F, now: Now)
+    where
         F: Fn(&[u8]) -> u64,
     {
         let mut state = self.lock();
-        // Without a listing the feed would be incomplete.
-        let Some(feed_state) = state.by_feed.get_mut(&feed) else {
+        // Without a listing in the same era the feed would be incomplete.
+        let feed_state = state.by_feed.get_mut(&feed);
+        let Some(feed_state) = feed_state.filter(|f| f.era == changes.era) else {
             return;
         };
         feed_state.last_message = Some(now);
-        feed_state.revision = feed_state.revision.max(revision);
-        for change in changes {
+        feed_state.revision = feed_state.revision.max(changes.revision);
+        for change in &changes.changes {
             feed_state.apply(change, &digest);
         }
         drop(state);
-        if !changes.is_empty() {
+        if !changes.changes.is_empty() {
             self.changed.notify_waiters();
         }
     }
@@ -217,25 +229,27 @@
         }
     }
 
-    /// Records the newest revision of the keys that operators write.
-    pub(crate) fn on_operators_revision(&self, revision: i64) {
+    /// Records the position of the newest of the keys that operators write.
+    pub(crate) fn on_operators_position(&self, position: Position) {
         let mut state = self.lock();
-        state.metadata.operators = state.metadata.operators.max(revision);
+        state.operators = state.operators.max(position);
         drop(state);
         self.changed.notify_waiters();
     }
 
     /// Sets the number of nodes in the fleet.
     pub(crate) fn set_node_count(&self, nodes: usize) {
-        self.lock().metadata.nodes = nodes;
+        self.lock().nodes = nodes;
     }
 
-    /// Returns the changes after a revision, or all keys if it is 0 or too old;
-    /// waits for a change if there is none. `clock` returns the current time.
+    /// Returns the changes after a position, or all keys if its revision is 0 or
+    /// too old or its era has passed; waits for a change if there is none.
+    /// `operators` is the newest revision of operators' keys that the requesting
+    /// node knows in that era. `clock` returns the current time.
     pub(crate) async fn poll<C>(
         &self,
         feed: Feed,
-        after: i64,
+        after: Position,
         operators: i64,
         clock: C,
     ) -> FeedResponse
@@ -257,12 +271,18 @@
         self.response(feed, after, clock())
     }
 
-    fn response(&self, feed: Feed, after: i64, now: Now) -> FeedResponse {
+    fn response(&self, feed: Feed, after: Position, now: Now) -> FeedResponse {
         let state = self.lock();
-        let metadata = state.metadata;
-        let Some(known) = state.by_feed.get(&feed) else {
+        let known = state.by_feed.get(&feed);
+        let Some(known) = known.filter(|f| f.era >= after.era) else {
             return FeedResponse::Unknown;
         };
+        let era = known.era;
+        let operators = Some(state.operators).filter(|position| position.era == era);
+        let metadata = FeedMetadata {
+            operators: operators.map_or(0, |position| position.revision),
+            nodes: state.nodes,
+        };
         // A message on any feed shows that the store responds.
         let last_message = state.by_feed.values().filter_map(|f| f.last_message).max();
         let is_fresh = last_message.is_some_and(|at| now.saturating_sub(at) < self.max_age);
@@ -270,20 +290,26 @@
             return FeedResponse::Unknown;
         }
         let revision = known.revision;
-        if after == 0 || after < known.log_after {
+        let is_logged = after.era == era && after.revision >= known.log_after;
+        if after.revision == 0 || !is_logged {
             let items = known.items.keys().map(|key| known.item(key, revision));
             let is_recent = |recovered_at| now.saturating_sub(recovered_at) < ABSENCE_GRACE;
             return FeedResponse::Listing {
+                era,
                 revision,
                 items: items.collect(),
                 lapsed: known.recovered_at.is_some_and(is_recent),
                 metadata,
             };
         }
-        let new = known.log.iter().filter(|change| change.revision > after);
+        let new = known
+            .log
+            .iter()
+            .filter(|change| change.revision > after.revision);
         let keys: BTreeSet<&str> = new.map(|change| &*change.key).collect();
         let items = keys.into_iter().map(|key| known.item(key, revision));
         FeedResponse::Changes {
+            era,
             revision,
             items: items.collect(),
             metadata,
@@ -328,7 +354,7 @@
                 let stored = StoredValue {
                     value: String::from_utf8_lossy(value).into(),
                     revision: change.revision,
-                    digest: digest(value),
+                    digest: Some(digest(value)),
                 };
                 let digest = stored.digest;
                 let before = self.items.insert(change.key.clone(), stored);
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -12,10 +12,10 @@
 use crate::peer::PeerClients;
 use crate::settings::GatewaySettings;
 use crate::state::Shared;
-use reedford_fleet::ownership::Holder;
-use reedford_fleet::{Now, ZoneId};
+use reedford_fleet::ownership::{Holder, fence};
+use reedford_fleet::{Era, Now, ZoneId};
 use reedford_store::{
-    KeyValue, KvError, Lease, Precondition, Put, Transaction, TransactionOutcome,
+    KeyValue, KvError, Lease, Position, Precondition, Put, Transaction, TransactionOutcome,
 };
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -32,10 +32,14 @@
 const NODE_LEASE_TTL: Duration = Duration::from_secs(40);
 /// Interval between renewals of a node's registration.
 const NODE_RENEWAL_INTERVAL: Duration = Duration::from_secs(12);
+/// Time over which the nodes of a fleet register again in a new era of the store.
+const REGISTRATION_SPREAD: Duration = Duration::from_secs(8);
+/// Time in a new era in which not all nodes may have registered again.
+const REGISTRATION_TIME: Duration = Duration::from_secs(15);
 /// Interval at which a coordinator counts the nodes.
 const NODE_COUNT_INTERVAL: Duration = Duration::from_secs(5);
 /// TTL of a coordinator's lease; a failed coordinator is replaced after it.
-const ROLE_LEASE_TTL: Duration = Duration::from_millis(1_500);
+pub(crate) const ROLE_LEASE_TTL: Duration = Duration::from_millis(1_500);
 /// Interval between checks of the role and renewals of its lease. Three renewals
 /// are attempted before the lease ends, fewer if they time out.
 const ROLE_INTERVAL: Duration = Duration::from_millis(400);
@@ -65,6 +69,11 @@
     cores: f64,
     incarnation: u64,
     addr: SocketAddr,
+    /// Era of the store in which the lease of the key was granted. A key that
+    /// names another era than the store's is from a copy of the store or was
+    /// written by a delayed request.
+    #[serde(default)]
+    era: Era,
 }
 
 /// Maintains this node's registration, and its claim to the coordinator role of
@@ -83,6 +92,10 @@
     pub(crate) zone_peers: Option<Vec<ZonePeer>>,
     /// Time of the next count of the nodes.
     pub(crate) next_count: Now,
+    /// Time of this node's registration in a new era, if it has none in it.
+    pub(crate) next_registration: Now,
+    /// Time until which a lower number of nodes than the known one is ignored.
+    pub(crate) count_holds_until: Now,
 }
 
 impl<K> Membership<K>
@@ -160,7 +173,9 @@
         node_lease: &mut HeldLease,
         role_lease: &mut HeldLease,
     ) -> Result<(), KvError> {
+        self.end_past_leases(node_lease, role_lease);
         self.renew_role(role_lease).await?;
+        self.end_past_leases(node_lease, role_lease);
         let now = self.shared.now();
         if self.shared.lock().role.try_start_claim(now) {
             self.claim_role(role_lease).await?;
@@ -168,8 +183,14 @@
         if self.count_nodes(now).await? && self.larger_peer_is_ready().await {
             self.yield_role(role_lease).await?;
         }
-        if node_lease.lease.is_none() || now >= node_lease.renewed + NODE_RENEWAL_INTERVAL {
-            if node_lease.lease.is_some() && self.renew(node_lease).await? {
+        let is_due = match node_lease.lease {
+            Some(_) => now >= node_lease.renewed + NODE_RENEWAL_INTERVAL,
+            None => now >= self.next_registration,
+        };
+        if is_due {
+            if let Some(lease) = node_lease.lease
+                && (self.renew(node_lease).await? || lease.era < self.shared.eras.newest())
+            {
                 return Ok(());
             }
             self.register(node_lease).await?;
@@ -177,6 +198,27 @@
         Ok(())
     }
 
+    /// Drops the leases that ended with an earlier era of the store. The
+    /// registration follows after a random time, so that the fleet's nodes do not
+    /// register together.
+    fn end_past_leases(&mut self, node_lease: &mut HeldLease, role_lease: &mut HeldLease) {
+        let era = self.shared.eras.newest();
+        for (name, held) in [("node", &mut *node_lease), ("role", role_lease)] {
+            let now = self.shared.now();
+            if let Some(lease) = held.lease.take_if(|lease| lease.era < era) {
+                tracing::warn!(event = "lease_past", name, lease = lease.id,
+                    lease_era = %lease.era, %era,
+                    age_ms = now.saturating_sub(held.renewed).as_millis() as u64);
+            }
+        }
+        if node_lease.lease.is_none() && node_lease.renewed > Now::ZERO {
+            node_lease.renewed = Now::ZERO;
+            let pause = rand::random_range(Duration::ZERO..REGISTRATION_SPREAD);
+            self.next_registration = self.shared.now() + pause;
+            self.count_holds_until = self.shared.now() + REGISTRATION_TIME;
+        }
+    }
+
     /// Renews the role's lease. If the store does not respond, other nodes are
     /// queried whether it responds to them.
     async fn renew_role(&mut self, role_lease: &mut HeldLease) -> Result<(), KvError> {
@@ -186,6 +228,11 @@
         let sent = self.shared.now();
         let renewed = timeout(RENEWAL_TIMEOUT, self.store.lease_keep_alive(lease.id)).await;
         match renewed {
+            // The id may have been given out again in a later era.
+            Ok(Ok(Some(renewed))) if renewed.era != lease.era => {
+                role_lease.lease = None;
+                Ok(())
+            }
             Ok(Ok(Some(_))) => {
                 role_lease.renewed = sent;
                 self.shared.lock().role.on_renewed(sent, lease.ttl);
@@ -245,6 +292,10 @@
                 cores: r.cores,
             })
             .collect();
+        let known = self.shared.lock().budget.node_count();
+        if now < self.count_holds_until && entries.len() < known {
+            return Ok(false);
+        }
         self.zone_peers = Some(zone_peers);
         let nodes = entries.len();
         self.shared.feeds.set_node_count(nodes);
@@ -257,7 +308,8 @@
         let Some(lease) = held.lease else {
             return Ok(false);
         };
-        let holds = self.store.lease_keep_alive(lease.id).await?.is_some();
+        let renewed = self.store.lease_keep_alive(lease.id).await?;
+        let holds = renewed.is_some_and(|renewed| renewed.era == lease.era);
         if holds {
             held.renewed = self.shared.now();
         } else {
@@ -298,10 +350,11 @@
         };
         role_lease.lease = Some(lease);
         let key = format!("{ZONE_PREFIX}{}", self.cfg.zone);
+        let revision = self.shared.lock().role.replaced_revision();
         let claim = Transaction {
             preconditions: vec![Precondition {
                 key: key.as_str().into(),
-                revision: 0,
+                revision,
             }],
             puts: vec![self.put(key, lease)],
             deletes: Vec::new(),
@@ -316,15 +369,15 @@
             })
         });
         match claimed {
-            Ok(TransactionOutcome::Committed { revision }) => {
-                self.on_claimed(revision, renewed, lease.ttl)
+            Ok(TransactionOutcome::Committed { era, revision }) => {
+                self.on_claimed(lease, Position { era, revision }, renewed)
             }
-            Ok(TransactionOutcome::Conflict { current }) => {
+            Ok(TransactionOutcome::Conflict { era, current }) => {
                 tracing::info!(event = "claim_lost", zone = %self.cfg.zone);
                 // The lease is left to expire; renewing it has no use.
                 role_lease.lease = None;
                 if let Some(entry) = current {
-                    self.on_holder(&entry.value, entry.revision);
+                    self.on_holder(&entry.value, era, entry.revision);
                 }
             }
             Err(error) => {
@@ -335,21 +388,32 @@
         Ok(())
     }
 
-    fn on_claimed(&mut self, revision: i64, renewed: Now, ttl: Duration) {
-        tracing::info!(event = "claimed", zone = %self.cfg.zone, fence = revision);
+    fn on_claimed(&mut self, lease: Lease, claimed: Position, renewed: Now) {
+        let Position { era, revision } = claimed;
+        // Before the claim's era is known to the role, it could end the new term.
+        self.shared.apply_era(&self.cfg);
+        let Some(holder) = self.record(lease.era).holder(era, revision) else {
+            tracing::warn!(event = "claim_past", zone = %self.cfg.zone, %era, revision,
+                lease_era = %lease.era);
+            return;
+        };
+        tracing::info!(event = "claimed", zone = %self.cfg.zone, fence = holder.fence, %era);
         self.next_count = self.shared.now();
-        let record = self.record();
         let mut state = self.shared.lock();
-        state.role.on_holder(record.holder(revision));
-        state.role.on_renewed(renewed, ttl);
+        state.role.on_holder(holder);
+        state.role.on_renewed(renewed, lease.ttl);
         drop(state);
         self.shared.holder_changed.notify_waiters();
         self.commands.send(Command::Refresh);
     }
 
-    fn on_holder(&self, value: &[u8], revision: i64) {
+    fn on_holder(&self, value: &[u8], era: Era, revision: i64) {
         match serde_json::from_slice::<NodeRecord>(value) {
-            Ok(record) => self.shared.lock().role.on_holder(record.holder(revision)),
+            Ok(record) => {
+                if let Some(holder) = record.holder(era, revision) {
+                    self.shared.lock().role.on_holder(holder);
+                }
+            }
             Err(error) => tracing::warn!(event = "coordinator_unreadable", %error),
         }
         self.commands.send(Command::Refresh);
@@ -358,30 +422,36 @@
     fn put(&self, key: String, lease: Lease) -> Put {
         Put {
             key: key.into(),
-            value: serde_json::to_vec(&self.record()).expect("a NodeRecord always serializes"),
+            value: serde_json::to_vec(&self.record(lease.era))
+                .expect("a NodeRecord always serializes"),
             lease: Some(lease.id),
         }
     }
 
-    fn record(&self) -> NodeRecord {
+    fn record(&self, era: Era) -> NodeRecord {
         NodeRecord {
             node: self.cfg.node.clone(),
             zone: self.cfg.zone.clone(),
             cores: self.cfg.cores,
             incarnation: self.incarnation,
             addr: self.cfg.peers,
+            era,
         }
     }
 }
 
 impl NodeRecord {
-    fn holder(self, revision: i64) -> Holder {
-        Holder {
+    /// Returns the holder that a coordinator's key names, given the key's revision
+    /// in `era`; `None` if the key was written under a lease of another era or its
+    /// revision makes no fencing token.
+    pub(crate) fn holder(self, era: Era, revision: i64) -> Option<Holder> {
+        let fence = fence(era, revision).filter(|_| self.era == era)?;
+        Some(Holder {
             node: self.node,
             incarnation: self.incarnation,
             addr: self.addr,
-            fence: u64::try_from(revision).unwrap_or(0),
-        }
+            fence,
+        })
     }
 }
 
--- a/crates/gateway/src/membership/coordinator_keys.rs
+++ b/crates/gateway/src/membership/coordinator_keys.rs
@@ -1,12 +1,13 @@
 //! Handles changes of the coordinators' keys, of this zone and the others.
 
-use super::{NodeRecord, ZONE_PREFIX};
+use super::{NodeRecord, ROLE_LEASE_TTL, ZONE_PREFIX};
 use crate::coordinator::{Command, CommandTx};
 use crate::settings::GatewaySettings;
 use crate::state::Shared;
 use crate::sync::KeyHandler;
+use reedford_fleet::Era;
 use reedford_fleet::directory::Absence;
-use reedford_store::{Change, ChangeKind, Entry};
+use reedford_store::{Change, ChangeKind, Listing};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
@@ -18,7 +19,8 @@
 }
 
 impl CoordinatorKeys {
-    fn on_put(&self, key: &str, value: &[u8], revision: i64) {
+    fn on_put(&self, key: &str, value: &[u8], era: Era, revision: i64) {
+        let now = self.shared.now();
         let mut state = self.shared.lock();
         let Some(zone) = key.strip_prefix(ZONE_PREFIX) else {
             return;
@@ -30,11 +32,23 @@
                 return;
             }
         };
-        tracing::info!(event = "coordinator", zone, node = %record.node, fence = revision);
+        let node = record.node.clone();
+        let key_era = record.era;
+        let Some(holder) = record.holder(era, revision) else {
+            tracing::warn!(event = "coordinator_past", zone, %node, %key_era, %era, revision);
+            if zone == &*self.cfg.zone {
+                let ttl = ROLE_LEASE_TTL.max(self.cfg.min_lease_ttl);
+                state.role.on_past_holder(revision, ttl, now);
+                self.shared.role_vacant.notify_one();
+            } else {
+                state.other_coordinators.remove(zone);
+            }
+            return;
+        };
+        tracing::info!(event = "coordinator", zone, %node, fence = holder.fence, %era);
         if zone == &*self.cfg.zone {
-            state.role.on_holder(record.holder(revision));
+            state.role.on_holder(holder);
         } else {
-            let holder = record.holder(revision);
             state.other_coordinators.insert(zone.into(), holder);
         }
         self.shared.holder_changed.notify_waiters();
@@ -58,10 +72,12 @@
 }
 
 impl KeyHandler for CoordinatorKeys {
-    fn on_listing(&mut self, entries: Vec<Entry>, _absence: Absence) {
+    fn on_listing(&mut self, listing: Listing, _absence: Absence) {
+        self.shared.apply_era(&self.cfg);
+        let Listing { era, entries, .. } = listing;
         let keys: BTreeSet<Box<str>> = entries.iter().map(|e| e.key.clone()).collect();
         for entry in &entries {
-            self.on_put(&entry.key, &entry.value, entry.revision);
+            self.on_put(&entry.key, &entry.value, era, entry.revision);
         }
         let mut known_keys: Vec<String> = {
             let state = self.shared.lock();
@@ -74,9 +90,9 @@
         }
     }
 
-    fn on_change(&mut self, change: Change) {
+    fn on_change(&mut self, change: Change, era: Era) {
         match change.kind {
-            ChangeKind::Put(value) => self.on_put(&change.key, &value, change.revision),
+            ChangeKind::Put(value) => self.on_put(&change.key, &value, era, change.revision),
             ChangeKind::Delete => self.on_delete(&change.key),
         }
     }
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -8,7 +8,7 @@
     AdapterHash, AdapterKey, Grant, PlacementId, PlacementRequest, Progress, PromptPart, Refusal,
     RunningCall,
 };
-use reedford_fleet::{AdapterName, InstanceId, ModelName, Now, ServiceName, ZoneId};
+use reedford_fleet::{AdapterName, Era, InstanceId, ModelName, Now, ServiceName, ZoneId};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::io;
@@ -118,8 +118,10 @@
     async fn load(load: ZoneLoad);
     /// Long-polls a coordinator for the changes of a feed after a revision, 0
     /// for all keys. `operators` is the newest revision of operators' keys that
-    /// the sender knows. Responds within a second.
-    async fn news(feed: Feed, after: i64, operators: i64) -> FeedResponse;
+    /// the sender knows. Both are revisions of `era`, the newest era of the store
+    /// that the sender knows. Responds within a
+    /// second.
+    async fn news(feed: Feed, after: i64, operators: i64, era: Option<Era>) -> FeedResponse;
     /// Asks whether the platform's store responds to the receiver.
     async fn store_answers() -> bool;
     /// Asks which coordinator of a zone the receiver knows of.
--- a/crates/gateway/src/peer_server.rs
+++ b/crates/gateway/src/peer_server.rs
@@ -9,10 +9,10 @@
 };
 use crate::state::Shared;
 use futures::StreamExt as _;
-use reedford_fleet::ZoneId;
 use reedford_fleet::ownership::Holder;
 use reedford_fleet::scheduler::{PlacementId, Progress};
-use reedford_store::KeyValue;
+use reedford_fleet::{Era, ZoneId};
+use reedford_store::{KeyValue, Position};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -114,8 +114,22 @@
         self.commands.send(Command::ZoneLoad(load));
     }
 
-    async fn news(self, _: Context, feed: Feed, after: i64, operators: i64) -> FeedResponse {
+    async fn news(
+        self,
+        _: Context,
+        feed: Feed,
+        after: i64,
+        operators: i64,
+        era: Option<Era>,
+    ) -> FeedResponse {
         self.shared.lock().connectivity.on_success();
+        let after = Position {
+            era: era.unwrap_or_default(),
+            revision: after,
+        };
+        if let Some(era) = era {
+            self.shared.eras.observe(era);
+        }
         let clock = || self.shared.now();
         self.shared.feeds.poll(feed, after, operators, clock).await
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,6 +4,8 @@
 
 use crate::clock::Clock;
 use crate::feeds::Feeds;
+use crate::membership::ROLE_LEASE_TTL;
+use crate::settings::GatewaySettings;
 use crate::store_retries::StoreRetries;
 use reedford_fleet::balancer::Balancer;
 use reedford_fleet::budget::{RetryBudget, RetryLimits};
@@ -15,8 +17,10 @@
 use reedford_fleet::scheduler::{AdapterKey, Grant, PlacementId};
 use reedford_fleet::zones::ZoneReport;
 use reedford_fleet::{InstanceId, Now, WeightVersion, ZoneId};
+use reedford_store::{EraTracker, Position};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
@@ -24,14 +28,20 @@
 /// Limit on adapters whose last instance is recorded.
 const MAX_LAST_INSTANCES: usize = 4_096;
 
+/// Delay of a claim in a new era of the store by a node that did not hold the
+/// role. The last holder claims first, and the other nodes not all at once.
+const ERA_CLAIM_JITTER: Range<Duration> = Duration::from_millis(500)..Duration::from_secs(2);
+
 /// What a node's tasks share.
 #[derive(Debug)]
 pub(crate) struct Shared {
     pub(crate) clock: Clock,
     pub(crate) feeds: Feeds,
     pub(crate) store_retries: StoreRetries,
-    /// Newest revision of operators' keys that another node reported.
-    pub(crate) operators_revision: watch::Sender<i64>,
+    /// Newest era of the store that this node knows.
+    pub(crate) eras: EraTracker,
+    /// Position of the newest of operators' keys that another node reported.
+    pub(crate) operators_position: watch::Sender<Position>,
     /// Coordinator whose feed of the instances this node polls successfully.
     pub(crate) followed: watch::Sender<Option<SocketAddr>>,
     /// Notified when the coordinator of an availability zone becomes known or
@@ -94,12 +104,14 @@
         role: Role,
         retries: RetryLimits,
         staleness_limit: Duration,
+        eras: EraTracker,
     ) -> Self {
         Self {
             clock: Clock::start(),
             feeds: Feeds::new(staleness_limit),
             store_retries: StoreRetries::new(staleness_limit),
-            operators_revision: watch::Sender::new(0),
+            eras,
+            operators_position: watch::Sender::new(Position::default()),
             followed: watch::Sender::new(None),
             holder_changed: Notify::new(),
             role_vacant: Notify::new(),
@@ -131,6 +143,25 @@
     pub(crate) fn now(&self) -> Now {
         self.clock.now()
     }
+
+    /// Applies the store's newest era to the coordinator role. Returns whether the
+    /// era has risen.
+    pub(crate) fn apply_era(&self, cfg: &GatewaySettings) -> bool {
+        let Some(era) = self.eras.known() else {
+            return false;
+        };
+        let now = self.now();
+        let ttl = ROLE_LEASE_TTL.max(cfg.min_lease_ttl);
+        let jitter = rand::random_range(ERA_CLAIM_JITTER);
+        let mut state = self.lock();
+        let held = state.role.held_fence();
+        let risen = state.role.on_era(era, ttl, jitter, now);
+        if risen {
+            tracing::warn!(event = "store_era", zone = %cfg.zone, %era,
+                ended_fence = held.unwrap_or(0));
+        }
+        risen
+    }
 }
 
 impl State {
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -5,6 +5,10 @@
 //! listed again, so that no change is missed even if the store compacted its
 //! history. Nodes other than the coordinator of their zone use its change feeds
 //! instead ([`crate::feeds`]) while it serves them.
+//!
+//! When the store's era rises, what a watch knows is void: it ends, and the prefix
+//! is listed again, or requested from the coordinator. A position is only ever
+//! used in its own era.
 
 mod instances;
 mod operators;
@@ -18,9 +22,11 @@
 use futures::StreamExt as _;
 use instances::InstanceEntries;
 use operators::OperatorKeys;
-use reedford_fleet::Now;
 use reedford_fleet::directory::Absence;
-use reedford_store::{Change, ChangeKind, Changes, Entry, KeyValue, KvError, Listing};
+use reedford_fleet::{Era, Now};
+use reedford_store::{
+    Change, ChangeKind, Changes, Entry, EraTracker, KeyValue, KvError, Listing, Position,
+};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -69,6 +75,8 @@
     pub medium_poll: Arc<K>,
     /// Its watches wait long, for keys whose changes another node reports.
     pub long_poll: Arc<K>,
+    /// Where the clients record the store's eras.
+    pub eras: EraTracker,
 }
 
 /// A prefix of the store that is watched.
@@ -84,12 +92,15 @@
 /// What a watch knows of its prefix.
 #[derive(Clone, Copy, Debug, Default)]
 struct Known {
-    /// Revision up to which the handler has all changes; 0 if it has none.
-    revision: i64,
+    /// Position up to which the handler has all changes; revision 0 if it has
+    /// none.
+    position: Position,
     /// Whether the store has not responded since the last listing.
     store_lost: bool,
     /// Whether the store has discarded the changes after the last known revision.
     history_gone: bool,
+    /// Whether the store was restored from a copy since the last listing.
+    restored: bool,
 }
 
 /// Why a watch ended.
@@ -105,9 +116,9 @@
 /// Handles the keys of a prefix.
 pub(crate) trait KeyHandler {
     /// Handles a listing of all keys of the prefix.
-    fn on_listing(&mut self, entries: Vec<Entry>, absence: Absence);
-    /// Handles one change.
-    fn on_change(&mut self, change: Change);
+    fn on_listing(&mut self, listing: Listing, absence: Absence);
+    /// Handles one change, whose revision is of `era`.
+    fn on_change(&mut self, change: Change, era: Era);
     /// Called after each listing and each group of changes.
     fn on_batch_end(&mut self);
 }
@@ -130,13 +141,13 @@
         let mut direct_until = Now::ZERO;
         let watching = async {
             loop {
+                self.void_if_restored(watched, &mut known);
                 let end = match self.wait_for_source(watched, direct_until).await {
                     Some(addr) if watched.feed == Feed::Operators => {
-                        self.fetch_changes(addr, &mut known.revision, &mut handler)
-                            .await
+                        self.fetch_changes(addr, &mut known, &mut handler).await
                     }
                     Some(addr) => {
-                        self.poll_coordinator(addr, watched, &mut known.revision, &mut handler)
+                        self.poll_coordinator(addr, watched, &mut known, &mut handler)
                             .await
                     }
                     None if self.take_or_await_turn().await => {
@@ -154,7 +165,7 @@
                     }
                     WatchEnd::StoreFailed(error) if error.is_history_compacted() => {
                         tracing::info!(event = "history_gone", prefix = watched.prefix);
-                        known.revision = 0;
+                        known.position = Position::default();
                         known.history_gone = true;
                     }
                     WatchEnd::StoreFailed(error) => {
@@ -166,6 +177,20 @@
         stop.run_until_cancelled(watching).await;
     }
 
+    /// Drops what a watch knows of an earlier era of the store.
+    fn void_if_restored(&self, watched: WatchedPrefix<'_>, known: &mut Known) {
+        let era = self.shared.eras.newest();
+        if known.position.revision == 0 || known.position.era == era {
+            return;
+        }
+        tracing::warn!(event = "store_restored", prefix = watched.prefix, %era,
+            known_era = %known.position.era, known_revision = known.position.revision);
+        *known = Known {
+            restored: true,
+            ..Known::default()
+        };
+    }
+
     /// Returns the coordinator that serves a prefix's feed; `None` to use the
     /// store. If no coordinator is known, waits a short time for one.
     async fn wait_for_source(
@@ -253,29 +278,37 @@
         let store = self.client(watched);
         // A node that followed a coordinator knows all changes up to a revision. The
         // coordinator itself needs a listing, which its feeds begin with.
-        let resumed = known.revision > 0 && !known.store_lost && !self.is_coordinator();
+        let resumed = known.position.revision > 0 && !known.store_lost && !self.is_coordinator();
         if !resumed && let Err(error) = self.list(watched, store, handler, known).await {
             return WatchEnd::StoreFailed(error);
         }
-        let mut watch = match store.watch(watched.prefix, known.revision + 1).await {
+        let mut watch = match store
+            .watch(watched.prefix, known.position.revision + 1)
+            .await
+        {
             Ok(watch) => watch,
             Err(error) => return WatchEnd::StoreFailed(error),
         };
         loop {
             let next = tokio::select! {
                 next = watch.next() => next,
-                () = self.wait_until_outdated(watched, known.revision) => return WatchEnd::SourceChanged,
+                () = self.wait_until_restored(known.position.era) => return WatchEnd::SourceChanged,
+                () = self.wait_until_outdated(watched, known.position) => return WatchEnd::SourceChanged,
                 () = self.wait_until_coordinator(), if resumed => return WatchEnd::SourceChanged,
             };
             match next {
+                Some(Ok(changes)) if changes.era != known.position.era => {
+                    return WatchEnd::SourceChanged;
+                }
                 Some(Ok(changes)) => {
-                    known.revision = known.revision.max(changes.revision);
+                    known.position = known.position.max(changes.position());
                     known.history_gone = false;
                     self.on_store_response();
                     self.publish_changes(watched, &changes);
                     let has_changes = !changes.changes.is_empty();
+                    let era = changes.era;
                     for change in changes.changes {
-                        handler.on_change(change);
+                        handler.on_change(change, era);
                     }
                     handler.on_batch_end();
                     let client_changed = !Arc::ptr_eq(store, self.client(watched));
@@ -309,23 +342,30 @@
     where
         F: KeyHandler,
     {
-        let Listing { revision, entries } = match watched.feed {
+        let listing = match watched.feed {
             Feed::Members if !known.history_gone && !self.is_coordinator() => {
                 store.list_stale(watched.prefix).await?
             }
             Feed::Members | Feed::Instances | Feed::Operators => store.list(watched.prefix).await?,
         };
-        let absence = if std::mem::take(&mut known.store_lost) {
-            tracing::info!(event = "store_regained", prefix = watched.prefix, revision);
+        let position = listing.position();
+        let store_lost = std::mem::take(&mut known.store_lost);
+        if store_lost {
+            tracing::info!(event = "store_regained", prefix = watched.prefix,
+                era = %position.era, revision = position.revision);
+        }
+        let absence = if std::mem::take(&mut known.restored) {
+            Absence::Restored
+        } else if store_lost {
             Absence::Lapsed
         } else {
             Absence::Removed
         };
         self.on_store_response();
-        self.publish_listing(watched, revision, &entries, absence);
-        handler.on_listing(entries, absence);
+        self.publish_listing(watched, &listing, absence);
+        handler.on_listing(listing, absence);
         handler.on_batch_end();
-        known.revision = revision;
+        known.position = position;
         Ok(())
     }
 
@@ -361,40 +401,42 @@
         }
     }
 
+    /// Returns when the store has passed an era.
+    async fn wait_until_restored(&self, era: Era) {
+        let mut newest = self.shared.eras.subscribe();
+        if newest.wait_for(|newest| *newest > Some(era)).await.is_err() {
+            std::future::pending().await
+        }
+    }
+
     /// Returns when a watch on operators' keys lags behind what another node
     /// reported.
-    async fn wait_until_outdated(&self, watched: WatchedPrefix<'_>, seen_revision: i64) {
+    async fn wait_until_outdated(&self, watched: WatchedPrefix<'_>, seen: Position) {
         if watched.feed != Feed::Operators {
             return std::future::pending().await;
         }
-        let mut revision = self.shared.operators_revision.subscribe();
+        let mut reported = self.shared.operators_position.subscribe();
         loop {
-            if *revision.borrow_and_update() > seen_revision {
+            if *reported.borrow_and_update() > seen {
                 sleep(MAX_OPERATORS_LAG).await;
                 return;
             }
-            if revision.changed().await.is_err() {
+            if reported.changed().await.is_err() {
                 return std::future::pending().await;
             }
         }
     }
 
-    fn publish_listing(
-        &self,
-        watched: WatchedPrefix<'_>,
-        revision: i64,
-        entries: &[Entry],
-        absence: Absence,
-    ) {
+    fn publish_listing(&self, watched: WatchedPrefix<'_>, listing: &Listing, absence: Absence) {
         let now = self.shared.now();
         let feed = watched.feed;
         let digest = |value: &[u8]| self.digest(feed, value);
         self.shared
             .feeds
-            .on_listing(feed, revision, entries, digest, absence, now);
+            .on_listing(feed, listing, digest, absence, now);
         if feed == Feed::Operators {
-            let newest = entries.iter().map(|e| e.revision).max();
-            self.publish_operators_revision(newest);
+            let newest = listing.entries.iter().map(|e| e.revision).max();
+            self.publish_operators_revision(listing.era, newest);
         }
     }
 
@@ -402,20 +444,19 @@
         let now = self.shared.now();
         let feed = watched.feed;
         let digest = |value: &[u8]| self.digest(feed, value);
-        self.shared
-            .feeds
-            .on_changes(feed, changes.revision, &changes.changes, digest, now);
+        self.shared.feeds.on_changes(feed, changes, digest, now);
         if feed == Feed::Operators {
             let newest = changes.changes.iter().map(|c| c.revision).max();
-            self.publish_operators_revision(newest);
+            self.publish_operators_revision(changes.era, newest);
         }
     }
 
     /// Reports a revision of operators' keys to the nodes that poll this one, once
     /// the feed of these keys has it.
-    fn publish_operators_revision(&self, newest: Option<i64>) {
-        if let Some(newest) = newest {
-            self.shared.feeds.on_operators_revision(newest);
+    fn publish_operators_revision(&self, era: Era, newest: Option<i64>) {
+        if let Some(revision) = newest {
+            let position = Position { era, revision };
+            self.shared.feeds.on_operators_position(position);
         }
     }
 
@@ -446,7 +487,7 @@
         &self,
         addr: SocketAddr,
         watched: WatchedPrefix<'_>,
-        seen: &mut i64,
+        known: &mut Known,
         handler: &mut F,
     ) -> WatchEnd
     where
@@ -454,7 +495,7 @@
     {
         self.shared.feeds.clear(watched.feed);
         let end = loop {
-            let Some(has_changes) = self.request_feed(addr, watched.feed, seen, handler).await
+            let Some(has_changes) = self.request_feed(addr, watched.feed, known, handler).await
             else {
                 break WatchEnd::CoordinatorFailed;
             };
@@ -475,31 +516,37 @@
     }
 
     /// Requests the feed of operators' keys from a coordinator whenever it
-    /// reports a newer revision than `seen`, until it fails or is no longer the
+    /// reports a newer position than the known one, until it fails or is no longer the
     /// one that this node follows.
-    async fn fetch_changes<F>(&self, addr: SocketAddr, seen: &mut i64, handler: &mut F) -> WatchEnd
+    async fn fetch_changes<F>(
+        &self,
+        addr: SocketAddr,
+        known: &mut Known,
+        handler: &mut F,
+    ) -> WatchEnd
     where
         F: KeyHandler,
     {
         self.shared.feeds.clear(Feed::Operators);
         let mut followed = self.shared.followed.subscribe();
-        let mut reported = self.shared.operators_revision.subscribe();
+        let mut reported = self.shared.operators_position.subscribe();
         loop {
             let newest = *reported.borrow_and_update();
-            if *seen == 0 || newest > *seen {
+            if known.position.revision == 0 || newest > known.position {
                 let answered = self
-                    .request_feed(addr, Feed::Operators, seen, handler)
+                    .request_feed(addr, Feed::Operators, known, handler)
                     .await
                     .is_some();
                 // The coordinator may not have the change that an earlier one
                 // reported.
-                if !answered || *seen < newest {
+                if !answered || known.position < newest {
                     return WatchEnd::CoordinatorFailed;
                 }
                 continue;
             }
             tokio::select! {
                 _ = reported.changed() => {}
+                () = self.wait_until_restored(known.position.era) => return WatchEnd::SourceChanged,
                 _ = followed.wait_for(|f| *f != Some(addr)) => return WatchEnd::SourceChanged,
             }
         }
@@ -511,25 +558,31 @@
             .send_if_modified(|known| std::mem::replace(known, coordinator) != coordinator);
     }
 
-    /// Requests a coordinator's feed after the revision `after` and sets that to
-    /// the one of the response. Returns whether there were changes; `None` if the
-    /// coordinator did not serve the feed.
+    /// Requests a coordinator's feed after the known position, which becomes that
+    /// of the response. Returns whether there were changes; `None` if the
+    /// coordinator did not serve the feed. A response of an earlier era than the
+    /// newest is dropped.
     async fn request_feed<F>(
         &self,
         addr: SocketAddr,
         feed: Feed,
-        after: &mut i64,
+        known: &mut Known,
         handler: &mut F,
     ) -> Option<bool>
     where
         F: KeyHandler,
     {
-        let known = *after;
-        let operators = *self.shared.operators_revision.borrow();
+        let era = self.shared.eras.known();
+        let revision_in_era = |position: Position| {
+            let current = Some(position).filter(|position| Some(position.era) == era);
+            current.map_or(0, |position| position.revision)
+        };
+        let after = revision_in_era(known.position);
+        let operators = revision_in_era(*self.shared.operators_position.borrow());
         let response = self
             .peers
             .call(addr, FEED_POLL_TIMEOUT, |peer, cx| async move {
-                peer.news(cx, feed, known, operators).await
+                peer.news(cx, feed, after, operators, era).await
             })
             .await;
         {
@@ -540,35 +593,52 @@
                 Err(_) => state.connectivity.on_failure(now),
             }
         }
-        let (metadata, has_changes) = match response {
+        let (era, metadata, has_changes) = match response {
+            Ok(
+                FeedResponse::Listing { era, revision, .. }
+                | FeedResponse::Changes { era, revision, .. },
+            ) if !self.shared.eras.observe(era) => {
+                tracing::info!(event = "feed_outdated", ?feed, %addr, %era, revision);
+                return Some(false);
+            }
             Ok(FeedResponse::Listing {
+                era,
                 revision,
                 items,
                 lapsed,
                 metadata,
             }) => {
-                *after = revision;
-                let absence = if lapsed {
+                let is_later_era = known.position.revision > 0 && known.position.era < era;
+                let absence = if std::mem::take(&mut known.restored) || is_later_era {
+                    Absence::Restored
+                } else if lapsed {
                     Absence::Lapsed
                 } else {
                     Absence::Removed
                 };
+                known.position = Position { era, revision };
                 let entries = items.into_iter().filter_map(into_entry).collect();
-                handler.on_listing(entries, absence);
-                (metadata, true)
+                let listing = Listing {
+                    era,
+                    revision,
+                    entries,
+                };
+                handler.on_listing(listing, absence);
+                (era, metadata, true)
             }
             Ok(FeedResponse::Changes {
+                era,
                 revision,
                 items,
                 metadata,
             }) => {
-                *after = revision.max(known);
+                known.position = Position { era, revision }.max(known.position);
                 let has_changes = !items.is_empty();
                 items
                     .into_iter()
                     .map(into_change)
-                    .for_each(|c| handler.on_change(c));
-                (metadata, has_changes)
+                    .for_each(|c| handler.on_change(c, era));
+                (era, metadata, has_changes)
             }
             Ok(FeedResponse::Unknown) => {
                 tracing::info!(event = "feed_unknown", ?feed, %addr);
@@ -580,18 +650,21 @@
             }
         };
         handler.on_batch_end();
-        self.on_metadata(metadata);
+        self.on_metadata(era, metadata);
         Some(has_changes)
     }
 
-    fn on_metadata(&self, metadata: FeedMetadata) {
+    fn on_metadata(&self, era: Era, metadata: FeedMetadata) {
         if metadata.nodes > 0 {
             self.shared.lock().budget.set_node_count(metadata.nodes);
         }
-        let revision = metadata.operators;
-        self.shared.operators_revision.send_if_modified(|known| {
-            let newer = *known < revision;
-            *known = (*known).max(revision);
+        let position = Position {
+            era,
+            revision: metadata.operators,
+        };
+        self.shared.operators_position.send_if_modified(|known| {
+            let newer = *known < position;
+            *known = (*known).max(position);
             newer
         });
     }
--- a/crates/gateway/src/sync/instances.rs
+++ b/crates/gateway/src/sync/instances.rs
@@ -3,8 +3,9 @@
 use super::{KeyHandler, StoreSync};
 use crate::coordinator::Command;
 use crate::dialect::{Dialect, StoredItem};
+use reedford_fleet::Era;
 use reedford_fleet::directory::{Absence, DirectoryChange, Instance};
-use reedford_store::{Change, ChangeKind, Entry};
+use reedford_store::{Change, ChangeKind, Listing};
 
 #[derive(Debug)]
 pub(super) struct InstanceEntries<'a, D, K> {
@@ -52,8 +53,9 @@
 where
     D: Dialect,
 {
-    fn on_listing(&mut self, entries: Vec<Entry>, absence: Absence) {
-        let listed = entries
+    fn on_listing(&mut self, listing: Listing, absence: Absence) {
+        let listed = listing
+            .entries
             .iter()
             .filter_map(|entry| self.read(&entry.key, &entry.value))
             .collect();
@@ -65,7 +67,7 @@
         self.apply(changes);
     }
 
-    fn on_change(&mut self, change: Change) {
+    fn on_change(&mut self, change: Change, _era: Era) {
         let change = match change.kind {
             ChangeKind::Put(value) => {
                 let Some(instance) = self.read(&change.key, &value) else {
--- a/crates/gateway/src/sync/operators.rs
+++ b/crates/gateway/src/sync/operators.rs
@@ -4,10 +4,11 @@
 use super::{KeyHandler, StoreSync};
 use crate::coordinator::Command;
 use crate::dialect::{Dialect, StoredItem};
+use reedford_fleet::Era;
 use reedford_fleet::config::{Configuration, RouteTable};
 use reedford_fleet::directory::Absence;
 use reedford_fleet::scheduler::AdapterKey;
-use reedford_store::{Change, ChangeKind, Entry};
+use reedford_store::{Change, ChangeKind, Listing};
 use std::sync::Arc;
 
 #[derive(Debug)]
@@ -44,7 +45,11 @@
         let routes = config.routes.len();
         let mut state = self.sync.shared.lock();
         let known = state.routes.as_ref().map(|r| r.config().version);
-        if known.is_some_and(|known| known >= version) {
+        if let Some(known) = known.filter(|known| *known >= version) {
+            if known > version {
+                let era = self.sync.shared.eras.newest();
+                tracing::warn!(event = "configuration_outdated", version, known, %era);
+            }
             return;
         }
         state.routes = Some(Arc::new(RouteTable::new(config)));
@@ -62,13 +67,13 @@
 where
     D: Dialect,
 {
-    fn on_listing(&mut self, entries: Vec<Entry>, _absence: Absence) {
-        for entry in entries {
+    fn on_listing(&mut self, listing: Listing, _absence: Absence) {
+        for entry in listing.entries {
             self.apply(&entry.key, &entry.value);
         }
     }
 
-    fn on_change(&mut self, change: Change) {
+    fn on_change(&mut self, change: Change, _era: Era) {
         if let ChangeKind::Put(value) = change.kind {
             self.apply(&change.key, &value);
         }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -3,7 +3,8 @@
 use crate::dialect::{Dialect, StoredItem};
 use crate::membership::{NODE_PREFIX, NodeRecord, ZONE_PREFIX};
 use reedford_fleet::directory::Instance;
-use reedford_fleet::{ServiceName, ZoneId};
+use reedford_fleet::ownership::Fence;
+use reedford_fleet::{Era, ServiceName, ZoneId};
 use reedford_store::{Entry, KeyValue, KvError};
 use std::collections::BTreeMap;
 use std::fmt;
@@ -11,6 +12,8 @@
 /// State of a fleet, read from the store.
 #[derive(Clone, Debug, Default)]
 pub struct FleetView {
+    /// Era of the store.
+    pub era: Era,
     /// Revision of the store.
     pub revision: i64,
     /// The current configuration.
@@ -18,7 +21,7 @@
     /// Number of adapters for which a version is set.
     pub versions_set: usize,
     /// Coordinators by availability zone, with their fencing tokens.
-    pub coordinators: BTreeMap<ZoneId, (Box<str>, i64)>,
+    pub coordinators: BTreeMap<ZoneId, (Box<str>, Fence)>,
     /// Nodes by availability zone.
     pub nodes: BTreeMap<ZoneId, Vec<Box<str>>>,
     /// Instances by service.
@@ -53,13 +56,15 @@
         let mut view = Self::default();
         for prefix in [dialect.operator_prefix(), dialect.instance_prefix()] {
             let listing = store.list(prefix).await?;
+            view.era = listing.era;
             view.revision = listing.revision;
             for entry in listing.entries {
                 view.add_stored(dialect, &entry);
             }
         }
-        for entry in store.list(ZONE_PREFIX).await?.entries {
-            view.add_coordinator(&entry);
+        let coordinators = store.list(ZONE_PREFIX).await?;
+        for entry in &coordinators.entries {
+            view.add_coordinator(entry, coordinators.era);
         }
         for entry in store.list(NODE_PREFIX).await?.entries {
             view.add_node(&entry);
@@ -89,12 +94,14 @@
         }
     }
 
-    fn add_coordinator(&mut self, entry: &Entry) {
+    fn add_coordinator(&mut self, entry: &Entry, era: Era) {
         let zone = entry.key.strip_prefix(ZONE_PREFIX).unwrap_or(&entry.key);
         match serde_json::from_slice::<NodeRecord>(&entry.value) {
             Ok(record) => {
-                let coordinator = (record.node, entry.revision);
-                self.coordinators.insert(zone.into(), coordinator);
+                if let Some(holder) = record.holder(era, entry.revision) {
+                    let coordinator = (holder.node, holder.fence);
+                    self.coordinators.insert(zone.into(), coordinator);
+                }
             }
             Err(error) => self.unreadable(entry, &error),
         }
@@ -121,8 +128,8 @@
         match &self.configuration {
             Some(c) => writeln!(
                 f,
-                "configuration version={} revision={} routes={} services={} store_revision={}",
-                c.version, c.revision, c.routes, c.services, self.revision
+                "configuration version={} revision={} routes={} services={} era={} store_revision={}",
+                c.version, c.revision, c.routes, c.services, self.era, self.revision
             )?,
             None => writeln!(f, "no configuration")?,
         }
--- a/crates/serve/src/control/orders.rs
+++ b/crates/serve/src/control/orders.rs
@@ -290,7 +290,7 @@
         for _ in 0..INTENT_WRITE_ATTEMPTS {
             let record = log.record_with(&self.target, self.epoch, self.clock.now());
             match swap_intent(&self.clients, &self.intent_key, log.revision, &record).await {
-                Some(TransactionOutcome::Committed { revision }) => {
+                Some(TransactionOutcome::Committed { revision, .. }) => {
                     log.revision = revision;
                     log.own.insert(self.target.clone());
                     return true;
@@ -299,6 +299,7 @@
                 // succeeded and its response was lost.
                 Some(TransactionOutcome::Conflict {
                     current: Some(current),
+                    ..
                 }) if self.is_own(&current) => {
                     log.revision = current.revision;
                 }
@@ -334,7 +335,7 @@
         evicting: record.evicting,
     };
     match swap_intent(clients, key, revision, &record).await? {
-        TransactionOutcome::Committed { revision } => Some(ClaimedIntents {
+        TransactionOutcome::Committed { revision, .. } => Some(ClaimedIntents {
             revision,
             evicting: record.evicting,
         }),
--- a/crates/serve/src/traffic/claims.rs
+++ b/crates/serve/src/traffic/claims.rs
@@ -82,7 +82,7 @@
         }
         let record = started_record(&token, &digest);
         current = match write_claim(traffic, &key, revision, &record).await {
-            Ok(TransactionOutcome::Committed { revision }) => {
+            Ok(TransactionOutcome::Committed { revision, .. }) => {
                 let traffic = Arc::clone(traffic);
                 return Ok(ClaimOutcome::Held(Claim {
                     traffic,
@@ -91,7 +91,7 @@
                     revision,
                 }));
             }
-            Ok(TransactionOutcome::Conflict { current }) => current,
+            Ok(TransactionOutcome::Conflict { current, .. }) => current,
             Err(KvError::Unknown { .. }) => read_claim(traffic, &key).await?,
             Err(KvError::NotSent { .. } | KvError::Rejected { .. }) => {
                 return Err(platform_unavailable());
@@ -131,7 +131,7 @@
     async fn try_record(&mut self) -> bool {
         let written = write_claim(&self.traffic, &self.key, self.revision, &self.record).await;
         match written {
-            Ok(TransactionOutcome::Committed { revision }) => {
+            Ok(TransactionOutcome::Committed { revision, .. }) => {
                 self.revision = revision;
                 true
             }
--- a/crates/standins/tests/platform/key_value.rs
+++ b/crates/standins/tests/platform/key_value.rs
@@ -28,7 +28,7 @@
     let after = harness.kv.get("k").await.expect("responds");
     harness.stop().await;
     match swapped {
-        TransactionOutcome::Committed { revision } => {
+        TransactionOutcome::Committed { revision, .. } => {
             let value = b"after".to_vec();
             let key = "k".into();
             assert_eq!(
@@ -41,7 +41,7 @@
             );
             true
         }
-        TransactionOutcome::Conflict { current } => {
+        TransactionOutcome::Conflict { current, .. } => {
             assert_eq!(after, current);
             assert_eq!(after.map(|entry| entry.value), before.map(Into::into));
             false
@@ -76,6 +76,7 @@
     let lost = harness.kv.txn(txn(b + 1)).await.expect("responds");
     let TransactionOutcome::Conflict {
         current: Some(current),
+        ..
     } = lost
     else {
         panic!("{lost:?}");
@@ -101,7 +102,10 @@
         .expect("responds");
     assert!(matches!(
         lost,
-        TransactionOutcome::Conflict { current: Some(_) }
+        TransactionOutcome::Conflict {
+            current: Some(_),
+            ..
+        }
     ));
     let done = harness
         .kv
@@ -218,7 +222,7 @@
             ..Transaction::default()
         };
         let done = harness.kv.txn(txn).await.expect("responds");
-        let TransactionOutcome::Committed { revision } = done else {
+        let TransactionOutcome::Committed { revision, .. } = done else {
             panic!("{done:?}");
         };
         assert!(
--- a/crates/standins/tests/platform/support.rs
+++ b/crates/standins/tests/platform/support.rs
@@ -98,8 +98,8 @@
         .await
         .expect("responds")
     {
-        TransactionOutcome::Committed { revision } => revision,
-        TransactionOutcome::Conflict { current } => panic!("{key} is {current:?}"),
+        TransactionOutcome::Committed { revision, .. } => revision,
+        TransactionOutcome::Conflict { current, .. } => panic!("{key} is {current:?}"),
     }
 }
 
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -1,5 +1,6 @@
 //! HTTP requests to the platform, with failover between its addresses.
 
+use crate::eras::EraHeader;
 use crate::kv::KvError;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -9,6 +10,7 @@
 use hyper::{Method, Request, Response};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
+use reedford_core::Era;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
@@ -53,12 +55,23 @@
     pub(crate) idempotency: Idempotency,
 }
 
+/// The decoded body of a response.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Reply<T> {
+    /// Era of the store that responded.
+    pub era: Era,
+    /// The body.
+    pub body: T,
+}
+
 /// HTTP client of the platform. After a timeout all idle connections are
 /// dropped: others may have stopped responding too, and the next call must not
 /// use one of them.
 #[derive(Debug)]
 pub struct Endpoint {
     cfg: EndpointConfig,
+    /// Where responses carry the era, if the service has eras.
+    era_header: Option<EraHeader>,
     /// Index of the address that the next call tries first.
     first_address: AtomicUsize,
     current: Mutex<CurrentClient>,
@@ -105,6 +118,7 @@
         let client = new_client(&cfg, &connections);
         Self {
             cfg,
+            era_header: None,
             first_address: AtomicUsize::new(0),
             current: Mutex::new(CurrentClient {
                 generation: 0,
@@ -114,6 +128,17 @@
         }
     }
 
+    /// Reads the era of each response from a header field. A response of an
+    /// earlier era than the newest one that `header` has recorded counts as
+    /// none.
+    #[must_use]
+    pub fn with_era_header(self, header: EraHeader) -> Self {
+        Self {
+            era_header: Some(header),
+            ..self
+        }
+    }
+
     /// Closes all connections, which ends the watches, and waits for their tasks.
     /// Later calls fail.
     pub async fn close(&self) {
@@ -131,7 +156,7 @@
         path: &str,
         idempotency: Idempotency,
         req: &Req,
-    ) -> Result<Res, KvError>
+    ) -> Result<Reply<Res>, KvError>
     where
         Req: Serialize,
         Res: DeserializeOwned,
@@ -142,7 +167,7 @@
             body: encode(req)?,
             idempotency,
         };
-        decode(&self.call(&call).await?)
+        decode(self.call(&call).await?)
     }
 
     /// Makes a POST call that may change something and is not sent again if its
@@ -150,7 +175,11 @@
     ///
     /// # Errors
     /// Any [`KvError`].
-    pub async fn post_non_idempotent<Req, Res>(&self, path: &str, req: &Req) -> Result<Res, KvError>
+    pub async fn post_non_idempotent<Req, Res>(
+        &self,
+        path: &str,
+        req: &Req,
+    ) -> Result<Reply<Res>, KvError>
     where
         Req: Serialize,
         Res: DeserializeOwned,
@@ -162,13 +191,12 @@
     ///
     /// # Errors
     /// Any [`KvError`].
-    pub async fn post_idempotent_without_body<Res>(&self, path: &str) -> Result<Res, KvError>
+    pub async fn post_idempotent_without_body<Res>(&self, path: &str) -> Result<Reply<Res>, KvError>
     where
         Res: DeserializeOwned,
     {
         decode(
-            &self
-                .call_without_body(Method::POST, path, Idempotency::Idempotent)
+            self.call_without_body(Method::POST, path, Idempotency::Idempotent)
                 .await?,
         )
     }
@@ -187,13 +215,12 @@
     ///
     /// # Errors
     /// Any [`KvError`].
-    pub async fn get<Res>(&self, path: &str) -> Result<Res, KvError>
+    pub async fn get<Res>(&self, path: &str) -> Result<Reply<Res>, KvError>
     where
         Res: DeserializeOwned,
     {
         decode(
-            &self
-                .call_without_body(Method::GET, path, Idempotency::Idempotent)
+            self.call_without_body(Method::GET, path, Idempotency::Idempotent)
                 .await?,
         )
     }
@@ -203,7 +230,7 @@
         method: Method,
         path: &str,
         idempotency: Idempotency,
-    ) -> Result<Bytes, KvError> {
+    ) -> Result<Reply<Bytes>, KvError> {
         let call = Call {
             method,
             path,
@@ -214,10 +241,14 @@
     }
 
     /// Sends a call and reads the whole response body.
-    async fn call(&self, call: &Call<'_>) -> Result<Bytes, KvError> {
+    async fn call(&self, call: &Call<'_>) -> Result<Reply<Bytes>, KvError> {
         self.try_addresses(call, |res| async {
+            let era = self.era(&res);
             let body = res.into_body().collect().await.map_err(unknown_outcome)?;
-            Ok(body.to_bytes())
+            Ok(Reply {
+                era,
+                body: body.to_bytes(),
+            })
         })
         .await
     }
@@ -289,10 +320,19 @@
                     unknown_outcome(error)
                 }
             })?;
-            if res.status().is_success() {
+            let era = self.era(&res);
+            let outcome = if res.status().is_success() {
                 read(res).await
             } else {
-                Err(error_from_response(res, call.idempotency).await)
+                Err(error_from_response(res, era, call.idempotency).await)
+            };
+            // The body may have arrived after a response of a later era.
+            match &self.era_header {
+                Some(header) if !header.eras.observe(era) => Err(unknown_outcome(format!(
+                    "response of era {era}, the store is in {}",
+                    header.eras.newest()
+                ))),
+                _ => outcome,
             }
         };
         match timeout_at(deadline, exchange).await {
@@ -304,6 +344,12 @@
         }
     }
 
+    /// Returns the era of a response.
+    fn era(&self, res: &Response<Incoming>) -> Era {
+        let header = self.era_header.as_ref();
+        header.map_or(Era::FIRST, |header| header.read(res.headers()))
+    }
+
     fn current_client(&self) -> CurrentClient {
         let current = self.current.lock().unwrap_or_else(PoisonError::into_inner);
         current.clone()
@@ -353,7 +399,11 @@
 /// Returns the error for a response with an error status. After a server error
 /// the outcome of a call that is not idempotent is unknown: the service may have
 /// forwarded the call before it failed.
-async fn error_from_response(res: Response<Incoming>, idempotency: Idempotency) -> KvError {
+async fn error_from_response(
+    res: Response<Incoming>,
+    era: Era,
+    idempotency: Idempotency,
+) -> KvError {
     let status = res.status();
     let message = match res.into_body().collect().await {
         Ok(body) => String::from_utf8_lossy(&body.to_bytes()).into_owned(),
@@ -364,6 +414,7 @@
     }
     KvError::Rejected {
         status: status.as_u16(),
+        era,
         message: message.into(),
     }
 }
@@ -377,11 +428,14 @@
         .map_err(|error| not_sent(&error.to_string()))
 }
 
-fn decode<Res>(body: &[u8]) -> Result<Res, KvError>
+fn decode<Res>(reply: Reply<Bytes>) -> Result<Reply<Res>, KvError>
 where
     Res: DeserializeOwned,
 {
-    serde_json::from_slice(body).map_err(unknown_outcome)
+    Ok(Reply {
+        era: reply.era,
+        body: serde_json::from_slice(&reply.body).map_err(unknown_outcome)?,
+    })
 }
 
 fn not_sent(message: &str) -> KvError {
--- a/crates/store/src/http_kv.rs
+++ b/crates/store/src/http_kv.rs
@@ -1,4 +1,5 @@
-//! Client of the key-value service over HTTP with JSON bodies.
+//! Client of the key-value service over HTTP with JSON bodies. This service has
+//! one era.
 
 use crate::http::{Call, Endpoint, Idempotency, unknown_outcome};
 use crate::kv::{
@@ -9,6 +10,7 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use hyper::Method;
+use reedford_core::Era;
 use reedford_wire::kv as wire;
 use std::sync::Arc;
 use std::time::Duration;
@@ -32,8 +34,10 @@
         let res: wire::RangeResponse = self
             .endpoint
             .post("/v3/kv/range", Idempotency::Idempotent, req)
-            .await?;
+            .await?
+            .body;
         Ok(Listing {
+            era: Era::FIRST,
             revision: res.header.revision,
             entries: decode_entries(&res)?,
         })
@@ -59,13 +63,16 @@
         let res: wire::TxnResponse = self
             .endpoint
             .post("/v3/kv/txn", Idempotency::NonIdempotent, &req)
-            .await?;
+            .await?
+            .body;
         if res.succeeded {
             return Ok(TransactionOutcome::Committed {
+                era: Era::FIRST,
                 revision: res.header.revision,
             });
         }
         Ok(TransactionOutcome::Conflict {
+            era: Era::FIRST,
             current: first_failed_precondition(&txn.preconditions, &res)?,
         })
     }
@@ -100,7 +107,8 @@
         let res: wire::LeaseGrantResponse = self
             .endpoint
             .post("/v3/lease/grant", Idempotency::NonIdempotent, &req)
-            .await?;
+            .await?
+            .body;
         Ok(decode_lease(&res))
     }
 
@@ -112,7 +120,8 @@
                 Idempotency::Idempotent,
                 &wire::LeaseRequest { id },
             )
-            .await?;
+            .await?
+            .body;
         Ok((res.result.ttl > 0).then(|| decode_lease(&res.result)))
     }
 
@@ -124,7 +133,8 @@
                 Idempotency::NonIdempotent,
                 &wire::LeaseRequest { id },
             )
-            .await?;
+            .await?
+            .body;
         Ok(())
     }
 }
@@ -239,6 +249,7 @@
 
 fn decode_lease(res: &wire::LeaseGrantResponse) -> Lease {
     Lease {
+        era: Era::FIRST,
         id: res.id,
         ttl: Duration::from_secs(u64::try_from(res.ttl).unwrap_or(0)),
     }
--- a/crates/store/src/instances.rs
+++ b/crates/store/src/instances.rs
@@ -23,6 +23,6 @@
     /// # Errors
     /// Any [`KvError`].
     pub async fn read(&self) -> Result<InstanceList, KvError> {
-        self.endpoint.get("/instances").await
+        Ok(self.endpoint.get("/instances").await?.body)
     }
 }
--- a/crates/store/src/kv.rs
+++ b/crates/store/src/kv.rs
@@ -1,6 +1,8 @@
 //! The interface to the key-value service that other crates use.
 
 use futures::stream::BoxStream;
+use reedford_core::Era;
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// Id of a lease, assigned by the service.
@@ -34,11 +36,35 @@
     Rejected {
         /// HTTP status code.
         status: u16,
+        /// Era of the store that responded.
+        era: Era,
         /// Body of the response.
         message: Box<str>,
     },
 }
 
+impl Listing {
+    /// Returns the position of the read.
+    #[must_use]
+    pub const fn position(&self) -> Position {
+        Position {
+            era: self.era,
+            revision: self.revision,
+        }
+    }
+}
+
+impl Changes {
+    /// Returns the position up to which the watch has delivered all changes.
+    #[must_use]
+    pub const fn position(&self) -> Position {
+        Position {
+            era: self.era,
+            revision: self.revision,
+        }
+    }
+}
+
 impl KvError {
     /// Returns whether a watch failed because the service no longer has the
     /// changes since its start revision. The keys can still be listed.
@@ -55,6 +81,19 @@
     }
 }
 
+/// A point in the history of the store. A later era is later than all of an
+/// earlier one, whatever the revisions.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Position {
+    // The order of the fields is that of the comparison.
+    /// Era in which the revision was given out.
+    pub era: Era,
+    /// Revision within the era; 0 is before all of its changes.
+    pub revision: i64,
+}
+
 /// A key with its value.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Entry {
@@ -69,6 +108,8 @@
 /// All keys with a prefix.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Listing {
+    /// Era of the revisions.
+    pub era: Era,
     /// Store revision of the read; a watch continues from the next one. The
     /// entries may also show later changes, which that watch delivers again.
     pub revision: i64,
@@ -81,11 +122,15 @@
 pub enum TransactionOutcome {
     /// The transaction took effect.
     Committed {
+        /// Era of the revision.
+        era: Era,
         /// Store revision of the transaction, which is now that of its keys.
         revision: i64,
     },
     /// A precondition did not hold, and nothing was written.
     Conflict {
+        /// Era of the current entry.
+        era: Era,
         /// Current entry of the first key whose precondition did not hold; `None`
         /// if the key is absent.
         current: Option<Entry>,
@@ -137,6 +182,9 @@
 /// A lease that was granted or renewed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Lease {
+    /// Era in which it was granted or renewed. A lease of an earlier era than the
+    /// store's has ended, and its id may have been given out again.
+    pub era: Era,
     /// Id of the lease.
     pub id: LeaseId,
     /// Time to live. It starts when the service processes the request, so the
@@ -147,6 +195,9 @@
 /// The changes of one message of a watch.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Changes {
+    /// Era of the revisions. If it is not that of the watch's start revision, the
+    /// changes don't continue what the consumer knows.
+    pub era: Era,
     /// Store revision up to which the watch has delivered all changes.
     pub revision: i64,
     /// The changes; empty in a progress message.
@@ -175,6 +226,10 @@
 
 /// The key-value service. Reads are linearizable.
 ///
+/// A service that was restored from a copy begins a new era: it has forgotten
+/// its latest changes, ended all leases, and gives out revisions and lease ids
+/// again. Revisions of different eras are not comparable; see [`Position`].
+///
 /// If a future is dropped before it completes, the outcome of its request is
 /// unknown, as with [`KvError::Unknown`].
 pub trait KeyValue: Send + Sync {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -9,6 +9,7 @@
 //! had one; see [`KvError`].
 
 mod document;
+mod eras;
 mod http;
 mod http_kv;
 mod instances;
@@ -16,10 +17,11 @@
 mod watch;
 
 pub use document::{ApplyOutcome, Document, DocumentError, DocumentStore};
-pub use http::{Endpoint, EndpointConfig};
+pub use eras::{EraHeader, EraTracker};
+pub use http::{Endpoint, EndpointConfig, Reply};
 pub use http_kv::HttpKeyValue;
 pub use instances::InstanceDirectory;
 pub use kv::{
     Change, ChangeKind, Changes, Delete, Entry, KeyValue, KvError, Lease, LeaseId, Listing,
-    Precondition, Put, Transaction, TransactionOutcome, Watch,
+    Position, Precondition, Put, Transaction, TransactionOutcome, Watch,
 };
--- a/crates/store/src/watch.rs
+++ b/crates/store/src/watch.rs
@@ -9,6 +9,7 @@
 use futures::StreamExt;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use reedford_core::Era;
 use reedford_wire::kv as wire;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -94,6 +95,7 @@
     let changes: Result<Vec<Change>, KvError> =
         res.result.events.iter().map(parse_change).collect();
     Ok(Changes {
+        era: Era::FIRST,
         revision: res.result.header.revision,
         changes: changes?,
     })
--- a/src/commands/gateway.rs
+++ b/src/commands/gateway.rs
@@ -6,6 +6,7 @@
 use eyre::OptionExt as _;
 use reedford_gateway::StoreClients;
 use reedford_platform::{PlatformDialect, PlatformStore, SETTINGS_VARIABLE};
+use reedford_store::EraTracker;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
@@ -31,11 +32,13 @@
         println!("{}: node {} is good", path.display(), settings.node);
         return Ok(Outcome::Done);
     }
-    let store = |watch_poll| Arc::new(PlatformStore::new(&settings.store, watch_poll));
+    let eras = EraTracker::default();
+    let store = |watch_poll| Arc::new(PlatformStore::new(&settings.store, watch_poll, &eras));
     let stores = StoreClients {
         short_poll: store(SHORT_POLL),
         medium_poll: store(MEDIUM_POLL),
         long_poll: store(LONG_POLL),
+        eras: eras.clone(),
     };
     reedford_gateway::run(settings, PlatformDialect, stores, || check_settings(&path))?;
     Ok(Outcome::Done)
