--- a/crates/gateway/src/sync/instances.rs
+++ b/crates/gateway/src/sync/instances.rs
@@ -3,8 +3,8 @@
 use super::{KeyHandler, StoreSync};
 use crate::coordinator::Command;
 use crate::dialect::{Dialect, StoredItem};
-use reedford_fleet::Era;
-use reedford_fleet::directory::{Absence, DirectoryChange, Instance};
+use reedford_fleet::directory::{Absence, DirectoryChange, Instance, InstanceState};
+use reedford_fleet::{Era, InstanceId};
 use reedford_store::{Change, ChangeKind, Listing};
 
 #[derive(Debug)]
@@ -54,15 +54,25 @@
     D: Dialect,
 {
     fn on_listing(&mut self, listing: Listing, absence: Absence) {
-        let listed = listing
+        let listed: Vec<Instance> = listing
             .entries
             .iter()
             .filter_map(|entry| self.read(&entry.key, &entry.value))
             .collect();
+        let ready = listed.iter().filter(|i| i.state == InstanceState::Ready);
+        let ready: Vec<InstanceId> = ready.map(|i| i.id.clone()).collect();
         let now = self.sync.shared.now();
         let mut state = self.sync.shared.lock();
         let changes = state.directory.on_listing(listed, absence, now);
         state.instances_listed = true;
+        if absence == Absence::Restored {
+            let outdated = ready
+                .iter()
+                .filter(|id| state.directory.is_leaving_or_removed(id));
+            for instance in outdated {
+                tracing::info!(event = "instance_outdated", %instance, era = %listing.era);
+            }
+        }
         drop(state);
         self.apply(changes);
     }
--- a/crates/gateway/src/sync/operators.rs
+++ b/crates/gateway/src/sync/operators.rs
@@ -32,6 +32,10 @@
                 let key = AdapterKey { model, adapter };
                 let mut state = self.sync.shared.lock();
                 let known = state.versions.entry(key).or_insert(version);
+                if *known > version {
+                    let era = self.sync.shared.eras.newest();
+                    tracing::warn!(event = "adapter_version_outdated", version, known, %era);
+                }
                 *known = (*known).max(version);
             }
             Ok(StoredItem::Instance(_)) => {}
