Store eras: an instance that only the copy names draws one failed call

Cause: an instance that went away shortly before the store was restored is listed ready by the copy, and a node that did not see it go would send it calls until two in a row failed, and again after each ejection of 0.8 s and more.

Such an instance is now ejected for 10 s by the first call that does not reach it, unless it writes its entry, which ends the ejection at once.

--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -4,9 +4,13 @@
 //! healthy, so only the outcomes of calls count. An instance is ejected for a
 //! time that grows with each further ejection. When most instances of a service
 //! fail, the cause lies elsewhere and none of them is excluded.
+//!
+//! An instance that is known only from a restored copy of the store may be gone.
+//! It is ejected by the first call that does not reach it, until its entry is
+//! written or the platform has had the time to remove it.
 
 use crate::{InstanceId, Now};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Weight of the newest outcome in the moving average of failures.
@@ -18,6 +22,10 @@
 /// Maximum duration of an ejection.
 const MAX_EJECTION: Duration = Duration::from_secs(4);
 
+/// Duration of the ejection of an instance that is known only from a copy; by then
+/// the platform has removed the entries of instances that are gone.
+const COPIED_EJECTION: Duration = Duration::from_secs(10);
+
 /// Outcome of a call, as evidence of its instance's health.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CallOutcome {
@@ -33,6 +41,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Health {
     instances: BTreeMap<InstanceId, InstanceHealth>,
+    /// Instances that are known only from a restored copy of the store.
+    copied: BTreeSet<InstanceId>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -46,7 +56,12 @@
 impl Health {
     /// Records the outcome of a call. Returns whether it ejects the instance.
     pub fn record(&mut self, id: &str, outcome: CallOutcome, now: Now) -> bool {
+        let is_gone = outcome == CallOutcome::Unreachable && self.copied.contains(id);
         let record = self.instances.entry(id.into()).or_default();
+        if is_gone {
+            record.ejected_until = now + COPIED_EJECTION;
+            return true;
+        }
         let failure = match outcome {
             CallOutcome::Good => 0.0,
             CallOutcome::Failed => 1.0,
@@ -56,6 +71,7 @@
         record.failure_share =
             (record.failure_share * (1.0 - SAMPLE_WEIGHT) + SAMPLE_WEIGHT * failure).min(1.0);
         if outcome == CallOutcome::Good {
+            self.copied.remove(id);
             if record.failure_share < EJECTION_THRESHOLD / 2.0 {
                 record.ejections = 0;
             }
@@ -80,9 +96,23 @@
             .is_some_and(|r| now < r.ejected_until)
     }
 
+    /// Records that an instance is known only from a restored copy of the store.
+    pub fn on_copied(&mut self, id: &str) {
+        self.copied.insert(id.into());
+    }
+
+    /// Records that an instance wrote its entry. If it was known only from a copy,
+    /// its ejection ends.
+    pub fn on_written(&mut self, id: &str) {
+        if self.copied.remove(id) {
+            self.instances.remove(id);
+        }
+    }
+
     /// Drops the record of an instance.
     pub fn forget(&mut self, id: &str) {
         self.instances.remove(id);
+        self.copied.remove(id);
     }
 
     /// Returns the candidates that are not ejected, or all of them when those
--- a/crates/fleet/tests/health.rs
+++ b/crates/fleet/tests/health.rs
@@ -63,3 +63,35 @@
     let usable = health.usable(["a", "c", "d"], Now::ZERO);
     assert_eq!(usable, ["c", "d"]);
 }
+
+/// What happens between the first failed call to an instance that is known from a
+/// restored copy of the store, and the next choice.
+struct CopiedCase {
+    /// Whether a call succeeded before the failed one.
+    answered: bool,
+    /// Whether the instance wrote its entry after it.
+    written: bool,
+    ejected: bool,
+}
+
+/// Guards against calls, beyond a first failed one, to an instance that only the
+/// copy names.
+#[test_case(CopiedCase { answered: false, written: false, ejected: true }; "gone")]
+#[test_case(CopiedCase { answered: false, written: true, ejected: false }; "it wrote its entry")]
+#[test_case(CopiedCase { answered: true, written: false, ejected: false }; "it answered before")]
+fn an_instance_known_from_a_copy_is_ejected_by_the_first_call_that_does_not_reach_it(
+    case: CopiedCase,
+) {
+    let now = Duration::from_secs(1);
+    let mut health = Health::default();
+    health.on_copied("a");
+    if case.answered {
+        health.record("a", CallOutcome::Good, now);
+    }
+    health.record("a", CallOutcome::Unreachable, now);
+    if case.written {
+        health.on_written("a");
+    }
+    assert_eq!(health.is_ejected("a", now * 9), case.ejected);
+    assert!(!health.is_ejected("a", now * 11));
+}
--- a/crates/gateway/src/sync/instances.rs
+++ b/crates/gateway/src/sync/instances.rs
@@ -60,21 +60,26 @@
             .filter_map(|entry| self.read(&entry.key, &entry.value))
             .collect();
         let ready = listed.iter().filter(|i| i.state == InstanceState::Ready);
-        let ready: Vec<InstanceId> = ready.map(|i| i.id.clone()).collect();
+        let ready: Vec<InstanceId> = match absence {
+            Absence::Restored => ready.map(|i| i.id.clone()).collect(),
+            Absence::Lapsed | Absence::Removed => Vec::new(),
+        };
         let now = self.sync.shared.now();
         let mut state = self.sync.shared.lock();
         let changes = state.directory.on_listing(listed, absence, now);
         state.instances_listed = true;
-        if absence == Absence::Restored {
-            let outdated = ready
-                .iter()
-                .filter(|id| state.directory.is_leaving_or_removed(id));
-            for instance in outdated {
-                tracing::info!(event = "instance_outdated", %instance, era = %listing.era);
-            }
-        }
+        let (outdated, copied): (Vec<InstanceId>, Vec<InstanceId>) = ready
+            .into_iter()
+            .partition(|id| state.directory.is_leaving_or_removed(id));
         drop(state);
+        for instance in outdated {
+            tracing::info!(event = "instance_outdated", %instance, era = %listing.era);
+        }
         self.apply(changes);
+        let mut state = self.sync.shared.lock();
+        for instance in copied {
+            state.health.on_copied(&instance);
+        }
     }
 
     fn on_change(&mut self, change: Change, _era: Era) {
@@ -83,7 +88,9 @@
                 let Some(instance) = self.read(&change.key, &value) else {
                     return;
                 };
-                self.sync.shared.lock().directory.on_entry(instance)
+                let mut state = self.sync.shared.lock();
+                state.health.on_written(&instance.id);
+                state.directory.on_entry(instance)
             }
             ChangeKind::Delete => {
                 let Some(id) = self.sync.dialect.instance_id(&change.key) else {
