--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -10,6 +10,11 @@
 //!
 //! An instance that announced in a response that it is leaving is leaving, even
 //! if its entry says that it is ready ([`crate::departures`]).
+//!
+//! A store that was restored from a copy may have forgotten entries, which are
+//! kept in the same way, and may list instances that are gone or name one ready
+//! that is leaving ([`Absence::Restored`]). An instance that was removed before
+//! is then used again only after its entry was written anew.
 
 use crate::departures::{DepartureSource, Departures, LeavingInstances};
 use crate::{
@@ -33,6 +38,9 @@
 
 /// Limit on the announcements in [`Directory::unlisted_departures`].
 const MAX_UNLISTED_DEPARTURES: usize = 128;
+/// How long after a restore of the store an entry may be out of date; by then the
+/// platform has removed those of instances that are gone.
+const RESTORED_ENTRIES_DOUBTFUL: Duration = Duration::from_secs(10);
 
 /// Whether an instance accepts calls.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -84,6 +92,9 @@
     Removed,
     /// The store was unavailable, and the entry may have expired meanwhile.
     Lapsed,
+    /// The store was restored from a copy, which may lack the entry. The listed
+    /// entries may be out of date.
+    Restored,
 }
 
 /// A change to the directory.
@@ -102,8 +113,10 @@
 pub struct Directory {
     instances: BTreeMap<InstanceId, Instance>,
     missing_since: BTreeMap<InstanceId, Now>,
-    /// Removal times, kept for [`REMOVED_RETENTION`].
-    removed_at: BTreeMap<InstanceId, Now>,
+    /// Removed incarnations, kept for [`REMOVED_RETENTION`].
+    removed: BTreeMap<InstanceId, Removal>,
+    /// When the store was last listed after it had been restored from a copy.
+    restored_at: Option<Now>,
     /// When an instance of a software version last ended, kept for
     /// [`VERSION_RETENTION`].
     ended_versions: BTreeMap<(ServiceName, SoftwareVersion), Now>,
@@ -112,6 +125,14 @@
     listed_leaving: BTreeSet<InstanceId>,
 }
 
+/// The removal of an instance.
+#[derive(Clone, Copy, Debug)]
+struct Removal {
+    at: Now,
+    /// Start time of the incarnation, in Unix milliseconds.
+    born: u64,
+}
+
 impl Directory {
     /// Applies a complete listing. Instances missing from it are removed at once
     /// or after [`ABSENCE_GRACE`], depending on `absence`; see [`Self::expire`].
@@ -126,7 +147,7 @@
         let mut changes = Vec::new();
         for id in absent.cloned().collect::<Vec<_>>() {
             match absence {
-                Absence::Lapsed => {
+                Absence::Lapsed | Absence::Restored => {
                     self.missing_since.entry(id).or_insert(now);
                 }
                 // Missing since the first listing after an outage: kept until
@@ -135,13 +156,32 @@
                 Absence::Removed => changes.extend(self.on_removed(&id, now)),
             }
         }
+        if absence == Absence::Restored {
+            self.restored_at = Some(now);
+        }
         for instance in listed {
-            changes.extend(self.on_entry(instance, now));
+            if !self.is_outdated(&instance, now) {
+                changes.extend(self.on_entry(instance, now));
+            }
         }
         changes
     }
 
-    /// Adds or updates one instance.
+    /// Whether a listed entry is of an incarnation that was removed before the
+    /// store was restored. An entry that is written anew arrives as a change.
+    fn is_outdated(&self, listed: &Instance, now: Now) -> bool {
+        let removal = self.removed.get(&listed.id);
+        removal
+            .zip(self.restored_at)
+            .is_some_and(|(removal, restored_at)| {
+                removal.born == listed.born
+                    && removal.at <= restored_at
+                    && now < restored_at + RESTORED_ENTRIES_DOUBTFUL
+            })
+    }
+
+    /// Adds or updates one instance. An incarnation that is leaving stays so,
+    /// whatever its entry says.
     pub fn on_entry(&mut self, mut instance: Instance, now: Now) -> Option<DirectoryChange> {
         self.missing_since.remove(&instance.id);
         let id = instance.id.clone();
@@ -161,11 +201,14 @@
             Some(k) if k.born == instance.born && k.addr == instance.addr => {
                 let started_leaving =
                     k.state == InstanceState::Ready && instance.state == InstanceState::Leaving;
+                if k.state == InstanceState::Leaving {
+                    instance.state = InstanceState::Leaving;
+                }
                 started_leaving.then(|| DirectoryChange::Leaving(id.clone()))
             }
             _ => Some(DirectoryChange::Started(id.clone())),
         };
-        self.removed_at.remove(&id);
+        self.removed.remove(&id);
         let software = instance.software.clone();
         if let Some(before) = self.instances.insert(id, instance)
             && before.software != software
@@ -220,9 +263,10 @@
     pub fn on_removed(&mut self, id: &str, now: Now) -> Option<DirectoryChange> {
         self.missing_since.remove(id);
         let removed = self.instances.remove(id)?;
+        let born = removed.born;
         self.record_end(removed, now);
         self.listed_leaving.remove(id);
-        self.removed_at.insert(id.into(), now);
+        self.removed.insert(id.into(), Removal { at: now, born });
         Some(DirectoryChange::Removed(id.into()))
     }
 
@@ -234,8 +278,8 @@
             .filter(|(_, since)| now.saturating_sub(**since) >= ABSENCE_GRACE)
             .map(|(id, _)| id.clone())
             .collect();
-        self.removed_at
-            .retain(|_, at| now.saturating_sub(*at) < REMOVED_RETENTION);
+        self.removed
+            .retain(|_, removal| now.saturating_sub(removal.at) < REMOVED_RETENTION);
         self.ended_versions
             .retain(|_, at| now.saturating_sub(*at) < VERSION_RETENTION);
         expired
@@ -251,7 +295,7 @@
     pub fn is_leaving_or_removed(&self, id: &str) -> bool {
         match self.instances.get(id) {
             Some(instance) => instance.state == InstanceState::Leaving,
-            None => self.removed_at.contains_key(id) || self.departures.contains(id),
+            None => self.removed.contains_key(id) || self.departures.contains(id),
         }
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -36,7 +36,7 @@
 pub mod stream_versions;
 pub mod zones;
 
-pub use reedford_core::{InstanceId, Now, ZoneId};
+pub use reedford_core::{Era, InstanceId, Now, ZoneId};
 
 /// Id that a caller gives one attempt of its request.
 pub type AttemptId = Box<str>;
--- a/crates/fleet/tests/directory.rs
+++ b/crates/fleet/tests/directory.rs
@@ -247,3 +247,50 @@
     assert!((1..=128).contains(&passed_on.len()));
     assert!(passed_on.contains_key("i1999") && !passed_on.contains_key("i0"));
 }
+
+/// Entries of instances that this node knows to be gone or leaving, as listed by a
+/// store that was restored from a copy.
+struct RestoredEntryCase {
+    /// What the copy lists.
+    listed: Instance,
+    usable: bool,
+}
+
+/// Guards against calls to an instance that only the copy names ready.
+#[test_case(RestoredEntryCase { listed: ready("gone", 5), usable: false }; "removed")]
+#[test_case(RestoredEntryCase { listed: ready("leaving", 5), usable: false }; "leaving")]
+#[test_case(RestoredEntryCase { listed: ready("gone", 6), usable: true }; "removed, but started again")]
+#[test_case(RestoredEntryCase { listed: ready("leaving", 6), usable: true }; "leaving, but started again")]
+fn a_restored_store_does_not_bring_instances_back(case: RestoredEntryCase) {
+    let mut directory = Directory::default();
+    directory.on_entry(ready("gone", 5), Now::ZERO);
+    directory.on_removed("gone", Now::ZERO);
+    directory.on_entry(ready("leaving", 5), Now::ZERO);
+    directory.on_entry(
+        instance("leaving", 5, 7_000, InstanceState::Leaving),
+        Now::ZERO,
+    );
+    let listed = vec![case.listed.clone()];
+    let now = Duration::from_secs(5);
+    directory.on_listing(listed.clone(), Absence::Restored, now);
+    assert_eq!(directory.ready("s").count() == 1, case.usable);
+    directory.on_listing(listed, Absence::Removed, now * 2);
+    assert_eq!(
+        directory.ready("s").count() == 1,
+        case.usable,
+        "listed again"
+    );
+    directory.on_entry(ready("gone", 5), Now::ZERO);
+    assert!(directory.get("gone").is_some(), "it wrote its entry anew");
+}
+
+#[test]
+fn an_instance_that_a_restored_store_has_forgotten_is_kept_for_a_grace_time() {
+    let mut directory = Directory::default();
+    directory.on_entry(ready("a", 5), Now::ZERO);
+    directory.on_listing(Vec::new(), Absence::Restored, Now::ZERO);
+    directory.expire(ABSENCE_GRACE / 2);
+    assert!(directory.get("a").is_some());
+    directory.expire(ABSENCE_GRACE);
+    assert!(directory.get("a").is_none());
+}
