--- a/crates/fleet/tests/scheduler/late_orders.rs
+++ b/crates/fleet/tests/scheduler/late_orders.rs
@@ -548,6 +548,7 @@
     scheduler.progress("c1", Progress::Rejected(Rejection::Missing), ms(2));
     poll_and_report(&mut scheduler, &report_of(2, 0, &["b"]), ms(3));
     scheduler.on_instance(&instance(ENGINE, 1), ms(4));
+    scheduler.on_instance(&instance(ENGINE, 2), ms(4));
     assert!(scheduler.held_adapters()[ENGINE].contains(&key("b")));
     assert!(scheduler.poll(ms(5)).is_empty());
 }
