--- a/crates/gateway/src/handler/attempt.rs
+++ b/crates/gateway/src/handler/attempt.rs
@@ -100,7 +100,7 @@
         let known = state.directory.get(instance);
         // A new instance may be unknown to this node, but not its version, if the
         // call requires one.
-        known.map_or(call.required_software.is_none(), |i| call.accepts(i))
+        known.map_or(call.required_version().is_none(), |i| call.accepts(i))
             && !state.directory.is_leaving_or_removed(instance)
     }
 }
--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -300,7 +300,7 @@
         first_token_in: call.event_time_left(now),
         patience: call.time_left(now),
         avoid: avoid.clone(),
-        software: call.required_software.clone(),
+        software: call.required_version().cloned(),
         passed_on: false,
     })
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,26 +3,25 @@
 //!
 //! Only complete events are relayed, so that another instance can continue
 //! after the last one. The caller's response keeps the head of the first
-//! instance.
+//! instance. An instance that sends nothing for a while may go on later, so that
+//! its stream is given up only once another instance has taken the call.
 
 use crate::call::Call;
 use crate::dialect::Dialect;
-use crate::handler::{Attempt, Gateway};
+use crate::handler::{Attempt, Attempts, Gateway, Moved, STREAM_SILENCE_FACTOR, StreamState};
 use crate::reply::Truncated;
-use crate::sender::{PendingResponse, STREAM_TIMEOUT_FACTOR, SendOutcome, idle_timeout};
+use crate::sender::{PendingResponse, SendOutcome, idle_timeout};
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use hyper::body::{Frame, Incoming};
-use reedford_fleet::Now;
 use reedford_fleet::health::CallOutcome;
-use reedford_targets::{Connection, EventReader};
-use std::collections::BTreeSet;
+use reedford_targets::{Connection, Event, EventReader};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::timeout_at;
 
-/// Gap between events after which a stream is resumed elsewhere, as a multiple
-/// of the route's [`max_gap`](reedford_fleet::config::Route::max_gap).
+/// Gap between events after which another instance is sought for a stream, as a
+/// multiple of the route's [`max_gap`](reedford_fleet::config::Route::max_gap).
 const STALL_FACTOR: u32 = 4;
 /// `max_gap` of routes that set none.
 const DEFAULT_MAX_GAP: Duration = Duration::from_millis(500);
@@ -36,9 +35,7 @@
     call: Call,
     source: Option<EventSource>,
     attempt: Attempt<D>,
-    tried: BTreeSet<Box<str>>,
-    /// Attempts that may have run the call.
-    runs: u32,
+    attempts: Attempts,
     last_event_id: Option<Box<str>>,
     events: u64,
     done: bool,
@@ -67,16 +64,14 @@
         call: Call,
         response: PendingResponse,
         attempt: Attempt<D>,
-        tried: BTreeSet<Box<str>>,
-        runs: u32,
+        attempts: Attempts,
     ) -> Self {
         Self {
             gateway,
             call,
             source: Some(EventSource::new(response)),
             attempt,
-            tried,
-            runs,
+            attempts,
             last_event_id: None,
             events: 0,
             done: false,
@@ -108,58 +103,67 @@
 
     async fn next_event(&mut self) -> Result<Bytes, NoEvent> {
         loop {
-            let deadline = self.event_deadline();
-            let Some(source) = &mut self.source else {
+            let Some(mut source) = self.source.take() else {
                 return Err(NoEvent::Broken("no_source"));
             };
-            match source.reader.next_event() {
-                Ok(Some(event)) => {
-                    if let Some(id) = event.id {
-                        self.last_event_id = Some(id.into_boxed_str());
-                    }
-                    self.on_event();
-                    return Ok(event.raw);
+            let reading = async move {
+                let event = source.next_event().await;
+                (event, source)
+            };
+            let stream = StreamState {
+                call: &self.call,
+                instance: &self.attempt.grant.instance,
+                last_event_id: self.last_event_id.as_deref(),
+                silence_limit: silence_limit(&self.call, self.events),
+            };
+            let is_lost =
+                |(event, _): &(Result<Event, NoEvent>, _)| matches!(event, Err(NoEvent::Broken(_)));
+            let moving = self
+                .gateway
+                .move_if_silent(&stream, &mut self.attempts, reading, is_lost);
+            let deadline = self.gateway.shared.clock.instant(self.call.deadline);
+            let moved = timeout_at(deadline, moving).await;
+            let (next, sent) = match moved.map_err(|_elapsed| NoEvent::Broken("deadline"))? {
+                Moved::Stayed((event, source)) => {
+                    self.source = Some(source);
+                    return self.on_event(event);
                 }
-                Ok(None) => {}
-                Err(_unreadable) => return Err(NoEvent::Broken("unreadable")),
-            }
-            let deadline_at = self.gateway.shared.clock.instant(deadline);
-            match timeout_at(deadline_at, source.body.frame()).await {
-                Ok(Some(Ok(frame))) => {
-                    if let Ok(data) = frame.into_data() {
-                        source.reader.push(&data);
-                    }
+                Moved::Switched(next, sent) => (next, sent),
+            };
+            self.gateway.sender.on_silent(&self.attempt.grant);
+            self.attempts
+                .tried
+                .insert(self.attempt.grant.instance.clone());
+            self.attempt = next;
+            match sent {
+                SendOutcome::Response(response) if response.incoming.status.is_success() => {
+                    self.source = Some(EventSource::new(*response));
+                }
+                SendOutcome::Response(_) => return Err(NoEvent::Broken("failed")),
+                SendOutcome::Lost(why) => return Err(NoEvent::Broken(why)),
+                SendOutcome::NotRun(rejection) => {
+                    self.attempts.runs -= 1;
+                    self.attempt.report_rejected(rejection);
+                    return Err(NoEvent::Broken("silent"));
                 }
-                Ok(Some(Err(_cut))) => return Err(NoEvent::Broken("closed")),
-                Ok(None) => return Err(self.on_body_end()),
-                Err(_elapsed) => return Err(self.timeout_reason(deadline)),
             }
         }
     }
 
-    /// Returns when to stop waiting for the next event.
-    fn event_deadline(&self) -> Now {
-        let now = self.gateway.shared.now();
-        if !self.may_resume() {
-            return self.call.deadline;
-        }
-        let limit = if self.events == 0 {
-            self.call.route.objective.mul_f64(STREAM_TIMEOUT_FACTOR)
-        } else {
-            self.call.route.max_gap.unwrap_or(DEFAULT_MAX_GAP) * STALL_FACTOR
+    fn on_event(&mut self, event: Result<Event, NoEvent>) -> Result<Bytes, NoEvent> {
+        let event = match event {
+            Ok(event) => event,
+            Err(NoEvent::End) => return Err(self.on_body_end()),
+            Err(broken @ NoEvent::Broken(_)) => return Err(broken),
         };
-        self.call.deadline.min(now + limit)
-    }
-
-    /// Returns why no event came until `deadline`.
-    fn timeout_reason(&self, deadline: Now) -> NoEvent {
-        if deadline >= self.call.deadline {
-            return NoEvent::Broken("deadline");
+        if let Some(id) = event.id {
+            self.last_event_id = Some(id.into_boxed_str());
         }
-        NoEvent::Broken("silent")
+        self.record_event();
+        Ok(event.raw)
     }
 
-    fn on_event(&mut self) {
+    fn record_event(&mut self) {
         self.events += 1;
         let now = self.gateway.shared.now();
         self.call.silent_since = now;
@@ -168,8 +172,6 @@
             self.gateway
                 .metrics
                 .first_event(&self.call.route.name, took);
-        }
-        if self.events == 1 {
             let software = self.attempt.software.clone();
             self.gateway.record_origin(&mut self.call, software);
         }
@@ -198,11 +200,6 @@
         NoEvent::End
     }
 
-    fn may_resume(&self) -> bool {
-        let version_known = self.events == 0 || self.call.required_software.is_some();
-        version_known && self.call.route.kind.retryable() && self.runs < self.call.route.attempts
-    }
-
     /// Resumes the stream at another instance; returns whether one was found.
     async fn resume(&mut self, why: &'static str) -> bool {
         self.source = None;
@@ -211,38 +208,34 @@
                 .sender
                 .record_outcome(&self.attempt.grant, CallOutcome::Failed);
         }
-        self.tried.insert(self.attempt.grant.instance.clone());
-        while self.may_resume() && why != "deadline" {
-            if !self.gateway.try_withdraw_retry(&self.call, why) {
-                return false;
-            }
-            let Ok(attempt) = self.gateway.find_instance(&self.call, &self.tried).await else {
+        loop {
+            let broken = self.attempt.grant.instance.clone();
+            let next = self
+                .gateway
+                .try_replace(&self.call, &self.attempts, &broken, why)
+                .await;
+            self.attempts.tried.insert(broken);
+            let Some(next) = next else {
                 return false;
             };
-            self.attempt = attempt;
+            self.attempt = next;
             tracing::info!(event = "stream_resumed", id = %self.call.id, why,
                 instance = %self.attempt.grant.instance, software = ?self.attempt.software,
                 events = self.events);
-            let last = self.last_event_id.clone();
-            let may_retry = self.runs + 1 < self.call.route.attempts;
-            let sent = self
-                .gateway
-                .sender
-                .send(&self.call, &self.attempt.grant, last.as_deref(), may_retry)
-                .await;
-            match sent {
+            let last = self.last_event_id.as_deref();
+            let sent =
+                self.gateway
+                    .send_stream(&self.call, &mut self.attempt, last, &mut self.attempts);
+            match sent.await {
                 SendOutcome::Response(response) if response.incoming.status.is_success() => {
-                    self.runs += 1;
                     self.source = Some(EventSource::new(*response));
                     return true;
                 }
-                SendOutcome::Response(_) | SendOutcome::Lost(_) => self.runs += 1,
+                SendOutcome::Response(_) | SendOutcome::Lost(_) => {}
                 SendOutcome::NotRun(rejection) => self.attempt.report_rejected(rejection),
             }
             self.attempt.end();
-            self.tried.insert(self.attempt.grant.instance.clone());
         }
-        false
     }
 
     fn finish(&mut self, outcome: &'static str) {
@@ -269,7 +262,37 @@
     }
 }
 
+/// Returns how long a stream may send nothing after its first `events` events
+/// before another instance is sought.
+fn silence_limit(call: &Call, events: u64) -> Duration {
+    if events == 0 {
+        call.route.objective.mul_f64(STREAM_SILENCE_FACTOR)
+    } else {
+        call.route.max_gap.unwrap_or(DEFAULT_MAX_GAP) * STALL_FACTOR
+    }
+}
+
 impl EventSource {
+    /// Returns the next event. Nothing is lost if the future is dropped.
+    async fn next_event(&mut self) -> Result<Event, NoEvent> {
+        loop {
+            match self.reader.next_event() {
+                Ok(Some(event)) => return Ok(event),
+                Ok(None) => {}
+                Err(_unreadable) => return Err(NoEvent::Broken("unreadable")),
+            }
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.reader.push(&data);
+                    }
+                }
+                Some(Err(_cut)) => return Err(NoEvent::Broken("closed")),
+                None => return Err(NoEvent::End),
+            }
+        }
+    }
+
     fn new(response: PendingResponse) -> Self {
         let incoming = response.incoming;
         Self {
