--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -34,19 +34,11 @@
     pub(crate) objective_at: Now,
     /// Time of the last event sent to the caller, or of the arrival.
     pub(crate) silent_since: Now,
-    /// Software version that the call has to run on from now on.
-    pub(crate) required_software: RequiredSoftware,
-}
-
-/// Software version that a call has to run on.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub(crate) enum RequiredSoftware {
-    /// The call's stream has not begun.
-    Any,
-    /// The version that began the stream.
-    Version(SoftwareVersion),
-    /// The stream began at an unknown version, and can't be resumed.
-    Unknown,
+    /// Software version that the call may run on, once its stream has begun.
+    pub(crate) required_software: Option<SoftwareVersion>,
+    /// Whether the stream has begun at a software version that isn't known, so that
+    /// it can't be moved.
+    pub(crate) software_unknown: bool,
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -92,7 +84,8 @@
             deadline: arrived + timeout,
             objective_at: arrived + route.objective,
             silent_since: arrived,
-            required_software: RequiredSoftware::Any,
+            required_software: None,
+            software_unknown: false,
             head,
             route,
             service,
@@ -108,6 +101,12 @@
         })
     }
 
+    /// Whether the call may run at one more instance after `runs` attempts that may
+    /// have run it.
+    pub(crate) const fn may_run_again(&self, runs: u32) -> bool {
+        !self.software_unknown && self.route.kind.retryable() && runs < self.route.attempts
+    }
+
     /// Requires the service and software version at which the stream began that the
     /// call resumes.
     pub(crate) fn set_origin(&mut self, origin: StreamOrigin, routes: Option<&RouteTable>) {
@@ -115,32 +114,14 @@
         let spec = routes.and_then(|r| r.config().services.get(&origin.service));
         self.is_model_call = spec.is_some_and(|spec| is_model_call(spec, &self.head));
         self.service = origin.service;
-        self.required_software = RequiredSoftware::Version(origin.software);
+        self.required_software = Some(origin.software);
     }
 
     /// Whether an instance has the software version that the call requires, if it
     /// requires one.
     pub(crate) fn accepts(&self, instance: &Instance) -> bool {
-        match &self.required_software {
-            RequiredSoftware::Any => true,
-            RequiredSoftware::Version(version) => *version == instance.software,
-            RequiredSoftware::Unknown => false,
-        }
-    }
-
-    /// Whether the call may run at one more instance after `runs` attempts that may
-    /// have run it.
-    pub(crate) fn may_run_again(&self, runs: u32) -> bool {
-        self.required_software != RequiredSoftware::Unknown
-            && self.route.kind.retryable()
-            && runs < self.route.attempts
-    }
-
-    pub(crate) const fn required_version(&self) -> Option<&SoftwareVersion> {
-        match &self.required_software {
-            RequiredSoftware::Version(version) => Some(version),
-            RequiredSoftware::Any | RequiredSoftware::Unknown => None,
-        }
+        let required = self.required_software.as_ref();
+        required.is_none_or(|version| *version == instance.software)
     }
 
     pub(crate) fn time_left(&self, now: Now) -> Duration {
--- a/crates/gateway/src/handler/stream_origin.rs
+++ b/crates/gateway/src/handler/stream_origin.rs
@@ -5,7 +5,7 @@
 //! outlives the node and either coordinator.
 
 use super::Gateway;
-use crate::call::{Call, RequiredSoftware};
+use crate::call::Call;
 use crate::dialect::Dialect;
 use crate::peer::StreamRecord;
 use crate::state::State;
@@ -39,14 +39,13 @@
     pub(crate) fn record_origin(&self, call: &mut Call, software: Option<SoftwareVersion>) {
         let now = self.shared.now();
         let mut state = self.shared.lock();
-        let required = call.required_version().cloned().or(software);
-        let software = required.or_else(|| only_version(&state, &call.service, now));
-        let Some(software) = software else {
-            call.required_software = RequiredSoftware::Unknown;
+        let required = call.required_software.take().or(software);
+        call.required_software = required.or_else(|| only_version(&state, &call.service, now));
+        let Some(software) = call.required_software.clone() else {
+            call.software_unknown = true;
             tracing::info!(event = "stream_origin_unknown", id = %call.id);
             return;
         };
-        call.required_software = RequiredSoftware::Version(software.clone());
         let origin = StreamOrigin {
             service: call.service.clone(),
             software,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -172,6 +172,8 @@
             self.gateway
                 .metrics
                 .first_event(&self.call.route.name, took);
+        }
+        if self.events == 1 {
             let software = self.attempt.software.clone();
             self.gateway.record_origin(&mut self.call, software);
         }
