Streams of an instance restarted before its first event have no known version

An instance may start again under its id with another version between the placement of a call and its first event. The origin was recorded at the version of the placement, so that the stream could go on at a version that may not have begun it. Such a stream now counts as one of unknown version.

The search for an origin no longer waits for an unreachable coordinator while only one version is known, since its answer would change nothing.

--- a/crates/gateway/src/handler/stream_origin.rs
+++ b/crates/gateway/src/handler/stream_origin.rs
@@ -22,7 +22,8 @@
 /// Timeout for a query to a coordinator, as long as the slowest round trip between
 /// zones with a margin.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(150);
-/// Longest search for an origin while a coordinator is unknown or unreachable.
+/// Longest search for an origin while a coordinator is unknown or unreachable and
+/// instances of several versions may have sent the first event.
 const MAX_SEARCH: Duration = Duration::from_millis(500);
 /// Pause between two rounds of queries.
 const SEARCH_PAUSE: Duration = Duration::from_millis(50);
@@ -35,10 +36,23 @@
     D: Dialect,
 {
     /// Records the origin of a stream at its first event, and requires its version
-    /// of further attempts. `software` is the version of the instance, if known.
-    pub(crate) fn record_origin(&self, call: &mut Call, software: Option<SoftwareVersion>) {
+    /// of further attempts. `software` is the version that the instance had when the
+    /// attempt was placed, if known.
+    pub(crate) fn record_origin(
+        &self,
+        call: &mut Call,
+        instance: &str,
+        software: Option<SoftwareVersion>,
+    ) {
         let now = self.shared.now();
         let mut state = self.shared.lock();
+        // An instance that was restarted with another version meanwhile may have sent
+        // the event at either.
+        let restarted = |software: &SoftwareVersion| {
+            let known = state.directory.get(instance);
+            known.is_some_and(|i| i.software != *software)
+        };
+        let software = software.filter(|software| !restarted(software));
         let required = call.required_software.take().or(software);
         call.required_software = required.or_else(|| only_version(&state, &call.service, now));
         let Some(software) = call.required_software.clone() else {
@@ -76,7 +90,7 @@
     /// the first event, or when no instance of that version accepts calls.
     pub(super) async fn require_origin(&self, call: &mut Call) -> Result<(), Refusal> {
         let found = match &call.head.resumes {
-            Some(attempt) => self.find_origin(attempt).await,
+            Some(attempt) => self.find_origin(attempt, &call.service).await,
             None => None,
         };
         let now = self.shared.now();
@@ -109,8 +123,8 @@
     }
 
     /// Returns the origin of the stream of a caller's attempt, if this node or a
-    /// coordinator knows it.
-    async fn find_origin(&self, attempt: &str) -> Option<StreamOrigin> {
+    /// coordinator knows it. `service` is the one that would run the call.
+    async fn find_origin(&self, attempt: &str, service: &ServiceName) -> Option<StreamOrigin> {
         let started = self.shared.now();
         loop {
             let (own, coordinators, complete) = {
@@ -136,8 +150,9 @@
                     None => complete = false,
                 }
             }
-            let searched = self.shared.now().saturating_sub(started);
-            if complete || searched >= MAX_SEARCH {
+            let now = self.shared.now();
+            let needed = only_version(&self.shared.lock(), service, now).is_none();
+            if complete || !needed || now.saturating_sub(started) >= MAX_SEARCH {
                 return None;
             }
             sleep(SEARCH_PAUSE).await;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -175,7 +175,9 @@
         }
         if self.events == 1 {
             let software = self.attempt.software.clone();
-            self.gateway.record_origin(&mut self.call, software);
+            let instance = &self.attempt.grant.instance;
+            self.gateway
+                .record_origin(&mut self.call, instance, software);
         }
         self.attempt.report_started();
     }
