--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -1,5 +1,6 @@
 //! The active configuration: routes, services and limits on callers.
 
+use crate::stream_versions::stream_lifetime;
 use crate::{ModelName, ServiceName};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -131,6 +132,7 @@
 pub struct RouteTable {
     config: Configuration,
     by_host: BTreeMap<Box<str>, Vec<usize>>,
+    stream_lifetime: Duration,
 }
 
 impl RouteTable {
@@ -145,7 +147,12 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|i| std::cmp::Reverse(config.routes[*i].prefix.len()));
         }
-        Self { config, by_host }
+        let stream_lifetime = stream_lifetime(&config);
+        Self {
+            config,
+            by_host,
+            stream_lifetime,
+        }
     }
 
     /// Returns the configuration.
@@ -154,6 +161,12 @@
         &self.config
     }
 
+    /// Returns how long after its first event a stream may be resumed.
+    #[must_use]
+    pub const fn stream_lifetime(&self) -> Duration {
+        self.stream_lifetime
+    }
+
     /// Returns the route for `host` whose prefix is the longest one that matches
     /// `path`.
     #[must_use]
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -15,7 +15,7 @@
 use reedford_fleet::health::Health;
 use reedford_fleet::ownership::{Holder, Role};
 use reedford_fleet::scheduler::{AdapterKey, Grant, PlacementId};
-use reedford_fleet::stream_versions::{StreamVersions, stream_lifetime};
+use reedford_fleet::stream_versions::StreamVersions;
 use reedford_fleet::zones::ZoneReport;
 use reedford_fleet::{InstanceId, Now, WeightVersion, ZoneId};
 use std::collections::BTreeMap;
@@ -185,7 +185,7 @@
     /// Returns how long after its first event a stream may be resumed.
     pub(crate) fn stream_lifetime(&self) -> Duration {
         let routes = self.routes.as_ref();
-        routes.map_or(Duration::MAX, |routes| stream_lifetime(routes.config()))
+        routes.map_or(Duration::MAX, |routes| routes.stream_lifetime())
     }
 
     /// Returns the zone whose coordinator records the origin of a stream in addition
