--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -18,7 +18,7 @@
 use reedford_fleet::ownership::{Holder, Role};
 use reedford_fleet::pushback::Pushback;
 use reedford_fleet::scheduler::{AdapterKey, Grant, PlacementId};
-use reedford_fleet::stream_versions::{StreamVersions, stream_lifetime};
+use reedford_fleet::stream_versions::StreamVersions;
 use reedford_fleet::zones::ZoneReport;
 use reedford_fleet::{InstanceId, Now, WeightVersion, ZoneId};
 use reedford_store::{EraTracker, Position};
@@ -223,7 +223,7 @@
     /// Returns how long after its first event a stream may be resumed.
     pub(crate) fn stream_lifetime(&self) -> Duration {
         let routes = self.routes.as_ref();
-        routes.map_or(Duration::MAX, |routes| stream_lifetime(routes.config()))
+        routes.map_or(Duration::MAX, |routes| routes.stream_lifetime())
     }
 
     /// Returns the zone whose coordinator records the origin of a stream in addition
