Leaving instances: the scheduler learns at once, and a restarted coordinator again

Found in a read-through. The task that reports leaving instances sent the refresh to this node's own scheduler only after its reports, which take up to 0.5 s while another coordinator can't be reached; it now does so independently. Reports were remembered by the coordinator's address, so that one that was restarted and got the role again could be left without them; they are remembered by address and fencing token. What a response's head states is recorded in a module of its own.

Neither fault has a test of its own.

--- a/crates/gateway/src/departures.rs
+++ b/crates/gateway/src/departures.rs
@@ -5,10 +5,10 @@
 //! pass it on to the nodes of their zones with the change feeds.
 
 use crate::coordinator::{Command, CommandTx};
-use crate::dialect::ResponseHead;
 use crate::peer::PeerClients;
 use crate::state::Shared;
 use reedford_fleet::departures::{DepartureSource, LeavingInstances};
+use reedford_fleet::ownership::{Fence, Holder};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -32,8 +32,8 @@
     pub(crate) own_addr: SocketAddr,
 }
 
-/// Announcements reported to each coordinator.
-type Reported = BTreeMap<SocketAddr, LeavingInstances>;
+/// Announcements reported to each coordinator, by its address and fencing token.
+type Reported = BTreeMap<(SocketAddr, Fence), LeavingInstances>;
 
 impl Shared {
     /// Records that the incarnation of an instance with the start time `born`
@@ -54,43 +54,12 @@
         self.publish_departures();
     }
 
-    /// Records what the head of a response states of its instance, whose
-    /// incarnation has the start time `born`.
-    pub(crate) fn on_response_head(&self, id: &str, born: u64, head: &ResponseHead) {
-        if head.leaving {
-            self.on_departure(id, born, DepartureSource::Response);
-        }
-        match &head.pushback {
-            Some(Ok(pause)) => self.on_pushback(id, born, *pause),
-            Some(Err(text)) => {
-                tracing::warn!(event = "pushback_unreadable", instance = id, value = %text);
-            }
-            None => {
-                let now = self.now();
-                self.lock().pushback.on_response(id, now);
-            }
-        }
-    }
-
-    fn on_pushback(&self, id: &str, born: u64, pause: Duration) {
-        let now = self.now();
-        let until = self.lock().pushback.record(id, born, pause, now);
-        tracing::info!(
-            event = "instance_pushback",
-            instance = id,
-            born,
-            asked_ms = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX),
-            held_ms = until.saturating_sub(now).as_millis() as u64
-        );
-        self.instances_changed.notify_one();
-    }
-
     /// Makes the announcements that the store does not show available to other
     /// nodes.
     pub(crate) fn publish_departures(&self) {
         let unlisted = self.lock().directory.unlisted_departures();
         if self.feeds.set_leaving(unlisted) {
-            self.instances_changed.notify_one();
+            self.instances_changed.send_replace(());
         }
     }
 }
@@ -98,24 +67,38 @@
 impl DeparturesReporter {
     /// Runs until the node stops.
     pub(crate) async fn run(self, stop: CancellationToken) {
+        let running = async { tokio::join!(self.refresh(), self.report_changes()) };
+        stop.run_until_cancelled(running).await;
+    }
+
+    /// Lets this node's scheduler know of each change at once.
+    async fn refresh(&self) {
+        let mut changed = self.shared.instances_changed.subscribe();
+        while changed.changed().await.is_ok() {
+            self.commands.send(Command::Refresh);
+        }
+    }
+
+    async fn report_changes(&self) {
         let mut reported = Reported::new();
-        let reporting = async {
-            loop {
-                let holder_changed = self.shared.holder_changed.notified();
-                let mut holder_changed = std::pin::pin!(holder_changed);
-                holder_changed.as_mut().enable();
-                let complete = self.report_all(&mut reported).await;
-                tokio::select! {
-                    () = self.shared.instances_changed.notified() => {
-                        self.commands.send(Command::Refresh);
-                        sleep(COLLECTION_TIME).await;
+        let mut changed = self.shared.instances_changed.subscribe();
+        loop {
+            let holder_changed = self.shared.holder_changed.notified();
+            let mut holder_changed = std::pin::pin!(holder_changed);
+            holder_changed.as_mut().enable();
+            changed.mark_unchanged();
+            let complete = self.report_all(&mut reported).await;
+            tokio::select! {
+                changed = changed.changed() => {
+                    if changed.is_err() {
+                        return;
                     }
-                    () = holder_changed => {}
-                    () = sleep(RETRY_PAUSE), if !complete => {}
+                    sleep(COLLECTION_TIME).await;
                 }
+                () = holder_changed => {}
+                () = sleep(RETRY_PAUSE), if !complete => {}
             }
-        };
-        stop.run_until_cancelled(reporting).await;
+        }
     }
 
     /// Reports to each coordinator what it was not sent yet. Returns whether all
@@ -124,7 +107,7 @@
         let due = self.due_reports(reported);
         let reports = due
             .iter()
-            .map(|(addr, leaving)| self.report(*addr, leaving));
+            .map(|((addr, _), leaving)| self.report(*addr, leaving));
         let arrived = futures::future::join_all(reports).await;
         let complete = arrived.iter().all(|arrived| *arrived);
         let sent = due.into_iter().zip(arrived).filter(|(_, arrived)| *arrived);
@@ -132,26 +115,26 @@
         complete
     }
 
-    fn due_reports(&self, reported: &mut Reported) -> Vec<(SocketAddr, LeavingInstances)> {
+    fn due_reports(&self, reported: &mut Reported) -> Vec<((SocketAddr, Fence), LeavingInstances)> {
         let state = self.shared.lock();
-        let own = state.role.holder().map(|h| h.addr);
-        let (targets, leaving): (Vec<SocketAddr>, _) = if own == Some(self.own_addr) {
-            let others = state.other_coordinators.values().map(|h| h.addr);
+        let own = state.role.holder();
+        let target = |holder: &Holder| (holder.addr, holder.fence);
+        let (targets, leaving): (Vec<_>, _) = if own.is_some_and(|h| h.addr == self.own_addr) {
+            let others = state.other_coordinators.values().map(target);
             (others.collect(), state.directory.unlisted_departures())
         } else {
             let received = state.directory.received_departures();
-            (own.into_iter().collect(), received)
+            (own.map(target).into_iter().collect(), received)
         };
         drop(state);
-        // A node that becomes coordinator again may have been restarted meanwhile.
-        reported.retain(|addr, _| targets.contains(addr));
-        let is_new = |addr: &SocketAddr, (id, born): (&_, &u64)| {
-            reported.get(addr).and_then(|r| r.get(id)) != Some(born)
+        reported.retain(|target, _| targets.contains(target));
+        let is_new = |target: &_, (id, born): (&_, &u64)| {
+            reported.get(target).and_then(|r| r.get(id)) != Some(born)
         };
         let due = targets
             .into_iter()
-            .filter(|addr| leaving.iter().any(|l| is_new(addr, l)));
-        due.map(|addr| (addr, leaving.clone())).collect()
+            .filter(|target| leaving.iter().any(|l| is_new(target, l)));
+        due.map(|target| (target, leaving.clone())).collect()
     }
 
     async fn report(&self, addr: SocketAddr, leaving: &LeavingInstances) -> bool {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod progress;
 mod relay;
 mod reply;
+mod response_head;
 mod sender;
 mod settings;
 mod state;
--- /dev/null
+++ b/crates/gateway/src/response_head.rs
@@ -0,0 +1,39 @@
+//! Records what instances state of themselves in the heads of their responses.
+
+use crate::dialect::ResponseHead;
+use crate::state::Shared;
+use reedford_fleet::departures::DepartureSource;
+use std::time::Duration;
+
+impl Shared {
+    /// Records whether an instance, whose incarnation has the start time `born`, is
+    /// leaving or asks this node to send nothing for a time.
+    pub(crate) fn on_response_head(&self, id: &str, born: u64, head: &ResponseHead) {
+        if head.leaving {
+            self.on_departure(id, born, DepartureSource::Response);
+        }
+        match &head.pushback {
+            Some(Ok(pause)) => self.on_pushback(id, born, *pause),
+            Some(Err(text)) => {
+                tracing::warn!(event = "pushback_unreadable", instance = id, value = %text);
+            }
+            None => {
+                let now = self.now();
+                self.lock().pushback.on_response(id, now);
+            }
+        }
+    }
+
+    fn on_pushback(&self, id: &str, born: u64, pause: Duration) {
+        let now = self.now();
+        let until = self.lock().pushback.record(id, born, pause, now);
+        tracing::info!(
+            event = "instance_pushback",
+            instance = id,
+            born,
+            asked_ms = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX),
+            held_ms = until.saturating_sub(now).as_millis() as u64
+        );
+        self.instances_changed.send_replace(());
+    }
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -40,9 +40,9 @@
     pub(crate) holder_changed: Notify,
     /// Notified when this zone has lost its coordinator.
     pub(crate) role_vacant: Notify,
-    /// Notified when the coordinator's task, or other nodes, have to learn what an
+    /// Changes when the coordinator's task, or other nodes, have to learn what an
     /// instance stated in a response.
-    pub(crate) instances_changed: Notify,
+    pub(crate) instances_changed: watch::Sender<()>,
     /// Notified when a call found no coordinator.
     pub(crate) coordinator_wanted: Notify,
     state: Mutex<State>,
@@ -108,7 +108,7 @@
             followed: watch::Sender::new(None),
             holder_changed: Notify::new(),
             role_vacant: Notify::new(),
-            instances_changed: Notify::new(),
+            instances_changed: watch::Sender::new(()),
             coordinator_wanted: Notify::new(),
             state: Mutex::new(State {
                 routes: None,
