--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 //! | module | decides |
 //! |---|---|
 //! | [`config`] | route and service of a call |
+//! | [`departures`] | which instances announced that they are leaving |
 //! | [`directory`] | which instances may be used, also during outages of the store |
 //! | [`scheduler`] | where model calls run, which adapters are loaded and evicted |
 //! | [`balancer`] | which instance of a plain service runs a call |
@@ -16,6 +17,7 @@
 //! | [`health`] | which instances are ejected after failures |
 //! | [`ownership`] | whether this node coordinates its availability zone |
 //! | [`stream_versions`] | at which service and software version a stream may be resumed |
+//! | [`pushback`] | which instances asked this node to send nothing for a time |
 //! | [`store_retries`] | when to try a store again that does not respond |
 //! | [`connectivity`] | whether this node is cut off from the store and its peers |
 //! | [`zones`] | which availability zone places a call |
@@ -24,15 +26,17 @@
 pub mod budget;
 pub mod config;
 pub mod connectivity;
+pub mod departures;
 pub mod directory;
 pub mod health;
 pub mod ownership;
+pub mod pushback;
 pub mod scheduler;
 pub mod store_retries;
 pub mod stream_versions;
 pub mod zones;
 
-pub use reedford_core::{InstanceId, Now, ZoneId};
+pub use reedford_core::{Era, InstanceId, Now, ZoneId};
 
 /// Id that a caller gives one attempt of its request.
 pub type AttemptId = Box<str>;
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -24,6 +24,7 @@
 mod prompt_cache;
 mod request;
 mod synchronize;
+mod unresolved;
 
 pub use order::{EngineReport, Order, OrderKind, OrderOutcome};
 pub use request::{
@@ -44,6 +45,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
+use unresolved::UnresolvedOrders;
 
 /// Half-life of the request counts by which adapters are selected for eviction;
 /// popularity shifts within seconds.
@@ -125,12 +127,26 @@
     pub load_time: Duration,
 }
 
+/// What a scheduler assumes about the orders to an engine, for logs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct OrderStatus {
+    /// Number of orders that the engine has accepted, if known.
+    pub accepted: Option<u64>,
+    /// Orders without a response that the engine may still carry out.
+    pub unresolved: usize,
+    /// Time since the last outcome of an order, if there was one.
+    pub outcome_age: Option<Duration>,
+}
+
 /// The scheduler of one zone.
 #[derive(Clone, Debug)]
 pub struct Scheduler {
     limits: Limits,
     specs: BTreeMap<Box<str>, EngineSpec>,
     engines: BTreeMap<InstanceId, EngineView>,
+    /// Orders without a response to engines that left the directory. They may be
+    /// carried out by the next incarnation under the same id.
+    departed: BTreeMap<InstanceId, UnresolvedOrders>,
     /// Newest known version of each adapter.
     versions: BTreeMap<AdapterKey, WeightVersion>,
     queue: Vec<QueuedCall>,
@@ -170,6 +186,7 @@
             limits,
             specs: BTreeMap::new(),
             engines: BTreeMap::new(),
+            departed: BTreeMap::new(),
             versions: BTreeMap::new(),
             queue: Vec::new(),
             running: BTreeMap::new(),
@@ -197,20 +214,35 @@
         match self.engines.get_mut(&instance.id) {
             Some(engine) if engine.born == instance.born && engine.addr == instance.addr => {
                 engine.ready = instance.state == InstanceState::Ready;
+                if !engine.ready {
+                    engine.cancel_unsent_orders();
+                }
             }
+            // The entry is older than a report of the engine.
+            Some(engine) if instance.born != 0 && instance.born < engine.born => {}
             _ => {
                 self.forget(&instance.id);
                 let rate = PrefillRate::new(self.mean_prefill_rate());
-                let engine = EngineView::new(instance, rate, now);
+                let mut unresolved = self.departed.remove(&instance.id).unwrap_or_default();
+                unresolved.outlive_incarnation(now);
+                let engine = EngineView::new(instance, rate, unresolved, now);
                 self.engines.insert(instance.id.clone(), engine);
             }
         }
     }
 
+    /// Sends no orders and no requests for reports to an engine before `until`.
+    pub fn hold_engine(&mut self, id: &str, until: Now) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.held_until = engine.held_until.max(until);
+        }
+    }
+
     /// Drops an engine that left the directory, with the calls granted to it.
     pub fn forget(&mut self, id: &str) {
-        if self.engines.remove(id).is_some() {
+        if let Some(engine) = self.engines.remove(id) {
             self.running.retain(|_, engine| &**engine != id);
+            self.departed.insert(id.into(), engine.into_unresolved());
         }
     }
 
@@ -413,6 +445,18 @@
         }
     }
 
+    /// Returns what is assumed about the orders to an engine.
+    #[must_use]
+    pub fn order_status(&self, id: &str, now: Now) -> Option<OrderStatus> {
+        let engine = self.engines.get(id)?;
+        let outcome_at = engine.last_order_outcome_at;
+        Some(OrderStatus {
+            accepted: engine.accepted_orders,
+            unresolved: engine.unresolved.len(),
+            outcome_age: (outcome_at > Now::ZERO).then(|| now.saturating_sub(outcome_at)),
+        })
+    }
+
     /// Returns the adapters that each engine holds or loads; engines without any
     /// are included.
     #[must_use]
@@ -431,6 +475,10 @@
         }
         if now >= self.next_prune {
             self.popularity.prune(now);
+            self.departed.retain(|_, orders| {
+                orders.outlive_incarnation(now);
+                orders.len() > 0
+            });
             self.next_prune = now + PRUNE_INTERVAL;
         }
     }
--- a/crates/fleet/src/scheduler/placement.rs
+++ b/crates/fleet/src/scheduler/placement.rs
@@ -397,7 +397,8 @@
         now: Now,
     ) -> Option<(Prerequisite, Duration)> {
         let version = self.versions.get(key).copied();
-        let load = self.load_estimate.expected(warm);
+        let held = engine.held_until.saturating_sub(now);
+        let load = held + self.load_estimate.expected(warm);
         let Some(copy) = engine.copies.get(key) else {
             if engine.pending_loads() < MAX_LOADS_PER_ENGINE && self.may_load(warm, round) {
                 if engine.copies.len() < adapter_slots as usize {
@@ -420,9 +421,15 @@
             // Replacing a version has to wait for the calls that run on it.
             CopyState::Resident if copy.running_calls == 0 => Some((
                 Prerequisite::Load { evict: None },
-                self.load_estimate.expected(false),
+                held + self.load_estimate.expected(false),
             )),
             CopyState::Resident | CopyState::Evicting => None,
+            CopyState::Unresolved => {
+                let fits = engine.copies.len() <= adapter_slots as usize
+                    && engine.pending_loads() < MAX_LOADS_PER_ENGINE
+                    && self.may_load(warm, round);
+                fits.then_some((Prerequisite::Load { evict: None }, load))
+            }
             CopyState::Ordered => Some((Prerequisite::LoadCompletion, load)),
             CopyState::Loading(at) => Some((Prerequisite::LoadCompletion, at.saturating_sub(now))),
         }
@@ -542,7 +549,8 @@
 /// Returns the cost of loading an adapter on an engine in addition to the load's
 /// duration.
 fn load_cost(engine: &EngineView, key: &AdapterKey, warm: bool) -> Duration {
-    if engine.copies.contains_key(key) {
+    let copy = engine.copies.get(key);
+    if copy.is_some_and(|c| c.state != CopyState::Unresolved) {
         Duration::ZERO
     } else if warm {
         WARM_LOAD_COST
--- a/crates/fleet/src/scheduler/request.rs
+++ b/crates/fleet/src/scheduler/request.rs
@@ -92,6 +92,8 @@
     pub instance: InstanceId,
     /// Address of the instance.
     pub addr: SocketAddr,
+    /// Start time of the instance's incarnation, in Unix milliseconds.
+    pub born: u64,
     /// Version of the adapter on the instance, if known.
     pub version: Option<WeightVersion>,
 }
@@ -123,6 +125,8 @@
     /// The call resumes a stream, and no instance of the software version that
     /// began it accepts calls.
     VersionGone,
+    /// All instances asked the calling node to send nothing for a time.
+    Held,
 }
 
 impl RefusalReason {
@@ -135,6 +139,7 @@
             Self::NoEngine => "no_engine",
             Self::UnknownVersion => "unknown_version",
             Self::VersionGone => "version_gone",
+            Self::Held => "held",
         }
     }
 }
--- a/crates/fleet/tests/directory.rs
+++ b/crates/fleet/tests/directory.rs
@@ -1,6 +1,7 @@
 //! Which instances may be used, also during outages of the store.
 
 use reedford_fleet::Now;
+use reedford_fleet::departures::{DepartureSource, LeavingInstances};
 use reedford_fleet::directory::{
     ABSENCE_GRACE, Absence, Directory, DirectoryChange, Instance, InstanceState,
 };
@@ -178,3 +179,118 @@
     assert_eq!(only.map(|version| &**version), case.only);
     assert_eq!(directory.only_version("other", case.since), None);
 }
+
+struct DepartureCase {
+    /// Entries that arrive before and after the incarnation with the start time 5
+    /// announces that it is leaving.
+    before: Option<Instance>,
+    after: Option<Instance>,
+    usable: bool,
+    /// Whether other nodes have to learn of it.
+    passed_on: bool,
+}
+
+#[test_case(DepartureCase { before: Some(ready("a", 5)), after: None, usable: false, passed_on: true }; "ready according to the store")]
+#[test_case(DepartureCase { before: Some(ready("a", 5)), after: Some(ready("a", 5)), usable: false, passed_on: true }; "heartbeat")]
+#[test_case(DepartureCase {
+    before: Some(ready("a", 5)),
+    after: Some(instance("a", 5, 7_001, InstanceState::Ready)),
+    usable: false,
+    passed_on: true,
+}; "at another address")]
+#[test_case(DepartureCase {
+    before: Some(ready("a", 5)),
+    after: Some(instance("a", 5, 7_000, InstanceState::Leaving)),
+    usable: false,
+    passed_on: false,
+}; "the store shows it")]
+#[test_case(DepartureCase { before: Some(ready("a", 5)), after: Some(ready("a", 6)), usable: true, passed_on: false }; "restarted")]
+#[test_case(DepartureCase { before: Some(ready("a", 6)), after: None, usable: true, passed_on: false }; "announced by an earlier incarnation")]
+#[test_case(DepartureCase { before: Some(ready("a", 4)), after: None, usable: false, passed_on: true }; "announced by a later incarnation")]
+#[test_case(DepartureCase { before: None, after: Some(ready("a", 5)), usable: false, passed_on: true }; "announced before its entry is known")]
+fn an_announcement_that_an_instance_is_leaving_overrides_its_entry(case: DepartureCase) {
+    let mut directory = Directory::default();
+    case.before
+        .map(|entry| directory.on_entry(entry, Now::ZERO));
+    directory.on_departure("a", 5, DepartureSource::Node, Now::ZERO);
+    case.after.map(|entry| directory.on_entry(entry, Now::ZERO));
+    assert_eq!(directory.ready("s").count() == 1, case.usable);
+    assert_eq!(directory.is_leaving_or_removed("a"), !case.usable);
+    let passed_on = !directory.unlisted_departures().is_empty();
+    assert_eq!(passed_on, case.passed_on);
+}
+
+/// An entry may expire and reappear, e.g. after an outage of the store.
+#[test]
+fn an_announcement_outlives_the_entry_of_its_instance() {
+    let mut directory = Directory::default();
+    directory.on_entry(ready("a", 5), Now::ZERO);
+    assert!(directory.on_departure("a", 5, DepartureSource::Response, Now::ZERO));
+    assert!(!directory.on_departure("a", 5, DepartureSource::Node, Now::ZERO));
+    directory.on_removed("a", Now::ZERO);
+    assert!(directory.unlisted_departures().is_empty());
+    directory.on_entry(ready("a", 5), Now::ZERO);
+    assert!(directory.is_leaving_or_removed("a"));
+    let received = LeavingInstances::from([("a".into(), 5)]);
+    assert_eq!(directory.received_departures(), received);
+}
+
+#[test]
+fn the_announcements_passed_on_are_bounded_to_the_latest() {
+    let mut directory = Directory::default();
+    for n in 0..2_000 {
+        let id = format!("i{n}");
+        directory.on_entry(ready(&id, 5), Now::ZERO);
+        directory.on_departure(&id, 5, DepartureSource::Node, Duration::from_millis(n));
+    }
+    let passed_on = directory.unlisted_departures();
+    assert!((1..=128).contains(&passed_on.len()));
+    assert!(passed_on.contains_key("i1999") && !passed_on.contains_key("i0"));
+}
+
+/// Entries of instances that this node knows to be gone or leaving, as listed by a
+/// store that was restored from a copy.
+struct RestoredEntryCase {
+    /// What the copy lists.
+    listed: Instance,
+    usable: bool,
+}
+
+/// Guards against calls to an instance that only the copy names ready.
+#[test_case(RestoredEntryCase { listed: ready("gone", 5), usable: false }; "removed")]
+#[test_case(RestoredEntryCase { listed: ready("leaving", 5), usable: false }; "leaving")]
+#[test_case(RestoredEntryCase { listed: ready("gone", 6), usable: true }; "removed, but started again")]
+#[test_case(RestoredEntryCase { listed: ready("leaving", 6), usable: true }; "leaving, but started again")]
+fn a_restored_store_does_not_bring_instances_back(case: RestoredEntryCase) {
+    let mut directory = Directory::default();
+    directory.on_entry(ready("gone", 5), Now::ZERO);
+    directory.on_removed("gone", Now::ZERO);
+    directory.on_entry(ready("leaving", 5), Now::ZERO);
+    directory.on_entry(
+        instance("leaving", 5, 7_000, InstanceState::Leaving),
+        Now::ZERO,
+    );
+    let listed = vec![case.listed.clone()];
+    let now = Duration::from_secs(5);
+    directory.on_listing(listed.clone(), Absence::Restored, now);
+    assert_eq!(directory.ready("s").count() == 1, case.usable);
+    directory.on_listing(listed, Absence::Removed, now * 2);
+    assert_eq!(
+        directory.ready("s").count() == 1,
+        case.usable,
+        "listed again"
+    );
+    directory.on_entry(ready("gone", 5), Now::ZERO);
+    assert!(directory.get("gone").is_some(), "it wrote its entry anew");
+}
+
+#[test]
+fn an_instance_that_a_restored_store_has_forgotten_is_kept_for_a_grace_time() {
+    let mut directory = Directory::default();
+    directory.on_entry(ready("a", 5), Now::ZERO);
+    directory.on_listing(Vec::new(), Absence::Restored, Now::ZERO);
+    directory.expire(ABSENCE_GRACE / 2);
+    assert!(directory.get("a").is_some());
+    directory.expire(ABSENCE_GRACE);
+    assert!(directory.get("a").is_none());
+}
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -228,6 +228,10 @@
         let in_own_zone = |zone: &str| zone == &*self.ctx.cfg.zone;
         for instance in state.directory.all().filter(|i| in_own_zone(&i.zone)) {
             scheduler.on_instance(instance, now);
+            let held_until = state.pushback.held_until(&instance.id, instance.born, now);
+            if let Some(until) = held_until {
+                scheduler.hold_engine(&instance.id, until);
+            }
         }
         let removed: Vec<_> = scheduler
             .held_adapters()
@@ -258,18 +262,14 @@
             }
             Command::OrderCompleted {
                 fence,
-                instance,
+                order,
                 outcome,
-            } => self.on_order_outcome(fence, &instance, outcome, now),
+            } => self.on_order_outcome(fence, &order, outcome, now),
             Command::ReportFetched {
                 fence,
                 instance,
                 report,
-            } => {
-                if self.term.as_ref().is_some_and(|t| t.fence == fence) {
-                    self.with_scheduler(|s| s.on_report(&instance, report.as_ref(), now));
-                }
-            }
+            } => self.on_report(fence, &instance, report.as_ref(), now),
         }
     }
 
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -33,7 +33,7 @@
 /// Retry delay sent to callers while this node has no configuration.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Retry delay sent to callers when there is no instance.
-const NO_INSTANCE_RETRY_AFTER: Duration = Duration::from_millis(250);
+pub(crate) const NO_INSTANCE_RETRY_AFTER: Duration = Duration::from_millis(250);
 /// Time without a response after which an idempotent call is retried, as a
 /// fraction of the route's objective.
 const RETRY_TIMEOUT_FACTOR: f64 = 0.8;
@@ -451,9 +451,10 @@
             return reply::plain_text(StatusCode::BAD_GATEWAY, "no instance answered");
         }
         let text = match refusal.reason {
-            RefusalReason::Overload | RefusalReason::Deadline | RefusalReason::NoEngine => {
-                "there is no room in time"
-            }
+            RefusalReason::Overload
+            | RefusalReason::Deadline
+            | RefusalReason::NoEngine
+            | RefusalReason::Held => "there is no room in time",
             RefusalReason::UnknownVersion | RefusalReason::VersionGone => {
                 "no instance can continue the stream"
             }
--- a/crates/gateway/src/peer_server.rs
+++ b/crates/gateway/src/peer_server.rs
@@ -10,11 +10,12 @@
 };
 use crate::state::Shared;
 use futures::StreamExt as _;
+use reedford_fleet::departures::{DepartureSource, LeavingInstances};
 use reedford_fleet::ownership::Holder;
 use reedford_fleet::scheduler::{PlacementId, Progress};
 use reedford_fleet::stream_versions::StreamOrigin;
-use reedford_fleet::{AttemptId, ZoneId};
-use reedford_store::KeyValue;
+use reedford_fleet::{AttemptId, Era, ZoneId};
+use reedford_store::{KeyValue, Position};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -131,8 +132,28 @@
         self.commands.send(Command::ZoneLoad(load));
     }
 
-    async fn news(self, _: Context, feed: Feed, after: i64, operators: i64) -> FeedResponse {
+    async fn leaving(self, _: Context, instances: LeavingInstances) {
+        for (id, born) in &instances {
+            self.shared.on_departure(id, *born, DepartureSource::Node);
+        }
+    }
+
+    async fn news(
+        self,
+        _: Context,
+        feed: Feed,
+        after: i64,
+        operators: i64,
+        era: Option<Era>,
+    ) -> FeedResponse {
         self.shared.lock().connectivity.on_success();
+        let after = Position {
+            era: era.unwrap_or_default(),
+            revision: after,
+        };
+        if let Some(era) = era {
+            self.shared.eras.observe(era);
+        }
         let clock = || self.shared.now();
         self.shared.feeds.poll(feed, after, operators, clock).await
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,7 +4,9 @@
 
 use crate::clock::Clock;
 use crate::feeds::Feeds;
+use crate::membership::ROLE_LEASE_TTL;
 use crate::peer::StreamRecord;
+use crate::settings::GatewaySettings;
 use crate::store_retries::StoreRetries;
 use reedford_core::rendezvous;
 use reedford_fleet::balancer::Balancer;
@@ -14,12 +16,15 @@
 use reedford_fleet::directory::{Directory, Instance};
 use reedford_fleet::health::Health;
 use reedford_fleet::ownership::{Holder, Role};
+use reedford_fleet::pushback::Pushback;
 use reedford_fleet::scheduler::{AdapterKey, Grant, PlacementId};
 use reedford_fleet::stream_versions::StreamVersions;
 use reedford_fleet::zones::ZoneReport;
 use reedford_fleet::{InstanceId, Now, WeightVersion, ZoneId};
+use reedford_store::{EraTracker, Position};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
@@ -27,14 +32,20 @@
 /// Limit on adapters whose last instance is recorded.
 const MAX_LAST_INSTANCES: usize = 4_096;
 
+/// Delay of a claim in a new era of the store by a node that did not hold the
+/// role. The last holder claims first, and the other nodes not all at once.
+const ERA_CLAIM_JITTER: Range<Duration> = Duration::from_millis(500)..Duration::from_secs(2);
+
 /// What a node's tasks share.
 #[derive(Debug)]
 pub(crate) struct Shared {
     pub(crate) clock: Clock,
     pub(crate) feeds: Feeds,
     pub(crate) store_retries: StoreRetries,
-    /// Newest revision of operators' keys that another node reported.
-    pub(crate) operators_revision: watch::Sender<i64>,
+    /// Newest era of the store that this node knows.
+    pub(crate) eras: EraTracker,
+    /// Position of the newest of operators' keys that another node reported.
+    pub(crate) operators_position: watch::Sender<Position>,
     /// Coordinator whose feed of the instances this node polls successfully.
     pub(crate) followed: watch::Sender<Option<SocketAddr>>,
     /// Notified when the coordinator of an availability zone becomes known or
@@ -42,6 +53,9 @@
     pub(crate) holder_changed: Notify,
     /// Notified when this zone has lost its coordinator.
     pub(crate) role_vacant: Notify,
+    /// Changes when the coordinator's task, or other nodes, have to learn what an
+    /// instance stated in a response.
+    pub(crate) instances_changed: watch::Sender<()>,
     /// Notified when a call found no coordinator.
     pub(crate) coordinator_wanted: Notify,
     state: Mutex<State>,
@@ -56,6 +70,7 @@
     pub(crate) versions: BTreeMap<AdapterKey, WeightVersion>,
     pub(crate) health: Health,
     pub(crate) balancer: Balancer,
+    pub(crate) pushback: Pushback,
     pub(crate) budget: RetryBudget,
     pub(crate) role: Role,
     pub(crate) zone: ZoneId,
@@ -99,15 +114,18 @@
         role: Role,
         retries: RetryLimits,
         staleness_limit: Duration,
+        eras: EraTracker,
     ) -> Self {
         Self {
             clock: Clock::start(),
             feeds: Feeds::new(staleness_limit),
             store_retries: StoreRetries::new(staleness_limit),
-            operators_revision: watch::Sender::new(0),
+            eras,
+            operators_position: watch::Sender::new(Position::default()),
             followed: watch::Sender::new(None),
             holder_changed: Notify::new(),
             role_vacant: Notify::new(),
+            instances_changed: watch::Sender::new(()),
             coordinator_wanted: Notify::new(),
             state: Mutex::new(State {
                 routes: None,
@@ -116,6 +134,7 @@
                 versions: BTreeMap::new(),
                 health: Health::default(),
                 balancer: Balancer::default(),
+                pushback: Pushback::default(),
                 budget: RetryBudget::new(retries),
                 role,
                 zone,
@@ -137,6 +156,25 @@
     pub(crate) fn now(&self) -> Now {
         self.clock.now()
     }
+
+    /// Applies the store's newest era to the coordinator role. Returns whether the
+    /// era has risen.
+    pub(crate) fn apply_era(&self, cfg: &GatewaySettings) -> bool {
+        let Some(era) = self.eras.known() else {
+            return false;
+        };
+        let now = self.now();
+        let ttl = ROLE_LEASE_TTL.max(cfg.min_lease_ttl);
+        let jitter = rand::random_range(ERA_CLAIM_JITTER);
+        let mut state = self.lock();
+        let held = state.role.held_fence();
+        let risen = state.role.on_era(era, ttl, jitter, now);
+        if risen {
+            tracing::warn!(event = "store_era", zone = %cfg.zone, %era,
+                ended_fence = held.unwrap_or(0));
+        }
+        risen
+    }
 }
 
 impl State {
@@ -208,6 +246,12 @@
         self.stream_versions.expire(lifetime, now);
     }
 
+    /// Returns when a call may be sent to an instance, as far as it asked this node
+    /// to wait; `now` if at once.
+    pub(crate) fn available_at(&self, instance: &Instance, now: Now) -> Now {
+        self.pushback.available_at(&instance.id, instance.born, now)
+    }
+
     /// Returns an instance if it accepts calls.
     pub(crate) fn ready_instance(&self, id: &str) -> Option<&Instance> {
         let instance = self.directory.get(id)?;
