--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -292,9 +292,11 @@
             reedford_targets::read_body(&self.sender.pool, response.incoming, left, Some(deadline))
                 .await;
         let response = whole.map_err(|reason| {
+            let why = lost_reason(reason);
             self.sender
                 .record_outcome(&attempt.grant, CallOutcome::Failed);
-            lost_reason(reason)
+            self.sender.on_broken(call, &attempt.grant, why, None);
+            why
         })?;
         let outcome = if response.status.is_server_error() {
             CallOutcome::Failed
--- a/crates/gateway/src/handler/attempt.rs
+++ b/crates/gateway/src/handler/attempt.rs
@@ -7,7 +7,7 @@
 use crate::placer::Placement;
 use crate::state::LocalCall;
 use reedford_fleet::scheduler::{Grant, PlacementId, Progress, Refusal, Rejection};
-use reedford_fleet::{InstanceId, SoftwareVersion, ZoneId};
+use reedford_fleet::{InstanceId, Now, SoftwareVersion, ZoneId};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -30,7 +30,8 @@
     /// Whether the instance belongs to a plain service, whose calls the balancer
     /// counts.
     plain: bool,
-    started: bool,
+    /// When the first event of the response came.
+    pub(crate) first_event_at: Option<Now>,
     ended: bool,
 }
 
@@ -141,15 +142,15 @@
             software,
             granted_by: placement.coordinator,
             plain: !call.is_model_call,
-            started: false,
+            first_event_at: None,
             ended: false,
         }
     }
 
     /// Reports the first event of the response.
     pub(crate) fn report_started(&mut self) {
-        if !self.started {
-            self.started = true;
+        if self.first_event_at.is_none() {
+            self.first_event_at = Some(self.gateway.shared.now());
             if let Some(local) = self.gateway.shared.lock().running.get_mut(&self.grant.call) {
                 local.started = true;
             }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -91,6 +91,13 @@
                     return None;
                 }
                 Err(NoEvent::Broken(why)) => {
+                    let Attempt {
+                        grant,
+                        first_event_at,
+                        ..
+                    } = &self.attempt;
+                    let sender = &self.gateway.sender;
+                    sender.on_broken(&self.call, grant, why, *first_event_at);
                     self.attempt.end();
                     if !self.resume(why).await {
                         self.finish(why);
--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -5,12 +5,14 @@
 use crate::state::Shared;
 use http_body_util::Full;
 use hyper::{HeaderMap, Request};
+use reedford_fleet::Now;
 use reedford_fleet::health::CallOutcome;
-use reedford_fleet::scheduler::{Grant, Rejection};
+use reedford_fleet::scheduler::{Grant, PromptPart, Rejection};
 use reedford_targets::{
     CallError, Connection, HeadDeadline, IncomingResponse, LostReason, NotSentReason, Pool,
     send_request_on,
 };
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::timeout_at;
@@ -105,14 +107,31 @@
                 SendOutcome::NotRun(self.on_not_sent(call, grant, &reason))
             }
             Err(CallError::Lost(reason)) => {
+                let why = lost_reason(reason);
                 if reason != LostReason::Deadline {
                     self.record_outcome(grant, CallOutcome::Unreachable);
                 }
-                SendOutcome::Lost(lost_reason(reason))
+                self.on_broken(call, grant, why, None);
+                SendOutcome::Lost(why)
             }
         }
     }
 
+    /// Handles an attempt whose response broke off; `first_event_at` is when its first
+    /// event came, if one did.
+    pub(crate) fn on_broken(
+        &self,
+        call: &Call,
+        grant: &Grant,
+        why: &'static str,
+        first_event_at: Option<Now>,
+    ) {
+        let now = self.shared.now();
+        let answered_ms = first_event_at.map(|at| now.saturating_sub(at).as_millis() as u64);
+        tracing::info!(event = "attempt_broken", id = %call.id, instance = %grant.instance,
+            born = grant.born, why, answered_ms, parts = %PartIds(&call.head.prompt_parts));
+    }
+
     fn on_not_sent(&self, call: &Call, grant: &Grant, reason: &NotSentReason) -> Rejection {
         self.record_outcome(grant, CallOutcome::Unreachable);
         tracing::info!(event = "not_sent", id = %call.id, instance = %grant.instance, %reason);
@@ -221,6 +240,19 @@
     }
 }
 
+/// The ids of a prompt's parts, as callers write them.
+struct PartIds<'a>(&'a [PromptPart]);
+
+impl fmt::Display for PartIds<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (n, part) in self.0.iter().enumerate() {
+            let separator = if n == 0 { "" } else { "," };
+            write!(f, "{separator}{:x}", part.id)?;
+        }
+        Ok(())
+    }
+}
+
 /// Returns for how long a connection may be kept after a response; `None` if it
 /// must be closed.
 pub(crate) fn idle_timeout(headers: &HeaderMap) -> Option<Duration> {
