--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,6 +17,7 @@
 //! | [`health`] | which instances are ejected after failures |
 //! | [`ownership`] | whether this node coordinates its availability zone |
 //! | [`stream_versions`] | at which service and software version a stream may be resumed |
+//! | [`quarantine`] | which prompts are refused because instances crash under a part of them |
 //! | [`pushback`] | which instances asked this node to send nothing for a time |
 //! | [`store_retries`] | when to try a store again that does not respond |
 //! | [`connectivity`] | whether this node is cut off from the store and its peers |
@@ -31,6 +32,7 @@
 pub mod health;
 pub mod ownership;
 pub mod pushback;
+pub mod quarantine;
 pub mod scheduler;
 pub mod store_retries;
 pub mod stream_versions;
--- a/crates/fleet/src/scheduler/request.rs
+++ b/crates/fleet/src/scheduler/request.rs
@@ -127,6 +127,8 @@
     VersionGone,
     /// All instances asked the calling node to send nothing for a time.
     Held,
+    /// Instances crash under a part of the call's prompt.
+    Quarantined,
 }
 
 impl RefusalReason {
@@ -140,6 +142,7 @@
             Self::UnknownVersion => "unknown_version",
             Self::VersionGone => "version_gone",
             Self::Held => "held",
+            Self::Quarantined => "quarantined",
         }
     }
 }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -2,18 +2,19 @@
 
 use crate::calls_report::CallsReporter;
 use crate::coordinator::{Command, CommandTx, Coordinator, CoordinatorContext, command_queue};
-use crate::departures::DeparturesReporter;
 use crate::dialect::Dialect;
 use crate::feeds::Feed;
 use crate::handler::{CallerService, Gateway};
 use crate::log::Log;
 use crate::membership::{CoordinatorKeys, Membership, ZONE_PREFIX};
 use crate::metrics::Metrics;
+use crate::notices::NoticesReporter;
 use crate::peer::PeerClients;
 use crate::peer_server::PeerServer;
 use crate::placer::Placer;
 use crate::probes::{MetricsEndpoint, Readiness};
 use crate::progress::progress_queue;
+use crate::quarantine_record::QuarantineRecord;
 use crate::sender::Sender;
 use crate::settings::GatewaySettings;
 use crate::state::Shared;
@@ -201,14 +202,21 @@
         };
         node.tasks
             .spawn(calls_reporter.run(node.background.clone()));
-        let departures_reporter = DeparturesReporter {
+        let notices_reporter = NoticesReporter {
             shared: Arc::clone(&shared),
             peers: Arc::clone(&peers),
             commands: commands.clone(),
             own_addr: cfg.peers,
         };
         node.tasks
-            .spawn(departures_reporter.run(node.background.clone()));
+            .spawn(notices_reporter.run(node.background.clone()));
+        let quarantine_record = QuarantineRecord {
+            cfg: Arc::clone(&cfg),
+            shared: Arc::clone(&shared),
+            store: Arc::clone(&stores.short_poll),
+        };
+        node.tasks
+            .spawn(quarantine_record.run(node.background.clone()));
         let sync = Arc::new(StoreSync {
             dialect: Arc::clone(&dialect),
             stores: StoreClients {
--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -16,6 +16,7 @@
 
 use reedford_fleet::departures::LeavingInstances;
 use reedford_fleet::directory::{ABSENCE_GRACE, Absence};
+use reedford_fleet::quarantine::{Evidence, EvidenceReport};
 use reedford_fleet::{Era, Now};
 use reedford_store::{Change, ChangeKind, Changes, Entry, Listing, Position};
 use serde::{Deserialize, Serialize};
@@ -40,6 +41,9 @@
 /// gets a listing.
 const MAX_LOGGED_CHANGES: usize = 512;
 
+/// Crashes under a part of a prompt from which other nodes learn of it.
+const MIN_REPORTED_CRASHES: usize = 2;
+
 /// A part of the store that the coordinator passes on.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub(crate) enum Feed {
@@ -72,6 +76,28 @@
     /// Instances that are leaving although the store does not show it.
     #[serde(default)]
     pub(crate) leaving: LeavingInstances,
+    /// Evidence on prompts under which instances crash, if the requesting node has
+    /// another revision of it.
+    #[serde(default)]
+    pub(crate) evidence: Option<EvidenceNews>,
+}
+
+/// Evidence on prompts under which instances crash.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct EvidenceNews {
+    /// Unique among all revisions of the node that sends it.
+    pub(crate) revision: u64,
+    pub(crate) report: EvidenceReport,
+}
+
+/// What a node that polls a feed knows already of the data beside it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct KnownMetadata {
+    /// Newest revision of operators' keys in the era of the known position.
+    pub(crate) operators: i64,
+    /// Revision of this node's evidence that the requesting node has, 0 if none;
+    /// `None` if it wants none.
+    pub(crate) evidence: Option<u64>,
 }
 
 /// Response to a poll of a feed.
@@ -119,6 +145,9 @@
     nodes: usize,
     /// Instances that are leaving although the store does not show it.
     leaving: LeavingInstances,
+    evidence: Evidence,
+    /// Revision of the evidence.
+    evidence_revision: u64,
 }
 
 #[derive(Debug, Default)]
@@ -156,7 +185,11 @@
     /// Creates feeds for nodes that have to follow changes within a limit.
     pub(crate) fn new(staleness_limit: Duration) -> Self {
         Self {
-            feeds: Mutex::default(),
+            feeds: Mutex::new(State {
+                // An earlier process may have had this address.
+                evidence_revision: u64::from(rand::random::<u32>()) << u32::BITS,
+                ..State::default()
+            }),
             changed: Notify::new(),
             max_age: staleness_limit.mul_f64(MAX_FEED_AGE_SHARE),
         }
@@ -261,15 +294,26 @@
         true
     }
 
+    /// Sets the evidence on prompts under which instances crash.
+    pub(crate) fn set_evidence(&self, evidence: Evidence) {
+        let mut state = self.lock();
+        if state.evidence == evidence {
+            return;
+        }
+        state.evidence = evidence;
+        state.evidence_revision += 1;
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
     /// Returns the changes after a position, or all keys if its revision is 0 or
     /// too old or its era has passed; waits for a change if there is none.
-    /// `operators` is the newest revision of operators' keys that the requesting
-    /// node knows in that era. `clock` returns the current time.
+    /// `clock` returns the current time.
     pub(crate) async fn poll<C>(
         &self,
         feed: Feed,
         after: Position,
-        operators: i64,
+        metadata: KnownMetadata,
         clock: C,
     ) -> FeedResponse
     where
@@ -278,19 +322,25 @@
         let changed = self.changed.notified();
         let mut changed = std::pin::pin!(changed);
         changed.as_mut().enable();
-        let first = self.response(feed, after, clock());
+        let first = self.response(feed, after, metadata.evidence, clock());
         let limit = match &first {
             FeedResponse::Unknown => UNAVAILABLE_POLL_TIMEOUT,
-            known if known.has_nothing_after(operators) => POLL_TIMEOUT,
+            known if known.has_nothing_after(metadata.operators) => POLL_TIMEOUT,
             _ => return first,
         };
         if timeout(limit, changed).await.is_err() {
             tracing::trace!(event = "no_news");
         }
-        self.response(feed, after, clock())
+        self.response(feed, after, metadata.evidence, clock())
     }
 
-    fn response(&self, feed: Feed, after: Position, now: Now) -> FeedResponse {
+    fn response(
+        &self,
+        feed: Feed,
+        after: Position,
+        known_evidence: Option<u64>,
+        now: Now,
+    ) -> FeedResponse {
         let state = self.lock();
         let known = state.by_feed.get(&feed);
         let Some(known) = known.filter(|f| f.era >= after.era) else {
@@ -298,7 +348,13 @@
         };
         let era = known.era;
         let operators = Some(state.operators).filter(|position| position.era == era);
+        let revision = state.evidence_revision;
+        let has_news = known_evidence.is_some_and(|known| known != revision);
         let metadata = FeedMetadata {
+            evidence: has_news.then(|| EvidenceNews {
+                revision,
+                report: state.evidence.report(MIN_REPORTED_CRASHES, now),
+            }),
             operators: operators.map_or(0, |position| position.revision),
             nodes: state.nodes,
             leaving: state.leaving.clone(),
@@ -348,7 +404,7 @@
         match self {
             Self::Changes {
                 items, metadata, ..
-            } => items.is_empty() && metadata.operators <= known,
+            } => items.is_empty() && metadata.operators <= known && metadata.evidence.is_none(),
             Self::Listing { .. } | Self::Unknown => false,
         }
     }
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -304,6 +304,9 @@
             CallOutcome::Good
         };
         self.sender.record_outcome(&attempt.grant, outcome);
+        if outcome == CallOutcome::Good {
+            self.shared.on_answered(call);
+        }
         let (status, headers) = (response.status, response.headers.clone());
         let body = match idle_timeout {
             Some(idle_timeout) => {
@@ -410,7 +413,7 @@
             Moved::Switched(next, sent) => {
                 self.sender.on_silent(&attempt.grant);
                 attempts.tried.insert(attempt.grant.instance.clone());
-                *attempt = next;
+                *attempt = *next;
                 sent
             }
         };
@@ -460,6 +463,7 @@
             RefusalReason::UnknownVersion | RefusalReason::VersionGone => {
                 "no instance can continue the stream"
             }
+            RefusalReason::Quarantined => "instances crash under a part of the prompt",
         };
         self.reply_unavailable(text, refusal.retry_after)
     }
--- a/crates/gateway/src/handler/attempt.rs
+++ b/crates/gateway/src/handler/attempt.rs
@@ -6,6 +6,7 @@
 use crate::dialect::Dialect;
 use crate::placer::Placement;
 use crate::state::LocalCall;
+use reedford_fleet::quarantine::BLAME_TIME;
 use reedford_fleet::scheduler::{Grant, PlacementId, Progress, Refusal, Rejection};
 use reedford_fleet::{InstanceId, Now, SoftwareVersion, ZoneId};
 use std::collections::BTreeSet;
@@ -32,6 +33,8 @@
     plain: bool,
     /// When the first event of the response came.
     pub(crate) first_event_at: Option<Now>,
+    /// Whether it was recorded that the instance answers the call.
+    answer_recorded: bool,
     ended: bool,
 }
 
@@ -46,6 +49,9 @@
         tried: &BTreeSet<InstanceId>,
     ) -> Result<Attempt<D>, Refusal> {
         let requested = self.shared.now();
+        if let Some(refusal) = self.shared.quarantine_refusal(call, requested) {
+            return Err(refusal);
+        }
         let placement = if call.is_model_call {
             self.find_engine(call, tried.clone()).await?
         } else {
@@ -66,7 +72,8 @@
     /// Requests an engine from the coordinator. It may grant an engine that is
     /// leaving or has been restarted with another software version, if it is cut
     /// off from the store, or one that asked this node to wait; such a grant is
-    /// given back and another engine is requested.
+    /// given back and another engine is requested. So is the grant of a call whose
+    /// prompt was quarantined while it waited; that call is refused.
     async fn find_engine(
         self: &Arc<Self>,
         call: &Call,
@@ -79,6 +86,13 @@
                 .request_engine(call, placement_id.clone(), &avoid)
                 .await?;
             let instance = placement.grant.instance.clone();
+            if let Some(refusal) = self.shared.quarantine_refusal(call, self.shared.now()) {
+                if let Some(coordinator) = placement.coordinator {
+                    let call = placement_id;
+                    self.progress.report(coordinator, call, Progress::Ended);
+                }
+                return Err(refusal);
+            }
             let Some(rejection) = self.unusable(call, &placement.grant) else {
                 return Ok(placement);
             };
@@ -143,12 +157,13 @@
             granted_by: placement.coordinator,
             plain: !call.is_model_call,
             first_event_at: None,
+            answer_recorded: false,
             ended: false,
         }
     }
 
     /// Reports the first event of the response.
-    pub(crate) fn report_started(&mut self) {
+    fn report_started(&mut self) {
         if self.first_event_at.is_none() {
             self.first_event_at = Some(self.gateway.shared.now());
             if let Some(local) = self.gateway.shared.lock().running.get_mut(&self.grant.call) {
@@ -158,6 +173,23 @@
         }
     }
 
+    /// Records that the instance answers the call, once it has done so for a while.
+    pub(crate) fn on_event(&mut self, call: &Call) {
+        self.report_started();
+        let now = self.gateway.shared.now();
+        if self.first_event_at.is_some_and(|at| now >= at + BLAME_TIME) {
+            self.on_answered(call);
+        }
+    }
+
+    /// Records that the instance has answered the call, if any event came.
+    pub(crate) fn on_answered(&mut self, call: &Call) {
+        if !self.answer_recorded && self.first_event_at.is_some() {
+            self.answer_recorded = true;
+            self.gateway.shared.on_answered(call);
+        }
+    }
+
     /// Reports that the instance did not run the call.
     pub(crate) fn report_rejected(&mut self, rejection: Rejection) {
         self.finish(Progress::Rejected(rejection));
--- a/crates/gateway/src/handler/replacement.rs
+++ b/crates/gateway/src/handler/replacement.rs
@@ -47,7 +47,7 @@
     Stayed(T),
     /// At another instance, with the outcome of the attempt there. The silent
     /// instance's connection is closed.
-    Switched(Attempt<D>, SendOutcome),
+    Switched(Box<Attempt<D>>, SendOutcome),
 }
 
 /// How an overlap of two instances ended.
@@ -110,9 +110,9 @@
             let second = self.sender.send_on(conn, call, &next.grant, last);
             match overlap(first, second, &is_lost).await {
                 Overlap::First(output) => return Moved::Stayed(output),
-                Overlap::Second(sent, None) => return Moved::Switched(next, sent),
+                Overlap::Second(sent, None) => return Moved::Switched(Box::new(next), sent),
                 Overlap::Second(sent, Some(_)) if sent.is_success() => {
-                    return Moved::Switched(next, sent);
+                    return Moved::Switched(Box::new(next), sent);
                 }
                 Overlap::Second(sent, Some(still_silent)) => {
                     first = still_silent;
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -5,6 +5,7 @@
 use futures::future::BoxFuture;
 use reedford_fleet::departures::LeavingInstances;
 use reedford_fleet::ownership::Holder;
+use reedford_fleet::quarantine::EvidenceReport;
 use reedford_fleet::scheduler::{
     AdapterHash, AdapterKey, Grant, PlacementId, PlacementRequest, Progress, PromptPart, Refusal,
     RunningCall,
@@ -136,12 +137,21 @@
     /// Reports instances that announced to the sender, or to a node that reported it
     /// to the sender, that they are leaving.
     async fn leaving(instances: LeavingInstances);
+    /// Reports what the sender knows of parts of prompts under which instances crash.
+    async fn crashes(report: EvidenceReport);
     /// Long-polls a coordinator for the changes of a feed after a revision, 0
     /// for all keys. `operators` is the newest revision of operators' keys that
     /// the sender knows. Both are revisions of `era`, the newest era of the store
-    /// that the sender knows. Responds within a
-    /// second.
-    async fn news(feed: Feed, after: i64, operators: i64, era: Option<Era>) -> FeedResponse;
+    /// that the sender knows. `evidence` is the revision of the receiver's evidence on
+    /// prompts that the sender has, 0 if none; `None` if it wants none. Responds within
+    /// a second.
+    async fn news(
+        feed: Feed,
+        after: i64,
+        operators: i64,
+        era: Option<Era>,
+        evidence: Option<u64>,
+    ) -> FeedResponse;
     /// Asks whether the platform's store responds to the receiver.
     async fn store_answers() -> bool;
     /// Asks which coordinator of a zone the receiver knows of.
--- a/crates/gateway/src/peer_server.rs
+++ b/crates/gateway/src/peer_server.rs
@@ -2,7 +2,7 @@
 //! coordinator's task.
 
 use crate::coordinator::{Command, CommandTx};
-use crate::feeds::{Feed, FeedResponse};
+use crate::feeds::{Feed, FeedResponse, KnownMetadata};
 use crate::membership::ZONE_PREFIX;
 use crate::peer::{
     CallsReport, Peer, PeerRequest, PeerResponse, PlaceRequest, PlaceResponse, StreamRecord,
@@ -12,6 +12,7 @@
 use futures::StreamExt as _;
 use reedford_fleet::departures::{DepartureSource, LeavingInstances};
 use reedford_fleet::ownership::Holder;
+use reedford_fleet::quarantine::EvidenceReport;
 use reedford_fleet::scheduler::{PlacementId, Progress};
 use reedford_fleet::stream_versions::StreamOrigin;
 use reedford_fleet::{AttemptId, Era, ZoneId};
@@ -138,6 +139,10 @@
         }
     }
 
+    async fn crashes(self, _: Context, report: EvidenceReport) {
+        self.shared.merge_evidence(&report, "node");
+    }
+
     async fn news(
         self,
         _: Context,
@@ -145,6 +150,7 @@
         after: i64,
         operators: i64,
         era: Option<Era>,
+        evidence: Option<u64>,
     ) -> FeedResponse {
         self.shared.lock().connectivity.on_success();
         let after = Position {
@@ -154,8 +160,12 @@
         if let Some(era) = era {
             self.shared.eras.observe(era);
         }
+        let known = KnownMetadata {
+            operators,
+            evidence,
+        };
         let clock = || self.shared.now();
-        self.shared.feeds.poll(feed, after, operators, clock).await
+        self.shared.feeds.poll(feed, after, known, clock).await
     }
 
     async fn store_answers(self, _: Context) -> bool {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -141,7 +141,7 @@
             self.attempts
                 .tried
                 .insert(self.attempt.grant.instance.clone());
-            self.attempt = next;
+            self.attempt = *next;
             match sent {
                 SendOutcome::Response(response) if response.incoming.status.is_success() => {
                     self.source = Some(EventSource::new(*response));
@@ -186,7 +186,7 @@
             self.gateway
                 .record_origin(&mut self.call, instance, software);
         }
-        self.attempt.report_started();
+        self.attempt.on_event(&self.call);
     }
 
     /// Handles the end of the body. If it ended within an event, returns
@@ -202,6 +202,7 @@
         self.gateway
             .sender
             .record_outcome(&self.attempt.grant, CallOutcome::Good);
+        self.attempt.on_answered(&self.call);
         if let Some(idle_timeout) = source.idle_timeout {
             self.gateway
                 .sender
--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -7,15 +7,20 @@
 use hyper::{HeaderMap, Request};
 use reedford_fleet::Now;
 use reedford_fleet::health::CallOutcome;
+use reedford_fleet::quarantine::BLAME_TIME;
 use reedford_fleet::scheduler::{Grant, PromptPart, Rejection};
 use reedford_targets::{
     CallError, Connection, HeadDeadline, IncomingResponse, LostReason, NotSentReason, Pool,
     send_request_on,
 };
 use std::fmt;
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::timeout_at;
+use tokio::time::{sleep, timeout_at};
+
+/// Time that a process that ends needs to close its listener.
+const CRASH_CHECK_DELAY: Duration = Duration::from_millis(50);
 
 /// Sends calls to instances.
 #[derive(Debug)]
@@ -130,6 +135,31 @@
         let answered_ms = first_event_at.map(|at| now.saturating_sub(at).as_millis() as u64);
         tracing::info!(event = "attempt_broken", id = %call.id, instance = %grant.instance,
             born = grant.born, why, answered_ms, parts = %PartIds(&call.head.prompt_parts));
+        let is_blamed = first_event_at.is_none_or(|at| now < at + BLAME_TIME);
+        let has_ended = matches!(why, "closed" | "partial_event");
+        if is_blamed && has_ended && call.head.prompt_parts.len() > 1 {
+            self.check_for_crash(call, grant);
+        }
+    }
+
+    /// Records the crash of an instance if it refuses connections. One that accepts
+    /// them has only lost the connection of the call.
+    fn check_for_crash(&self, call: &Call, grant: &Grant) {
+        let pool = Arc::clone(&self.pool);
+        let shared = Arc::clone(&self.shared);
+        let (call, grant) = (call.clone(), grant.clone());
+        self.pool.spawn(async move {
+            sleep(CRASH_CHECK_DELAY).await;
+            match pool.connect(grant.addr).await {
+                Ok(conn) => pool.put(conn),
+                Err(NotSentReason::Connect(ErrorKind::ConnectionRefused)) => {
+                    shared.on_crash(&call, &grant);
+                }
+                Err(error) => {
+                    tracing::info!(event = "crash_unknown", instance = %grant.instance, %error);
+                }
+            }
+        });
     }
 
     fn on_not_sent(&self, call: &Call, grant: &Grant, reason: &NotSentReason) -> Rejection {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -17,6 +17,7 @@
 use reedford_fleet::health::Health;
 use reedford_fleet::ownership::{Holder, Role};
 use reedford_fleet::pushback::Pushback;
+use reedford_fleet::quarantine::Quarantine;
 use reedford_fleet::scheduler::{AdapterKey, Grant, PlacementId};
 use reedford_fleet::stream_versions::StreamVersions;
 use reedford_fleet::zones::ZoneReport;
@@ -56,6 +57,9 @@
     /// Changes when the coordinator's task, or other nodes, have to learn what an
     /// instance stated in a response.
     pub(crate) instances_changed: watch::Sender<()>,
+    /// Changes when other nodes have to learn what this one knows of parts of
+    /// prompts under which instances crash.
+    pub(crate) evidence_changed: watch::Sender<()>,
     /// Notified when a call found no coordinator.
     pub(crate) coordinator_wanted: Notify,
     state: Mutex<State>,
@@ -71,6 +75,7 @@
     pub(crate) health: Health,
     pub(crate) balancer: Balancer,
     pub(crate) pushback: Pushback,
+    pub(crate) quarantine: Quarantine,
     pub(crate) budget: RetryBudget,
     pub(crate) role: Role,
     pub(crate) zone: ZoneId,
@@ -84,6 +89,9 @@
     /// This node's model calls that engines run.
     pub(crate) running: BTreeMap<PlacementId, LocalCall>,
     pub(crate) connectivity: Connectivity,
+    /// Coordinator whose evidence on prompts this node has, and the revision of that
+    /// evidence there.
+    pub(crate) followed_evidence: Option<(SocketAddr, u64)>,
     /// Origins of the streams that this node relayed, and of those reported to it.
     pub(crate) stream_versions: StreamVersions,
     pub(crate) stopping: bool,
@@ -126,6 +134,7 @@
             holder_changed: Notify::new(),
             role_vacant: Notify::new(),
             instances_changed: watch::Sender::new(()),
+            evidence_changed: watch::Sender::new(()),
             coordinator_wanted: Notify::new(),
             state: Mutex::new(State {
                 routes: None,
@@ -135,6 +144,7 @@
                 health: Health::default(),
                 balancer: Balancer::default(),
                 pushback: Pushback::default(),
+                quarantine: Quarantine::default(),
                 budget: RetryBudget::new(retries),
                 role,
                 zone,
@@ -143,6 +153,7 @@
                 last_instances: BTreeMap::new(),
                 running: BTreeMap::new(),
                 connectivity: Connectivity::default(),
+                followed_evidence: None,
                 stream_versions: StreamVersions::default(),
                 stopping: false,
             }),
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -580,10 +580,13 @@
         };
         let after = revision_in_era(known.position);
         let operators = revision_in_era(*self.shared.operators_position.borrow());
+        let evidence = self.shared.lock().followed_evidence;
+        let evidence = evidence.filter(|(from, _)| *from == addr);
+        let evidence = Some(evidence.map_or(0, |(_, revision)| revision));
         let response = self
             .peers
             .call(addr, FEED_POLL_TIMEOUT, |peer, cx| async move {
-                peer.news(cx, feed, after, operators, era).await
+                peer.news(cx, feed, after, operators, era, evidence).await
             })
             .await;
         {
@@ -651,11 +654,15 @@
             }
         };
         handler.on_batch_end();
-        self.on_metadata(era, metadata);
+        self.on_metadata(addr, era, metadata);
         Some(has_changes)
     }
 
-    fn on_metadata(&self, era: Era, metadata: FeedMetadata) {
+    fn on_metadata(&self, addr: SocketAddr, era: Era, metadata: FeedMetadata) {
+        if let Some(news) = metadata.evidence {
+            self.shared.merge_evidence(&news.report, "coordinator");
+            self.shared.lock().followed_evidence = Some((addr, news.revision));
+        }
         if metadata.nodes > 0 {
             self.shared.lock().budget.set_node_count(metadata.nodes);
         }
