--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use hyper::body::{Frame, Incoming};
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use reedford_fleet::health::CallOutcome;
 use reedford_targets::{Connection, Event, EventReader};
 use std::sync::Arc;
@@ -47,6 +48,8 @@
     conn: Connection,
     reader: EventReader,
     idle_timeout: Option<Duration>,
+    /// Whether the end of the connection is the end of the body.
+    ends_with_conn: bool,
 }
 
 /// Why there is no next event.
@@ -189,8 +192,8 @@
         self.attempt.on_event(&self.call);
     }
 
-    /// Handles the end of the body. If it ended within an event, returns
-    /// [`NoEvent::Broken`]. Otherwise records the success, keeps the connection if
+    /// Handles the end of the body. If it ended within an event, or with its connection
+    /// before the first event of a stream, returns [`NoEvent::Broken`]. Otherwise records the success, keeps the connection if
     /// it is reusable, and returns [`NoEvent::End`].
     fn on_body_end(&mut self) -> NoEvent {
         let Some(source) = self.source.take() else {
@@ -199,6 +202,10 @@
         if source.reader.has_partial() {
             return NoEvent::Broken("partial_event");
         }
+        let resumes = self.call.head.last_event_id.is_some();
+        if source.ends_with_conn && self.events == 0 && !resumes {
+            return NoEvent::Broken("closed");
+        }
         self.gateway
             .sender
             .record_outcome(&self.attempt.grant, CallOutcome::Good);
@@ -307,7 +314,9 @@
 
     fn new(response: PendingResponse) -> Self {
         let incoming = response.incoming;
+        let is_framed = |name| incoming.headers.contains_key(name);
         Self {
+            ends_with_conn: !is_framed(CONTENT_LENGTH) && !is_framed(TRANSFER_ENCODING),
             idle_timeout: idle_timeout(&incoming.headers),
             body: incoming.body,
             conn: incoming.conn,
