--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -17,7 +17,7 @@
 use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{sleep, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 /// Time that a process that ends needs to close its listener.
 const CRASH_CHECK_DELAY: Duration = Duration::from_millis(50);
@@ -212,7 +212,9 @@
     async fn drain_rejection(&self, incoming: IncomingResponse) {
         const BODY_TIMEOUT: Duration = Duration::from_millis(100);
         let idle_timeout = idle_timeout(&incoming.headers);
-        match reedford_targets::read_body(&self.pool, incoming, BODY_TIMEOUT, None).await {
+        let deadline = Some(Instant::now() + BODY_TIMEOUT);
+        let reading = reedford_targets::read_body(&self.pool, incoming, BODY_TIMEOUT, deadline);
+        match reading.await {
             Ok(response) => {
                 if let Some(idle_timeout) = idle_timeout {
                     response.into_body_with_idle_timeout(&self.pool, idle_timeout);
