--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,6 +19,7 @@
 //! | [`stream_versions`] | at which service and software version a stream may be resumed |
 //! | [`quarantine`] | which prompts are refused because instances crash under a part of them |
 //! | [`pushback`] | which instances asked this node to send nothing for a time |
+//! | [`rate_limits`] | how many calls a second instances take |
 //! | [`store_retries`] | when to try a store again that does not respond |
 //! | [`connectivity`] | whether this node is cut off from the store and its peers |
 //! | [`zones`] | which availability zone places a call |
@@ -33,6 +34,7 @@
 pub mod ownership;
 pub mod pushback;
 pub mod quarantine;
+pub mod rate_limits;
 pub mod scheduler;
 pub mod store_retries;
 pub mod stream_versions;
--- /dev/null
+++ b/crates/fleet/src/rate_limits.rs
@@ -0,0 +1,175 @@
+//! Limits on the rate of calls that instances name in their responses.
+//!
+//! An instance in trouble names in its responses how many calls a second it takes
+//! from all nodes together, for as long as the limit holds. What counts is the last
+//! response of its incarnation, to whichever node.
+
+use crate::{InstanceId, Now};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// How long a limit is remembered after it was last named or ended.
+const RETENTION: Duration = Duration::from_secs(600);
+/// Limit on the remembered statements; the oldest is dropped beyond it.
+const MAX_STATEMENTS: usize = 1_024;
+
+/// What instances last stated about their limits.
+#[derive(Clone, Debug, Default)]
+pub struct RateLimits {
+    by_instance: BTreeMap<InstanceId, Statement>,
+}
+
+/// What an instance stated in a response.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Statement {
+    born: u64,
+    /// Calls per second; `None` once a response named no limit.
+    per_s: Option<f64>,
+    at: Now,
+    /// Whether the response came to this node.
+    own: bool,
+}
+
+/// Statements as nodes send them to each other.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct LimitsReport {
+    statements: Vec<StatementReport>,
+}
+
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+struct StatementReport {
+    instance: InstanceId,
+    born: u64,
+    per_s: Option<f64>,
+    /// Age of the response in milliseconds.
+    age_ms: u64,
+}
+
+/// Which nodes an event concerns.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Changed {
+    /// Whether a limit is another one now.
+    pub limits: bool,
+    /// Whether other nodes have to learn of this node's statements.
+    pub own: bool,
+}
+
+impl RateLimits {
+    /// Records the limit that the incarnation with the start time `born` named in a
+    /// response, `None` if it named none. A response without a limit ends one only if
+    /// the call was sent, at `sent_at`, after the limit was last named.
+    pub fn on_response(
+        &mut self,
+        id: &str,
+        born: u64,
+        per_s: Option<f64>,
+        sent_at: Now,
+        now: Now,
+    ) -> Changed {
+        let known = self.by_instance.get(id);
+        if known.is_some_and(|k| k.born > born) {
+            return Changed::default();
+        }
+        let known = known.filter(|k| k.born == born);
+        let before = known.and_then(|k| k.per_s);
+        let ends = known.is_some_and(|k| sent_at > k.at) && before.is_some();
+        if per_s.is_none() && !ends {
+            return Changed::default();
+        }
+        let statement = Statement {
+            born,
+            per_s,
+            at: now,
+            own: true,
+        };
+        self.insert(id, statement, now);
+        let changed = before != per_s;
+        Changed {
+            limits: changed,
+            own: changed,
+        }
+    }
+
+    /// Adds what another node reported.
+    pub fn merge(&mut self, report: &LimitsReport, now: Now) -> Changed {
+        let mut changed = Changed::default();
+        for reported in report.statements.iter().take(MAX_STATEMENTS) {
+            let is_valid = |per_s: f64| per_s >= 0.0;
+            if reported.per_s.is_some_and(|per_s| !is_valid(per_s)) {
+                continue;
+            }
+            let statement = Statement {
+                born: reported.born,
+                per_s: reported.per_s,
+                at: now.saturating_sub(Duration::from_millis(reported.age_ms)),
+                own: false,
+            };
+            let known = self.by_instance.get(&reported.instance).copied();
+            match known {
+                Some(k) if (k.born, k.at) >= (statement.born, statement.at) => {
+                    changed.own |= k.own && k.per_s != statement.per_s;
+                }
+                Some(_) | None => {
+                    changed.limits |= known.and_then(|k| k.per_s) != statement.per_s;
+                    self.insert(&reported.instance, statement, now);
+                }
+            }
+        }
+        changed
+    }
+
+    /// Returns the limit of the incarnation with the start time `born`, in calls per
+    /// second.
+    #[must_use]
+    pub fn per_s(&self, id: &str, born: u64) -> Option<f64> {
+        let statement = self.by_instance.get(id)?;
+        statement.per_s.filter(|_| statement.born == born)
+    }
+
+    /// Whether no limit is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.by_instance.is_empty()
+    }
+
+    /// Returns the report of all statements to other nodes.
+    #[must_use]
+    pub fn report(&self, now: Now) -> LimitsReport {
+        self.report_of(|_| true, now)
+    }
+
+    /// Returns the report of those that this node received itself.
+    #[must_use]
+    pub fn own_report(&self, now: Now) -> LimitsReport {
+        self.report_of(|statement| statement.own, now)
+    }
+
+    fn report_of<F>(&self, selects: F, now: Now) -> LimitsReport
+    where
+        F: Fn(&Statement) -> bool,
+    {
+        let selected = self.by_instance.iter().filter(|(_, s)| selects(s));
+        let statements = selected.map(|(instance, statement)| StatementReport {
+            instance: instance.clone(),
+            born: statement.born,
+            per_s: statement.per_s,
+            age_ms: now.saturating_sub(statement.at).as_millis() as u64,
+        });
+        LimitsReport {
+            statements: statements.collect(),
+        }
+    }
+
+    fn insert(&mut self, id: &str, statement: Statement, now: Now) {
+        if self.by_instance.len() >= MAX_STATEMENTS && !self.by_instance.contains_key(id) {
+            let oldest = self.by_instance.iter().min_by_key(|(_, s)| s.at);
+            if let Some(oldest) = oldest.map(|(id, _)| id.clone()) {
+                self.by_instance.remove(&oldest);
+            }
+        }
+        self.by_instance
+            .retain(|_, s| now.saturating_sub(s.at) < RETENTION);
+        self.by_instance.insert(id.into(), statement);
+    }
+}
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -50,7 +50,7 @@
 }
 
 /// What the head of an instance's response states.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ResponseHead {
     /// The reason, if the instance rejected the call, which then did not run.
     pub not_run: Option<NotRunReason>,
@@ -63,6 +63,9 @@
     /// Time for which the instance, which refused the request, asks to be sent
     /// nothing; the text of the field if it can't be read.
     pub pushback: Option<Result<Duration, Box<str>>>,
+    /// Calls per second that the instance takes from all nodes together, if it names a
+    /// limit; the text of the field if it can't be read.
+    pub rate_limit: Option<Result<f64, Box<str>>>,
 }
 
 /// Why an instance rejected a call.
--- a/crates/gateway/src/response_head.rs
+++ b/crates/gateway/src/response_head.rs
@@ -2,6 +2,7 @@
 
 use crate::dialect::ResponseHead;
 use crate::state::Shared;
+use reedford_fleet::Now;
 use reedford_fleet::departures::DepartureSource;
 use std::time::Duration;
 
@@ -24,6 +25,27 @@
         }
     }
 
+    /// Records the limit that an instance names in its response to a request that was
+    /// sent at `sent_at`. A rejection without one says nothing.
+    pub(crate) fn on_rate_limit(&self, id: &str, born: u64, head: &ResponseHead, sent_at: Now) {
+        let per_s = match &head.rate_limit {
+            Some(Ok(per_s)) => Some(*per_s),
+            Some(Err(text)) => {
+                tracing::warn!(event = "limit_unreadable", instance = id, value = %text);
+                return;
+            }
+            None if head.not_run.is_some() => return,
+            None => None,
+        };
+        let now = self.now();
+        let mut state = self.lock();
+        let changed = state.rate_limits.on_response(id, born, per_s, sent_at, now);
+        drop(state);
+        if changed.limits {
+            tracing::info!(event = "instance_limit", instance = id, born, ?per_s);
+        }
+    }
+
     fn on_pushback(&self, id: &str, born: u64, pause: Duration) {
         let now = self.now();
         let until = self.lock().pushback.record(id, born, pause, now);
--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -106,8 +106,9 @@
             at: self.shared.clock.instant(call.deadline),
             reason: LostReason::Deadline,
         };
+        let sent_at = self.shared.now();
         match send_request_on(&self.pool, conn, req, limit).await {
-            Ok(incoming) => self.read_head(call, grant, incoming).await,
+            Ok(incoming) => self.read_head(call, grant, incoming, sent_at).await,
             Err(CallError::NotSent(reason)) => {
                 SendOutcome::NotRun(self.on_not_sent(call, grant, &reason))
             }
@@ -173,12 +174,15 @@
         call: &Call,
         grant: &Grant,
         incoming: IncomingResponse,
+        sent_at: Now,
     ) -> SendOutcome {
         let head = self
             .dialect
             .parse_response(incoming.status, &incoming.headers);
         self.shared
             .on_response_head(&grant.instance, grant.born, &head);
+        self.shared
+            .on_rate_limit(&grant.instance, grant.born, &head, sent_at);
         if let Some(load) = head.load {
             let now = self.shared.now();
             self.shared
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -18,6 +18,7 @@
 use reedford_fleet::ownership::{Holder, Role};
 use reedford_fleet::pushback::Pushback;
 use reedford_fleet::quarantine::Quarantine;
+use reedford_fleet::rate_limits::RateLimits;
 use reedford_fleet::scheduler::{AdapterKey, Grant, PlacementId};
 use reedford_fleet::stream_versions::StreamVersions;
 use reedford_fleet::zones::ZoneReport;
@@ -76,6 +77,7 @@
     pub(crate) balancer: Balancer,
     pub(crate) pushback: Pushback,
     pub(crate) quarantine: Quarantine,
+    pub(crate) rate_limits: RateLimits,
     pub(crate) budget: RetryBudget,
     pub(crate) role: Role,
     pub(crate) zone: ZoneId,
@@ -145,6 +147,7 @@
                 balancer: Balancer::default(),
                 pushback: Pushback::default(),
                 quarantine: Quarantine::default(),
+                rate_limits: RateLimits::default(),
                 budget: RetryBudget::new(retries),
                 role,
                 zone,
