--- a/crates/fleet/src/rate_limits.rs
+++ b/crates/fleet/src/rate_limits.rs
@@ -3,11 +3,21 @@
 //! An instance in trouble names in its responses how many calls a second it takes
 //! from all nodes together, for as long as the limit holds. What counts is the last
 //! response of its incarnation, to whichever node.
+//!
+//! The coordinator that grants the calls to an engine paces them. Calls that no
+//! coordinator grants are sent by each node in turns of its own, which divide the
+//! limit between the nodes.
+
+mod pace;
+
+pub use pace::Pace;
 
 use crate::{InstanceId, Now};
+use pace::Turns;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// How long a limit is remembered after it was last named or ended.
 const RETENTION: Duration = Duration::from_secs(600);
@@ -18,17 +28,24 @@
 #[derive(Clone, Debug, Default)]
 pub struct RateLimits {
     by_instance: BTreeMap<InstanceId, Statement>,
+    /// Distinguishes the turns of this node from those of others.
+    seed: u64,
 }
 
+/// Statements by instance.
+pub type Statements = BTreeMap<InstanceId, Statement>;
+
 /// What an instance stated in a response.
 #[derive(Clone, Copy, Debug, PartialEq)]
-struct Statement {
+pub struct Statement {
     born: u64,
     /// Calls per second; `None` once a response named no limit.
     per_s: Option<f64>,
     at: Now,
     /// Whether the response came to this node.
     own: bool,
+    /// When this node last sent a call to the instance on its own.
+    last_sent: Option<Now>,
 }
 
 /// Statements as nodes send them to each other.
@@ -46,6 +63,23 @@
     age_ms: u64,
 }
 
+impl LimitsReport {
+    /// Creates the report of statements to other nodes.
+    #[must_use]
+    pub fn new(statements: &Statements, now: Now) -> Self {
+        let statements = statements.iter();
+        let statements = statements.map(|(instance, statement)| StatementReport {
+            instance: instance.clone(),
+            born: statement.born,
+            per_s: statement.per_s,
+            age_ms: now.saturating_sub(statement.at).as_millis() as u64,
+        });
+        Self {
+            statements: statements.collect(),
+        }
+    }
+}
+
 /// Which nodes an event concerns.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Changed {
@@ -56,6 +90,15 @@
 }
 
 impl RateLimits {
+    /// Creates a record without limits; `seed` differs from node to node.
+    #[must_use]
+    pub const fn new(seed: u64) -> Self {
+        Self {
+            by_instance: BTreeMap::new(),
+            seed,
+        }
+    }
+
     /// Records the limit that the incarnation with the start time `born` named in a
     /// response, `None` if it named none. A response without a limit ends one only if
     /// the call was sent, at `sent_at`, after the limit was last named.
@@ -82,6 +125,7 @@
             per_s,
             at: now,
             own: true,
+            last_sent: None,
         };
         self.insert(id, statement, now);
         let changed = before != per_s;
@@ -104,6 +148,7 @@
                 per_s: reported.per_s,
                 at: now.saturating_sub(Duration::from_millis(reported.age_ms)),
                 own: false,
+                last_sent: None,
             };
             let known = self.by_instance.get(&reported.instance).copied();
             match known {
@@ -127,38 +172,53 @@
         statement.per_s.filter(|_| statement.born == born)
     }
 
+    /// Returns when this node may send a call that no coordinator grants, if `nodes`
+    /// nodes share the limit; `now` if at once.
+    #[must_use]
+    pub fn available_at(&self, id: &str, born: u64, nodes: usize, now: Now) -> Now {
+        let last_sent = self.by_instance.get(id).and_then(|s| s.last_sent);
+        let turns = self.turns(id, born, nodes);
+        turns.map_or(now, |turns| turns.next(last_sent, now))
+    }
+
+    /// Returns how many such calls this node may send per second, if the instance
+    /// names a limit.
+    #[must_use]
+    pub fn turns_per_s(&self, id: &str, born: u64, nodes: usize) -> Option<f64> {
+        let turns = self.turns(id, born, nodes)?;
+        Some(1.0 / turns.interval.as_secs_f64().max(f64::MIN_POSITIVE))
+    }
+
+    fn turns(&self, id: &str, born: u64, nodes: usize) -> Option<Turns> {
+        let per_s = self.per_s(id, born)?;
+        let phase = xxh3_64_with_seed(id.as_bytes(), self.seed) as f64 / u64::MAX as f64;
+        Some(Turns::new(per_s, nodes, phase))
+    }
+
+    /// Counts a call that this node sends without a coordinator.
+    pub fn on_sent(&mut self, id: &str, now: Now) {
+        if let Some(statement) = self.by_instance.get_mut(id) {
+            statement.last_sent = Some(now);
+        }
+    }
+
     /// Whether no limit is known.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.by_instance.is_empty()
     }
 
-    /// Returns the report of all statements to other nodes.
+    /// Returns all statements.
     #[must_use]
-    pub fn report(&self, now: Now) -> LimitsReport {
-        self.report_of(|_| true, now)
+    pub const fn statements(&self) -> &Statements {
+        &self.by_instance
     }
 
-    /// Returns the report of those that this node received itself.
+    /// Returns the statements that this node received itself.
     #[must_use]
-    pub fn own_report(&self, now: Now) -> LimitsReport {
-        self.report_of(|statement| statement.own, now)
-    }
-
-    fn report_of<F>(&self, selects: F, now: Now) -> LimitsReport
-    where
-        F: Fn(&Statement) -> bool,
-    {
-        let selected = self.by_instance.iter().filter(|(_, s)| selects(s));
-        let statements = selected.map(|(instance, statement)| StatementReport {
-            instance: instance.clone(),
-            born: statement.born,
-            per_s: statement.per_s,
-            age_ms: now.saturating_sub(statement.at).as_millis() as u64,
-        });
-        LimitsReport {
-            statements: statements.collect(),
-        }
+    pub fn own_statements(&self) -> Statements {
+        let own = self.by_instance.iter().filter(|(_, s)| s.own);
+        own.map(|(id, s)| (id.clone(), *s)).collect()
     }
 
     fn insert(&mut self, id: &str, statement: Statement, now: Now) {
@@ -170,6 +230,9 @@
         }
         self.by_instance
             .retain(|_, s| now.saturating_sub(s.at) < RETENTION);
-        self.by_instance.insert(id.into(), statement);
+        let before = self.by_instance.insert(id.into(), statement);
+        if let (Some(before), Some(current)) = (before, self.by_instance.get_mut(id)) {
+            current.last_sent = before.last_sent;
+        }
     }
 }
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -34,6 +34,7 @@
 
 use crate::config::{Engine as EngineSpec, Model};
 use crate::directory::{Instance, InstanceState};
+use crate::rate_limits::Pace;
 use crate::{AdapterName, InstanceId, ModelName, Now, WeightVersion};
 use engine_view::EngineView;
 use estimate::{LoadDemand, LoadTimeEstimate, PrefillRate, SlotTurnover};
@@ -238,6 +239,17 @@
         }
     }
 
+    /// Sets the calls per second that an engine takes, or that it takes any number.
+    pub fn set_rate_limit(&mut self, id: &str, per_s: Option<f64>, now: Now) {
+        let Some(engine) = self.engines.get_mut(id) else {
+            return;
+        };
+        match (&mut engine.pace, per_s) {
+            (Some(pace), Some(per_s)) => pace.set_limit(per_s),
+            (pace, per_s) => *pace = per_s.map(|per_s| Pace::new(per_s, now)),
+        }
+    }
+
     /// Drops an engine that left the directory, with the calls granted to it.
     pub fn forget(&mut self, id: &str) {
         if let Some(engine) = self.engines.remove(id) {
@@ -398,11 +410,15 @@
             let slots = spec.map_or(0, |s| engine.free_or_evictable_slots(s.adapter_slots, now));
             summary.engines += 1;
             summary.free_slots += slots;
-            summary.wait = summary.wait.min(engine.prefill_backlog());
+            let wait = engine.prefill_backlog().max(engine.pace_wait(0.0, now));
+            summary.wait = summary.wait.min(wait);
             rate += engine.prefill_rate();
         }
         if summary.engines > 0 {
             summary.wait += estimate::millis(queued_tokens / rate);
+            if let Some(per_s) = self.total_rate_limit(now) {
+                summary.wait += estimate::millis(self.queue.len() as f64 / per_s * 1e3);
+            }
         }
         summary
     }
@@ -483,6 +499,14 @@
         }
     }
 
+    /// Returns the calls per second that all engines take together, if each of them
+    /// names a limit.
+    fn total_rate_limit(&self, now: Now) -> Option<f64> {
+        let usable = self.engines.values().filter(|e| e.is_usable(now));
+        let limits = usable.map(|e| e.pace.map(|pace| pace.per_s()));
+        limits.sum::<Option<f64>>().filter(|per_s| *per_s > 0.0)
+    }
+
     /// Returns the mean prefill rate of the engines, in tokens per millisecond.
     fn mean_prefill_rate(&self) -> f64 {
         let sum: f64 = self.engines.values().map(EngineView::prefill_rate).sum();
--- a/crates/fleet/src/scheduler/engine_view.rs
+++ b/crates/fleet/src/scheduler/engine_view.rs
@@ -7,6 +7,7 @@
 use super::unresolved::UnresolvedOrders;
 use super::{AdapterKey, PlacementRequest, QueuedCall};
 use crate::directory::{Instance, InstanceState};
+use crate::rate_limits::Pace;
 use crate::{InstanceId, ModelName, Now, ServiceName, SoftwareVersion, WeightVersion};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -67,6 +68,8 @@
     pub(super) orders_paused_until: Now,
     /// Time before which it is sent neither orders nor requests for reports.
     pub(super) held_until: Now,
+    /// Pace of the calls granted to it, if it names a limit.
+    pub(super) pace: Option<Pace>,
     calls: BTreeMap<PlacementId, GrantedCall>,
     /// Unprocessed prompt tokens of the calls whose first token has not come yet.
     unstarted_tokens: u64,
@@ -162,6 +165,7 @@
             conflicts: 0,
             orders_paused_until: Now::ZERO,
             held_until: Now::ZERO,
+            pace: None,
             calls: BTreeMap::new(),
             unstarted_tokens: 0,
             prompt_cache: PromptCache::default(),
@@ -232,6 +236,13 @@
         millis(self.unstarted_tokens as f64 / self.prefill_rate.per_ms())
     }
 
+    /// Returns how long a call has to wait behind `ahead` others, because the engine
+    /// names a limit on calls.
+    pub(super) fn pace_wait(&self, ahead: f64, now: Now) -> Duration {
+        self.pace
+            .map_or(Duration::ZERO, |pace| pace.wait(ahead, now))
+    }
+
     /// Whether a call fits in addition to the granted ones.
     pub(super) fn has_room(&self, request: &PlacementRequest, slots: u32, kv_tokens: u64) -> bool {
         let limit = kv_tokens as f64 * KV_CACHE_SHARE;
@@ -272,6 +283,9 @@
         let unprocessed_tokens = self.unprocessed_tokens(queued);
         let cached = (kv_tokens as f64 * PROMPT_CACHE_SHARE) as u64;
         self.prompt_cache.record(&queued.prompt, cached, now);
+        if let Some(pace) = &mut self.pace {
+            pace.on_sent(now);
+        }
         let copy = key.and_then(|k| self.copies.get_mut(k));
         let version = copy.as_ref().and_then(|c| c.version);
         if let Some(copy) = copy {
--- a/crates/fleet/src/scheduler/placement.rs
+++ b/crates/fleet/src/scheduler/placement.rs
@@ -102,6 +102,8 @@
 #[derive(Debug)]
 struct PlacementRound {
     planned: PlannedTokens,
+    /// Queued calls that are planned for each engine that names a limit on calls.
+    planned_calls: BTreeMap<InstanceId, f64>,
     /// Adapters of the queued calls.
     requested: BTreeSet<AdapterKey>,
     /// Adapters that wait for a free slot, of the calls processed so far.
@@ -178,15 +180,17 @@
     /// or a better one.
     fn queue_wait(&self, rank: QueueRank, queued: &QueuedCall, now: Now) -> ExpectedWait {
         let mut round = self.new_round(now);
-        let mut tokens = 0.0;
+        let (mut tokens, mut calls) = (0.0, 0.0);
         let rate = self.mean_prefill_rate();
         for ahead in self.queue.iter().filter(|q| q.rank(rate, now) <= rank) {
             tokens += f64::from(ahead.request.tokens);
+            calls += 1.0;
             round
                 .awaiting_slot
                 .extend(ahead.key.clone().filter(|_| ahead.awaiting_slot));
         }
         self.plan_tokens(tokens, &mut round.planned, now);
+        self.plan_calls(calls, &mut round.planned_calls, now);
         let candidate = self.best_candidate(queued, &mut round, now);
         candidate.map_or(
             ExpectedWait {
@@ -209,6 +213,7 @@
                 .slot_turnover
                 .per_s(engine_specs.map(|s| s.adapter_slots).sum(), now),
             planned: PlannedTokens::new(),
+            planned_calls: BTreeMap::new(),
             requested: self.queue.iter().filter_map(|q| q.key.clone()).collect(),
             pending_loads: self.engines.values().map(EngineView::pending_loads).sum(),
             victims: BTreeMap::new(),
@@ -295,7 +300,10 @@
             .get_mut(&candidate.engine)
             .expect("the candidate is one of the engines");
         match &candidate.prerequisite {
-            Prerequisite::None if engine.prefill_backlog() <= max_prefill_backlog => {
+            Prerequisite::None
+                if engine.prefill_backlog() <= max_prefill_backlog
+                    && engine.pace_wait(0.0, now).is_zero() =>
+            {
                 let grant = engine.grant(queued, kv_tokens, now);
                 self.running.insert(grant.call.clone(), candidate.engine);
                 return PlacementOutcome::Granted(grant);
@@ -313,6 +321,10 @@
             | Prerequisite::FreeSlot
             | Prerequisite::Load { .. } => {}
         }
+        if engine.pace.is_some() {
+            let engine = candidate.engine.clone();
+            *round.planned_calls.entry(engine).or_default() += 1.0;
+        }
         *round.planned.entry(candidate.engine).or_default() +=
             f64::from(candidate.unprocessed_tokens);
         queued.awaiting_slot = candidate.prerequisite == Prerequisite::FreeSlot;
@@ -358,8 +370,10 @@
         let own_prefill = millis(f64::from(unprocessed_tokens) / engine.prefill_rate());
         let prefill = millis(ahead / engine.prefill_rate()) + own_prefill;
         let prefill_cost = own_prefill.mul_f64(PREFILL_COST_SHARE);
+        let calls_ahead = round.planned_calls.get(&engine.id).copied();
+        let paced = engine.pace_wait(calls_ahead.unwrap_or(0.0), now);
         let Some(key) = &queued.key else {
-            let wait = engine.prefill_backlog() + prefill;
+            let wait = engine.prefill_backlog().max(paced) + prefill;
             return Some(Candidate {
                 engine: engine.id.clone(),
                 wait,
@@ -372,7 +386,7 @@
         let (prerequisite, load) =
             self.prerequisite(engine, key, warm, round, adapter_slots, now)?;
         // A load runs concurrently with the work already granted.
-        let wait = engine.prefill_backlog().max(load) + prefill;
+        let wait = engine.prefill_backlog().max(load).max(paced) + prefill;
         let bias = millis(home_bias(&queued.key_text, &engine.id));
         let cost = wait + bias + prefill_cost + load_cost(engine, key, warm);
         Some(Candidate {
@@ -474,6 +488,19 @@
         victim
     }
 
+    /// Distributes queued calls over the engines in proportion to their limits, if
+    /// each of them names one.
+    fn plan_calls(&self, calls: f64, planned: &mut BTreeMap<InstanceId, f64>, now: Now) {
+        let Some(total) = self.total_rate_limit(now) else {
+            return;
+        };
+        for engine in self.engines.values().filter(|e| e.is_usable(now)) {
+            if let Some(pace) = engine.pace {
+                planned.insert(engine.id.clone(), calls * pace.per_s() / total);
+            }
+        }
+    }
+
     /// Distributes queued prompt tokens over the engines, the least busy first, so
     /// that their backlogs become equal.
     fn plan_tokens(&self, tokens: f64, planned: &mut PlannedTokens, now: Now) {
--- a/crates/fleet/tests/scheduler/load_patterns.rs
+++ b/crates/fleet/tests/scheduler/load_patterns.rs
@@ -360,3 +360,32 @@
     assert!(in_time_share(&tally) > 0.85, "{tally:?}");
     assert!(tally.refused_late < 5, "{tally:?}");
 }
+
+/// Load pattern: all engines name a limit, far below the rate of calls.
+#[test]
+fn calls_beyond_the_limits_of_all_engines_are_refused_on_arrival() {
+    const ENGINES: usize = 4;
+    const PER_S: f64 = 1.5;
+    const SECONDS: u64 = 30;
+    let mut zone = Zone::new(ENGINES);
+    let mut rng = StdRng::seed_from_u64(SEED);
+    zone.run(ms(1_000));
+    zone.name_limits(PER_S);
+    let end = zone.now() + ms(SECONDS * 1_000);
+    let mut serial = 0;
+    while zone.now() < end {
+        serial += 1;
+        let adapter = format!("a{}", rng.random_range(0..8));
+        zone.submit(request(&format!("c{serial}"), &adapter, zone.now()));
+        let next = zone.now() + ms(rng.random_range(0..=100));
+        zone.run(next);
+    }
+    let end = zone.now() + ms(6_000);
+    zone.run(end);
+    let tally = &zone.tally;
+    let served = f64::from(tally.in_time + tally.late);
+    let limit = ENGINES as f64 * PER_S * (SECONDS + 6) as f64;
+    assert!(served <= limit, "{served} of {limit}: {tally:?}");
+    assert!(served >= 0.7 * limit, "{served} of {limit}: {tally:?}");
+    assert!(tally.refused_late * 20 < tally.submitted, "{tally:?}");
+}
--- a/crates/fleet/tests/scheduler/zone.rs
+++ b/crates/fleet/tests/scheduler/zone.rs
@@ -171,6 +171,15 @@
         assert_eq!(held_until, None, "{engine} is held");
     }
 
+    /// Lets all engines name a limit on calls per second.
+    pub(crate) fn name_limits(&mut self, per_s: f64) {
+        let engines: Vec<_> = self.scheduler.held_adapters().into_keys().collect();
+        for engine in engines {
+            self.scheduler
+                .set_rate_limit(&engine, Some(per_s), self.now);
+        }
+    }
+
     /// Replaces the scheduler by that of a new coordinator, to which nodes report
     /// their running calls and repeat their requests.
     pub(crate) fn replace_coordinator(&mut self) {
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -232,6 +232,8 @@
             if let Some(until) = held_until {
                 scheduler.hold_engine(&instance.id, until);
             }
+            let per_s = state.rate_limits.per_s(&instance.id, instance.born);
+            scheduler.set_rate_limit(&instance.id, per_s, now);
         }
         let removed: Vec<_> = scheduler
             .held_adapters()
--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -17,6 +17,7 @@
 use reedford_fleet::departures::LeavingInstances;
 use reedford_fleet::directory::{ABSENCE_GRACE, Absence};
 use reedford_fleet::quarantine::{Evidence, EvidenceReport};
+use reedford_fleet::rate_limits::{LimitsReport, Statements};
 use reedford_fleet::{Era, Now};
 use reedford_store::{Change, ChangeKind, Changes, Entry, Listing, Position};
 use serde::{Deserialize, Serialize};
@@ -76,18 +77,21 @@
     /// Instances that are leaving although the store does not show it.
     #[serde(default)]
     pub(crate) leaving: LeavingInstances,
-    /// Evidence on prompts under which instances crash, if the requesting node has
-    /// another revision of it.
+    /// What nodes learned from responses, if the requesting node has another revision
+    /// of it.
     #[serde(default)]
-    pub(crate) evidence: Option<EvidenceNews>,
+    pub(crate) notices: Option<NoticesNews>,
 }
 
-/// Evidence on prompts under which instances crash.
+/// What nodes learned from responses of instances.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-pub(crate) struct EvidenceNews {
+pub(crate) struct NoticesNews {
     /// Unique among all revisions of the node that sends it.
     pub(crate) revision: u64,
-    pub(crate) report: EvidenceReport,
+    /// Prompts under which instances crash.
+    pub(crate) crashes: EvidenceReport,
+    /// Limits on calls that instances name.
+    pub(crate) limits: LimitsReport,
 }
 
 /// What a node that polls a feed knows already of the data beside it.
@@ -95,9 +99,9 @@
 pub(crate) struct KnownMetadata {
     /// Newest revision of operators' keys in the era of the known position.
     pub(crate) operators: i64,
-    /// Revision of this node's evidence that the requesting node has, 0 if none;
+    /// Revision of this node's notices that the requesting node has, 0 if none;
     /// `None` if it wants none.
-    pub(crate) evidence: Option<u64>,
+    pub(crate) notices: Option<u64>,
 }
 
 /// Response to a poll of a feed.
@@ -146,8 +150,9 @@
     /// Instances that are leaving although the store does not show it.
     leaving: LeavingInstances,
     evidence: Evidence,
-    /// Revision of the evidence.
-    evidence_revision: u64,
+    rate_limits: Statements,
+    /// Revision of the evidence and the limits.
+    notices_revision: u64,
 }
 
 #[derive(Debug, Default)]
@@ -187,7 +192,7 @@
         Self {
             feeds: Mutex::new(State {
                 // An earlier process may have had this address.
-                evidence_revision: u64::from(rand::random::<u32>()) << u32::BITS,
+                notices_revision: u64::from(rand::random::<u32>()) << u32::BITS,
                 ..State::default()
             }),
             changed: Notify::new(),
@@ -301,7 +306,16 @@
             return;
         }
         state.evidence = evidence;
-        state.evidence_revision += 1;
+        state.notices_revision += 1;
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Sets the limits on calls that instances name.
+    pub(crate) fn set_rate_limits(&self, statements: Statements) {
+        let mut state = self.lock();
+        state.rate_limits = statements;
+        state.notices_revision += 1;
         drop(state);
         self.changed.notify_waiters();
     }
@@ -322,7 +336,7 @@
         let changed = self.changed.notified();
         let mut changed = std::pin::pin!(changed);
         changed.as_mut().enable();
-        let first = self.response(feed, after, metadata.evidence, clock());
+        let first = self.response(feed, after, metadata.notices, clock());
         let limit = match &first {
             FeedResponse::Unknown => UNAVAILABLE_POLL_TIMEOUT,
             known if known.has_nothing_after(metadata.operators) => POLL_TIMEOUT,
@@ -331,14 +345,14 @@
         if timeout(limit, changed).await.is_err() {
             tracing::trace!(event = "no_news");
         }
-        self.response(feed, after, metadata.evidence, clock())
+        self.response(feed, after, metadata.notices, clock())
     }
 
     fn response(
         &self,
         feed: Feed,
         after: Position,
-        known_evidence: Option<u64>,
+        known_notices: Option<u64>,
         now: Now,
     ) -> FeedResponse {
         let state = self.lock();
@@ -348,12 +362,13 @@
         };
         let era = known.era;
         let operators = Some(state.operators).filter(|position| position.era == era);
-        let revision = state.evidence_revision;
-        let has_news = known_evidence.is_some_and(|known| known != revision);
+        let revision = state.notices_revision;
+        let has_news = known_notices.is_some_and(|known| known != revision);
         let metadata = FeedMetadata {
-            evidence: has_news.then(|| EvidenceNews {
+            notices: has_news.then(|| NoticesNews {
                 revision,
-                report: state.evidence.report(MIN_REPORTED_CRASHES, now),
+                crashes: state.evidence.report(MIN_REPORTED_CRASHES, now),
+                limits: LimitsReport::new(&state.rate_limits, now),
             }),
             operators: operators.map_or(0, |position| position.revision),
             nodes: state.nodes,
@@ -404,7 +419,7 @@
         match self {
             Self::Changes {
                 items, metadata, ..
-            } => items.is_empty() && metadata.operators <= known && metadata.evidence.is_none(),
+            } => items.is_empty() && metadata.operators <= known && metadata.notices.is_none(),
             Self::Listing { .. } | Self::Unknown => false,
         }
     }
--- a/crates/gateway/src/handler/attempt.rs
+++ b/crates/gateway/src/handler/attempt.rs
@@ -132,6 +132,9 @@
         let mut state = gateway.shared.lock();
         let now = gateway.shared.now();
         state.pushback.on_sent(&grant.instance, now);
+        if placement.coordinator.is_none() {
+            state.rate_limits.on_sent(&grant.instance, now);
+        }
         let instance = state.directory.get(&grant.instance);
         let zone = instance.map_or_else(|| state.zone.clone(), |i| i.zone.clone());
         let software = instance.map(|i| i.software.clone());
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -1,6 +1,6 @@
 //! Passes on what nodes learn of instances and prompts from responses: which
-//! instances announced that they are leaving, and under which parts of prompts
-//! instances crash.
+//! instances announced that they are leaving, how many calls a second they take, and
+//! under which parts of prompts they crash.
 //!
 //! A node reports what it has seen itself to the coordinator of its zone.
 //! Coordinators report what they know to each other and pass it on to the nodes of
@@ -12,6 +12,7 @@
 use reedford_fleet::departures::LeavingInstances;
 use reedford_fleet::ownership::{Fence, Holder};
 use reedford_fleet::quarantine::Evidence;
+use reedford_fleet::rate_limits::{LimitsReport, Statements};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -43,6 +44,7 @@
 struct Notices {
     leaving: LeavingInstances,
     evidence: Evidence,
+    limits: Statements,
 }
 
 /// Notices reported to each coordinator.
@@ -111,12 +113,14 @@
             let notices = Notices {
                 leaving: state.directory.unlisted_departures(),
                 evidence: state.quarantine.all().clone(),
+                limits: state.rate_limits.statements().clone(),
             };
             (others.collect(), notices)
         } else {
             let notices = Notices {
                 leaving: state.directory.received_departures(),
                 evidence: state.quarantine.own().clone(),
+                limits: state.rate_limits.own_statements(),
             };
             (own.map(target).into_iter().collect(), notices)
         }
@@ -133,6 +137,7 @@
         let mut leaving = notices.leaving.iter();
         let leaving_due = leaving.any(|(id, born)| before.leaving.get(id) != Some(born));
         let evidence_due = notices.evidence != before.evidence;
+        let limits_due = notices.limits != before.limits;
         let mut reported = before;
         if leaving_due && self.report_leaving(addr, &notices.leaving).await {
             reported.leaving.clone_from(&notices.leaving);
@@ -140,8 +145,12 @@
         if evidence_due && self.report_evidence(addr, &notices.evidence).await {
             reported.evidence.clone_from(&notices.evidence);
         }
+        if limits_due && self.report_limits(addr, &notices.limits).await {
+            reported.limits.clone_from(&notices.limits);
+        }
         let complete = (!leaving_due || reported.leaving == notices.leaving)
-            && reported.evidence == notices.evidence;
+            && reported.evidence == notices.evidence
+            && reported.limits == notices.limits;
         (reported, complete)
     }
 
@@ -160,6 +169,20 @@
         sent.is_ok()
     }
 
+    async fn report_limits(&self, addr: SocketAddr, limits: &Statements) -> bool {
+        let report = LimitsReport::new(limits, self.shared.now());
+        let sent = self
+            .peers
+            .call(addr, REPORT_TIMEOUT, |peer, cx| async move {
+                peer.limits(cx, report).await
+            })
+            .await;
+        if let Err(error) = &sent {
+            tracing::info!(event = "limits_unreported", %addr, %error);
+        }
+        sent.is_ok()
+    }
+
     async fn report_evidence(&self, addr: SocketAddr, evidence: &Evidence) -> bool {
         let report = evidence.report(1, self.shared.now());
         let sent = self
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -6,6 +6,7 @@
 use reedford_fleet::departures::LeavingInstances;
 use reedford_fleet::ownership::Holder;
 use reedford_fleet::quarantine::EvidenceReport;
+use reedford_fleet::rate_limits::LimitsReport;
 use reedford_fleet::scheduler::{
     AdapterHash, AdapterKey, Grant, PlacementId, PlacementRequest, Progress, PromptPart, Refusal,
     RunningCall,
@@ -139,18 +140,21 @@
     async fn leaving(instances: LeavingInstances);
     /// Reports what the sender knows of parts of prompts under which instances crash.
     async fn crashes(report: EvidenceReport);
+    /// Reports the limits on calls that instances named to the sender, or to a node that
+    /// reported them to the sender.
+    async fn limits(report: LimitsReport);
     /// Long-polls a coordinator for the changes of a feed after a revision, 0
     /// for all keys. `operators` is the newest revision of operators' keys that
     /// the sender knows. Both are revisions of `era`, the newest era of the store
-    /// that the sender knows. `evidence` is the revision of the receiver's evidence on
-    /// prompts that the sender has, 0 if none; `None` if it wants none. Responds within
+    /// that the sender knows. `notices` is the revision of the receiver's notices
+    /// that the sender has, 0 if none; `None` if it wants none. Responds within
     /// a second.
     async fn news(
         feed: Feed,
         after: i64,
         operators: i64,
         era: Option<Era>,
-        evidence: Option<u64>,
+        notices: Option<u64>,
     ) -> FeedResponse;
     /// Asks whether the platform's store responds to the receiver.
     async fn store_answers() -> bool;
--- a/crates/gateway/src/peer_server.rs
+++ b/crates/gateway/src/peer_server.rs
@@ -13,6 +13,7 @@
 use reedford_fleet::departures::{DepartureSource, LeavingInstances};
 use reedford_fleet::ownership::Holder;
 use reedford_fleet::quarantine::EvidenceReport;
+use reedford_fleet::rate_limits::LimitsReport;
 use reedford_fleet::scheduler::{PlacementId, Progress};
 use reedford_fleet::stream_versions::StreamOrigin;
 use reedford_fleet::{AttemptId, Era, ZoneId};
@@ -143,6 +144,10 @@
         self.shared.merge_evidence(&report, "node");
     }
 
+    async fn limits(self, _: Context, report: LimitsReport) {
+        self.shared.merge_rate_limits(&report);
+    }
+
     async fn news(
         self,
         _: Context,
@@ -150,7 +155,7 @@
         after: i64,
         operators: i64,
         era: Option<Era>,
-        evidence: Option<u64>,
+        notices: Option<u64>,
     ) -> FeedResponse {
         self.shared.lock().connectivity.on_success();
         let after = Position {
@@ -160,10 +165,7 @@
         if let Some(era) = era {
             self.shared.eras.observe(era);
         }
-        let known = KnownMetadata {
-            operators,
-            evidence,
-        };
+        let known = KnownMetadata { operators, notices };
         let clock = || self.shared.now();
         self.shared.feeds.poll(feed, after, known, clock).await
     }
--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -10,7 +10,7 @@
 use reedford_fleet::directory::{Instance, InstanceState};
 use reedford_fleet::ownership::Holder;
 use reedford_fleet::scheduler::{AdapterKey, Grant, PlacementId, Refusal, RefusalReason};
-use reedford_fleet::{InstanceId, Now};
+use reedford_fleet::{InstanceId, Now, ServiceName};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -49,6 +49,38 @@
     pub(crate) zone: Box<str>,
 }
 
+/// When an instance that a call may use is available.
+struct Availability {
+    /// When the first one is; `now` also if there are none.
+    at: Now,
+    /// Instances that are not available now.
+    held: BTreeSet<InstanceId>,
+    /// Time in which calls that wait already use the instances before this one.
+    queue: Duration,
+}
+
+/// A call that waits for an instance; counted until it is dropped.
+struct Waiting<'a> {
+    shared: &'a Shared,
+    service: &'a ServiceName,
+}
+
+impl<'a> Waiting<'a> {
+    fn new(shared: &'a Shared, service: &'a ServiceName) -> Self {
+        let mut state = shared.lock();
+        *state.awaiting_turn.entry(service.clone()).or_default() += 1;
+        Self { shared, service }
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if let Some(count) = self.shared.lock().awaiting_turn.get_mut(self.service) {
+            *count = count.saturating_sub(1);
+        }
+    }
+}
+
 /// An instance selected for a call.
 #[derive(Clone, Debug)]
 pub(crate) struct Placement {
@@ -196,6 +228,7 @@
         };
         let usable = !avoid.contains(&instance.id)
             && call.accepts(instance)
+            && state.turn_at(instance, now) <= now
             && !state.health.is_ejected(&instance.id, now);
         usable.then(|| Grant {
             call: placement_id.clone(),
@@ -225,59 +258,81 @@
             })
     }
 
-    /// Waits while all instances that a call may use asked this node to wait, and
-    /// returns those that still do. Refuses the call if that takes too much of the
-    /// caller's time.
+    /// Waits while all instances that a call may use asked this node to wait, or have
+    /// no turn for it, and returns those that still do. Refuses the call if that takes
+    /// too much of the caller's time.
     async fn wait_until_available(
         &self,
         call: &Call,
         placement_id: &PlacementId,
         avoid: &BTreeSet<InstanceId>,
     ) -> Result<BTreeSet<InstanceId>, Refusal> {
+        let arrived = self.shared.now();
+        let latest = arrived + call.event_time_left(arrived).mul_f64(MAX_HOLD_SHARE);
+        let mut waiting = None;
         loop {
             let now = self.shared.now();
-            let (available_at, held) = self.availability(call, avoid, now);
-            if available_at <= now {
+            let Availability { at, held, queue } = self.availability(call, avoid, now);
+            if at <= now {
                 return Ok(held);
             }
-            let wait = available_at - now;
-            if wait > call.event_time_left(now).mul_f64(MAX_HOLD_SHARE) {
+            let wait = at - now;
+            let expected = if waiting.is_none() {
+                wait + queue
+            } else {
+                wait
+            };
+            if now + expected > latest {
                 tracing::info!(event = "held_off", id = %call.id, held = held.len(),
-                    wait_ms = wait.as_millis() as u64);
+                    wait_ms = expected.as_millis() as u64);
                 return Err(Refusal {
                     call: placement_id.clone(),
                     reason: RefusalReason::Held,
-                    retry_after: wait.min(MAX_HELD_RETRY_AFTER),
+                    retry_after: expected.min(MAX_HELD_RETRY_AFTER),
                 });
             }
+            waiting.get_or_insert_with(|| Waiting::new(&self.shared, &call.service));
             sleep(wait).await;
         }
     }
 
-    /// Returns when the first of the instances that a call may use is available, `now`
-    /// also if there are none, and those that are not available now.
-    fn availability(
-        &self,
-        call: &Call,
-        avoid: &BTreeSet<InstanceId>,
-        now: Now,
-    ) -> (Now, BTreeSet<InstanceId>) {
+    fn availability(&self, call: &Call, avoid: &BTreeSet<InstanceId>, now: Now) -> Availability {
         let state = self.shared.lock();
-        if state.pushback.is_over(now) {
-            return (now, BTreeSet::new());
+        let is_limited = !call.is_model_call && !state.rate_limits.is_empty();
+        if state.pushback.is_over(now) && !is_limited {
+            return Availability {
+                at: now,
+                held: BTreeSet::new(),
+                queue: Duration::ZERO,
+            };
         }
         let usable = state.directory.ready(&call.service);
         let usable = usable.filter(|i| !avoid.contains(&i.id));
+        let nodes = state.budget.node_count();
         let mut earliest = None;
+        // `None` if an instance names no limit.
+        let mut turns_per_s = is_limited.then_some(0.0);
         let mut held = BTreeSet::new();
         for instance in usable {
-            let at = state.available_at(instance, now);
+            let mut at = state.available_at(instance, now);
+            if is_limited {
+                at = at.max(state.turn_at(instance, now));
+                let limits = &state.rate_limits;
+                let turns = limits.turns_per_s(&instance.id, instance.born, nodes);
+                turns_per_s = turns_per_s.zip(turns).map(|(sum, turns)| sum + turns);
+            }
             earliest = Some(earliest.map_or(at, |e: Now| e.min(at)));
             if at > now {
                 held.insert(instance.id.clone());
             }
         }
-        (earliest.unwrap_or(now), held)
+        let waiting = state.awaiting_turn.get(&call.service).copied().unwrap_or(0);
+        let queue_s = turns_per_s.map_or(0.0, |per_s| f64::from(waiting) / per_s);
+        Availability {
+            at: earliest.unwrap_or(now),
+            held,
+            queue: Duration::try_from_secs_f64(queue_s).unwrap_or(Duration::ZERO),
+        }
     }
 
     /// Selects an instance of a plain service.
--- a/crates/gateway/src/response_head.rs
+++ b/crates/gateway/src/response_head.rs
@@ -4,6 +4,7 @@
 use crate::state::Shared;
 use reedford_fleet::Now;
 use reedford_fleet::departures::DepartureSource;
+use reedford_fleet::rate_limits::{Changed, LimitsReport};
 use std::time::Duration;
 
 impl Shared {
@@ -44,6 +45,24 @@
         if changed.limits {
             tracing::info!(event = "instance_limit", instance = id, born, ?per_s);
         }
+        self.on_rate_limits(changed);
+    }
+
+    /// Adds the limits on calls that other nodes know of.
+    pub(crate) fn merge_rate_limits(&self, report: &LimitsReport) {
+        let now = self.now();
+        let changed = self.lock().rate_limits.merge(report, now);
+        self.on_rate_limits(changed);
+    }
+
+    fn on_rate_limits(&self, changed: Changed) {
+        if changed.limits {
+            let statements = self.lock().rate_limits.statements().clone();
+            self.feeds.set_rate_limits(statements);
+        }
+        if changed.limits || changed.own {
+            self.instances_changed.send_replace(());
+        }
     }
 
     fn on_pushback(&self, id: &str, born: u64, pause: Duration) {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -22,7 +22,7 @@
 use reedford_fleet::scheduler::{AdapterKey, Grant, PlacementId};
 use reedford_fleet::stream_versions::StreamVersions;
 use reedford_fleet::zones::ZoneReport;
-use reedford_fleet::{InstanceId, Now, WeightVersion, ZoneId};
+use reedford_fleet::{InstanceId, Now, ServiceName, WeightVersion, ZoneId};
 use reedford_store::{EraTracker, Position};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -78,6 +78,8 @@
     pub(crate) pushback: Pushback,
     pub(crate) quarantine: Quarantine,
     pub(crate) rate_limits: RateLimits,
+    /// Calls of each service that wait for an instance to become available.
+    pub(crate) awaiting_turn: BTreeMap<ServiceName, u32>,
     pub(crate) budget: RetryBudget,
     pub(crate) role: Role,
     pub(crate) zone: ZoneId,
@@ -91,9 +93,8 @@
     /// This node's model calls that engines run.
     pub(crate) running: BTreeMap<PlacementId, LocalCall>,
     pub(crate) connectivity: Connectivity,
-    /// Coordinator whose evidence on prompts this node has, and the revision of that
-    /// evidence there.
-    pub(crate) followed_evidence: Option<(SocketAddr, u64)>,
+    /// Coordinator whose notices this node has, and their revision there.
+    pub(crate) followed_notices: Option<(SocketAddr, u64)>,
     /// Origins of the streams that this node relayed, and of those reported to it.
     pub(crate) stream_versions: StreamVersions,
     pub(crate) stopping: bool,
@@ -147,7 +148,8 @@
                 balancer: Balancer::default(),
                 pushback: Pushback::default(),
                 quarantine: Quarantine::default(),
-                rate_limits: RateLimits::default(),
+                rate_limits: RateLimits::new(rand::random()),
+                awaiting_turn: BTreeMap::new(),
                 budget: RetryBudget::new(retries),
                 role,
                 zone,
@@ -156,7 +158,7 @@
                 last_instances: BTreeMap::new(),
                 running: BTreeMap::new(),
                 connectivity: Connectivity::default(),
-                followed_evidence: None,
+                followed_notices: None,
                 stream_versions: StreamVersions::default(),
                 stopping: false,
             }),
@@ -266,6 +268,14 @@
         self.pushback.available_at(&instance.id, instance.born, now)
     }
 
+    /// Returns when a call that no coordinator grants may be sent to an instance, as far
+    /// as the instance names a limit on calls; `now` if at once.
+    pub(crate) fn turn_at(&self, instance: &Instance, now: Now) -> Now {
+        let nodes = self.budget.node_count();
+        self.rate_limits
+            .available_at(&instance.id, instance.born, nodes, now)
+    }
+
     /// Returns an instance if it accepts calls.
     pub(crate) fn ready_instance(&self, id: &str) -> Option<&Instance> {
         let instance = self.directory.get(id)?;
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -580,13 +580,13 @@
         };
         let after = revision_in_era(known.position);
         let operators = revision_in_era(*self.shared.operators_position.borrow());
-        let evidence = self.shared.lock().followed_evidence;
-        let evidence = evidence.filter(|(from, _)| *from == addr);
-        let evidence = Some(evidence.map_or(0, |(_, revision)| revision));
+        let notices = self.shared.lock().followed_notices;
+        let notices = notices.filter(|(from, _)| *from == addr);
+        let notices = Some(notices.map_or(0, |(_, revision)| revision));
         let response = self
             .peers
             .call(addr, FEED_POLL_TIMEOUT, |peer, cx| async move {
-                peer.news(cx, feed, after, operators, era, evidence).await
+                peer.news(cx, feed, after, operators, era, notices).await
             })
             .await;
         {
@@ -659,9 +659,10 @@
     }
 
     fn on_metadata(&self, addr: SocketAddr, era: Era, metadata: FeedMetadata) {
-        if let Some(news) = metadata.evidence {
-            self.shared.merge_evidence(&news.report, "coordinator");
-            self.shared.lock().followed_evidence = Some((addr, news.revision));
+        if let Some(news) = metadata.notices {
+            self.shared.merge_evidence(&news.crashes, "coordinator");
+            self.shared.merge_rate_limits(&news.limits);
+            self.shared.lock().followed_notices = Some((addr, news.revision));
         }
         if metadata.nodes > 0 {
             self.shared.lock().budget.set_node_count(metadata.nodes);
