--- a/crates/gateway/src/handler/replacement.rs
+++ b/crates/gateway/src/handler/replacement.rs
@@ -7,6 +7,8 @@
 use crate::call::Call;
 use crate::dialect::Dialect;
 use crate::sender::SendOutcome;
+use futures::FutureExt as _;
+use futures::future::BoxFuture;
 use reedford_fleet::{InstanceId, Now};
 use std::collections::BTreeSet;
 use std::pin::Pin;
@@ -51,15 +53,16 @@
 }
 
 /// How an overlap of two instances ended.
-enum Overlap<F>
+enum Overlap<F, S>
 where
     F: Future,
 {
     /// The silent instance went on.
     First(F::Output),
-    /// The second instance responded or failed. The silent one may still go on
-    /// unless it was given up.
-    Second(SendOutcome, Option<Pin<Box<F>>>),
+    /// The second instance responded or failed. The silent one may still go on.
+    Second(SendOutcome, Pin<Box<F>>),
+    /// The silent instance failed or was given up before the second one responded.
+    OnlySecond(S),
 }
 
 impl<D> Gateway<D>
@@ -107,14 +110,23 @@
             };
             attempts.runs += 1;
             let last = stream.last_event_id;
-            let second = self.sender.send_on(conn, call, &next.grant, last);
+            let grant = next.grant.clone();
+            let second = self.sender.send_on(conn, call, &grant, last).boxed();
             match overlap(first, second, &is_lost).await {
                 Overlap::First(output) => return Moved::Stayed(output),
-                Overlap::Second(sent, None) => return Moved::Switched(Box::new(next), sent),
-                Overlap::Second(sent, Some(_)) if sent.is_success() => {
+                Overlap::OnlySecond(second) => {
+                    let stream = StreamState {
+                        instance: &grant.instance,
+                        ..*stream
+                    };
+                    let followed = self.follow_second(stream, attempts, next, second);
+                    let (attempt, sent) = followed.await;
+                    return Moved::Switched(attempt, sent);
+                }
+                Overlap::Second(sent, _) if sent.is_success() => {
                     return Moved::Switched(Box::new(next), sent);
                 }
-                Overlap::Second(sent, Some(still_silent)) => {
+                Overlap::Second(sent, still_silent) => {
                     first = still_silent;
                     if let SendOutcome::NotRun(rejection) = sent {
                         attempts.runs -= 1;
@@ -125,6 +137,31 @@
         }
     }
 
+    /// Waits for the response of the second instance of a stream, which is moved again
+    /// if that one is silent, too. Returns the attempt that the response belongs to.
+    fn follow_second<'a>(
+        self: &'a Arc<Self>,
+        stream: StreamState<'a>,
+        attempts: &'a mut Attempts,
+        next: Attempt<D>,
+        second: BoxFuture<'a, SendOutcome>,
+    ) -> BoxFuture<'a, (Box<Attempt<D>>, SendOutcome)> {
+        async move {
+            let is_lost = |sent: &SendOutcome| !sent.is_success();
+            match self
+                .move_if_silent(&stream, attempts, second, is_lost)
+                .await
+            {
+                Moved::Stayed(sent) => (Box::new(next), sent),
+                Moved::Switched(third, sent) => {
+                    self.sender.on_silent(&next.grant);
+                    (third, sent)
+                }
+            }
+        }
+        .boxed()
+    }
+
     /// Waits until `from`, and then until the instance can be replaced; never
     /// returns if the call may not run again.
     pub(crate) async fn replace_silent(
@@ -188,13 +225,12 @@
 
 /// Runs a call at a silent instance and at a second one until one of them goes on
 /// or the time for both is over.
-async fn overlap<F, S, P>(mut first: Pin<Box<F>>, second: S, is_lost: P) -> Overlap<F>
+async fn overlap<F, S, P>(mut first: Pin<Box<F>>, mut second: S, is_lost: P) -> Overlap<F, S>
 where
     F: Future,
-    S: Future<Output = SendOutcome>,
+    S: Future<Output = SendOutcome> + Unpin,
     P: Fn(&F::Output) -> bool,
 {
-    let mut second = std::pin::pin!(second);
     tokio::select! {
         biased;
         output = first.as_mut() => {
@@ -202,9 +238,9 @@
                 return Overlap::First(output);
             }
         }
-        sent = second.as_mut() => return Overlap::Second(sent, Some(first)),
+        sent = &mut second => return Overlap::Second(sent, first),
         () = sleep(MAX_OVERLAP) => {}
     }
     drop(first);
-    Overlap::Second(second.await, None)
+    Overlap::OnlySecond(second)
 }
