--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -296,6 +296,7 @@
         }
     }
 
+    /// Returns when an instance that a call may use is available to this node.
     fn availability(&self, call: &Call, avoid: &BTreeSet<InstanceId>, now: Now) -> Availability {
         let state = self.shared.lock();
         let is_limited = !call.is_model_call && !state.rate_limits.is_empty();
--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -152,7 +152,7 @@
         self.pool.spawn(async move {
             sleep(CRASH_CHECK_DELAY).await;
             match pool.connect(grant.addr).await {
-                Ok(conn) => pool.put(conn),
+                Ok(conn) => drop(conn),
                 Err(NotSentReason::Connect(ErrorKind::ConnectionRefused)) => {
                     shared.on_crash(&call, &grant);
                 }
