Log the digest of each request whose attempt breaks off

It is computed once for a call, when it is first needed.

Requests differ in path and body. No decision was changed.

--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -23,13 +23,36 @@
 use crate::Now;
 use crate::scheduler::PromptPart;
 use evidence::{Crash, PartEvidence, RETENTION};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Id of a part of a prompt.
 pub type PartId = u64;
 
+/// Digest of a whole request. Callers choose the bytes of requests, so that the
+/// digest must be cryptographic and wide.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct RequestDigest(u128);
+
+impl RequestDigest {
+    /// Returns the digest with the first bytes of a hash.
+    #[must_use]
+    pub fn from_bytes(hash: &[u8; 32]) -> Self {
+        let mut first = [0; 16];
+        first.copy_from_slice(&hash[..16]);
+        Self(u128::from_be_bytes(first))
+    }
+}
+
+impl fmt::Display for RequestDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
 /// Time since the first event of a response within which a crash is still blamed
 /// on the call.
 pub const BLAME_TIME: Duration = Duration::from_millis(250);
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -2,14 +2,17 @@
 
 use crate::dialect::CallHead;
 use bytes::Bytes;
+use hyper::header::{AUTHORIZATION, HOST};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Uri};
 use reedford_fleet::config::{Route, RouteTable, Service};
 use reedford_fleet::directory::Instance;
+use reedford_fleet::quarantine::RequestDigest;
 use reedford_fleet::scheduler::AdapterKey;
 use reedford_fleet::stream_versions::StreamOrigin;
 use reedford_fleet::{Now, ServiceName, SoftwareVersion};
-use std::sync::Arc;
+use sha2::{Digest as _, Sha256};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -39,6 +42,7 @@
     /// Whether the stream has begun at a software version that isn't known, so that
     /// it can't be moved.
     pub(crate) software_unknown: bool,
+    digest: OnceLock<RequestDigest>,
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -86,12 +90,38 @@
             silent_since: arrived,
             required_software: None,
             software_unknown: false,
+            digest: OnceLock::new(),
             head,
             route,
             service,
         })
     }
 
+    /// Returns the digest of the request, which is the same for each attempt of a caller
+    /// at it. Requests with other credentials have other digests, so that callers with
+    /// credentials can't affect each other's.
+    ///
+    /// The body must have been read.
+    pub(crate) fn digest(&self) -> RequestDigest {
+        *self.digest.get_or_init(|| {
+            let header = |name| self.headers.get(name).map_or(&b""[..], |v| v.as_bytes());
+            let path = self.uri.path_and_query().map_or("", |path| path.as_str());
+            let mut hasher = Sha256::new();
+            for part in [
+                self.method.as_str().as_bytes(),
+                header(HOST),
+                path.as_bytes(),
+                header(AUTHORIZATION),
+                &self.body,
+            ] {
+                // The length keeps different requests from running into the same bytes.
+                hasher.update((part.len() as u64).to_le_bytes());
+                hasher.update(part);
+            }
+            RequestDigest::from_bytes(&hasher.finalize().into())
+        })
+    }
+
     /// Returns the adapter that the call names.
     pub(crate) fn adapter(&self) -> Option<AdapterKey> {
         let (model, adapter) = self.head.model.as_ref()?;
@@ -149,7 +179,7 @@
 }
 
 fn host(parts: &Parts) -> Option<&str> {
-    let host_header = parts.headers.get(hyper::header::HOST);
+    let host_header = parts.headers.get(HOST);
     host_header
         .and_then(|value| value.to_str().ok())
         .or_else(|| parts.uri.host())
--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -135,7 +135,8 @@
         let now = self.shared.now();
         let answered_ms = first_event_at.map(|at| now.saturating_sub(at).as_millis() as u64);
         tracing::info!(event = "attempt_broken", id = %call.id, instance = %grant.instance,
-            born = grant.born, why, answered_ms, parts = %PartIds(&call.head.prompt_parts));
+            born = grant.born, why, answered_ms, request = %call.digest(),
+            parts = %PartIds(&call.head.prompt_parts));
         let is_blamed = first_event_at.is_none_or(|at| now < at + BLAME_TIME);
         let has_ended = matches!(why, "closed" | "partial_event");
         if is_blamed && has_ended && call.head.prompt_parts.len() > 1 {
