Quarantine whole requests under which instances crash

Cause: the quarantine knew only parts of prompts. Calls to plain services have none, so that no crash was ever recorded against them: no line instance_crashed in the incident's logs, although connections were refused for three seconds after each crash. A prompt that comes again whole wasn't quarantined either, since a part needs crashes under two prompts.

It is quarantined after three crashes of different incarnations without an answer, for ten minutes if no node remembers it answered in the 30 s before; a trial could cost an instance for each copy in flight. Requests with the same crashes are both refused, because no call has both. A request that explains the crashes of a part spares the other calls with that part. Calls to plain services are checked once more after they have waited.

Ruled out: retries alone (new calls crash instances as well), and checks that come too late (connections were refused for 3 s).

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,7 +17,7 @@
 //! | [`health`] | which instances are ejected after failures |
 //! | [`ownership`] | whether this node coordinates its availability zone |
 //! | [`stream_versions`] | at which service and software version a stream may be resumed |
-//! | [`quarantine`] | which prompts are refused because instances crash under a part of them |
+//! | [`quarantine`] | which calls are refused because instances crash under them |
 //! | [`pushback`] | which instances asked this node to send nothing for a time |
 //! | [`rate_limits`] | how many calls a second instances take |
 //! | [`store_retries`] | when to try a store again that does not respond |
--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -1,20 +1,22 @@
-//! Parts of prompts under which instances crash.
+//! Calls that are refused because instances crash under them.
 //!
 //! A part of a prompt may crash every instance that begins to answer a prompt with
-//! it, whatever else the prompt has. Calls with such a part are refused.
+//! it, whatever else the prompt has. So may a whole request, to an engine or to a plain
+//! service, that callers send again and again.
 //!
-//! Nodes blame a crash on the calls that the instance was about to answer, and
-//! count it against each part of their prompts that other prompts may share, which
-//! are all but the last one. A part that is answered is cleared of the crashes before. One is
+//! Nodes blame a crash on the calls that the instance was about to answer: on the whole
+//! request, and on each part of its prompt that other prompts may share, which are all
+//! but the last one. A cause that is answered is cleared of the crashes before. One is
 //! quarantined after several crashes without an answer between them. When all
 //! instances crash together for another reason, nothing is answered for a while,
-//! so a part that was answered shortly before is quarantined only after crashes at
+//! so a cause that was answered shortly before is quarantined only after crashes at
 //! different times.
 //!
 //! Parts that occur together are told apart by the crashes that they don't share:
-//! a part that has been present in all crashes of another one explains them. A call
-//! is refused only if its prompt also has the parts that explain the crashes, so that
-//! calls with fewer of the parts show which one is the cause.
+//! a cause that has been present in all crashes of a part explains them. A call
+//! is refused for a part only if it also has the causes that explain the crashes, so that
+//! calls with fewer of them show which one is it. Requests can't occur together in
+//! a call, so that nothing would show which of two is it; both are refused.
 
 mod evidence;
 
@@ -22,7 +24,7 @@
 
 use crate::Now;
 use crate::scheduler::PromptPart;
-use evidence::{Crash, PartEvidence, RETENTION};
+use evidence::{CauseEvidence, Crash, RETENTION};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
@@ -53,6 +55,44 @@
     }
 }
 
+/// What may crash the instance that runs a call.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Cause {
+    /// A part of the prompt.
+    Part(PartId),
+    /// The whole request.
+    Request(RequestDigest),
+}
+
+impl fmt::Display for Cause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Part(part) => write!(f, "part:{part:x}"),
+            Self::Request(digest) => write!(f, "request:{digest}"),
+        }
+    }
+}
+
+/// A call, by what of it may crash instances.
+#[derive(Clone, Copy, Debug)]
+pub struct Suspect<'a> {
+    /// Parts of the prompt in order; empty if there is none.
+    pub prompt: &'a [PromptPart],
+    /// Digest of the whole request; `None` only where no request is suspected.
+    pub request: Option<RequestDigest>,
+}
+
+impl Suspect<'_> {
+    fn causes(&self) -> impl Iterator<Item = Cause> {
+        let shared = self
+            .prompt
+            .split_last()
+            .map_or(&[][..], |(_, shared)| shared);
+        let parts = shared.iter().map(|part| Cause::Part(part.id));
+        parts.chain(self.request.map(Cause::Request))
+    }
+}
+
 /// Time since the first event of a response within which a crash is still blamed
 /// on the call.
 pub const BLAME_TIME: Duration = Duration::from_millis(250);
@@ -60,12 +100,13 @@
 /// reported it.
 pub const SETTLE_TIME: Duration = Duration::from_millis(400);
 
-/// Crashes after which a part is quarantined.
+/// Crashes after which a cause is quarantined.
 const MIN_CRASHES: usize = 3;
-/// Different prompts that must have crashed instances, since the same one may meet
-/// with failures several times when it is retried.
+/// Different prompts with a part that must have crashed instances; if there is only one,
+/// the whole request is the cause.
 const MIN_PROMPTS: usize = 2;
-/// Duration of a quarantine after fewer than [`CERTAIN_CRASHES`].
+/// Duration of the quarantine of a part, or of a request that was answered shortly before
+/// the crashes, after fewer than [`CERTAIN_CRASHES`].
 const FIRST_QUARANTINE: Duration = Duration::from_secs(30);
 /// Crashes after which the quarantine lasts for [`RETENTION`].
 const CERTAIN_CRASHES: usize = 5;
@@ -74,17 +115,17 @@
 const RECENT_ANSWER: Duration = Duration::from_secs(30);
 /// Minimum time between crashes that occurred at different times.
 const CRASH_GAP: Duration = Duration::from_secs(1);
-/// Limit on the parts whose last answer is remembered.
+/// Limit on the causes whose last answer is remembered.
 const MAX_ANSWERED: usize = 4_096;
 
-/// What a node knows of parts under which instances crash.
+/// What a node knows of calls under which instances crash.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
     all: Evidence,
     /// What this node has seen itself.
     own: Evidence,
-    /// When calls of this node with a part were last answered.
-    answered: BTreeMap<PartId, Now>,
+    /// When calls of this node with a cause were last answered.
+    answered: BTreeMap<Cause, Now>,
 }
 
 /// Which evidence an event has changed.
@@ -99,8 +140,8 @@
 /// Why a call is refused.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Verdict {
-    /// The quarantined part.
-    pub part: PartId,
+    /// What is quarantined.
+    pub cause: Cause,
     /// Crashes without an answer between them.
     pub crashes: usize,
     /// End of the quarantine.
@@ -109,43 +150,34 @@
 
 impl Quarantine {
     /// Records the crash of the incarnation of an instance with the start time `born`
-    /// that was about to answer a prompt.
-    pub fn on_crash(
-        &mut self,
-        instance: &str,
-        born: u64,
-        prompt: &[PromptPart],
-        now: Now,
-    ) -> Changed {
-        let Some((last, shared)) = prompt.split_last() else {
-            return Changed::default();
-        };
+    /// that was about to answer a call.
+    pub fn on_crash(&mut self, instance: &str, born: u64, call: &Suspect<'_>, now: Now) -> Changed {
         self.expire(now);
         let incarnation = xxh3_64(instance.as_bytes()) ^ born;
         let crash = Crash {
-            prompt: last.id,
+            prompt: call.prompt.last().map_or(0, |last| last.id),
             at: now,
         };
         let mut changed = Changed::default();
-        for part in shared {
-            changed.own |= self.own.add_crash(part.id, incarnation, crash);
-            changed.all |= self.all.add_crash(part.id, incarnation, crash);
+        for cause in call.causes() {
+            changed.own |= self.own.add_crash(cause, incarnation, crash);
+            changed.all |= self.all.add_crash(cause, incarnation, crash);
         }
         changed.own |= self.report_answers();
         changed
     }
 
-    /// Records that an instance answers a prompt.
-    pub fn on_answered(&mut self, prompt: &[PromptPart], now: Now) -> Changed {
+    /// Records that an instance answers a call.
+    pub fn on_answered(&mut self, call: &Suspect<'_>, now: Now) -> Changed {
         let mut changed = Changed::default();
-        for part in shared_parts(prompt) {
-            if self.answered.len() >= MAX_ANSWERED && !self.answered.contains_key(&part.id) {
+        for cause in call.causes() {
+            if self.answered.len() >= MAX_ANSWERED && !self.answered.contains_key(&cause) {
                 self.drop_older_answers();
             }
-            self.answered.insert(part.id, now);
-            if self.all.has_crashes(part.id) {
-                changed.all |= self.all.add_answer(part.id, now);
-                changed.own |= self.own.add_answer(part.id, now);
+            self.answered.insert(cause, now);
+            if self.all.has_crashes(cause) {
+                changed.all |= self.all.add_answer(cause, now);
+                changed.own |= self.own.add_answer(cause, now);
             }
         }
         changed
@@ -171,24 +203,33 @@
         &self.own
     }
 
-    /// Returns the evidence against the parts that are quarantined.
+    /// Returns the evidence against what is quarantined.
     #[must_use]
     pub fn quarantined(&self, now: Now) -> Evidence {
         self.all
-            .filtered(|evidence| quarantined_until(evidence, now).is_some())
+            .filtered(|cause, evidence| quarantined_until(cause, evidence, now).is_some())
+    }
+
+    /// Returns whether any request is suspected, so that calls have to be compared with
+    /// it by their digests.
+    #[must_use]
+    pub fn suspects_requests(&self) -> bool {
+        let mut causes = self.all.iter();
+        causes.any(|(cause, _)| matches!(cause, Cause::Request(_)))
     }
 
-    /// Returns why a call with this prompt is refused; `None` if it isn't.
+    /// Returns why a call is refused; `None` if it isn't.
     #[must_use]
-    pub fn verdict(&self, prompt: &[PromptPart], now: Now) -> Option<Verdict> {
-        let ids: BTreeSet<PartId> = shared_parts(prompt).iter().map(|part| part.id).collect();
-        ids.iter().find_map(|part| {
-            let evidence = self.all.get(*part)?;
-            let until = quarantined_until(evidence, now)?;
-            let mut others = self.all.iter().filter(|(other, _)| *other != part);
-            let explained = others.any(|(other, e)| !ids.contains(other) && e.explains(evidence));
+    pub fn verdict(&self, call: &Suspect<'_>, now: Now) -> Option<Verdict> {
+        let causes: BTreeSet<Cause> = call.causes().collect();
+        causes.iter().copied().find_map(|cause| {
+            let evidence = self.all.get(cause)?;
+            let until = quarantined_until(cause, evidence, now)?;
+            let mut others = self.all.iter().filter(|(other, _)| !causes.contains(other));
+            let explained =
+                matches!(cause, Cause::Part(_)) && others.any(|(_, e)| e.explains(evidence));
             (!explained).then_some(Verdict {
-                part: *part,
+                cause,
                 crashes: evidence.crashes().count(),
                 until,
             })
@@ -199,11 +240,11 @@
     /// changed its own.
     fn report_answers(&mut self) -> bool {
         let mut changed = false;
-        for part in self.all.parts_with_crashes() {
-            if let Some(at) = self.answered.get(&part).copied()
-                && self.all.add_answer(part, at)
+        for cause in self.all.with_crashes() {
+            if let Some(at) = self.answered.get(&cause).copied()
+                && self.all.add_answer(cause, at)
             {
-                changed |= self.own.add_answer(part, at);
+                changed |= self.own.add_answer(cause, at);
             }
         }
         changed
@@ -223,13 +264,8 @@
     }
 }
 
-/// Returns the parts of a prompt that other prompts may share.
-fn shared_parts(prompt: &[PromptPart]) -> &[PromptPart] {
-    prompt.split_last().map_or(&[], |(_, shared)| shared)
-}
-
-/// Returns the end of a part's quarantine, if it is quarantined.
-fn quarantined_until(evidence: &PartEvidence, now: Now) -> Option<Now> {
+/// Returns the end of a cause's quarantine, if it is quarantined.
+fn quarantined_until(cause: Cause, evidence: &CauseEvidence, now: Now) -> Option<Now> {
     let settled = evidence.crashes().filter(|c| c.at + SETTLE_TIME <= now);
     let mut crashes: Vec<&Crash> = settled.collect();
     crashes.sort_by_key(|c| c.at);
@@ -248,13 +284,19 @@
             counts
         });
     }
-    if crashes.len() < MIN_CRASHES || prompts.len() < MIN_PROMPTS {
+    // A request that was never answered has no sound callers to lose, and each trial may
+    // cost an instance.
+    let (min_prompts, is_certain) = match cause {
+        Cause::Part(_) => (MIN_PROMPTS, false),
+        Cause::Request(_) => (1, !was_answered),
+    };
+    if crashes.len() < MIN_CRASHES || prompts.len() < min_prompts {
         return None;
     }
-    let duration = if crashes.len() < CERTAIN_CRASHES {
-        FIRST_QUARANTINE
-    } else {
+    let duration = if is_certain || crashes.len() >= CERTAIN_CRASHES {
         RETENTION
+    } else {
+        FIRST_QUARANTINE
     };
     let until = last + duration;
     (now < until).then_some(until)
--- a/crates/fleet/src/quarantine/evidence.rs
+++ b/crates/fleet/src/quarantine/evidence.rs
@@ -1,48 +1,53 @@
-//! Crashes and answers by part of a prompt, as nodes exchange them.
+//! Crashes and answers by their possible causes, as nodes exchange them.
 //!
 //! Two nodes that exchange their evidence, in whatever order and however often,
 //! hold the same crashes. An answer is remembered as long as a crash, so that a
 //! crash from before it that is reported once more does not count again.
 
-use super::PartId;
+use super::{Cause, PartId, RequestDigest};
 use crate::Now;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::mem;
 use std::time::Duration;
 
 /// How long crashes and answers are remembered.
 pub(super) const RETENTION: Duration = Duration::from_secs(600);
 
 /// Time by which an answer must be later than the last known one to be of interest,
-/// unless it clears a part of crashes.
+/// unless it clears its causes of crashes.
 const ANSWER_RESOLUTION: Duration = Duration::from_secs(1);
 /// Limit on the parts; those with the fewest crashes are dropped beyond it.
 const MAX_PARTS: usize = 64;
-/// Limit on the crashes of a part; the oldest is dropped beyond it.
+/// Limit on the requests, like [`MAX_PARTS`]. An instance that crashes for another reason
+/// adds all requests that it runs.
+const MAX_REQUESTS: usize = 256;
+/// Limit on the crashes of a cause; the oldest is dropped beyond it.
 const MAX_CRASHES: usize = 16;
 
 /// Hash of an instance's id and the start time of its incarnation.
 type IncarnationHash = u64;
 
-/// Crashes and answers by part.
+/// Crashes and answers by possible cause.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Evidence {
-    by_part: BTreeMap<PartId, PartEvidence>,
+    by_cause: BTreeMap<Cause, CauseEvidence>,
 }
 
-/// What is known of one part.
+/// What is known of one cause.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub(super) struct PartEvidence {
+pub(super) struct CauseEvidence {
     /// Crashes since the last answer.
     crashes: BTreeMap<IncarnationHash, Crash>,
-    /// When a prompt with the part was last answered.
+    /// When a call with the cause was last answered.
     pub(super) answered_at: Option<Now>,
 }
 
-/// A crash of an instance that was about to answer a prompt.
+/// A crash of an instance that was about to answer a call.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) struct Crash {
-    /// Id of the prompt's last part, which prompts don't share.
+    /// Id of the last part of the call's prompt, which prompts don't share; 0 if there is
+    /// no prompt.
     pub(super) prompt: PartId,
     pub(super) at: Now,
 }
@@ -51,12 +56,16 @@
 /// differ.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct EvidenceReport {
-    parts: Vec<PartReport>,
+    parts: Vec<CauseReport<PartId>>,
+    #[serde(default)]
+    requests: Vec<CauseReport<RequestDigest>>,
 }
 
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-struct PartReport {
-    part: PartId,
+struct CauseReport<C> {
+    /// Nodes and records of earlier versions know only parts.
+    #[serde(rename = "part")]
+    cause: C,
     crashes: Vec<CrashReport>,
     /// Age of the last answer in milliseconds.
     answered_ms: Option<u64>,
@@ -75,98 +84,128 @@
     #[must_use]
     pub fn aged(mut self, age: Duration) -> Self {
         let age_ms = age.as_millis() as u64;
-        for part in &mut self.parts {
-            for crash in &mut part.crashes {
-                crash.age_ms = crash.age_ms.saturating_add(age_ms);
-            }
-            part.answered_ms = part.answered_ms.map(|ms| ms.saturating_add(age_ms));
+        for report in &mut self.parts {
+            report.age(age_ms);
+        }
+        for report in &mut self.requests {
+            report.age(age_ms);
         }
         self
     }
 }
 
+impl<C> CauseReport<C> {
+    fn new(cause: C, evidence: &CauseEvidence, now: Now) -> Self {
+        let age_ms = |at: Now| now.saturating_sub(at).as_millis() as u64;
+        let crashes = evidence.crashes.iter();
+        let crashes = crashes.map(|(incarnation, crash)| CrashReport {
+            incarnation: *incarnation,
+            prompt: crash.prompt,
+            age_ms: age_ms(crash.at),
+        });
+        Self {
+            cause,
+            crashes: crashes.collect(),
+            answered_ms: evidence.answered_at.map(age_ms),
+        }
+    }
+
+    fn age(&mut self, age_ms: u64) {
+        for crash in &mut self.crashes {
+            crash.age_ms = crash.age_ms.saturating_add(age_ms);
+        }
+        self.answered_ms = self.answered_ms.map(|ms| ms.saturating_add(age_ms));
+    }
+}
+
 impl Evidence {
     /// Returns the evidence that a node reported at `now`.
     #[must_use]
     pub fn from_report(report: &EvidenceReport, now: Now) -> Self {
         let mut evidence = Self::default();
-        let since = |age_ms| now.saturating_sub(Duration::from_millis(age_ms));
-        for part in report.parts.iter().take(MAX_PARTS) {
-            if let Some(age_ms) = part.answered_ms {
-                evidence.add_answer(part.part, since(age_ms));
-            }
-            for crash in part.crashes.iter().take(MAX_CRASHES) {
-                let at = since(crash.age_ms);
-                let prompt = crash.prompt;
-                evidence.add_crash(part.part, crash.incarnation, Crash { prompt, at });
-            }
+        for report in report.parts.iter().take(MAX_PARTS) {
+            evidence.add_report(Cause::Part(report.cause), report, now);
+        }
+        for report in report.requests.iter().take(MAX_REQUESTS) {
+            evidence.add_report(Cause::Request(report.cause), report, now);
         }
         evidence.expire(now);
         evidence
     }
 
+    fn add_report<C>(&mut self, cause: Cause, report: &CauseReport<C>, now: Now) {
+        let since = |age_ms| now.saturating_sub(Duration::from_millis(age_ms));
+        if let Some(age_ms) = report.answered_ms {
+            self.add_answer(cause, since(age_ms));
+        }
+        for crash in report.crashes.iter().take(MAX_CRASHES) {
+            let at = since(crash.age_ms);
+            let prompt = crash.prompt;
+            self.add_crash(cause, crash.incarnation, Crash { prompt, at });
+        }
+    }
+
     /// Returns the report of this evidence to other nodes, without what expired and
-    /// without parts of fewer than `min_crashes` that were not answered since.
+    /// without causes of fewer than `min_crashes` that were not answered since.
     #[must_use]
     pub fn report(&self, min_crashes: usize, now: Now) -> EvidenceReport {
-        let age_ms = |at: Now| now.saturating_sub(at).as_millis() as u64;
         let mut current = self.clone();
         current.expire(now);
-        let parts = current.by_part.into_iter();
-        let parts = parts
-            .filter(|(_, e)| e.crashes.len() >= min_crashes || e.answered_at.is_some())
-            .map(|(part, evidence)| PartReport {
-                part,
-                crashes: evidence
-                    .crashes
-                    .iter()
-                    .map(|(incarnation, crash)| CrashReport {
-                        incarnation: *incarnation,
-                        prompt: crash.prompt,
-                        age_ms: age_ms(crash.at),
-                    })
-                    .collect(),
-                answered_ms: evidence.answered_at.map(age_ms),
-            })
-            .collect();
-        EvidenceReport { parts }
-    }
-
-    pub(super) fn get(&self, part: PartId) -> Option<&PartEvidence> {
-        self.by_part.get(&part)
-    }
-
-    pub(super) fn iter(&self) -> impl Iterator<Item = (&PartId, &PartEvidence)> {
-        self.by_part.iter()
+        let mut report = EvidenceReport::default();
+        for (cause, evidence) in &current.by_cause {
+            if evidence.crashes.len() < min_crashes && evidence.answered_at.is_none() {
+                continue;
+            }
+            match *cause {
+                Cause::Part(part) => {
+                    report.parts.push(CauseReport::new(part, evidence, now));
+                }
+                Cause::Request(digest) => {
+                    report
+                        .requests
+                        .push(CauseReport::new(digest, evidence, now));
+                }
+            }
+        }
+        report
+    }
+
+    pub(super) fn get(&self, cause: Cause) -> Option<&CauseEvidence> {
+        self.by_cause.get(&cause)
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = (&Cause, &CauseEvidence)> {
+        self.by_cause.iter()
     }
 
     pub(super) fn filtered<F>(&self, selects: F) -> Self
     where
-        F: Fn(&PartEvidence) -> bool,
+        F: Fn(Cause, &CauseEvidence) -> bool,
     {
-        let selected = self.by_part.iter().filter(|(_, e)| selects(e));
+        let selected = self.by_cause.iter();
+        let selected = selected.filter(|(cause, e)| selects(**cause, e));
         Self {
-            by_part: selected.map(|(part, e)| (*part, e.clone())).collect(),
+            by_cause: selected.map(|(cause, e)| (*cause, e.clone())).collect(),
         }
     }
 
-    pub(super) fn has_crashes(&self, part: PartId) -> bool {
-        self.get(part).is_some_and(|e| !e.crashes.is_empty())
+    pub(super) fn has_crashes(&self, cause: Cause) -> bool {
+        self.get(cause).is_some_and(|e| !e.crashes.is_empty())
     }
 
-    pub(super) fn parts_with_crashes(&self) -> Vec<PartId> {
-        let suspects = self.by_part.iter().filter(|(_, e)| !e.crashes.is_empty());
-        suspects.map(|(part, _)| *part).collect()
+    pub(super) fn with_crashes(&self) -> Vec<Cause> {
+        let suspects = self.by_cause.iter().filter(|(_, e)| !e.crashes.is_empty());
+        suspects.map(|(cause, _)| *cause).collect()
     }
 
-    /// Adds a crash unless the part was answered since. Returns whether it is new.
+    /// Adds a crash unless the cause was answered since. Returns whether it is new.
     pub(super) fn add_crash(
         &mut self,
-        part: PartId,
+        cause: Cause,
         incarnation: IncarnationHash,
         crash: Crash,
     ) -> bool {
-        let evidence = self.entry(part);
+        let evidence = self.entry(cause);
         let is_cleared = evidence.answered_at.is_some_and(|at| at >= crash.at);
         if is_cleared || evidence.crashes.contains_key(&incarnation) {
             return false;
@@ -182,10 +221,10 @@
         true
     }
 
-    /// Clears a part of the crashes until `at`. Returns whether that is worth
+    /// Clears a cause of the crashes until `at`. Returns whether that is worth
     /// reporting.
-    pub(super) fn add_answer(&mut self, part: PartId, at: Now) -> bool {
-        let evidence = self.entry(part);
+    pub(super) fn add_answer(&mut self, cause: Cause, at: Now) -> bool {
+        let evidence = self.entry(cause);
         let before = evidence.crashes.len();
         evidence.crashes.retain(|_, crash| crash.at > at);
         let clears = evidence.crashes.len() < before;
@@ -200,12 +239,12 @@
     /// Adds other evidence. Returns whether any of it is new.
     pub(super) fn merge(&mut self, other: &Self) -> bool {
         let mut changed = false;
-        for (part, evidence) in &other.by_part {
+        for (cause, evidence) in &other.by_cause {
             if let Some(at) = evidence.answered_at {
-                changed |= self.add_answer(*part, at);
+                changed |= self.add_answer(*cause, at);
             }
             for (incarnation, crash) in &evidence.crashes {
-                changed |= self.add_crash(*part, *incarnation, *crash);
+                changed |= self.add_crash(*cause, *incarnation, *crash);
             }
         }
         changed
@@ -213,7 +252,7 @@
 
     /// Drops what is no longer remembered.
     pub(super) fn expire(&mut self, now: Now) {
-        for evidence in self.by_part.values_mut() {
+        for evidence in self.by_cause.values_mut() {
             evidence
                 .crashes
                 .retain(|_, crash| now.saturating_sub(crash.at) < RETENTION);
@@ -221,32 +260,43 @@
                 .answered_at
                 .take_if(|at| now.saturating_sub(*at) >= RETENTION);
         }
-        self.by_part
+        self.by_cause
             .retain(|_, e| !e.crashes.is_empty() || e.answered_at.is_some());
     }
 
-    fn entry(&mut self, part: PartId) -> &mut PartEvidence {
-        if self.by_part.len() >= MAX_PARTS && !self.by_part.contains_key(&part) {
-            self.drop_least_suspect();
+    fn entry(&mut self, cause: Cause) -> &mut CauseEvidence {
+        if !self.by_cause.contains_key(&cause) {
+            self.make_room_for(cause);
         }
-        self.by_part.entry(part).or_default()
+        self.by_cause.entry(cause).or_default()
     }
 
-    fn drop_least_suspect(&mut self) {
-        let rank = |e: &PartEvidence| (e.crashes.len(), e.crashes.values().map(|c| c.at).max());
-        let least = self.by_part.iter().min_by_key(|(_, e)| rank(e));
-        if let Some(part) = least.map(|(part, _)| *part) {
-            self.by_part.remove(&part);
+    /// Drops the least suspect cause of the same kind if there are as many as the limit.
+    fn make_room_for(&mut self, cause: Cause) {
+        let limit = match cause {
+            Cause::Part(_) => MAX_PARTS,
+            Cause::Request(_) => MAX_REQUESTS,
+        };
+        let kind = mem::discriminant(&cause);
+        let same_kind = self.by_cause.iter();
+        let same_kind = same_kind.filter(|(other, _)| mem::discriminant(*other) == kind);
+        if same_kind.clone().count() < limit {
+            return;
+        }
+        let rank = |e: &CauseEvidence| (e.crashes.len(), e.crashes.values().map(|c| c.at).max());
+        let least = same_kind.min_by_key(|(_, e)| rank(e));
+        if let Some(least) = least.map(|(cause, _)| *cause) {
+            self.by_cause.remove(&least);
         }
     }
 }
 
-impl PartEvidence {
+impl CauseEvidence {
     pub(super) fn crashes(&self) -> impl Iterator<Item = &Crash> {
         self.crashes.values()
     }
 
-    /// Whether the part was present in all crashes of another one.
+    /// Whether the cause was present in all crashes of another one.
     pub(super) fn explains(&self, other: &Self) -> bool {
         let mut crashes = other.crashes.keys();
         crashes.all(|incarnation| self.crashes.contains_key(incarnation))
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -1,9 +1,9 @@
-//! Which prompts are refused after instances crashed under them.
+//! Which calls are refused after instances crashed under them.
 
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
 use reedford_fleet::Now;
-use reedford_fleet::quarantine::{PartId, Quarantine, SETTLE_TIME};
+use reedford_fleet::quarantine::{PartId, Quarantine, RequestDigest, SETTLE_TIME, Suspect};
 use reedford_fleet::scheduler::PromptPart;
 use std::time::Duration;
 use test_case::test_case;
@@ -39,6 +39,14 @@
         .collect()
 }
 
+/// A call of which only the prompt is suspected.
+const fn with_prompt(prompt: &[PromptPart]) -> Suspect<'_> {
+    Suspect {
+        prompt,
+        request: None,
+    }
+}
+
 fn ms(at: u64) -> Now {
     Duration::from_secs(100) + Duration::from_millis(at)
 }
@@ -48,10 +56,10 @@
     for (n, event) in events.iter().enumerate() {
         match event {
             Crash(at, ids) => {
-                quarantine.on_crash(&format!("i{n}"), 1, &parts(ids), ms(*at));
+                quarantine.on_crash(&format!("i{n}"), 1, &with_prompt(&parts(ids)), ms(*at));
             }
             Answer(at, ids) => {
-                quarantine.on_answered(&parts(ids), ms(*at));
+                quarantine.on_answered(&with_prompt(&parts(ids)), ms(*at));
             }
         }
     }
@@ -143,7 +151,7 @@
 fn a_prompt_is_refused_after_crashes(case: Case) {
     let mut quarantine = Quarantine::default();
     apply(&mut quarantine, case.events);
-    let verdict = quarantine.verdict(&parts(case.prompt), ms(case.at_ms));
+    let verdict = quarantine.verdict(&with_prompt(&parts(case.prompt)), ms(case.at_ms));
     assert_eq!(verdict.is_some(), case.refused, "{verdict:?}");
 }
 
@@ -156,7 +164,7 @@
     let mut nodes = [const { None }; 3].map(|_: Option<()>| Quarantine::default());
     for (n, event) in THREE_CRASHES.iter().enumerate() {
         let Crash(at, ids) = event else { continue };
-        nodes[n].on_crash(&format!("i{n}"), 1, &parts(ids), ms(*at));
+        nodes[n].on_crash(&format!("i{n}"), 1, &with_prompt(&parts(ids)), ms(*at));
     }
     let now = ms(500);
     let mut hub = Quarantine::default();
@@ -165,7 +173,10 @@
     }
     for node in &mut nodes {
         node.merge(&hub.all().report(2, now), now);
-        assert!(node.verdict(&parts(&[SYSTEM, CRASHING, 9]), now).is_some());
+        assert!(
+            node.verdict(&with_prompt(&parts(&[SYSTEM, CRASHING, 9])), now)
+                .is_some()
+        );
     }
 }
 
@@ -175,17 +186,23 @@
 fn an_answer_at_another_node_clears_a_part() {
     let (mut crashes, mut answers) = (Quarantine::default(), Quarantine::default());
     apply(&mut crashes, THREE_CRASHES);
-    answers.on_answered(&parts(&[SYSTEM, CRASHING, 20]), ms(95));
+    answers.on_answered(&with_prompt(&parts(&[SYSTEM, CRASHING, 20])), ms(95));
     let now = ms(500);
     let changed = answers.merge(&crashes.all().report(2, now), now);
     assert!(changed.own);
     crashes.merge(&answers.own().report(1, now), now);
-    assert_eq!(crashes.verdict(&parts(&[SYSTEM, CRASHING, 9]), now), None);
+    assert_eq!(
+        crashes.verdict(&with_prompt(&parts(&[SYSTEM, CRASHING, 9])), now),
+        None
+    );
     // Reported once more by a node that did not learn of the answer.
     let mut late = Quarantine::default();
     apply(&mut late, THREE_CRASHES);
     crashes.merge(&late.own().report(1, now), now);
-    assert_eq!(crashes.verdict(&parts(&[SYSTEM, CRASHING, 9]), now), None);
+    assert_eq!(
+        crashes.verdict(&with_prompt(&parts(&[SYSTEM, CRASHING, 9])), now),
+        None
+    );
 }
 
 /// Guards against a node whose memory grows with the parts that callers send.
@@ -195,13 +212,13 @@
     apply(&mut quarantine, THREE_CRASHES);
     for n in 0..20_000 {
         let ids = [1_000 + 2 * n, 1_001 + 2 * n, 5];
-        quarantine.on_answered(&parts(&ids), ms(200));
-        quarantine.on_crash(&format!("j{n}"), 1, &parts(&ids), ms(300));
+        quarantine.on_answered(&with_prompt(&parts(&ids)), ms(200));
+        quarantine.on_crash(&format!("j{n}"), 1, &with_prompt(&parts(&ids)), ms(300));
     }
     let report = serde_json::to_vec(&quarantine.all().report(1, ms(600)));
     let length = report.expect("a report serializes").len();
     assert!(length < 64 << 10, "{length}");
-    let verdict = quarantine.verdict(&parts(&[SYSTEM, CRASHING, 9]), ms(600));
+    let verdict = quarantine.verdict(&with_prompt(&parts(&[SYSTEM, CRASHING, 9])), ms(600));
     assert!(verdict.is_some());
 }
 
@@ -227,21 +244,209 @@
     for second in 0..120 {
         let at = second * 1_000;
         for answered in 0..40 {
-            quarantine.on_answered(&prompt(&mut rng), ms(at + answered * 20));
+            quarantine.on_answered(&with_prompt(&prompt(&mut rng)), ms(at + answered * 20));
         }
         if second % 10 == 9 {
             for engine in 0..ENGINES / 2 {
                 for _ in 0..CALLS_PER_ENGINE {
                     let id = format!("i{engine}");
-                    quarantine.on_crash(&id, at, &prompt(&mut rng), ms(at + 900));
+                    quarantine.on_crash(&id, at, &with_prompt(&prompt(&mut rng)), ms(at + 900));
                 }
             }
         }
         let judged_at = ms(at + 999) + SETTLE_TIME;
         let refused = (0..200).filter(|_| {
             let prompt = prompt(&mut rng);
-            quarantine.verdict(&prompt, judged_at).is_some()
+            quarantine
+                .verdict(&with_prompt(&prompt), judged_at)
+                .is_some()
         });
         assert_eq!(refused.count(), 0, "in second {second}");
     }
 }
+
+/// An event at one node that concerns whole requests, and when it occurs, in
+/// milliseconds.
+#[derive(Clone, Copy)]
+enum RequestEvent {
+    /// An instance crashes that runs requests with these numbers.
+    CrashUnder(u64, &'static [u8]),
+    /// A request is answered.
+    AnswerTo(u64, u8),
+}
+use RequestEvent::{AnswerTo, CrashUnder};
+
+struct RequestCase {
+    events: &'static [RequestEvent],
+    /// Number of the request that is judged, and when.
+    request: u8,
+    at_ms: u64,
+    refused: bool,
+}
+
+fn plain(request: u8) -> Suspect<'static> {
+    Suspect {
+        prompt: &[],
+        request: Some(RequestDigest::from_bytes(&[request; 32])),
+    }
+}
+
+/// Applies events, each crash to another instance.
+fn apply_to_requests(quarantine: &mut Quarantine, events: &[RequestEvent]) {
+    for (n, event) in events.iter().enumerate() {
+        match event {
+            CrashUnder(at, requests) => {
+                for request in *requests {
+                    quarantine.on_crash(&format!("i{n}"), 1, &plain(*request), ms(*at));
+                }
+            }
+            AnswerTo(at, request) => {
+                quarantine.on_answered(&plain(*request), ms(*at));
+            }
+        }
+    }
+}
+
+const POISON: u8 = 1;
+const SECOND_POISON: u8 = 2;
+const BYSTANDER: u8 = 3;
+
+const THREE_UNDER_ONE: &[RequestEvent] = &[
+    CrashUnder(0, &[POISON]),
+    CrashUnder(90, &[POISON, BYSTANDER]),
+    CrashUnder(180, &[POISON]),
+];
+const UNDER_TWO: &[RequestEvent] = &[
+    CrashUnder(0, &[POISON]),
+    CrashUnder(50, &[SECOND_POISON]),
+    CrashUnder(90, &[POISON, SECOND_POISON]),
+    CrashUnder(150, &[SECOND_POISON, POISON]),
+];
+const SAME_INSTANCE: &[RequestEvent] = &[CrashUnder(0, &[POISON, POISON, POISON, POISON])];
+const POLLED_IN_A_WAVE: &[RequestEvent] = &[
+    AnswerTo(0, BYSTANDER),
+    CrashUnder(900, &[BYSTANDER]),
+    CrashUnder(910, &[BYSTANDER]),
+    CrashUnder(920, &[BYSTANDER]),
+    CrashUnder(930, &[BYSTANDER]),
+];
+const POLLED_IN_WAVES: &[RequestEvent] = &[
+    AnswerTo(0, BYSTANDER),
+    CrashUnder(900, &[BYSTANDER]),
+    CrashUnder(910, &[BYSTANDER]),
+    AnswerTo(4_000, BYSTANDER),
+    CrashUnder(5_000, &[BYSTANDER]),
+    AnswerTo(8_000, BYSTANDER),
+    CrashUnder(9_000, &[BYSTANDER]),
+    CrashUnder(9_010, &[BYSTANDER]),
+];
+const ONCE_ANSWERED: &[RequestEvent] = &[
+    AnswerTo(0, POISON),
+    CrashUnder(900, &[POISON]),
+    CrashUnder(2_000, &[POISON]),
+    CrashUnder(3_100, &[POISON]),
+];
+
+/// Guards against requests that crash instances over and over, and against sound ones
+/// that are refused because they met with crashes.
+#[test_case(RequestCase { events: THREE_UNDER_ONE, request: POISON, at_ms: 600, refused: true };
+    "three crashes")]
+#[test_case(RequestCase { events: THREE_UNDER_ONE, request: POISON, at_ms: 500, refused: false };
+    "before the last crash counts")]
+#[test_case(RequestCase { events: THREE_UNDER_ONE, request: BYSTANDER, at_ms: 600, refused: false };
+    "one that ran beside it")]
+#[test_case(RequestCase { events: THREE_UNDER_ONE, request: POISON, at_ms: 599_000, refused: true };
+    "long after three crashes")]
+#[test_case(RequestCase { events: THREE_UNDER_ONE, request: POISON, at_ms: 601_000, refused: false };
+    "after the retention")]
+#[test_case(RequestCase { events: UNDER_TWO, request: POISON, at_ms: 600, refused: true };
+    "the first of two that crash the same instances")]
+#[test_case(RequestCase { events: UNDER_TWO, request: SECOND_POISON, at_ms: 600, refused: true };
+    "the second of two that crash the same instances")]
+#[test_case(RequestCase { events: SAME_INSTANCE, request: POISON, at_ms: 600, refused: false };
+    "four copies at one instance")]
+#[test_case(RequestCase { events: POLLED_IN_A_WAVE, request: BYSTANDER, at_ms: 1_400, refused: false };
+    "a polled request when all instances crash together")]
+#[test_case(RequestCase { events: POLLED_IN_WAVES, request: BYSTANDER, at_ms: 9_500, refused: false };
+    "a polled request when they crash together several times")]
+#[test_case(RequestCase { events: ONCE_ANSWERED, request: POISON, at_ms: 3_600, refused: true };
+    "answered before and then at no time")]
+#[test_case(RequestCase { events: ONCE_ANSWERED, request: POISON, at_ms: 34_000, refused: false };
+    "answered before, after the first quarantine")]
+fn a_request_is_refused_after_crashes(case: RequestCase) {
+    let mut quarantine = Quarantine::default();
+    apply_to_requests(&mut quarantine, case.events);
+    let verdict = quarantine.verdict(&plain(case.request), ms(case.at_ms));
+    assert_eq!(verdict.is_some(), case.refused, "{verdict:?}");
+}
+
+/// Guards against a sound part that is refused because one request with it, sent again
+/// and again, crashes instances.
+#[test]
+fn a_request_explains_the_crashes_of_its_parts() {
+    let mut quarantine = Quarantine::default();
+    let prompts = [11, 12].map(|last| parts(&[SYSTEM, TENANT, last]));
+    let calls = [POISON, BYSTANDER].map(|n| plain(n).request);
+    for instance in ["i1", "i2", "i3"] {
+        for (prompt, request) in prompts.iter().zip(calls) {
+            // The second one runs beside the first on one instance only.
+            if request == calls[0] || instance == "i2" {
+                quarantine.on_crash(instance, 1, &Suspect { prompt, request }, ms(0));
+            }
+        }
+    }
+    let repeated = Suspect {
+        prompt: &prompts[0],
+        request: calls[0],
+    };
+    let other = Suspect {
+        prompt: &parts(&[SYSTEM, TENANT, 13]),
+        request: plain(9).request,
+    };
+    assert!(quarantine.verdict(&repeated, ms(500)).is_some());
+    assert_eq!(quarantine.verdict(&other, ms(500)), None);
+}
+
+/// Guards against nodes that forget the request when instances crash under many others,
+/// and whose memory grows with the requests that callers send.
+#[test]
+fn the_evidence_against_requests_is_bounded() {
+    let mut quarantine = Quarantine::default();
+    apply_to_requests(&mut quarantine, THREE_UNDER_ONE);
+    for n in 0..5_000_u32 {
+        let mut hash = [7; 32];
+        hash[..4].copy_from_slice(&n.to_le_bytes());
+        let call = Suspect {
+            prompt: &[],
+            request: Some(RequestDigest::from_bytes(&hash)),
+        };
+        quarantine.on_answered(&call, ms(200));
+        quarantine.on_crash(&format!("j{n}"), 1, &call, ms(300));
+    }
+    let report = serde_json::to_vec(&quarantine.all().report(1, ms(600)));
+    let length = report.expect("a report serializes").len();
+    assert!(length < 64 << 10, "{length}");
+    assert!(quarantine.verdict(&plain(POISON), ms(600)).is_some());
+}
+
+/// Guards against reports between nodes that lose requests, and against nodes of earlier
+/// versions, whose reports have none.
+#[test]
+fn requests_are_reported_beside_parts() {
+    let mut quarantine = Quarantine::default();
+    apply(&mut quarantine, THREE_CRASHES);
+    apply_to_requests(&mut quarantine, THREE_UNDER_ONE);
+    let report = serde_json::to_string(&quarantine.all().report(3, ms(600)));
+    let report = report.expect("a report serializes");
+    let mut other = Quarantine::default();
+    let parsed = serde_json::from_str(&report).expect("a report can be read");
+    other.merge(&parsed, ms(600));
+    assert!(other.verdict(&plain(POISON), ms(600)).is_some());
+    let old: serde_json::Value = serde_json::from_str(&report).expect("a report is JSON");
+    let old = serde_json::json!({"parts": old["parts"]});
+    let mut other = Quarantine::default();
+    let parsed = serde_json::from_value(old).expect("a report without requests can be read");
+    other.merge(&parsed, ms(600));
+    let call = parts(&[SYSTEM, CRASHING, 9]);
+    assert!(other.verdict(&with_prompt(&call), ms(600)).is_some());
+}
--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -42,7 +42,7 @@
 /// gets a listing.
 const MAX_LOGGED_CHANGES: usize = 512;
 
-/// Crashes under a part of a prompt from which other nodes learn of it.
+/// Crashes under a cause from which other nodes learn of it.
 const MIN_REPORTED_CRASHES: usize = 2;
 
 /// A part of the store that the coordinator passes on.
@@ -88,7 +88,7 @@
 pub(crate) struct NoticesNews {
     /// Unique among all revisions of the node that sends it.
     pub(crate) revision: u64,
-    /// Prompts under which instances crash.
+    /// Calls under which instances crash.
     pub(crate) crashes: EvidenceReport,
     /// Limits on calls that instances name.
     pub(crate) limits: LimitsReport,
@@ -299,7 +299,7 @@
         true
     }
 
-    /// Sets the evidence on prompts under which instances crash.
+    /// Sets the evidence on calls under which instances crash.
     pub(crate) fn set_evidence(&self, evidence: Evidence) {
         let mut state = self.lock();
         if state.evidence == evidence {
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -463,7 +463,7 @@
             RefusalReason::UnknownVersion | RefusalReason::VersionGone => {
                 "no instance can continue the stream"
             }
-            RefusalReason::Quarantined => "instances crash under a part of the prompt",
+            RefusalReason::Quarantined => "instances crash under the request",
         };
         self.reply_unavailable(text, refusal.retry_after)
     }
--- a/crates/gateway/src/handler/attempt.rs
+++ b/crates/gateway/src/handler/attempt.rs
@@ -56,9 +56,14 @@
             self.find_engine(call, tried.clone()).await?
         } else {
             let placement_id = new_placement_id(call);
-            self.placer
+            let placement = self
+                .placer
                 .wait_for_plain(call, placement_id, tried)
-                .await?
+                .await?;
+            if let Some(refusal) = self.shared.quarantine_refusal(call, self.shared.now()) {
+                return Err(refusal);
+            }
+            placement
         };
         let waited = self.shared.now().saturating_sub(requested);
         self.metrics.placement_wait(&call.route.name, waited);
@@ -72,8 +77,8 @@
     /// Requests an engine from the coordinator. It may grant an engine that is
     /// leaving or has been restarted with another software version, if it is cut
     /// off from the store, or one that asked this node to wait; such a grant is
-    /// given back and another engine is requested. So is the grant of a call whose
-    /// prompt was quarantined while it waited; that call is refused.
+    /// given back and another engine is requested. So is the grant of a call that was
+    /// quarantined while it waited; that call is refused.
     async fn find_engine(
         self: &Arc<Self>,
         call: &Call,
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -1,6 +1,6 @@
-//! Passes on what nodes learn of instances and prompts from responses: which
+//! Passes on what nodes learn of instances and calls from responses: which
 //! instances announced that they are leaving, how many calls a second they take, and
-//! under which parts of prompts they crash.
+//! under which calls they crash.
 //!
 //! A node reports what it has seen itself to the coordinator of its zone.
 //! Coordinators report what they know to each other and pass it on to the nodes of
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -138,7 +138,7 @@
     /// Reports instances that announced to the sender, or to a node that reported it
     /// to the sender, that they are leaving.
     async fn leaving(instances: LeavingInstances);
-    /// Reports what the sender knows of parts of prompts under which instances crash.
+    /// Reports what the sender knows of calls under which instances crash.
     async fn crashes(report: EvidenceReport);
     /// Reports the limits on calls that instances named to the sender, or to a node that
     /// reported them to the sender.
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -1,10 +1,10 @@
-//! Records crashes of instances by the prompts that they were about to answer, and
-//! refuses calls whose prompts crash them.
+//! Records crashes of instances by the calls that they were about to answer, and
+//! refuses calls that crash them.
 
 use crate::call::Call;
 use crate::state::Shared;
 use reedford_fleet::Now;
-use reedford_fleet::quarantine::{Changed, EvidenceReport};
+use reedford_fleet::quarantine::{Changed, EvidenceReport, Suspect};
 use reedford_fleet::scheduler::{Grant, Refusal, RefusalReason};
 use std::time::Duration;
 
@@ -16,22 +16,22 @@
     /// Records that an instance crashed when it was about to answer a call.
     pub(crate) fn on_crash(&self, call: &Call, grant: &Grant) {
         let now = self.now();
-        let prompt = &call.head.prompt_parts;
+        let suspect = suspect(call);
         let mut state = self.lock();
         let changed = state
             .quarantine
-            .on_crash(&grant.instance, grant.born, prompt, now);
+            .on_crash(&grant.instance, grant.born, &suspect, now);
         drop(state);
         tracing::warn!(event = "instance_crashed", id = %call.id, instance = %grant.instance,
-            born = grant.born, is_new = changed.own);
+            born = grant.born, request = %call.digest(), is_new = changed.own);
         self.on_evidence(changed);
     }
 
     /// Records that an instance answers a call.
     pub(crate) fn on_answered(&self, call: &Call) {
         let now = self.now();
-        let prompt = &call.head.prompt_parts;
-        let changed = self.lock().quarantine.on_answered(prompt, now);
+        let suspect = suspect(call);
+        let changed = self.lock().quarantine.on_answered(&suspect, now);
         self.on_evidence(changed);
     }
 
@@ -56,14 +56,17 @@
         }
     }
 
-    /// Returns the refusal of a call whose prompt crashes instances.
+    /// Returns the refusal of a call that crashes instances.
     pub(crate) fn quarantine_refusal(&self, call: &Call, now: Now) -> Option<Refusal> {
-        let verdict = self
-            .lock()
-            .quarantine
-            .verdict(&call.head.prompt_parts, now)?;
+        // Spares most calls the digest.
+        let compares_requests = self.lock().quarantine.suspects_requests();
+        let suspect = Suspect {
+            prompt: &call.head.prompt_parts,
+            request: compares_requests.then(|| call.digest()),
+        };
+        let verdict = self.lock().quarantine.verdict(&suspect, now)?;
         let left = verdict.until.saturating_sub(now);
-        tracing::info!(event = "quarantined", id = %call.id, part = format_args!("{:x}", verdict.part),
+        tracing::info!(event = "quarantined", id = %call.id, cause = %verdict.cause,
             crashes = verdict.crashes, left_ms = left.as_millis() as u64);
         Some(Refusal {
             call: call.id.clone(),
@@ -72,3 +75,10 @@
         })
     }
 }
+
+fn suspect(call: &Call) -> Suspect<'_> {
+    Suspect {
+        prompt: &call.head.prompt_parts,
+        request: Some(call.digest()),
+    }
+}
--- a/crates/gateway/src/quarantine_record.rs
+++ b/crates/gateway/src/quarantine_record.rs
@@ -1,4 +1,4 @@
-//! Keeps the quarantined parts of prompts in the store, so that a fleet whose nodes
+//! Keeps the evidence against quarantined calls in the store, so that a fleet whose nodes
 //! all start anew knows them.
 //!
 //! The coordinator of each zone writes a key of its own, and reads those of all zones
--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -139,7 +139,7 @@
             parts = %PartIds(&call.head.prompt_parts));
         let is_blamed = first_event_at.is_none_or(|at| now < at + BLAME_TIME);
         let has_ended = matches!(why, "closed" | "partial_event");
-        if is_blamed && has_ended && call.head.prompt_parts.len() > 1 {
+        if is_blamed && has_ended {
             self.check_for_crash(call, grant);
         }
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -58,8 +58,8 @@
     /// Changes when the coordinator's task, or other nodes, have to learn what an
     /// instance stated in a response.
     pub(crate) instances_changed: watch::Sender<()>,
-    /// Changes when other nodes have to learn what this one knows of parts of
-    /// prompts under which instances crash.
+    /// Changes when other nodes have to learn what this one knows of calls under
+    /// which instances crash.
     pub(crate) evidence_changed: watch::Sender<()>,
     /// Notified when a call found no coordinator.
     pub(crate) coordinator_wanted: Notify,
