Send granted calls to the address in the node's own directory

A coordinator that is cut off from the store grants engines by the addresses it knew last. An engine that has started again under its id at another address would get a call that it can't be sent. The node's own entry is at least as new as the grant's.

--- a/crates/gateway/src/handler/attempt.rs
+++ b/crates/gateway/src/handler/attempt.rs
@@ -86,10 +86,14 @@
     ) -> Result<Placement, Refusal> {
         loop {
             let placement_id = new_placement_id(call);
-            let placement = self
+            let mut placement = self
                 .placer
                 .request_engine(call, placement_id.clone(), &avoid)
                 .await?;
+            // A coordinator that is cut off from the store may know an earlier address.
+            if let Some(known) = self.shared.lock().directory.get(&placement.grant.instance) {
+                placement.grant.addr = known.addr;
+            }
             let instance = placement.grant.instance.clone();
             if let Some(refusal) = self.shared.quarantine_refusal(call, self.shared.now()) {
                 if let Some(coordinator) = placement.coordinator {
