Open connections to instances through other nodes while own links are broken

Cause: a node had no other way to an instance than its own. It retried at one instance after the other, which it reached no better. A cut coordinator kept its role and refused calls that the engines of its zone could serve.

A connection that is refused, reset or not established within 150 ms is now tried through another node, which passes on bytes. The call stays with its node, so that budget, attempts, quarantine, limits, stream origins and ids exist once, and whether it was sent is known as before. If another node reaches the instance, the link is broken and not the instance; three such links are a cut, during which relayed connections come first. A silent instance has its link tested. Orders are not relayed; a cut coordinator resigns, and cut nodes claim a vacant role a second later. A response framed by the end of a relayed connection counts as broken.

Ruled out: that the load of the cut nodes weakens the others (calls stayed with the cut ones).

--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -109,6 +109,11 @@
         }
     }
 
+    /// Drops all failures, which were those of this node's links.
+    pub fn forgive(&mut self) {
+        self.instances.clear();
+    }
+
     /// Drops the record of an instance.
     pub fn forget(&mut self, id: &str) {
         self.instances.remove(id);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -21,6 +21,8 @@
 //! | [`pushback`] | which instances asked this node to send nothing for a time |
 //! | [`rate_limits`] | how many calls a second instances take |
 //! | [`store_retries`] | when to try a store again that does not respond |
+//! | [`links`] | whether this node's own links to the instances are broken |
+//! | [`relays`] | which other node opens connections to instances for this one |
 //! | [`connectivity`] | whether this node is cut off from the store and its peers |
 //! | [`zones`] | which availability zone places a call |
 
@@ -31,10 +33,12 @@
 pub mod departures;
 pub mod directory;
 pub mod health;
+pub mod links;
 pub mod ownership;
 pub mod pushback;
 pub mod quarantine;
 pub mod rate_limits;
+pub mod relays;
 pub mod scheduler;
 pub mod store_retries;
 pub mod stream_versions;
--- a/crates/fleet/src/ownership.rs
+++ b/crates/fleet/src/ownership.rs
@@ -330,8 +330,9 @@
 
     /// Returns whether to try to claim the role now, and if so, defers the next
     /// attempt. The last holder, whose key was deleted when its lease expired,
-    /// claims first, without delay.
-    pub fn try_start_claim(&mut self, now: Now) -> bool {
+    /// claims first, without delay. A node that suits the role badly waits for
+    /// `handicap` longer.
+    pub fn try_start_claim(&mut self, handicap: Duration, now: Now) -> bool {
         let Some(since) = self.vacant_since else {
             return false;
         };
@@ -341,7 +342,7 @@
         } else {
             self.claim_delay
         };
-        if now < since + wait || now < self.next_claim {
+        if now < since + wait + handicap || now < self.next_claim {
             return false;
         }
         self.next_claim = now + CLAIM_PAUSE;
--- a/crates/fleet/tests/ownership.rs
+++ b/crates/fleet/tests/ownership.rs
@@ -28,11 +28,17 @@
 #[test]
 fn a_vacant_role_is_claimed_after_the_claim_delay() {
     let mut role = role();
-    assert!(!role.try_start_claim(ms(0)), "nothing is known yet");
+    assert!(
+        !role.try_start_claim(Duration::ZERO, ms(0)),
+        "nothing is known yet"
+    );
     role.on_vacant(ms(10));
-    assert!(!role.try_start_claim(ms(50)));
-    assert!(role.try_start_claim(ms(110)));
-    assert!(!role.try_start_claim(ms(120)), "not again at once");
+    assert!(!role.try_start_claim(Duration::ZERO, ms(50)));
+    assert!(role.try_start_claim(Duration::ZERO, ms(110)));
+    assert!(
+        !role.try_start_claim(Duration::ZERO, ms(120)),
+        "not again at once"
+    );
 }
 
 #[test]
@@ -40,7 +46,7 @@
     let mut role = role();
     role.on_holder(holder("me", 1, 5));
     role.on_vacant(ms(10));
-    assert!(role.try_start_claim(ms(10)));
+    assert!(role.try_start_claim(Duration::ZERO, ms(10)));
     assert_eq!(role.held_fence(), Some(5), "it keeps the role meanwhile");
     assert!(!role.leads(ms(10)), "but gives no orders");
 }
@@ -144,7 +150,7 @@
     role.on_holder(holder("other", 1, 5));
     role.on_vacant(ms(0));
     role.on_peer_holder(holder("other", 1, 5));
-    assert!(role.try_start_claim(ms(100)));
+    assert!(role.try_start_claim(Duration::ZERO, ms(100)));
 }
 
 #[test]
@@ -203,7 +209,7 @@
     assert!(!role.leads(ms(211)), "a late response of the earlier era");
     role.on_vacant(ms(220));
     assert!(
-        role.try_start_claim(ms(220)),
+        role.try_start_claim(Duration::ZERO, ms(220)),
         "the last holder claims first"
     );
     role.on_holder(holder("me", 1, ERA_1 + 20));
@@ -219,10 +225,10 @@
     assert!(role.holder().is_some(), "it still serves feeds");
     role.on_vacant(ms(210));
     assert!(
-        !role.try_start_claim(ms(900)),
+        !role.try_start_claim(Duration::ZERO, ms(900)),
         "not all nodes claim at once"
     );
-    assert!(role.try_start_claim(ms(1_000)));
+    assert!(role.try_start_claim(Duration::ZERO, ms(1_000)));
     role.on_holder(holder("me", 1, ERA_1 + 20));
     role.on_renewed(ms(1_000), TTL * 3);
     assert!(!role.leads(ms(2_200)));
@@ -235,7 +241,7 @@
     let mut role = role();
     assert!(!role.on_era(Era::new(3), TTL, JITTER, ms(0)));
     role.on_vacant(ms(0));
-    assert!(role.try_start_claim(ms(100)));
+    assert!(role.try_start_claim(Duration::ZERO, ms(100)));
     role.on_holder(holder("me", 1, 3 * ERA_1 + 1));
     role.on_renewed(ms(100), TTL);
     assert!(role.leads(ms(110)));
@@ -248,7 +254,7 @@
     let mut role = role_in_next_era("me", ms(200));
     role.on_past_holder(7, TTL, ms(210));
     assert_eq!(role.replaced_revision(), 7);
-    assert!(role.try_start_claim(ms(210)));
+    assert!(role.try_start_claim(Duration::ZERO, ms(210)));
     role.on_holder(holder("me", 1, ERA_1 + 20));
     role.on_renewed(ms(220), TTL);
     assert!(role.leads(ms(230)));
--- a/crates/gateway/src/coordinator/actions.rs
+++ b/crates/gateway/src/coordinator/actions.rs
@@ -100,7 +100,7 @@
         let tx = self.command_tx.clone();
         self.ctx.tasks.spawn(async move {
             let sent = Instant::now();
-            let result = engine.send(req).await;
+            let result = engine.send(req, Reuse::AllowedDirect).await;
             let outcome = match &result {
                 Ok(res) => engine.dialect.parse_order_response(res.status, &res.body),
                 Err(CallError::NotSent(_)) => OrderOutcome::NotSent,
@@ -124,7 +124,7 @@
         let engine = self.engine_client(&instance, addr);
         let tx = self.command_tx.clone();
         self.ctx.tasks.spawn(async move {
-            let report = match engine.send(req).await {
+            let report = match engine.send(req, Reuse::Allowed).await {
                 Ok(res) => engine
                     .dialect
                     .parse_report(&res.into_body(&engine.pool))
@@ -260,12 +260,18 @@
 where
     D: Dialect,
 {
-    async fn send(&self, req: Request<Full<Bytes>>) -> Result<BufferedResponse, CallError> {
+    /// Sends a request. Orders must not be relayed, since engines take them as coming from
+    /// their holder alone.
+    async fn send(
+        &self,
+        req: Request<Full<Bytes>>,
+        reuse: Reuse,
+    ) -> Result<BufferedResponse, CallError> {
         let limit = HeadDeadline {
             at: Instant::now() + ENGINE_TIMEOUT,
             reason: LostReason::FirstByteTimeout,
         };
-        let incoming = send_request(&self.pool, self.addr, req, Reuse::Allowed, limit).await?;
+        let incoming = send_request(&self.pool, self.addr, req, reuse, limit).await?;
         let head = self
             .dialect
             .parse_response(incoming.status, &incoming.headers);
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -3,6 +3,7 @@
 use crate::calls_report::CallsReporter;
 use crate::coordinator::{Command, CommandTx, Coordinator, CoordinatorContext, command_queue};
 use crate::dialect::Dialect;
+use crate::dialer::{InstanceDialer, drop_dead_connections};
 use crate::feeds::Feed;
 use crate::handler::{CallerService, Gateway};
 use crate::log::Log;
@@ -15,10 +16,12 @@
 use crate::probes::{MetricsEndpoint, Readiness};
 use crate::progress::progress_queue;
 use crate::quarantine_record::QuarantineRecord;
+use crate::relay_nodes::RelayNodes;
 use crate::sender::Sender;
 use crate::settings::GatewaySettings;
 use crate::state::Shared;
 use crate::sync::{StoreClients, StoreSync, WatchedPrefix};
+use crate::tunnel::MAX_TUNNELS;
 use eyre::{Result, WrapErr as _};
 use reedford_fleet::ownership::Role;
 use reedford_front::{ConnectionLimits, HttpService, ShutdownSignals, serve_connections};
@@ -30,6 +33,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::Semaphore;
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -155,6 +159,7 @@
             commands: commands.clone(),
             shared: Arc::clone(&shared),
             store: Arc::clone(&stores.short_poll),
+            tunnels: Arc::new(Semaphore::new(MAX_TUNNELS)),
         };
         let bound = peer_server
             .start(cfg.peers, &tasks, background.clone())
@@ -164,7 +169,13 @@
             peers: bound,
             ..cfg
         });
-        let pool = Arc::new(Pool::new(CONNECT_TIMEOUT));
+        let dialer = InstanceDialer {
+            shared: Arc::clone(&shared),
+            own_addr: cfg.peers,
+            tasks: tasks.clone(),
+            stop: background.clone(),
+        };
+        let pool = Arc::new(Pool::with_dialer(CONNECT_TIMEOUT, Arc::new(dialer.clone())));
         let peers = Arc::new(PeerClients::new(CONNECT_TIMEOUT));
         let mut node = Self {
             shared: Arc::clone(&shared),
@@ -217,6 +228,17 @@
         };
         node.tasks
             .spawn(quarantine_record.run(node.background.clone()));
+        let relay_nodes = RelayNodes {
+            cfg: Arc::clone(&cfg),
+            shared: Arc::clone(&shared),
+            store: Arc::clone(&stores.short_poll),
+        };
+        node.tasks.spawn(relay_nodes.run(node.background.clone()));
+        node.tasks.spawn(drop_dead_connections(
+            Arc::clone(&shared),
+            Arc::clone(&pool),
+            node.background.clone(),
+        ));
         let sync = Arc::new(StoreSync {
             dialect: Arc::clone(&dialect),
             stores: StoreClients {
@@ -248,6 +270,7 @@
             peers: Arc::clone(&peers),
             next_count: Duration::ZERO,
             next_registration: Duration::ZERO,
+            next_cut_yield: Duration::ZERO,
             count_holds_until: Duration::ZERO,
             zone_peers: None,
         };
@@ -259,6 +282,7 @@
                 dialect: Arc::clone(&dialect),
                 shared: Arc::clone(&shared),
                 pool,
+                dialer,
             },
             placer: Placer {
                 shared: Arc::clone(&shared),
--- /dev/null
+++ b/crates/gateway/src/dialer.rs
@@ -0,0 +1,325 @@
+//! Opens connections to instances: directly, or through another node while this node's
+//! own links are broken.
+
+use crate::state::Shared;
+use crate::tunnel::{self, Status, TunnelError};
+use futures::FutureExt as _;
+use futures::future::BoxFuture;
+use rand::seq::IteratorRandom as _;
+use reedford_fleet::InstanceId;
+use reedford_fleet::links::{LinkChange, Route};
+use reedford_fleet::relays::RelayNode;
+use reedford_targets::{Dialed, Dialer, NotSentReason, Pool};
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// Time after which a direct connection that is not established is tried through another
+/// node as well. Instances are a few milliseconds away.
+const RELAY_DELAY: Duration = Duration::from_millis(150);
+/// Nodes that are asked for one connection.
+const MAX_NODES_ASKED: usize = 3;
+/// Other links that are tested when the first one breaks.
+const TESTED_LINKS: usize = 4;
+/// Cores that a coordinator of unknown size is assumed to have.
+const ASSUMED_CORES: f64 = 0.25;
+
+/// Opens connections to instances. Clones share their state.
+#[derive(Clone, Debug)]
+pub(crate) struct InstanceDialer {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) own_addr: SocketAddr,
+    pub(crate) tasks: TaskTracker,
+    pub(crate) stop: CancellationToken,
+}
+
+/// An instance to connect to.
+#[derive(Clone, Debug)]
+struct Target {
+    id: InstanceId,
+    addr: SocketAddr,
+}
+
+impl Dialer for InstanceDialer {
+    fn dial(&self, addr: SocketAddr) -> BoxFuture<'_, Result<Dialed, NotSentReason>> {
+        async move {
+            let Some((target, route)) = self.route(addr) else {
+                return direct(addr).await;
+            };
+            match route {
+                Route::Direct => self.dial_both(&target).await,
+                Route::DirectOnly => self.dial_direct(&target).await,
+                Route::Relayed { test } => {
+                    if test {
+                        self.spawn_test(target.clone());
+                    }
+                    match self.relay(&target).await {
+                        Ok(stream) => Ok(relayed(stream)),
+                        Err(Some(Status::Refused)) => {
+                            Err(NotSentReason::Connect(ErrorKind::ConnectionRefused))
+                        }
+                        Err(_) => self.dial_direct(&target).await,
+                    }
+                }
+            }
+        }
+        .boxed()
+    }
+}
+
+impl InstanceDialer {
+    /// Tests the link to an instance that sends nothing, unless a test is under way.
+    pub(crate) fn check_link(&self, instance: &str) {
+        let now = self.shared.now();
+        let mut state = self.shared.lock();
+        let target = state.directory.get(instance).map(|i| Target {
+            id: i.id.clone(),
+            addr: i.addr,
+        });
+        let is_due = state.links.start_test(instance, now);
+        drop(state);
+        if let Some(target) = target.filter(|_| is_due) {
+            self.spawn_test(target);
+        }
+    }
+
+    fn route(&self, addr: SocketAddr) -> Option<(Target, Route)> {
+        let now = self.shared.now();
+        let mut state = self.shared.lock();
+        let mut instances = state.directory.all();
+        let id = instances.find(|i| i.addr == addr)?.id.clone();
+        drop(instances);
+        let route = state.links.route(&id, now);
+        Some((Target { id, addr }, route))
+    }
+
+    /// Connects directly, and through another node if that fails or takes long.
+    async fn dial_both(&self, target: &Target) -> Result<Dialed, NotSentReason> {
+        let mut first = std::pin::pin!(TcpStream::connect(target.addr));
+        let mut direct_error = None;
+        tokio::select! {
+            biased;
+            connected = &mut first => match connected {
+                Ok(stream) => {
+                    self.on_connected(target);
+                    return Ok(unrelayed(stream));
+                }
+                Err(error) => {
+                    self.on_failed(target, false);
+                    direct_error = Some(error.kind());
+                }
+            },
+            () = sleep(RELAY_DELAY) => self.on_failed(target, true),
+        }
+        let relaying = self.relay(target);
+        let mut relaying = std::pin::pin!(relaying);
+        if let Some(kind) = direct_error {
+            let relay = relaying.await;
+            return relay
+                .map(relayed)
+                .map_err(|_relay| NotSentReason::Connect(kind));
+        }
+        tokio::select! {
+            biased;
+            connected = &mut first => match connected {
+                Ok(stream) => {
+                    self.on_connected(target);
+                    return Ok(unrelayed(stream));
+                }
+                Err(error) => {
+                    let relay = relaying.await;
+                    return relay
+                        .map(relayed)
+                        .map_err(|_relay| NotSentReason::Connect(error.kind()));
+                }
+            },
+            relay = &mut relaying => if let Ok(stream) = relay {
+                return Ok(relayed(stream));
+            }
+        }
+        self.finish_direct(target, first.await)
+    }
+
+    async fn dial_direct(&self, target: &Target) -> Result<Dialed, NotSentReason> {
+        self.finish_direct(target, TcpStream::connect(target.addr).await)
+    }
+
+    fn finish_direct(
+        &self,
+        target: &Target,
+        connected: std::io::Result<TcpStream>,
+    ) -> Result<Dialed, NotSentReason> {
+        match connected {
+            Ok(stream) => {
+                self.on_connected(target);
+                Ok(unrelayed(stream))
+            }
+            Err(error) => {
+                self.on_failed(target, false);
+                Err(NotSentReason::Connect(error.kind()))
+            }
+        }
+    }
+
+    /// Opens a connection through another node. An error has the status if the node could
+    /// not reach the instance.
+    async fn relay(&self, target: &Target) -> Result<TcpStream, Option<Status>> {
+        for _ in 0..MAX_NODES_ASKED {
+            let Some(node) = self.choose_node() else {
+                return Err(None);
+            };
+            let opened = tunnel::open(node, &target.id).await;
+            let now = self.shared.now();
+            match opened {
+                Ok(stream) => {
+                    tracing::info!(event = "relayed", instance = %target.id, %node);
+                    self.on_relayed(target);
+                    return Ok(stream);
+                }
+                Err(TunnelError::Status(
+                    status @ (Status::Refused | Status::Unreachable | Status::Unknown),
+                )) => {
+                    tracing::info!(event = "unrelayed", instance = %target.id, %node, ?status);
+                    self.shared.lock().links.on_unreachable(&target.id, now);
+                    return Err(Some(status));
+                }
+                Err(error) => {
+                    tracing::info!(event = "unrelayed", instance = %target.id, %node, %error);
+                    self.shared.lock().relays.avoid(node, now);
+                }
+            }
+        }
+        Err(None)
+    }
+
+    /// Selects a node, and requests the list of nodes if there is none.
+    fn choose_node(&self) -> Option<SocketAddr> {
+        let now = self.shared.now();
+        let state = self.shared.lock();
+        if state.relays.wants_list(now) {
+            self.shared.relays_wanted.notify_one();
+        }
+        let own = state.role.holder().map(|holder| (&state.zone, holder));
+        let coordinators = own.into_iter().chain(&state.other_coordinators);
+        let others = coordinators.map(|(zone, holder)| RelayNode {
+            addr: holder.addr,
+            zone: zone.clone(),
+            cores: ASSUMED_CORES,
+        });
+        let others: Vec<RelayNode> = others.filter(|n| n.addr != self.own_addr).collect();
+        state
+            .relays
+            .choose(&state.zone, &others, rand::random(), now)
+    }
+
+    /// Tests a link: connects directly, and if that fails, through another node.
+    fn spawn_test(&self, target: Target) {
+        let dialer = self.clone();
+        let stop = self.stop.clone();
+        self.tasks.spawn(async move {
+            stop.run_until_cancelled(dialer.test(&target)).await;
+        });
+    }
+
+    async fn test(&self, target: &Target) {
+        match timeout(RELAY_DELAY * 2, TcpStream::connect(target.addr)).await {
+            Ok(Ok(_connected)) => self.on_connected(target),
+            failed => {
+                self.on_failed(target, failed.is_err());
+                // The outcome is recorded.
+                let _ = self.relay(target).await;
+            }
+        }
+    }
+
+    fn on_connected(&self, target: &Target) {
+        let change = self.shared.lock().links.on_connected(&target.id);
+        self.on_change(change);
+    }
+
+    fn on_failed(&self, target: &Target, hung: bool) {
+        let now = self.shared.now();
+        self.shared.lock().links.on_failed(&target.id, hung, now);
+    }
+
+    fn on_relayed(&self, target: &Target) {
+        let now = self.shared.now();
+        let mut state = self.shared.lock();
+        let instances = state.directory.all().count();
+        let change = state.links.on_relayed(&target.id, instances, now);
+        drop(state);
+        self.on_change(change);
+    }
+
+    fn on_change(&self, change: Option<LinkChange>) {
+        match change {
+            Some(LinkChange::Broken) => self.test_others(),
+            Some(LinkChange::Cut { hung }) => {
+                tracing::warn!(event = "links_cut", hung);
+                self.shared.lock().health.forgive();
+                self.shared.links_cut.send_replace(hung);
+            }
+            Some(LinkChange::Restored) => tracing::warn!(event = "links_restored"),
+            None => {}
+        }
+    }
+
+    /// Tests the links to a few instances, so that a cut is known before callers meet it.
+    fn test_others(&self) {
+        let targets = {
+            let state = self.shared.lock();
+            let instances = state.directory.all().map(|i| Target {
+                id: i.id.clone(),
+                addr: i.addr,
+            });
+            instances.sample(&mut rand::rng(), TESTED_LINKS)
+        };
+        for target in targets {
+            self.spawn_test(target);
+        }
+    }
+}
+
+/// Closes the open connections to instances whenever the links to them hang.
+pub(crate) async fn drop_dead_connections(
+    shared: Arc<Shared>,
+    pool: Arc<Pool>,
+    stop: CancellationToken,
+) {
+    let mut cuts = shared.links_cut.subscribe();
+    let dropping = async {
+        while cuts.changed().await.is_ok() {
+            let hung = *cuts.borrow_and_update();
+            if hung {
+                pool.drop_idle_direct();
+            }
+        }
+    };
+    stop.run_until_cancelled(dropping).await;
+}
+
+async fn direct(addr: SocketAddr) -> Result<Dialed, NotSentReason> {
+    let connected = TcpStream::connect(addr).await;
+    connected
+        .map(unrelayed)
+        .map_err(|error| NotSentReason::Connect(error.kind()))
+}
+
+const fn unrelayed(stream: TcpStream) -> Dialed {
+    Dialed {
+        stream,
+        relayed: false,
+    }
+}
+
+const fn relayed(stream: TcpStream) -> Dialed {
+    Dialed {
+        stream,
+        relayed: true,
+    }
+}
--- a/crates/gateway/src/handler/replacement.rs
+++ b/crates/gateway/src/handler/replacement.rs
@@ -175,6 +175,7 @@
             return std::future::pending().await;
         }
         sleep_until(self.shared.clock.instant(from)).await;
+        self.sender.dialer.check_link(silent);
         loop {
             if let Some(next) = self.try_replace(call, attempts, silent, "silent").await {
                 return next;
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -56,6 +56,12 @@
 const ORDER_DELIVERY_TIME: Duration = Duration::from_millis(100);
 /// Minimum interval between two discoveries of the coordinator.
 const DISCOVERY_INTERVAL: Duration = Duration::from_millis(300);
+/// Time by which a node that is cut from the instances claims a vacant role later than
+/// the others.
+const CUT_CLAIM_DELAY: Duration = Duration::from_secs(1);
+/// Time for which such a node keeps the role that no other one has claimed, or that it has
+/// given up in vain.
+const CUT_TERM: Duration = Duration::from_secs(10);
 /// Timeout for a claim of the role. The store responds within milliseconds, and
 /// within a few hundred when it is slow. If the response is lost, the watch
 /// shows the claim.
@@ -66,9 +72,9 @@
 pub(crate) struct NodeRecord {
     pub(crate) node: Box<str>,
     pub(crate) zone: ZoneId,
-    cores: f64,
+    pub(crate) cores: f64,
     incarnation: u64,
-    addr: SocketAddr,
+    pub(crate) addr: SocketAddr,
     /// Era of the store in which the lease of the key was granted. A key that
     /// names another era than the store's is from a copy of the store or was
     /// written by a delayed request.
@@ -94,6 +100,8 @@
     pub(crate) next_count: Now,
     /// Time of this node's registration in a new era, if it has none in it.
     pub(crate) next_registration: Now,
+    /// Time from which this node gives up the role again if it is cut from the instances.
+    pub(crate) next_cut_yield: Now,
     /// Time until which a lower number of nodes than the known one is ignored.
     pub(crate) count_holds_until: Now,
 }
@@ -177,9 +185,23 @@
         self.renew_role(role_lease).await?;
         self.end_past_leases(node_lease, role_lease);
         let now = self.shared.now();
-        if self.shared.lock().role.try_start_claim(now) {
+        let is_cut = self.shared.lock().links.is_cut();
+        let handicap = if is_cut {
+            CUT_CLAIM_DELAY
+        } else {
+            Duration::ZERO
+        };
+        if self.shared.lock().role.try_start_claim(handicap, now) {
+            if is_cut {
+                self.next_cut_yield = now + CUT_TERM;
+            }
             self.claim_role(role_lease).await?;
         }
+        let holds = self.shared.lock().role.held_fence().is_some();
+        if is_cut && holds && now >= self.next_cut_yield && self.has_zone_peers() {
+            self.next_cut_yield = now + CUT_TERM;
+            self.yield_role(role_lease).await?;
+        }
         if self.count_nodes(now).await? && self.larger_peer_is_ready().await {
             self.yield_role(role_lease).await?;
         }
@@ -256,8 +278,8 @@
         }
     }
 
-    /// Gives up the role in favour of a larger node, whose claim delay is
-    /// shorter.
+    /// Gives up the role in favour of a node that claims it earlier: a larger one, or one
+    /// that reaches the instances.
     async fn yield_role(&mut self, role_lease: &mut HeldLease) -> Result<(), KvError> {
         tracing::info!(event = "role_yielded", zone = %self.cfg.zone, cores = self.cfg.cores);
         self.shared.lock().role.resign();
--- a/crates/gateway/src/membership/zone_peers.rs
+++ b/crates/gateway/src/membership/zone_peers.rs
@@ -79,6 +79,20 @@
         }
     }
 
+    /// Queries another node whether it reaches the instances.
+    async fn reaches_instances(&self, addr: SocketAddr) -> bool {
+        let reaches = self
+            .peers
+            .call(addr, PEER_TIMEOUT, |peer, cx| async move {
+                peer.reaches_instances(cx).await
+            })
+            .await;
+        reaches.unwrap_or_else(|error| {
+            tracing::debug!(event = "colleague_silent", %addr, %error);
+            false
+        })
+    }
+
     /// Queries other nodes for the coordinator of this zone. Only nodes whose
     /// addresses are known without the store are queried.
     pub(super) async fn discover_coordinator(&self) {
@@ -118,8 +132,13 @@
         addrs
     }
 
-    /// Returns whether a much larger node of the zone reaches the store, and so
-    /// could coordinate the zone.
+    /// Whether this node has counted other nodes of the zone.
+    pub(super) fn has_zone_peers(&self) -> bool {
+        self.zone_peers.as_ref().is_some_and(|p| !p.is_empty())
+    }
+
+    /// Returns whether a much larger node of the zone reaches the store and the
+    /// instances, and so could coordinate the zone.
     pub(super) async fn larger_peer_is_ready(&self) -> bool {
         let larger = |peer: &&ZonePeer| peer.cores >= self.cfg.cores * YIELD_CORES_RATIO;
         let zone_peers = self.zone_peers.iter().flatten();
@@ -130,5 +149,6 @@
             return false;
         };
         self.query_store_report(largest.addr).await == StoreReport::Answers
+            && self.reaches_instances(largest.addr).await
     }
 }
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -160,6 +160,8 @@
     async fn store_answers() -> bool;
     /// Asks which coordinator of a zone the receiver knows of.
     async fn coordinator(zone: ZoneId) -> Option<Holder>;
+    /// Asks whether the receiver's own links to the instances are up.
+    async fn reaches_instances() -> bool;
 }
 
 impl PlaceRequest {
--- a/crates/gateway/src/peer_server.rs
+++ b/crates/gateway/src/peer_server.rs
@@ -4,11 +4,9 @@
 use crate::coordinator::{Command, CommandTx};
 use crate::feeds::{Feed, FeedResponse, KnownMetadata};
 use crate::membership::ZONE_PREFIX;
-use crate::peer::{
-    CallsReport, Peer, PeerRequest, PeerResponse, PlaceRequest, PlaceResponse, StreamRecord,
-    ZoneLoad,
-};
+use crate::peer::{CallsReport, Peer, PlaceRequest, PlaceResponse, StreamRecord, ZoneLoad};
 use crate::state::Shared;
+use crate::tunnel;
 use futures::StreamExt as _;
 use reedford_fleet::departures::{DepartureSource, LeavingInstances};
 use reedford_fleet::ownership::Holder;
@@ -18,14 +16,19 @@
 use reedford_fleet::stream_versions::StreamOrigin;
 use reedford_fleet::{AttemptId, Era, ZoneId};
 use reedford_store::{KeyValue, Position};
+use std::io::{self, Cursor};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tarpc::context::Context;
-use tarpc::serde_transport::tcp;
+use tarpc::serde_transport;
 use tarpc::server::{BaseChannel, Channel as _};
 use tarpc::tokio_serde::formats::Json;
-use tokio::time::timeout;
+use tarpc::tokio_util::codec::LengthDelimitedCodec;
+use tokio::io::AsyncReadExt as _;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -33,12 +36,17 @@
 /// milliseconds, and within a few hundred when it is slow.
 const STORE_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Pause after a connection could not be accepted.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// Server for other nodes' requests; cloned for each connection.
 #[derive(Debug)]
 pub(crate) struct PeerServer<K> {
     pub(crate) commands: CommandTx,
     pub(crate) shared: Arc<Shared>,
     pub(crate) store: Arc<K>,
+    /// Limits the connections to instances that are passed on for other nodes.
+    pub(crate) tunnels: Arc<Semaphore>,
 }
 
 impl<K> Clone for PeerServer<K> {
@@ -47,6 +55,7 @@
             commands: self.commands.clone(),
             shared: Arc::clone(&self.shared),
             store: Arc::clone(&self.store),
+            tunnels: Arc::clone(&self.tunnels),
         }
     }
 }
@@ -62,33 +71,47 @@
         tasks: &TaskTracker,
         stop: CancellationToken,
     ) -> std::io::Result<SocketAddr> {
-        let mut incoming = tcp::listen(addr, Json::default).await?;
-        let bound = incoming.local_addr();
+        let listener = TcpListener::bind(addr).await?;
+        let bound = listener.local_addr()?;
         let connections = tasks.clone();
         tasks.spawn(async move {
-            while let Some(Some(next)) = stop.run_until_cancelled(incoming.next()).await {
+            while let Some(next) = stop.run_until_cancelled(listener.accept()).await {
                 match next {
-                    Ok(transport) => {
-                        let serving = self.clone().connection(transport, stop.clone());
-                        connections.spawn(serving);
+                    Ok((stream, _)) => {
+                        let serving = self.clone().connection(stream);
+                        let stop = stop.clone();
+                        connections.spawn(async move {
+                            if let Some(Err(error)) = stop.run_until_cancelled(serving).await {
+                                tracing::debug!(event = "peer_connection_failed", %error);
+                            }
+                        });
+                    }
+                    Err(error) => {
+                        tracing::debug!(event = "peer_accept_failed", %error);
+                        sleep(ACCEPT_RETRY_DELAY).await;
                     }
-                    Err(error) => tracing::debug!(event = "peer_accept_failed", %error),
                 }
             }
         });
         Ok(bound)
     }
 
-    async fn connection<T>(self, transport: T, stop: CancellationToken)
-    where
-        T: tarpc::Transport<tarpc::Response<PeerResponse>, tarpc::ClientMessage<PeerRequest>>
-            + Send
-            + 'static,
-        T::Error: Send + Sync,
-    {
+    /// Serves a connection, whose first bytes show what it is for.
+    async fn connection(self, mut stream: TcpStream) -> io::Result<()> {
+        // An error is ignored, since the option only reduces the latency of small writes.
+        let _ = stream.set_nodelay(true);
+        let mut first = [0; tunnel::MAGIC.len()];
+        stream.read_exact(&mut first).await?;
+        if first == tunnel::MAGIC {
+            return tunnel::serve(stream, self.shared, self.tunnels).await;
+        }
+        let (rx, tx) = stream.into_split();
+        let stream = tokio::io::join(Cursor::new(first).chain(rx), tx);
+        let frames = LengthDelimitedCodec::builder().new_framed(stream);
+        let transport = serde_transport::new(frames, Json::default());
         let calls = BaseChannel::with_defaults(transport).execute(self.serve());
-        let serving = calls.for_each_concurrent(None, |call| call);
-        stop.run_until_cancelled(serving).await;
+        calls.for_each_concurrent(None, |call| call).await;
+        Ok(())
     }
 }
 
@@ -181,4 +204,8 @@
     async fn coordinator(self, _: Context, zone: ZoneId) -> Option<Holder> {
         self.shared.lock().coordinator(&zone).cloned()
     }
+
+    async fn reaches_instances(self, _: Context) -> bool {
+        !self.shared.lock().links.is_cut()
+    }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,7 +14,6 @@
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use hyper::body::{Frame, Incoming};
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use reedford_fleet::health::CallOutcome;
 use reedford_targets::{Connection, Event, EventReader};
 use std::sync::Arc;
@@ -193,8 +192,9 @@
     }
 
     /// Handles the end of the body. If it ended within an event, or with its connection
-    /// before the first event of a stream, returns [`NoEvent::Broken`]. Otherwise records the success, keeps the connection if
-    /// it is reusable, and returns [`NoEvent::End`].
+    /// before the first event of a stream or on a relayed connection, returns
+    /// [`NoEvent::Broken`]. Otherwise records the success, keeps the connection if it is
+    /// reusable, and returns [`NoEvent::End`].
     fn on_body_end(&mut self) -> NoEvent {
         let Some(source) = self.source.take() else {
             return NoEvent::End;
@@ -203,7 +203,8 @@
             return NoEvent::Broken("partial_event");
         }
         let resumes = self.call.head.last_event_id.is_some();
-        if source.ends_with_conn && self.events == 0 && !resumes {
+        let is_early = self.events == 0 && !resumes;
+        if source.ends_with_conn && (is_early || source.conn.relayed) {
             return NoEvent::Broken("closed");
         }
         self.gateway
@@ -314,9 +315,8 @@
 
     fn new(response: PendingResponse) -> Self {
         let incoming = response.incoming;
-        let is_framed = |name| incoming.headers.contains_key(name);
         Self {
-            ends_with_conn: !is_framed(CONTENT_LENGTH) && !is_framed(TRANSFER_ENCODING),
+            ends_with_conn: incoming.ends_with_conn(),
             idle_timeout: idle_timeout(&incoming.headers),
             body: incoming.body,
             conn: incoming.conn,
--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -2,6 +2,7 @@
 
 use crate::call::Call;
 use crate::dialect::{Dialect, Dispatch, NotRunReason};
+use crate::dialer::InstanceDialer;
 use crate::state::Shared;
 use http_body_util::Full;
 use hyper::{HeaderMap, Request};
@@ -28,6 +29,7 @@
     pub(crate) dialect: Arc<D>,
     pub(crate) shared: Arc<Shared>,
     pub(crate) pool: Arc<Pool>,
+    pub(crate) dialer: InstanceDialer,
 }
 
 /// Result of sending a call, up to the head of the response.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -15,10 +15,12 @@
 use reedford_fleet::connectivity::Connectivity;
 use reedford_fleet::directory::{Directory, Instance};
 use reedford_fleet::health::Health;
+use reedford_fleet::links::Links;
 use reedford_fleet::ownership::{Holder, Role};
 use reedford_fleet::pushback::Pushback;
 use reedford_fleet::quarantine::Quarantine;
 use reedford_fleet::rate_limits::RateLimits;
+use reedford_fleet::relays::Relays;
 use reedford_fleet::scheduler::{AdapterKey, Grant, PlacementId};
 use reedford_fleet::stream_versions::StreamVersions;
 use reedford_fleet::zones::ZoneReport;
@@ -63,6 +65,10 @@
     pub(crate) evidence_changed: watch::Sender<()>,
     /// Notified when a call found no coordinator.
     pub(crate) coordinator_wanted: Notify,
+    /// Notified when other nodes have to be listed, to open connections through them.
+    pub(crate) relays_wanted: Notify,
+    /// Changes when a cut of this node's links begins; whether connections hang.
+    pub(crate) links_cut: watch::Sender<bool>,
     state: Mutex<State>,
 }
 
@@ -93,6 +99,10 @@
     /// This node's model calls that engines run.
     pub(crate) running: BTreeMap<PlacementId, LocalCall>,
     pub(crate) connectivity: Connectivity,
+    /// This node's links to the instances.
+    pub(crate) links: Links,
+    /// Nodes that open connections to instances for this one.
+    pub(crate) relays: Relays,
     /// Coordinator whose notices this node has, and their revision there.
     pub(crate) followed_notices: Option<(SocketAddr, u64)>,
     /// Origins of the streams that this node relayed, and of those reported to it.
@@ -139,6 +149,8 @@
             instances_changed: watch::Sender::new(()),
             evidence_changed: watch::Sender::new(()),
             coordinator_wanted: Notify::new(),
+            relays_wanted: Notify::new(),
+            links_cut: watch::Sender::new(false),
             state: Mutex::new(State {
                 routes: None,
                 directory: Directory::default(),
@@ -158,6 +170,8 @@
                 last_instances: BTreeMap::new(),
                 running: BTreeMap::new(),
                 connectivity: Connectivity::default(),
+                links: Links::default(),
+                relays: Relays::default(),
                 followed_notices: None,
                 stream_versions: StreamVersions::default(),
                 stopping: false,
--- a/crates/targets/src/exchange.rs
+++ b/crates/targets/src/exchange.rs
@@ -6,10 +6,10 @@
 //! as not sent.
 
 use crate::error::{CallError, LostReason, NotSentReason};
-use crate::pool::{Connection, IDLE_TIMEOUT, Pool};
+use crate::pool::{Connection, IDLE_TIMEOUT, Pool, Via};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt as _, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::HeaderMap;
 use hyper::{Request, StatusCode, header};
 use std::net::SocketAddr;
@@ -24,6 +24,8 @@
 pub enum Reuse {
     /// Uses an idle connection if there is one, otherwise opens a new one.
     Allowed,
+    /// Like [`Self::Allowed`], but uses only connections that are not relayed.
+    AllowedDirect,
     /// Always opens a new connection.
     Never,
 }
@@ -78,6 +80,16 @@
     pub status: StatusCode,
 }
 
+impl IncomingResponse {
+    /// Whether the end of the connection is the end of the body. On a relayed connection
+    /// the relay's end can't be told from it.
+    #[must_use]
+    pub fn ends_with_conn(&self) -> bool {
+        let is_framed = |name| self.headers.contains_key(name);
+        !is_framed(header::CONTENT_LENGTH) && !is_framed(header::TRANSFER_ENCODING)
+    }
+}
+
 /// A response whose body has been read to its end. Dropping it closes its
 /// connection; [`BufferedResponse::into_body`] returns the connection to the
 /// pool.
@@ -118,8 +130,12 @@
     limit: HeadDeadline,
 ) -> Result<IncomingResponse, CallError> {
     let mut req = req;
-    if reuse == Reuse::Allowed {
-        while let Some(conn) = pool.take(addr).await {
+    let via = match reuse {
+        Reuse::Allowed | Reuse::Never => Via::Any,
+        Reuse::AllowedDirect => Via::Direct,
+    };
+    if reuse != Reuse::Never {
+        while let Some(conn) = pool.take_via(addr, via).await {
             match send(pool, conn, req, limit).await {
                 Ok(res) => return Ok(res),
                 Err(SendError::NotSent(returned)) => req = *returned,
@@ -127,7 +143,7 @@
             }
         }
     }
-    let conn = timeout_at(limit.at, pool.connect(addr))
+    let conn = timeout_at(limit.at, pool.connect_via(addr, via))
         .await
         .unwrap_or(Err(NotSentReason::Deadline))?;
     send(pool, conn, req, limit).await.map_err(|e| match e {
@@ -226,6 +242,9 @@
     mut res: IncomingResponse,
     progress: Duration,
 ) -> Result<BufferedResponse, LostReason> {
+    if res.conn.relayed && res.ends_with_conn() && !res.body.is_end_stream() {
+        return Err(LostReason::Closed);
+    }
     let mut buf = BytesMut::new();
     loop {
         let frame = timeout(progress, res.body.frame())
--- a/crates/targets/src/pool.rs
+++ b/crates/targets/src/pool.rs
@@ -8,12 +8,14 @@
 
 use crate::error::NotSentReason;
 use bytes::Bytes;
+use futures::future::BoxFuture;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use std::collections::BTreeMap;
+use std::fmt::Debug;
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -25,6 +27,34 @@
 /// Maximum number of idle connections to one target.
 const MAX_IDLE: usize = 64;
 
+/// Opens the transport connections of a [`Pool`].
+pub trait Dialer: Debug + Send + Sync + 'static {
+    /// Opens a connection to a target.
+    ///
+    /// # Errors
+    /// If none can be established.
+    fn dial(&self, addr: SocketAddr) -> BoxFuture<'_, Result<Dialed, NotSentReason>>;
+}
+
+/// A transport connection to a target.
+#[derive(Debug)]
+pub struct Dialed {
+    /// The connection, or the first part of it.
+    pub stream: TcpStream,
+    /// Whether something else than the target has accepted the connection and passes its
+    /// bytes on. Its end may then be that of the relay.
+    pub relayed: bool,
+}
+
+/// Which connections a request may use.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Via {
+    /// Any connection.
+    Any,
+    /// Only one that is not relayed.
+    Direct,
+}
+
 /// An open connection, closed when dropped.
 #[derive(Debug)]
 pub struct Connection {
@@ -32,6 +62,8 @@
     pub addr: SocketAddr,
     /// Sends requests on the connection.
     pub sender: SendRequest<Full<Bytes>>,
+    /// Whether something else than the target passes its bytes on.
+    pub relayed: bool,
     _driver: DropGuard,
 }
 
@@ -47,23 +79,38 @@
     idle: Mutex<BTreeMap<SocketAddr, Vec<IdleConnection>>>,
     closing: CancellationToken,
     connect_timeout: Duration,
+    /// Opens connections; they are opened directly if there is none.
+    dialer: Option<Arc<dyn Dialer>>,
     tasks: TaskTracker,
 }
 
 impl Pool {
-    /// Creates an empty pool.
+    /// Creates an empty pool, which opens connections directly.
     pub fn new(connect_timeout: Duration) -> Self {
         Self {
             idle: Mutex::default(),
             closing: CancellationToken::new(),
             connect_timeout,
+            dialer: None,
             tasks: TaskTracker::new(),
         }
     }
 
+    /// Creates an empty pool, whose connections `dialer` opens.
+    pub fn with_dialer(connect_timeout: Duration, dialer: Arc<dyn Dialer>) -> Self {
+        Self {
+            dialer: Some(dialer),
+            ..Self::new(connect_timeout)
+        }
+    }
+
     /// Takes an idle connection that is still open and ready for a request.
     pub async fn take(&self, addr: SocketAddr) -> Option<Connection> {
-        while let Some(mut conn) = self.pop(addr) {
+        self.take_via(addr, Via::Any).await
+    }
+
+    pub(crate) async fn take_via(&self, addr: SocketAddr, via: Via) -> Option<Connection> {
+        while let Some(mut conn) = self.pop(addr, via) {
             let ready = timeout(self.connect_timeout, conn.sender.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
                 return Some(conn);
@@ -89,10 +136,18 @@
     /// If the connection can't be established within the timeout, or the pool is
     /// closed.
     pub async fn connect(&self, addr: SocketAddr) -> Result<Connection, NotSentReason> {
+        self.connect_via(addr, Via::Any).await
+    }
+
+    pub(crate) async fn connect_via(
+        &self,
+        addr: SocketAddr,
+        via: Via,
+    ) -> Result<Connection, NotSentReason> {
         if self.closing.is_cancelled() {
             return Err(NotSentReason::ClientClosed);
         }
-        timeout(self.connect_timeout, self.open(addr))
+        timeout(self.connect_timeout, self.open(addr, via))
             .await
             .unwrap_or(Err(NotSentReason::ConnectTimeout))
     }
@@ -126,6 +181,15 @@
         self.lock().remove(&addr);
     }
 
+    /// Closes the idle connections to all targets that are not relayed.
+    pub fn drop_idle_direct(&self) {
+        let mut idle = self.lock();
+        idle.retain(|_, conns| {
+            conns.retain(|c| c.conn.relayed);
+            !conns.is_empty()
+        });
+    }
+
     /// Spawns a task, which [`Self::close`] cancels and joins.
     pub fn spawn<F>(&self, task: F)
     where
@@ -145,18 +209,27 @@
         self.tasks.wait().await;
     }
 
-    fn pop(&self, addr: SocketAddr) -> Option<Connection> {
+    fn pop(&self, addr: SocketAddr, via: Via) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.lock();
         let conns = idle.get_mut(&addr)?;
         conns.retain(|c| now < c.expires && !c.conn.sender.is_closed());
-        Some(conns.pop()?.conn)
+        let is_usable = |c: &IdleConnection| via == Via::Any || !c.conn.relayed;
+        let last = conns.iter().rposition(is_usable)?;
+        Some(conns.remove(last).conn)
     }
 
-    async fn open(&self, addr: SocketAddr) -> Result<Connection, NotSentReason> {
-        let stream = TcpStream::connect(addr)
-            .await
-            .map_err(|e| NotSentReason::Connect(e.kind()))?;
+    async fn open(&self, addr: SocketAddr, via: Via) -> Result<Connection, NotSentReason> {
+        let dialer = self.dialer.as_ref().filter(|_| via == Via::Any);
+        let Dialed { stream, relayed } = match dialer {
+            Some(dialer) => dialer.dial(addr).await?,
+            None => Dialed {
+                stream: TcpStream::connect(addr)
+                    .await
+                    .map_err(|e| NotSentReason::Connect(e.kind()))?,
+                relayed: false,
+            },
+        };
         stream
             .set_nodelay(true)
             .map_err(|e| NotSentReason::Connect(e.kind()))?;
@@ -172,6 +245,7 @@
         Ok(Connection {
             addr,
             sender,
+            relayed,
             _driver: stop.drop_guard(),
         })
     }
--- a/scripts/soak-mutations.sh
+++ b/scripts/soak-mutations.sh
@@ -21,7 +21,7 @@
   'a_lost_call_counts_as_not_sent|crates/gateway/src/sender.rs|s/SendOutcome::Lost\(lost_reason\(reason\)\)/SendOutcome::NotRun(Rejection::Unreachable)/'
   'calls_that_crash_instances_are_sent|crates/gateway/src/quarantine.rs|s/let verdict = self\.lock\(\)\.quarantine\.verdict\(&suspect, now\)\?;/let verdict = self.lock().quarantine.verdict(\&suspect, now).filter(|_| false)?;/'
   'crashes_behind_a_proxy_are_missed|crates/gateway/src/sync/instances.rs|s/self\.sync\.shared\.on_directory_change\(change\);/_ = change;/'
-  'a_vacant_role_is_not_claimed|crates/fleet/src/ownership.rs|s/if now < since \+ wait \|\| now < self\.next_claim/if now < since + wait || self.next_claim > Now::ZERO/'
+  'a_vacant_role_is_not_claimed|crates/fleet/src/ownership.rs|s/if now < since \+ wait \+ handicap \|\| now < self\.next_claim/if now < since + wait || self.next_claim > Now::ZERO/'
   'a_stop_waits_for_nothing_and_hangs|crates/gateway/src/daemon.rs|s/self\.caller_shutdown\.graceful\.cancel\(\);/self.caller_shutdown.graceful.is_cancelled();/'
 )
 
