Keep broken links apart from a cut of all of them

Three broken links are now a cut only if no direct connection has succeeded since they failed, a cut's end keeps the links that are still broken, and a second node is asked if the first one doesn't reach the instance either.

--- a/crates/fleet/src/links.rs
+++ b/crates/fleet/src/links.rs
@@ -3,7 +3,8 @@
 //! A node may lose its links to all instances while other nodes reach them. A connection
 //! that fails shows nothing by itself, since the instance may have crashed. Only if
 //! another node reaches the instance at the same time, the link is broken. Several
-//! broken links are a cut, during which connections are opened through other nodes first.
+//! broken links while no other one works are a cut, during which connections are opened
+//! through other nodes first.
 
 use crate::{InstanceId, Now};
 use std::collections::{BTreeMap, BTreeSet};
@@ -29,6 +30,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Links {
     links: BTreeMap<InstanceId, Link>,
+    /// When a direct connection was last established.
+    connected_at: Option<Now>,
     cut: Option<Cut>,
 }
 
@@ -127,15 +130,15 @@
     }
 
     /// Records that a direct connection was established.
-    pub fn on_connected(&mut self, instance: &str) -> Option<LinkChange> {
+    pub fn on_connected(&mut self, instance: &str, now: Now) -> Option<LinkChange> {
         self.links.remove(instance);
+        self.connected_at = Some(now);
         let cut = self.cut.as_mut()?;
         cut.restored.insert(instance.into());
         if cut.restored.len() < cut.links.min(MIN_RESTORED_LINKS) {
             return None;
         }
         self.cut = None;
-        self.links.clear();
         Some(LinkChange::Restored)
     }
 
@@ -163,13 +166,16 @@
         if !failed_recently || is_cut {
             return None;
         }
-        let broken = self.links.values();
-        let broken = broken.filter(|l| l.relayed_at.is_some_and(|at| now < at + PROOF_TIME));
-        let broken: Vec<&Link> = broken.collect();
+        let connected_at = self.connected_at;
+        let is_broken = |link: &&Link| {
+            let is_recent = link.relayed_at.is_some_and(|at| now < at + PROOF_TIME);
+            is_recent && connected_at.is_none_or(|at| link.failed_at > Some(at))
+        };
+        let broken: Vec<&Link> = self.links.values().filter(is_broken).collect();
         let links = broken.len();
         let hung = broken.iter().filter(|link| link.hung).count() * 2 >= links;
         if links < MIN_CUT_LINKS.min(instances) {
-            return (links == 1).then_some(LinkChange::Broken);
+            return (links <= 1).then_some(LinkChange::Broken);
         }
         self.cut = Some(Cut {
             links,
--- a/crates/gateway/src/dialer.rs
+++ b/crates/gateway/src/dialer.rs
@@ -24,6 +24,9 @@
 const RELAY_DELAY: Duration = Duration::from_millis(150);
 /// Nodes that are asked for one connection.
 const MAX_NODES_ASKED: usize = 3;
+/// Nodes that may fail to reach an instance before it counts as unreachable: the first
+/// one may have lost its link to it, too.
+const MAX_FAILURES: usize = 2;
 /// Other links that are tested when the first one breaks.
 const TESTED_LINKS: usize = 4;
 /// Cores that a coordinator of unknown size is assumed to have.
@@ -169,6 +172,7 @@
     /// Opens a connection through another node. An error has the status if the node could
     /// not reach the instance.
     async fn relay(&self, target: &Target) -> Result<TcpStream, Option<Status>> {
+        let mut failures = 0;
         for _ in 0..MAX_NODES_ASKED {
             let Some(node) = self.choose_node() else {
                 return Err(None);
@@ -185,8 +189,11 @@
                     status @ (Status::Refused | Status::Unreachable | Status::Unknown),
                 )) => {
                     tracing::info!(event = "unrelayed", instance = %target.id, %node, ?status);
-                    self.shared.lock().links.on_unreachable(&target.id, now);
-                    return Err(Some(status));
+                    failures += 1;
+                    if failures >= MAX_FAILURES {
+                        self.shared.lock().links.on_unreachable(&target.id, now);
+                        return Err(Some(status));
+                    }
                 }
                 Err(error) => {
                     tracing::info!(event = "unrelayed", instance = %target.id, %node, %error);
@@ -238,7 +245,8 @@
     }
 
     fn on_connected(&self, target: &Target) {
-        let change = self.shared.lock().links.on_connected(&target.id);
+        let now = self.shared.now();
+        let change = self.shared.lock().links.on_connected(&target.id, now);
         self.on_change(change);
     }
 
--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -144,12 +144,11 @@
         Ok(stream) => {
             // As above.
             let _ = stream.set_nodelay(true);
-            let change = shared.lock().links.on_connected(id);
-            debug_assert_ne!(
-                change,
-                Some(LinkChange::Restored),
-                "a cut node is unavailable"
-            );
+            let now = shared.now();
+            let change = shared.lock().links.on_connected(id, now);
+            if change == Some(LinkChange::Restored) {
+                tracing::warn!(event = "links_restored");
+            }
             Ok(stream)
         }
         Err(error) => {
