Keep brittle instances from rejecting many calls

The limit is one more statement beside the limit on calls, with the same notices. A node uses its share of such an instance's slots, at least one, sends nothing while the last load report shows none free, and pauses after a rejection: 100 ms, and after another one so long that all nodes together use a seventh of N. Calls wait at the node for a slot. Granted engines that rejected this node are given back.

--- a/crates/fleet/src/balancer.rs
+++ b/crates/fleet/src/balancer.rs
@@ -44,7 +44,7 @@
     /// Running calls of this node.
     own_calls: u32,
     /// Running and queued calls of other nodes, as of the last report.
-    other_calls: u32,
+    reported_calls: u32,
     reported_at: Option<Now>,
 }
 
@@ -76,10 +76,19 @@
     /// that response must still be counted as sent.
     pub fn on_load_report(&mut self, id: &str, reported: ReportedLoad, now: Now) {
         let load = self.loads.entry(id.into()).or_default();
-        load.other_calls = (reported.running + reported.waiting).saturating_sub(load.own_calls);
+        load.reported_calls = (reported.running + reported.waiting).saturating_sub(load.own_calls);
         load.reported_at = Some(now);
     }
 
+    /// Returns whether an instance has a slot free for a call of this node, which uses at
+    /// most its share of the `slots` among `nodes` nodes.
+    #[must_use]
+    pub fn has_free_slot(&self, id: &str, slots: u32, nodes: usize, now: Now) -> bool {
+        let load = self.loads.get(id).copied().unwrap_or_default();
+        let calls = load.own_calls + load.other_calls(now);
+        load.own_calls < slot_share(slots, nodes) && calls < slots.max(1)
+    }
+
     /// Drops the load of an instance.
     pub fn forget(&mut self, id: &str) {
         self.loads.remove(id);
@@ -87,12 +96,8 @@
 
     fn cost(&self, candidate: &Candidate<'_>, now: Now) -> f64 {
         let load = self.loads.get(candidate.id).copied().unwrap_or_default();
-        let fresh = load
-            .reported_at
-            .is_some_and(|at| now.saturating_sub(at) < REPORTED_LOAD_TTL);
-        let other_calls = if fresh { load.other_calls } else { 0 };
-        let load_factor =
-            f64::from(load.own_calls + other_calls) / f64::from(candidate.slots.max(1));
+        let calls = load.own_calls + load.other_calls(now);
+        let load_factor = f64::from(calls) / f64::from(candidate.slots.max(1));
         load_factor
             + if candidate.same_zone {
                 0.0
@@ -101,3 +106,22 @@
             }
     }
 }
+
+impl InstanceLoad {
+    /// Running and queued calls of other nodes, as far as a recent report shows.
+    fn other_calls(&self, now: Now) -> u32 {
+        let is_fresh = |at| now.saturating_sub(at) < REPORTED_LOAD_TTL;
+        if self.reported_at.is_some_and(is_fresh) {
+            self.reported_calls
+        } else {
+            0
+        }
+    }
+}
+
+/// Returns a node's share of the slots of an instance, at least one.
+#[must_use]
+pub fn slot_share(slots: u32, nodes: usize) -> u32 {
+    let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
+    (slots / nodes.max(1)).max(1)
+}
--- a/crates/fleet/src/rate_limits.rs
+++ b/crates/fleet/src/rate_limits.rs
@@ -1,19 +1,22 @@
-//! Limits on the rate of calls that instances name in their responses.
+//! Limits on calls, and on rejections, that instances name in their responses.
 //!
 //! An instance in trouble names in its responses how many calls a second it takes
-//! from all nodes together, for as long as the limit holds. What counts is the last
-//! response of its incarnation, to whichever node.
+//! from all nodes together, for as long as the limit holds, or how many it can reject in a
+//! second for want of room without falling over. What counts is the last response of its
+//! incarnation, to whichever node.
 //!
 //! The coordinator that grants the calls to an engine paces them. Calls that no
 //! coordinator grants are sent by each node in turns of its own, which divide the
 //! limit between the nodes.
 
 mod pace;
+mod rejections;
 
 pub use pace::Pace;
 
 use crate::{InstanceId, Now};
 use pace::Turns;
+use rejections::Rejections;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -28,24 +31,35 @@
 #[derive(Clone, Debug, Default)]
 pub struct RateLimits {
     by_instance: BTreeMap<InstanceId, Statement>,
-    /// Distinguishes the turns of this node from those of others.
+    /// Distinguishes the turns and pauses of this node from those of others.
     seed: u64,
 }
 
 /// Statements by instance.
 pub type Statements = BTreeMap<InstanceId, Statement>;
 
+/// Limits that an instance names in a response.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Limits {
+    /// Calls per second that it takes; `None` if it names no limit.
+    pub per_s: Option<f64>,
+    /// Calls that it can reject in a second for want of room; `None` if it names no limit.
+    #[serde(default)]
+    pub rejections: Option<f64>,
+}
+
 /// What an instance stated in a response.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Statement {
     born: u64,
-    /// Calls per second; `None` once a response named no limit.
-    per_s: Option<f64>,
+    limits: Limits,
     at: Now,
     /// Whether the response came to this node.
     own: bool,
     /// When this node last sent a call to the instance on its own.
     last_sent: Option<Now>,
+    /// Calls of this node that the instance rejected.
+    rejected: Rejections,
 }
 
 /// Statements as nodes send them to each other.
@@ -58,7 +72,8 @@
 struct StatementReport {
     instance: InstanceId,
     born: u64,
-    per_s: Option<f64>,
+    #[serde(flatten)]
+    limits: Limits,
     /// Age of the response in milliseconds.
     age_ms: u64,
 }
@@ -71,7 +86,7 @@
         let statements = statements.map(|(instance, statement)| StatementReport {
             instance: instance.clone(),
             born: statement.born,
-            per_s: statement.per_s,
+            limits: statement.limits,
             age_ms: now.saturating_sub(statement.at).as_millis() as u64,
         });
         Self {
@@ -99,14 +114,14 @@
         }
     }
 
-    /// Records the limit that the incarnation with the start time `born` named in a
-    /// response, `None` if it named none. A response without a limit ends one only if
-    /// the call was sent, at `sent_at`, after the limit was last named.
+    /// Records the limits that the incarnation with the start time `born` named in a
+    /// response. A response without a limit ends one only if the call was sent, at
+    /// `sent_at`, after the limit was last named.
     pub fn on_response(
         &mut self,
         id: &str,
         born: u64,
-        per_s: Option<f64>,
+        named: Limits,
         sent_at: Now,
         now: Now,
     ) -> Changed {
@@ -115,20 +130,25 @@
             return Changed::default();
         }
         let known = known.filter(|k| k.born == born);
-        let before = known.and_then(|k| k.per_s);
-        let ends = known.is_some_and(|k| sent_at > k.at) && before.is_some();
-        if per_s.is_none() && !ends {
+        let before = known.map_or_else(Limits::default, |k| k.limits);
+        let ends = known.is_some_and(|k| sent_at > k.at);
+        let limits = Limits {
+            per_s: named.per_s.or(before.per_s.filter(|_| !ends)),
+            rejections: named.rejections.or(before.rejections.filter(|_| !ends)),
+        };
+        if named == Limits::default() && limits == before {
             return Changed::default();
         }
         let statement = Statement {
             born,
-            per_s,
+            limits,
             at: now,
             own: true,
             last_sent: None,
+            rejected: Rejections::default(),
         };
         self.insert(id, statement, now);
-        let changed = before != per_s;
+        let changed = before != limits;
         Changed {
             limits: changed,
             own: changed,
@@ -139,24 +159,31 @@
     pub fn merge(&mut self, report: &LimitsReport, now: Now) -> Changed {
         let mut changed = Changed::default();
         for reported in report.statements.iter().take(MAX_STATEMENTS) {
-            let is_valid = |per_s: f64| per_s >= 0.0;
-            if reported.per_s.is_some_and(|per_s| !is_valid(per_s)) {
+            let Limits { per_s, rejections } = reported.limits;
+            let is_valid = |limit: f64| limit >= 0.0;
+            if [per_s, rejections]
+                .into_iter()
+                .flatten()
+                .any(|l| !is_valid(l))
+            {
                 continue;
             }
             let statement = Statement {
                 born: reported.born,
-                per_s: reported.per_s,
+                limits: reported.limits,
                 at: now.saturating_sub(Duration::from_millis(reported.age_ms)),
                 own: false,
                 last_sent: None,
+                rejected: Rejections::default(),
             };
             let known = self.by_instance.get(&reported.instance).copied();
             match known {
                 Some(k) if (k.born, k.at) >= (statement.born, statement.at) => {
-                    changed.own |= k.own && k.per_s != statement.per_s;
+                    changed.own |= k.own && k.limits != statement.limits;
                 }
                 Some(_) | None => {
-                    changed.limits |= known.and_then(|k| k.per_s) != statement.per_s;
+                    let before = known.map_or_else(Limits::default, |k| k.limits);
+                    changed.limits |= before != statement.limits;
                     self.insert(&reported.instance, statement, now);
                 }
             }
@@ -169,7 +196,41 @@
     #[must_use]
     pub fn per_s(&self, id: &str, born: u64) -> Option<f64> {
         let statement = self.by_instance.get(id)?;
-        statement.per_s.filter(|_| statement.born == born)
+        statement.limits.per_s.filter(|_| statement.born == born)
+    }
+
+    /// Whether the incarnation with the start time `born` falls over if it has to reject
+    /// too many calls.
+    #[must_use]
+    pub fn is_brittle(&self, id: &str, born: u64) -> bool {
+        let statement = self.by_instance.get(id).filter(|s| s.born == born);
+        statement.is_some_and(|s| s.limits.rejections.is_some())
+    }
+
+    /// Records that an instance rejected, for want of room, a call that this node sent at
+    /// `sent_at`. `nodes` nodes share the rejections that it bears. Returns until when
+    /// this node sends it nothing, if it is brittle.
+    pub fn on_rejected(
+        &mut self,
+        id: &str,
+        born: u64,
+        nodes: usize,
+        sent_at: Now,
+        now: Now,
+    ) -> Option<Now> {
+        let seed = self.seed ^ now.as_nanos() as u64;
+        let draw = xxh3_64_with_seed(id.as_bytes(), seed) as f64 / u64::MAX as f64;
+        let statement = self.by_instance.get_mut(id).filter(|s| s.born == born)?;
+        let per_s = statement.limits.rejections?;
+        Some(statement.rejected.record(per_s, nodes, draw, sent_at, now))
+    }
+
+    /// Returns until when this node sends nothing to an instance that rejected a call;
+    /// `now` if it may send one.
+    #[must_use]
+    pub fn rejected_until(&self, id: &str, born: u64, now: Now) -> Now {
+        let statement = self.by_instance.get(id).filter(|s| s.born == born);
+        statement.map_or(now, |s| s.rejected.until().max(now))
     }
 
     /// Returns when this node may send a call that no coordinator grants, if `nodes`
@@ -233,6 +294,9 @@
         let before = self.by_instance.insert(id.into(), statement);
         if let (Some(before), Some(current)) = (before, self.by_instance.get_mut(id)) {
             current.last_sent = before.last_sent;
+            if before.born == current.born {
+                current.rejected = before.rejected;
+            }
         }
     }
 }
--- a/crates/fleet/tests/rate_limits.rs
+++ b/crates/fleet/tests/rate_limits.rs
@@ -1,10 +1,18 @@
 //! Limits on the rate of calls that instances name.
 
 use reedford_fleet::Now;
-use reedford_fleet::rate_limits::{LimitsReport, Pace, RateLimits};
+use reedford_fleet::rate_limits::{Limits, LimitsReport, Pace, RateLimits};
 use std::time::Duration;
 use test_case::test_case;
 
+/// Limits of an instance that limits calls alone.
+const fn calls(per_s: Option<f64>) -> Limits {
+    Limits {
+        per_s,
+        rejections: None,
+    }
+}
+
 const WINDOW: Duration = Duration::from_secs(4);
 const RUN_TIME: Duration = Duration::from_secs(120);
 /// Interval at which a sender tries to send.
@@ -70,7 +78,7 @@
             .map(|n| RateLimits::new((run * 1_000 + n) as u64))
             .collect();
         for node in &mut nodes {
-            node.on_response("i1", 1, Some(case.per_s), Now::ZERO, Now::ZERO);
+            node.on_response("i1", 1, calls(Some(case.per_s)), Now::ZERO, Now::ZERO);
         }
         let mut sent = Vec::new();
         for now in times() {
@@ -128,7 +136,7 @@
     let mut nodes = [const { RateLimits::new(2) }, const { RateLimits::new(3) }];
     for (n, r) in responses.iter().enumerate() {
         let (sent, at) = (seconds(r.sent_s), seconds(r.at_s));
-        limits.on_response("i1", r.born, r.per_s, sent, at);
+        limits.on_response("i1", r.born, calls(r.per_s), sent, at);
         // Another node has learned of the limit before.
         let node = &mut nodes[n % 2];
         node.merge(&LimitsReport::new(limits.statements(), at), at);
@@ -139,3 +147,69 @@
     first.merge(&LimitsReport::new(second.statements(), now), now);
     assert_eq!(first.per_s("i1", 2), expected);
 }
+
+struct BrittleCase {
+    nodes: usize,
+    /// Rejections in a second that the instance bears.
+    max_rejections: f64,
+}
+
+/// Load pattern: all nodes have more calls for an instance than it has room for, all the
+/// time, while it must not reject many. Guards against a sum of rejections beyond that.
+#[test_case(BrittleCase { nodes: 7, max_rejections: 4.0 }; "few nodes")]
+#[test_case(BrittleCase { nodes: 24, max_rejections: 8.0 }; "a few dozen")]
+#[test_case(BrittleCase { nodes: 64, max_rejections: 8.0 }; "more nodes than slots")]
+#[test_case(BrittleCase { nodes: 195, max_rejections: 8.0 }; "hundreds")]
+fn overloaded_brittle_instance_rejects_few(case: BrittleCase) {
+    const SLOTS: usize = 6;
+    const ROOM: usize = 1;
+    const WORK: Duration = Duration::from_millis(30);
+    const TICK: Duration = Duration::from_millis(10);
+    const RUN: Duration = Duration::from_secs(60);
+    /// Time to learn, with that of the first pauses.
+    const LEARNING: Duration = Duration::from_secs(3);
+    let brittle = Limits {
+        per_s: None,
+        rejections: Some(case.max_rejections),
+    };
+    let mut nodes: Vec<RateLimits> = (0..case.nodes as u64).map(RateLimits::new).collect();
+    for node in &mut nodes {
+        node.on_response("i1", 1, brittle, Now::ZERO, Now::ZERO);
+    }
+    let mut running: Vec<Now> = Vec::new();
+    let mut rejections: Vec<Now> = Vec::new();
+    let mut served = 0;
+    let mut now = Duration::from_secs(1);
+    let mut first = 0;
+    while now < RUN {
+        running.retain(|end| *end > now);
+        // Another node is the first one each time.
+        first += 1;
+        for n in 0..case.nodes {
+            let node = &mut nodes[(first + n) % case.nodes];
+            if node.rejected_until("i1", 1, now) > now {
+                continue;
+            }
+            if running.len() < SLOTS + ROOM {
+                running.push(now + WORK);
+                served += 1;
+            } else {
+                node.on_rejected("i1", 1, case.nodes, now, now);
+                rejections.push(now);
+            }
+        }
+        now += TICK;
+    }
+    let late: Vec<Now> = rejections.into_iter().filter(|at| *at > LEARNING).collect();
+    for start in &late {
+        let within = late
+            .iter()
+            .filter(|at| (*start..*start + Duration::from_secs(1)).contains(at));
+        let count = within.count();
+        assert!(
+            count as f64 <= case.max_rejections,
+            "{count} rejections in a second"
+        );
+    }
+    assert!(served > 0);
+}
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -66,6 +66,9 @@
     /// Calls per second that the instance takes from all nodes together, if it names a
     /// limit; the text of the field if it can't be read.
     pub rate_limit: Option<Result<f64, Box<str>>>,
+    /// Calls that the instance can reject in a second for want of room without falling
+    /// over, if it names a limit; the text of the field if it can't be read.
+    pub rejection_limit: Option<Result<f64, Box<str>>>,
 }
 
 /// Why an instance rejected a call.
--- a/crates/gateway/src/handler/attempt.rs
+++ b/crates/gateway/src/handler/attempt.rs
@@ -128,6 +128,9 @@
         let available_at = state
             .pushback
             .available_at(&grant.instance, grant.born, now);
+        let limits = &state.rate_limits;
+        let available_at =
+            available_at.max(limits.rejected_until(&grant.instance, grant.born, now));
         (available_at > now).then_some(Rejection::Full)
     }
 }
--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -318,8 +318,10 @@
             let mut at = state.available_at(instance, now);
             if is_limited {
                 at = at.max(state.turn_at(instance, now));
+                at = at.max(state.room_at(instance, now));
                 let limits = &state.rate_limits;
                 let turns = limits.turns_per_s(&instance.id, instance.born, nodes);
+                let turns = turns.or_else(|| state.room_per_s(instance, call.route.objective));
                 turns_per_s = turns_per_s.zip(turns).map(|(sum, turns)| sum + turns);
             }
             earliest = Some(earliest.map_or(at, |e: Now| e.min(at)));
--- a/crates/gateway/src/response_head.rs
+++ b/crates/gateway/src/response_head.rs
@@ -4,7 +4,7 @@
 use crate::state::Shared;
 use reedford_fleet::Now;
 use reedford_fleet::departures::DepartureSource;
-use reedford_fleet::rate_limits::{Changed, LimitsReport};
+use reedford_fleet::rate_limits::{Changed, Limits, LimitsReport};
 use std::time::Duration;
 
 impl Shared {
@@ -26,28 +26,61 @@
         }
     }
 
-    /// Records the limit that an instance names in its response to a request that was
+    /// Records the limits that an instance names in its response to a request that was
     /// sent at `sent_at`. A rejection without one says nothing.
     pub(crate) fn on_rate_limit(&self, id: &str, born: u64, head: &ResponseHead, sent_at: Now) {
-        let per_s = match &head.rate_limit {
-            Some(Ok(per_s)) => Some(*per_s),
+        let read = |name, field: &Option<Result<f64, Box<str>>>| match field {
+            Some(Ok(limit)) => Some(*limit),
             Some(Err(text)) => {
-                tracing::warn!(event = "limit_unreadable", instance = id, value = %text);
-                return;
+                tracing::warn!(event = "limit_unreadable", instance = id, name, value = %text);
+                None
             }
-            None if head.not_run.is_some() => return,
             None => None,
         };
+        let fields = [&head.rate_limit, &head.rejection_limit];
+        if fields.iter().any(|f| matches!(f, Some(Err(_)))) {
+            read("calls", &head.rate_limit);
+            read("rejections", &head.rejection_limit);
+            return;
+        }
+        let limits = Limits {
+            per_s: read("calls", &head.rate_limit),
+            rejections: read("rejections", &head.rejection_limit),
+        };
+        if limits == Limits::default() && head.not_run.is_some() {
+            return;
+        }
         let now = self.now();
         let mut state = self.lock();
-        let changed = state.rate_limits.on_response(id, born, per_s, sent_at, now);
+        let changed = state
+            .rate_limits
+            .on_response(id, born, limits, sent_at, now);
         drop(state);
         if changed.limits {
-            tracing::info!(event = "instance_limit", instance = id, born, ?per_s);
+            tracing::info!(event = "instance_limit", instance = id, born,
+                per_s = ?limits.per_s, rejections = ?limits.rejections);
         }
         self.on_rate_limits(changed);
     }
 
+    /// Records that an instance rejected, for want of room, a call that was sent at
+    /// `sent_at`.
+    pub(crate) fn on_rejected(&self, id: &str, born: u64, sent_at: Now) {
+        let now = self.now();
+        let mut state = self.lock();
+        let nodes = state.budget.node_count();
+        let until = state.rate_limits.on_rejected(id, born, nodes, sent_at, now);
+        drop(state);
+        if let Some(until) = until {
+            tracing::info!(
+                event = "instance_full",
+                instance = id,
+                born,
+                held_ms = until.saturating_sub(now).as_millis() as u64
+            );
+        }
+    }
+
     /// Adds the limits on calls that other nodes know of.
     pub(crate) fn merge_rate_limits(&self, report: &LimitsReport) {
         let now = self.now();
--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -210,7 +210,11 @@
                     instance = %grant.instance, status, why = ?why);
                 SendOutcome::NotRun(match why {
                     NotRunReason::Misdirected => Rejection::Missing,
-                    NotRunReason::Full => Rejection::Full,
+                    NotRunReason::Full => {
+                        self.shared
+                            .on_rejected(&grant.instance, grant.born, sent_at);
+                        Rejection::Full
+                    }
                 })
             }
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -9,7 +9,7 @@
 use crate::settings::GatewaySettings;
 use crate::store_retries::StoreRetries;
 use reedford_core::rendezvous;
-use reedford_fleet::balancer::Balancer;
+use reedford_fleet::balancer::{Balancer, slot_share};
 use reedford_fleet::budget::{RetryBudget, RetryLimits};
 use reedford_fleet::config::RouteTable;
 use reedford_fleet::connectivity::Connectivity;
@@ -290,6 +290,39 @@
             .available_at(&instance.id, instance.born, nodes, now)
     }
 
+    /// Returns when a call that no coordinator grants may be sent to an instance that must
+    /// not reject many, or tried again; `now` if at once.
+    pub(crate) fn room_at(&self, instance: &Instance, now: Now) -> Now {
+        /// Time in which an instance ends a few calls.
+        const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(20);
+        let limits = &self.rate_limits;
+        if !limits.is_brittle(&instance.id, instance.born) {
+            return now;
+        }
+        let nodes = self.budget.node_count();
+        let has_slot = self
+            .balancer
+            .has_free_slot(&instance.id, instance.slots, nodes, now);
+        let tried_at = if has_slot {
+            now
+        } else {
+            now + ROOM_POLL_INTERVAL
+        };
+        limits
+            .rejected_until(&instance.id, instance.born, now)
+            .max(tried_at)
+    }
+
+    /// Returns how many calls per second this node expects to send to an instance that
+    /// must not reject many: its share of the slots, each of which ends a call in half of
+    /// the objective.
+    pub(crate) fn room_per_s(&self, instance: &Instance, objective: Duration) -> Option<f64> {
+        let is_brittle = self.rate_limits.is_brittle(&instance.id, instance.born);
+        let nodes = self.budget.node_count();
+        let share = slot_share(instance.slots, nodes);
+        is_brittle.then(|| f64::from(share) * 2.0 / objective.as_secs_f64())
+    }
+
     /// Returns an instance if it accepts calls.
     pub(crate) fn ready_instance(&self, id: &str) -> Option<&Instance> {
         let instance = self.directory.get(id)?;
