Tell all nodes only of suspected requests

Each call that ran beside a crash is evidence against its request, and each change of the evidence woke the polls of all nodes, with requests that nobody else will ever see. Nodes now learn of causes with two crashes or more, and of answers to those and to parts.

--- a/crates/fleet/src/quarantine/evidence.rs
+++ b/crates/fleet/src/quarantine/evidence.rs
@@ -22,6 +22,8 @@
 /// Limit on the requests, like [`MAX_PARTS`]. An instance that crashes for another reason
 /// adds all requests that it runs.
 const MAX_REQUESTS: usize = 256;
+/// Crashes from which a cause is suspected.
+const MIN_SUSPECTED_CRASHES: usize = 2;
 /// Limit on the crashes of a cause; the oldest is dropped beyond it.
 const MAX_CRASHES: usize = 16;
 
@@ -41,6 +43,9 @@
     crashes: BTreeMap<IncarnationHash, Crash>,
     /// When a call with the cause was last answered.
     pub(super) answered_at: Option<Now>,
+    /// Whether there were several crashes at some time, so that other nodes may know of
+    /// them.
+    was_suspected: bool,
 }
 
 /// A crash of an instance that was about to answer a call.
@@ -145,17 +150,24 @@
         }
     }
 
-    /// Returns the report of this evidence to other nodes, without what expired and
-    /// without causes of fewer than `min_crashes` that were not answered since.
+    /// Returns the evidence that concerns nodes which have not seen it themselves: causes
+    /// that are suspected, or were until they were answered, and the answers to parts,
+    /// which other calls share.
     #[must_use]
-    pub fn report(&self, min_crashes: usize, now: Now) -> EvidenceReport {
+    pub fn of_suspects(&self) -> Self {
+        self.filtered(|cause, evidence| {
+            let is_shared = matches!(cause, Cause::Part(_)) && evidence.answered_at.is_some();
+            evidence.was_suspected || is_shared
+        })
+    }
+
+    /// Returns the report of this evidence to other nodes, without what expired.
+    #[must_use]
+    pub fn report(&self, now: Now) -> EvidenceReport {
         let mut current = self.clone();
         current.expire(now);
         let mut report = EvidenceReport::default();
         for (cause, evidence) in &current.by_cause {
-            if evidence.crashes.len() < min_crashes && evidence.answered_at.is_none() {
-                continue;
-            }
             match *cause {
                 Cause::Part(part) => {
                     report.parts.push(CauseReport::new(part, evidence, now));
@@ -211,6 +223,7 @@
             return false;
         }
         evidence.crashes.insert(incarnation, crash);
+        evidence.was_suspected |= evidence.crashes.len() >= MIN_SUSPECTED_CRASHES;
         if evidence.crashes.len() > MAX_CRASHES {
             let oldest = evidence.crashes.iter().min_by_key(|(_, c)| c.at);
             if let Some(oldest) = oldest.map(|(incarnation, _)| *incarnation) {
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -169,10 +169,10 @@
     let now = ms(500);
     let mut hub = Quarantine::default();
     for n in order {
-        hub.merge(&nodes[*n].own().report(1, now), now);
+        hub.merge(&nodes[*n].own().report(now), now);
     }
     for node in &mut nodes {
-        node.merge(&hub.all().report(2, now), now);
+        node.merge(&hub.all().of_suspects().report(now), now);
         assert!(
             node.verdict(&with_prompt(&parts(&[SYSTEM, CRASHING, 9])), now)
                 .is_some()
@@ -188,9 +188,9 @@
     apply(&mut crashes, THREE_CRASHES);
     answers.on_answered(&with_prompt(&parts(&[SYSTEM, CRASHING, 20])), ms(95));
     let now = ms(500);
-    let changed = answers.merge(&crashes.all().report(2, now), now);
+    let changed = answers.merge(&crashes.all().of_suspects().report(now), now);
     assert!(changed.own);
-    crashes.merge(&answers.own().report(1, now), now);
+    crashes.merge(&answers.own().report(now), now);
     assert_eq!(
         crashes.verdict(&with_prompt(&parts(&[SYSTEM, CRASHING, 9])), now),
         None
@@ -198,7 +198,7 @@
     // Reported once more by a node that did not learn of the answer.
     let mut late = Quarantine::default();
     apply(&mut late, THREE_CRASHES);
-    crashes.merge(&late.own().report(1, now), now);
+    crashes.merge(&late.own().report(now), now);
     assert_eq!(
         crashes.verdict(&with_prompt(&parts(&[SYSTEM, CRASHING, 9])), now),
         None
@@ -215,7 +215,7 @@
         quarantine.on_answered(&with_prompt(&parts(&ids)), ms(200));
         quarantine.on_crash(&format!("j{n}"), 1, &with_prompt(&parts(&ids)), ms(300));
     }
-    let report = serde_json::to_vec(&quarantine.all().report(1, ms(600)));
+    let report = serde_json::to_vec(&quarantine.all().report(ms(600)));
     let length = report.expect("a report serializes").len();
     assert!(length < 64 << 10, "{length}");
     let verdict = quarantine.verdict(&with_prompt(&parts(&[SYSTEM, CRASHING, 9])), ms(600));
@@ -423,7 +423,7 @@
         quarantine.on_answered(&call, ms(200));
         quarantine.on_crash(&format!("j{n}"), 1, &call, ms(300));
     }
-    let report = serde_json::to_vec(&quarantine.all().report(1, ms(600)));
+    let report = serde_json::to_vec(&quarantine.all().report(ms(600)));
     let length = report.expect("a report serializes").len();
     assert!(length < 64 << 10, "{length}");
     assert!(quarantine.verdict(&plain(POISON), ms(600)).is_some());
@@ -436,7 +436,7 @@
     let mut quarantine = Quarantine::default();
     apply(&mut quarantine, THREE_CRASHES);
     apply_to_requests(&mut quarantine, THREE_UNDER_ONE);
-    let report = serde_json::to_string(&quarantine.all().report(3, ms(600)));
+    let report = serde_json::to_string(&quarantine.all().of_suspects().report(ms(600)));
     let report = report.expect("a report serializes");
     let mut other = Quarantine::default();
     let parsed = serde_json::from_str(&report).expect("a report can be read");
--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -42,9 +42,6 @@
 /// gets a listing.
 const MAX_LOGGED_CHANGES: usize = 512;
 
-/// Crashes under a cause from which other nodes learn of it.
-const MIN_REPORTED_CRASHES: usize = 2;
-
 /// A part of the store that the coordinator passes on.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub(crate) enum Feed {
@@ -299,7 +296,8 @@
         true
     }
 
-    /// Sets the evidence on calls under which instances crash.
+    /// Sets the evidence on calls under which instances crash, as far as it concerns other
+    /// nodes.
     pub(crate) fn set_evidence(&self, evidence: Evidence) {
         let mut state = self.lock();
         if state.evidence == evidence {
@@ -367,7 +365,7 @@
         let metadata = FeedMetadata {
             notices: has_news.then(|| NoticesNews {
                 revision,
-                crashes: state.evidence.report(MIN_REPORTED_CRASHES, now),
+                crashes: state.evidence.report(now),
                 limits: LimitsReport::new(&state.rate_limits, now),
             }),
             operators: operators.map_or(0, |position| position.revision),
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -184,7 +184,7 @@
     }
 
     async fn report_evidence(&self, addr: SocketAddr, evidence: &Evidence) -> bool {
-        let report = evidence.report(1, self.shared.now());
+        let report = evidence.report(self.shared.now());
         let sent = self
             .peers
             .call(addr, REPORT_TIMEOUT, |peer, cx| async move {
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -85,8 +85,8 @@
     /// Passes changed evidence on.
     fn on_evidence(&self, changed: Changed) {
         if changed.all {
-            let all = self.lock().quarantine.all().clone();
-            self.feeds.set_evidence(all);
+            let suspects = self.lock().quarantine.all().of_suspects();
+            self.feeds.set_evidence(suspects);
         }
         if changed.all || changed.own {
             self.evidence_changed.send_replace(());
--- a/crates/gateway/src/quarantine_record.rs
+++ b/crates/gateway/src/quarantine_record.rs
@@ -94,7 +94,7 @@
             .written
             .get_or_insert_with(|| (era, Evidence::default()));
         if *known != (era, quarantined.clone()) {
-            self.write(quarantined.report(1, now)).await?;
+            self.write(quarantined.report(now)).await?;
             progress.written = Some((era, quarantined));
         }
         Ok(())
