End pauses with the limit on rejections; race of direct and relayed connections by itself

A node kept giving back grants of an engine for the rest of its pause, up to two minutes, after the engine had stopped naming a limit on rejections (a_pause_ends_with_the_limit_on_rejections, which failed before).

--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -310,8 +310,8 @@
             counts
         });
     }
-    // A request that was never answered has no sound callers to lose, and each trial may
-    // cost an instance.
+    // A request that was never answered has no sound callers to lose, and each one that is
+    // let through may cost an instance.
     let (min_prompts, is_certain) = match cause {
         Cause::Part(_) => (MIN_PROMPTS, false),
         Cause::Request(_) => (1, !was_answered),
--- a/crates/fleet/src/rate_limits.rs
+++ b/crates/fleet/src/rate_limits.rs
@@ -225,12 +225,13 @@
         Some(statement.rejected.record(per_s, nodes, draw, sent_at, now))
     }
 
-    /// Returns until when this node sends nothing to an instance that rejected a call;
-    /// `now` if it may send one.
+    /// Returns until when this node sends nothing to a brittle instance that rejected a
+    /// call; `now` if it may send one.
     #[must_use]
     pub fn rejected_until(&self, id: &str, born: u64, now: Now) -> Now {
         let statement = self.by_instance.get(id).filter(|s| s.born == born);
-        statement.map_or(now, |s| s.rejected.until().max(now))
+        let brittle = statement.filter(|s| s.limits.rejections.is_some());
+        brittle.map_or(now, |s| s.rejected.until().max(now))
     }
 
     /// Returns when this node may send a call that no coordinator grants, if `nodes`
--- a/crates/fleet/tests/rate_limits.rs
+++ b/crates/fleet/tests/rate_limits.rs
@@ -213,3 +213,21 @@
     }
     assert!(served > 0);
 }
+
+/// Guards against an instance that is left alone for the rest of a pause although it is no
+/// longer brittle.
+#[test]
+fn a_pause_ends_with_the_limit_on_rejections() {
+    let mut node = RateLimits::new(1);
+    let brittle = Limits {
+        per_s: None,
+        rejections: Some(1.0),
+    };
+    let at = Duration::from_secs;
+    node.on_response("i1", 1, brittle, at(1), at(1));
+    node.on_rejected("i1", 1, 100, at(2), at(2));
+    node.on_rejected("i1", 1, 100, at(3), at(3));
+    assert!(node.rejected_until("i1", 1, at(5)) > at(5));
+    node.on_response("i1", 1, Limits::default(), at(4), at(5));
+    assert_eq!(node.rejected_until("i1", 1, at(5)), at(5));
+}
--- a/crates/gateway/src/dialer.rs
+++ b/crates/gateway/src/dialer.rs
@@ -10,12 +10,12 @@
 use reedford_fleet::links::{LinkChange, Route};
 use reedford_fleet::relays::RelayNode;
 use reedford_targets::{Dialed, Dialer, NotSentReason, Pool};
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -103,49 +103,49 @@
 
     /// Connects directly, and through another node if that fails or takes long.
     async fn dial_both(&self, target: &Target) -> Result<Dialed, NotSentReason> {
-        let mut first = std::pin::pin!(TcpStream::connect(target.addr));
-        let mut direct_error = None;
-        tokio::select! {
-            biased;
-            connected = &mut first => match connected {
-                Ok(stream) => {
-                    self.on_connected(target);
-                    return Ok(unrelayed(stream));
-                }
-                Err(error) => {
-                    self.on_failed(target, false);
-                    direct_error = Some(error.kind());
-                }
-            },
-            () = sleep(RELAY_DELAY) => self.on_failed(target, true),
-        }
-        let relaying = self.relay(target);
-        let mut relaying = std::pin::pin!(relaying);
-        if let Some(kind) = direct_error {
-            let relay = relaying.await;
-            return relay
-                .map(relayed)
-                .map_err(|_relay| NotSentReason::Connect(kind));
+        let mut direct = std::pin::pin!(TcpStream::connect(target.addr));
+        match timeout(RELAY_DELAY, &mut direct).await {
+            Ok(Ok(stream)) => self.finish_direct(target, Ok(stream)),
+            Ok(Err(error)) => {
+                self.on_failed(target, false);
+                self.relay_instead(target, &error).await
+            }
+            Err(_elapsed) => {
+                self.on_failed(target, true);
+                self.race(target, direct).await
+            }
         }
+    }
+
+    /// Connects through another node while a direct connection is under way.
+    async fn race<F>(&self, target: &Target, mut direct: F) -> Result<Dialed, NotSentReason>
+    where
+        F: Future<Output = io::Result<TcpStream>> + Unpin,
+    {
+        let mut relaying = std::pin::pin!(self.relay(target));
         tokio::select! {
             biased;
-            connected = &mut first => match connected {
-                Ok(stream) => {
-                    self.on_connected(target);
-                    return Ok(unrelayed(stream));
-                }
-                Err(error) => {
-                    let relay = relaying.await;
-                    return relay
-                        .map(relayed)
-                        .map_err(|_relay| NotSentReason::Connect(error.kind()));
-                }
+            connected = &mut direct => match connected {
+                Ok(stream) => self.finish_direct(target, Ok(stream)),
+                Err(error) => self.relay_instead(target, &error).await,
             },
-            relay = &mut relaying => if let Ok(stream) = relay {
-                return Ok(relayed(stream));
+            relay = &mut relaying => match relay {
+                Ok(stream) => Ok(relayed(stream)),
+                Err(_) => self.finish_direct(target, direct.await),
             }
         }
-        self.finish_direct(target, first.await)
+    }
+
+    /// Connects through another node after a direct connection failed.
+    async fn relay_instead(
+        &self,
+        target: &Target,
+        direct_error: &io::Error,
+    ) -> Result<Dialed, NotSentReason> {
+        let relay = self.relay(target).await;
+        relay
+            .map(relayed)
+            .map_err(|_relay| NotSentReason::Connect(direct_error.kind()))
     }
 
     async fn dial_direct(&self, target: &Target) -> Result<Dialed, NotSentReason> {
@@ -155,7 +155,7 @@
     fn finish_direct(
         &self,
         target: &Target,
-        connected: std::io::Result<TcpStream>,
+        connected: io::Result<TcpStream>,
     ) -> Result<Dialed, NotSentReason> {
         match connected {
             Ok(stream) => {
--- a/crates/targets/src/exchange.rs
+++ b/crates/targets/src/exchange.rs
@@ -82,7 +82,7 @@
 
 impl IncomingResponse {
     /// Whether the end of the connection is the end of the body. On a relayed connection
-    /// the relay's end can't be told from it.
+    /// the end of the relay looks the same.
     #[must_use]
     pub fn ends_with_conn(&self) -> bool {
         let is_framed = |name| self.headers.contains_key(name);
