--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -1,6 +1,7 @@
 //! The active configuration: routes, services and limits on callers.
 
 use crate::stream_versions::stream_lifetime;
+use crate::workspaces::{Access, KeyDigest, Workspaces};
 use crate::{ModelName, ServiceName};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -19,6 +20,8 @@
     pub services: BTreeMap<ServiceName, Service>,
     /// Limits on callers.
     pub limits: CallerLimits,
+    /// Workspaces, if calls require a key.
+    pub workspaces: Option<Workspaces>,
 }
 
 /// How often a call may run, and whether its response is a stream.
@@ -75,6 +78,8 @@
     pub max_silence: Option<Duration>,
     /// Priority; 0 is the most urgent.
     pub priority: u8,
+    /// Whether calls need no key.
+    pub public: bool,
 }
 
 /// A group of interchangeable instances.
@@ -180,6 +185,13 @@
             .find(|route| path.starts_with(&*route.prefix))
     }
 
+    /// Returns whether a call with a key, or without one, may use a route.
+    #[must_use]
+    pub fn access(&self, route: &Route, key: Option<&KeyDigest>) -> Access<'_> {
+        let workspaces = self.config.workspaces.as_ref();
+        workspaces.map_or(Access::Open, |w| w.access(route, key))
+    }
+
     /// Returns the service of a call. `draw`, which must be uniformly distributed
     /// over all calls, selects one in proportion to the weights.
     #[must_use]
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -25,6 +25,8 @@
 //! | [`relays`] | which other node opens connections to instances for this one |
 //! | [`connectivity`] | whether this node is cut off from the store and its peers |
 //! | [`zones`] | which availability zone places a call |
+//! | [`workspaces`] | whose key a call has, and whether it may use a route |
+//! | [`quota`] | whether a workspace has used up its limit |
 
 pub mod balancer;
 pub mod budget;
@@ -37,11 +39,13 @@
 pub mod ownership;
 pub mod pushback;
 pub mod quarantine;
+pub mod quota;
 pub mod rate_limits;
 pub mod relays;
 pub mod scheduler;
 pub mod store_retries;
 pub mod stream_versions;
+pub mod workspaces;
 pub mod zones;
 
 pub use reedford_core::{Era, InstanceId, Now, ZoneId};
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -17,8 +17,10 @@
 //! others by less than the cost of a load; beyond that, the adapter is loaded on
 //! another engine as well.
 
+mod drain;
 mod engine_view;
 mod estimate;
+mod fair_queue;
 mod order;
 mod placement;
 mod prompt_cache;
@@ -35,9 +37,11 @@
 use crate::config::{Engine as EngineSpec, Model};
 use crate::directory::{Instance, InstanceState};
 use crate::rate_limits::Pace;
+use crate::workspaces::WorkspaceName;
 use crate::{AdapterName, InstanceId, ModelName, Now, WeightVersion};
 use engine_view::EngineView;
 use estimate::{LoadDemand, LoadTimeEstimate, PrefillRate, SlotTurnover};
+use fair_queue::FairQueue;
 use prompt_cache::PromptPath;
 use reedford_core::frequency::Frequency;
 use reedford_core::rendezvous;
@@ -151,6 +155,7 @@
     /// Newest known version of each adapter.
     versions: BTreeMap<AdapterKey, WeightVersion>,
     queue: Vec<QueuedCall>,
+    fair_queue: FairQueue,
     /// Engine of each granted call.
     running: BTreeMap<PlacementId, InstanceId>,
     popularity: Frequency,
@@ -190,6 +195,7 @@
             departed: BTreeMap::new(),
             versions: BTreeMap::new(),
             queue: Vec::new(),
+            fair_queue: FairQueue::default(),
             running: BTreeMap::new(),
             popularity: Frequency::new(POPULARITY_HALF_LIFE),
             load_estimate: LoadTimeEstimate::default(),
@@ -207,6 +213,12 @@
         self.specs.insert(service.into(), spec);
     }
 
+    /// Sets the weights of workspaces, in proportion to which their queued calls are
+    /// placed.
+    pub fn set_weights(&mut self, weights: BTreeMap<WorkspaceName, f64>) {
+        self.fair_queue.set_weights(weights);
+    }
+
     /// Adds or updates an engine from its entry in the directory.
     pub fn on_instance(&mut self, instance: &Instance, now: Now) {
         if !self.specs.contains_key(&instance.service) {
--- a/crates/fleet/src/scheduler/engine_view.rs
+++ b/crates/fleet/src/scheduler/engine_view.rs
@@ -106,6 +106,9 @@
     /// not evicted before that time, because an engine reports the eviction of an
     /// adapter that is being loaded as done and completes the load nevertheless.
     pub(super) load_complete_by: Now,
+    /// Time until which calls go to other copies of the adapter, so that this one can be
+    /// evicted.
+    pub(super) draining_until: Now,
 }
 
 /// State of an adapter on an engine. In each state it occupies a slot.
@@ -579,9 +582,14 @@
             last_used: now,
             running_calls: 0,
             load_complete_by: Now::ZERO,
+            draining_until: Now::ZERO,
         }
     }
 
+    pub(super) fn is_draining(&self, now: Now) -> bool {
+        now < self.draining_until
+    }
+
     fn with_usage_of(mut self, before: Option<&Self>) -> Self {
         if let Some(before) = before {
             self.last_used = before.last_used;
--- a/crates/fleet/src/scheduler/placement.rs
+++ b/crates/fleet/src/scheduler/placement.rs
@@ -3,8 +3,10 @@
 //! Rendezvous hashing orders the engines for each adapter; the first one is the
 //! adapter's home engine, which is preferred when the costs are about equal.
 
+use super::drain::drain_penalty;
 use super::engine_view::{AdapterCopy, CopyState, EngineView, ModelState};
 use super::estimate::{as_millis, millis, overtaking_factor};
+use super::fair_queue::StartTag;
 use super::order::OrderKind;
 use super::prompt_cache::PromptPath;
 use super::request::{Grant, PlacementRequest, Refusal, RefusalReason};
@@ -69,11 +71,14 @@
     Load { evict: Option<AdapterKey> },
 }
 
-/// Position in the queue; the lowest goes first.
+/// Position in the queue; the lowest goes first. Calls of the same rank are ordered by
+/// their [`StartTag`].
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct QueueRank {
     /// Whether the call can no longer start in time.
     late: bool,
+    /// Priority of the workspace, or of the route if it has none.
+    workspace_priority: u8,
     priority: u8,
 }
 
@@ -181,8 +186,7 @@
     fn queue_wait(&self, rank: QueueRank, queued: &QueuedCall, now: Now) -> ExpectedWait {
         let mut round = self.new_round(now);
         let (mut tokens, mut calls) = (0.0, 0.0);
-        let rate = self.mean_prefill_rate();
-        for ahead in self.queue.iter().filter(|q| q.rank(rate, now) <= rank) {
+        for ahead in self.calls_ahead(rank, queued, now) {
             tokens += f64::from(ahead.request.tokens);
             calls += 1.0;
             round
@@ -204,6 +208,44 @@
         )
     }
 
+    /// Returns the queued calls that go before a call of this rank that arrives now.
+    fn calls_ahead(&self, rank: QueueRank, call: &QueuedCall, now: Now) -> Vec<&QueuedCall> {
+        let rate = self.mean_prefill_rate();
+        let ranked = self.queue.iter().map(|q| (q.rank(rate, now), q));
+        let mut ranked: Vec<(QueueRank, &QueuedCall)> =
+            ranked.filter(|(other, _)| *other <= rank).collect();
+        if call.request.workspace.is_none() {
+            return ranked.into_iter().map(|(_, q)| q).collect();
+        }
+        ranked.sort_by_key(|(rank, q)| (*rank, q.serial));
+        let mut tagger = self.fair_queue.tagger();
+        let tagged: Vec<(StartTag, QueueRank, &QueuedCall)> = ranked
+            .into_iter()
+            .map(|(rank, q)| (tagger.tag(q), rank, q))
+            .collect();
+        let own_tag = tagger.tag(call);
+        let goes_before =
+            |(tag, other, _): &(StartTag, QueueRank, &QueuedCall)| *other < rank || *tag <= own_tag;
+        let ahead = tagged.into_iter().filter(goes_before);
+        ahead.map(|(_, _, q)| q).collect()
+    }
+
+    /// Returns the queue in the order in which its calls are placed, with their tags.
+    fn ordered_queue(&mut self, now: Now) -> Vec<(StartTag, QueuedCall)> {
+        let rate = self.mean_prefill_rate();
+        let mut queue = std::mem::take(&mut self.queue);
+        queue.sort_by_key(|q| (q.rank(rate, now), q.serial));
+        let mut tagger = self.fair_queue.tagger();
+        let mut tagged: Vec<(StartTag, QueuedCall)> =
+            queue.into_iter().map(|q| (tagger.tag(&q), q)).collect();
+        tagged.sort_by(|(tag_a, a), (tag_b, b)| {
+            let by_rank = a.rank(rate, now).cmp(&b.rank(rate, now));
+            let by_tag = tag_a.total_cmp(tag_b);
+            by_rank.then(by_tag).then(a.serial.cmp(&b.serial))
+        });
+        tagged
+    }
+
     fn new_round(&self, now: Now) -> PlacementRound {
         let engine_specs = self.engines.values().filter(|e| e.is_usable(now));
         let engine_specs = engine_specs.filter_map(|e| self.specs.get(&e.service));
@@ -253,11 +295,8 @@
             engine.complete_loads(now);
         }
         let mut round = self.new_round(now);
-        let mut queue = std::mem::take(&mut self.queue);
-        let rate = self.mean_prefill_rate();
-        queue.sort_by_key(|q| (q.rank(rate, now), q.serial));
         let mut actions = Vec::new();
-        for mut queued in queue {
+        for (tag, mut queued) in self.ordered_queue(now) {
             let outcome = match self.place_call(&mut queued, &mut round, now) {
                 PlacementOutcome::Queued(wait) if now + wait > queued.request.objective_at => {
                     PlacementOutcome::Queued(
@@ -268,7 +307,10 @@
                 granted @ PlacementOutcome::Granted(_) => granted,
             };
             match outcome {
-                PlacementOutcome::Granted(grant) => actions.push(Action::Grant(grant)),
+                PlacementOutcome::Granted(grant) => {
+                    self.fair_queue.on_served(&queued, tag);
+                    actions.push(Action::Grant(grant));
+                }
                 PlacementOutcome::Queued(wait) if now + wait < queued.request.first_token_by => {
                     self.queue.push(queued);
                 }
@@ -328,6 +370,9 @@
         *round.planned.entry(candidate.engine).or_default() +=
             f64::from(candidate.unprocessed_tokens);
         queued.awaiting_slot = candidate.prerequisite == Prerequisite::FreeSlot;
+        if queued.awaiting_slot && queued.request.workspace.is_some() {
+            self.drain_copy_for(queued, round.awaiting_slot.len(), now);
+        }
         round
             .awaiting_slot
             .extend(queued.key.clone().filter(|_| queued.awaiting_slot));
@@ -388,6 +433,7 @@
         // A load runs concurrently with the work already granted.
         let wait = engine.prefill_backlog().max(load).max(paced) + prefill;
         let bias = millis(home_bias(&queued.key_text, &engine.id));
+        let bias = bias + drain_penalty(engine, key, now);
         let cost = wait + bias + prefill_cost + load_cost(engine, key, warm);
         Some(Candidate {
             engine: engine.id.clone(),
@@ -477,11 +523,18 @@
         let victim = engine
             .copies
             .iter()
-            .filter(|(key, copy)| copy.is_evictable(now) && !round.requested.contains(*key))
+            .filter(|(key, copy)| {
+                let requested = round.requested.contains(*key);
+                copy.is_evictable(now) && (!requested || copy.is_draining(now))
+            })
             .min_by(|a, b| {
+                let draining = |copy: &AdapterCopy| std::cmp::Reverse(copy.is_draining(now));
+                let by_drain = draining(a.1).cmp(&draining(b.1));
                 let score = |key: &AdapterKey| self.popularity.count(&key.to_string(), now);
                 let by_score = score(a.0).total_cmp(&score(b.0));
-                by_score.then(a.1.last_used.cmp(&b.1.last_used))
+                by_drain
+                    .then(by_score)
+                    .then(a.1.last_used.cmp(&b.1.last_used))
             })
             .map(|(key, _)| key.clone());
         round.victims.insert(engine.id.clone(), victim.clone());
@@ -537,9 +590,11 @@
     /// time as one in time; then the priority decides.
     fn rank(&self, tokens_per_ms: f64, now: Now) -> QueueRank {
         let soonest = now + millis(f64::from(self.request.tokens) / tokens_per_ms);
+        let priority = self.request.priority;
         QueueRank {
             late: soonest > self.request.objective_at,
-            priority: self.request.priority,
+            workspace_priority: self.request.workspace_priority.unwrap_or(priority),
+            priority,
         }
     }
 }
--- a/crates/fleet/src/scheduler/request.rs
+++ b/crates/fleet/src/scheduler/request.rs
@@ -1,6 +1,7 @@
 //! Placement requests of nodes, and the scheduler's responses.
 
 use super::AdapterKey;
+use crate::workspaces::WorkspaceName;
 use crate::{AdapterName, InstanceId, ModelName, Now, ServiceName, SoftwareVersion, WeightVersion};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
@@ -38,8 +39,12 @@
     pub parts: Vec<PromptPart>,
     /// Maximum tokens of the response.
     pub output: u32,
-    /// Priority; 0 is the most urgent.
+    /// Priority of the route; 0 is the most urgent.
     pub priority: u8,
+    /// The caller's workspace, if the configuration has any.
+    pub workspace: Option<WorkspaceName>,
+    /// Priority of the workspace, which goes before that of the route.
+    pub workspace_priority: Option<u8>,
     /// When the first token is due.
     pub objective_at: Now,
     /// When the caller gives up unless it got the first token.
@@ -129,6 +134,14 @@
     Held,
     /// Instances crash under a part of the call's prompt.
     Quarantined,
+    /// The caller's workspace has used up its limit.
+    Limit,
+    /// It isn't known whether the caller's workspace has used up its limit.
+    LimitUnknown,
+    /// The caller's key was withdrawn since the call arrived.
+    KeyWithdrawn,
+    /// The caller's key was moved to another workspace since the call arrived.
+    KeyMoved,
 }
 
 impl RefusalReason {
@@ -143,6 +156,10 @@
             Self::VersionGone => "version_gone",
             Self::Held => "held",
             Self::Quarantined => "quarantined",
+            Self::Limit => "limit",
+            Self::LimitUnknown => "limit_unknown",
+            Self::KeyWithdrawn => "key_withdrawn",
+            Self::KeyMoved => "key_moved",
         }
     }
 }
--- a/crates/fleet/tests/routes.rs
+++ b/crates/fleet/tests/routes.rs
@@ -20,6 +20,7 @@
         max_gap: None,
         max_silence: None,
         priority: 0,
+        public: false,
     }
 }
 
@@ -38,6 +39,7 @@
             header_timeout: Duration::from_secs(3),
             idle_timeout: Duration::from_secs(15),
         },
+        workspaces: None,
     })
 }
 
--- a/crates/fleet/tests/scheduler/main.rs
+++ b/crates/fleet/tests/scheduler/main.rs
@@ -2,6 +2,7 @@
 //! simulation of its engines.
 
 mod decisions;
+mod fair_shares;
 mod late_orders;
 mod load_patterns;
 mod prompts;
--- a/crates/fleet/tests/scheduler/support.rs
+++ b/crates/fleet/tests/scheduler/support.rs
@@ -113,6 +113,8 @@
         parts: Vec::new(),
         output: 22,
         priority: 1,
+        workspace: None,
+        workspace_priority: None,
         objective_at: now + ms(1_000),
         first_token_by: now + ms(5_000),
         deadline: now + ms(5_000),
--- a/crates/fleet/tests/scheduler/zone.rs
+++ b/crates/fleet/tests/scheduler/zone.rs
@@ -14,6 +14,7 @@
     Action, EngineReport, Grant, OrderKind, OrderOutcome, PlacementRequest, Progress, Rejection,
     RunningCall, Scheduler,
 };
+use reedford_fleet::workspaces::WorkspaceName;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -74,6 +75,8 @@
 pub(crate) struct Zone {
     pub(crate) scheduler: Scheduler,
     pub(crate) tally: Tally,
+    /// Calls in time by workspace.
+    pub(crate) in_time_by_workspace: BTreeMap<WorkspaceName, u32>,
     now: Now,
     prefill_tokens_per_ms: f64,
     decode: Duration,
@@ -93,6 +96,7 @@
         let mut zone = Self {
             scheduler: scheduler(),
             tally: Tally::default(),
+            in_time_by_workspace: BTreeMap::new(),
             now: Now::ZERO,
             prefill_tokens_per_ms: PREFILL_TOKENS_PER_MS,
             decode: ms(DECODE_MS),
@@ -265,6 +269,10 @@
                 self.scheduler.progress(call, Progress::Started, now);
                 if run.first_token_at <= run.objective_at {
                     self.tally.in_time += 1;
+                    if let Some(workspace) = &self.requests[call].workspace {
+                        let in_time = &mut self.in_time_by_workspace;
+                        *in_time.entry(workspace.clone()).or_default() += 1;
+                    }
                 } else {
                     self.tally.late += 1;
                 }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -1,5 +1,6 @@
 //! A caller's request, matched to its route.
 
+use crate::caller::Caller;
 use crate::dialect::CallHead;
 use bytes::Bytes;
 use hyper::header::{AUTHORIZATION, HOST};
@@ -28,6 +29,7 @@
     pub(crate) body: Bytes,
     pub(crate) route: Route,
     pub(crate) service: ServiceName,
+    pub(crate) caller: Caller,
     /// Whether the call names a model and its service has model engines.
     pub(crate) is_model_call: bool,
     pub(crate) arrived: Now,
@@ -51,6 +53,8 @@
     NoRoute,
     /// The route names no existing service.
     NoService,
+    /// The call has no key that allows it to use the route.
+    Denied,
 }
 
 impl Call {
@@ -66,6 +70,7 @@
             .find(host, parts.uri.path())
             .ok_or(Unroutable::NoRoute)?
             .clone();
+        let caller = Caller::identify(&head, &route, routes).ok_or(Unroutable::Denied)?;
         let id = head.attempt_id.clone().unwrap_or_default();
         let service = routes
             .service(&route, xxh3_64(id.as_bytes()))
@@ -76,12 +81,16 @@
             .services
             .get(&service)
             .ok_or(Unroutable::NoService)?;
+        let mut headers = parts.headers;
+        if let Some(key) = headers.get_mut(AUTHORIZATION) {
+            key.set_sensitive(true);
+        }
         let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
         Ok(Self {
             id,
             method: parts.method,
             uri: parts.uri,
-            headers: parts.headers,
+            headers,
             body: Bytes::new(),
             is_model_call: is_model_call(spec, &head),
             arrived,
@@ -94,9 +103,24 @@
             head,
             route,
             service,
+            caller,
         })
     }
 
+    /// Returns the priority that engines get: that of the workspace first, then that of
+    /// the route.
+    pub(crate) fn engine_priority(&self) -> u8 {
+        /// Priorities of routes within one of a workspace.
+        const ROUTE_PRIORITIES: u8 = 3;
+        let route = self.route.priority;
+        match self.caller.priority() {
+            None => route,
+            Some(workspace) => workspace
+                .saturating_mul(ROUTE_PRIORITIES)
+                .saturating_add(route.min(ROUTE_PRIORITIES - 1)),
+        }
+    }
+
     /// Returns the digest of the request, which is the same for each attempt of a caller
     /// at it. Requests with other credentials have other digests, so that callers with
     /// credentials can't affect each other's.
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -4,8 +4,9 @@
 
 mod actions;
 mod commands;
+mod quotas;
 
-pub(crate) use commands::{Command, CommandRx, CommandTx, command_queue};
+pub(crate) use commands::{Charged, Command, CommandRx, CommandTx, UsageResponse, command_queue};
 
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
@@ -13,11 +14,14 @@
 use crate::settings::GatewaySettings;
 use crate::state::Shared;
 use reedford_fleet::Now;
+use reedford_fleet::config::{ConfigVersion, Configuration};
 use reedford_fleet::ownership::Fence;
+use reedford_fleet::quota::ZoneQuotas;
 use reedford_fleet::scheduler::{Limits, PlacementId, PlacementRequest, Scheduler};
+use reedford_fleet::workspaces::{Charge, Workspaces};
 use reedford_fleet::zones::{self, ArrivingCall, ZoneReport};
 use reedford_targets::Pool;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -82,6 +86,12 @@
     scheduler: Scheduler,
     /// Whether scheduling is paused because the lease may have ended.
     paused: bool,
+    quotas: ZoneQuotas,
+    /// Charges of calls that are not granted yet.
+    charges: BTreeMap<PlacementId, Charge>,
+    /// Configuration whose limits apply.
+    limits_version: Option<ConfigVersion>,
+    next_quota_log: Now,
 }
 
 impl<D> Coordinator<D>
@@ -163,6 +173,7 @@
             self.execute(action);
         }
         self.report_load(now);
+        self.log_quotas(now);
     }
 
     /// Starts or ends a term when the role has changed.
@@ -174,10 +185,18 @@
         self.redirect_pending();
         tracing::info!(event = "role", zone = %self.ctx.cfg.zone, fence = held.unwrap_or(0),
             coordinator = held.is_some());
-        self.term = held.map(|fence| Term {
-            fence,
-            scheduler: self.new_scheduler(),
-            paused: false,
+        self.term = held.map(|fence| {
+            let mut term = Term {
+                fence,
+                scheduler: self.new_scheduler(),
+                paused: false,
+                quotas: ZoneQuotas::new(self.ctx.cfg.zones.len(), self.ctx.cfg.quota_tolerance),
+                charges: BTreeMap::new(),
+                limits_version: None,
+                next_quota_log: Now::ZERO,
+            };
+            self.refresh(&mut term);
+            term
         });
     }
 
@@ -209,15 +228,17 @@
             load_share: 1.0 / self.ctx.cfg.zones.len().max(1) as f64,
         });
         scheduler.defer_evictions(self.ctx.shared.now() + CALLS_REPORT_TIME);
-        self.refresh(&mut scheduler);
         scheduler
     }
 
-    /// Updates a scheduler with the current configuration, directory and
-    /// versions.
-    fn refresh(&self, scheduler: &mut Scheduler) {
+    /// Updates a term with the current configuration, directory and versions.
+    fn refresh(&self, term: &mut Term) {
         let now = self.ctx.shared.now();
         let state = self.ctx.shared.lock();
+        if let Some(routes) = &state.routes {
+            term.apply_limits(routes.config(), now);
+        }
+        let scheduler = &mut term.scheduler;
         if let Some(routes) = &state.routes {
             for (name, service) in &routes.config().services {
                 if let Some(engine) = &service.engine {
@@ -258,8 +279,31 @@
             Command::Progress { call, progress } => {
                 self.with_scheduler(|s| s.progress(&call, progress, now))
             }
+            Command::PlaceCharged {
+                req,
+                charge,
+                response_tx,
+            } => self.place_charged(req, charge, response_tx, now),
+            Command::LimitReached { call, short } => self.on_limit(call, short, now),
+            Command::GrantedElsewhere { call } => self.settle(&call),
+            Command::Charge {
+                charge,
+                response_tx,
+            } => {
+                let charged = self.charge_for_other(&charge, now);
+                if response_tx.send(charged).is_err() {
+                    tracing::debug!(event = "charge_unclaimed");
+                }
+            }
+            Command::Usage { usage, response_tx } => {
+                let refused = self.on_usage(&usage, now);
+                if response_tx.send(refused).is_err() {
+                    tracing::debug!(event = "usage_unclaimed");
+                }
+            }
             Command::Cancel { call } => {
                 self.pending_responses.remove(&call);
+                self.put_back(&call, now);
                 self.with_scheduler(|s| s.cancel(&call, now));
             }
             Command::OrderCompleted {
@@ -296,7 +340,7 @@
     fn on_refresh(&mut self) {
         self.update_term();
         if let Some(mut term) = self.term.take() {
-            self.refresh(&mut term.scheduler);
+            self.refresh(&mut term);
             self.term = Some(term);
         }
     }
@@ -314,10 +358,14 @@
         self.update_term();
         let leads = self.update_leadership(now);
         let passed_on = req.passed_on;
-        let Some(term) = self.term.as_mut().filter(|_| leads) else {
+        if !leads || self.term.is_none() {
             respond(response_tx, self.not_coordinator());
             return;
+        }
+        let Some((req, response_tx)) = self.charge_arrival(req, response_tx, now) else {
+            return;
         };
+        let Some(term) = &self.term else { return };
         let request = req.clone().into_placement_request(now);
         let expected = term.scheduler.expected_wait(&request, now);
         if !passed_on && let Some(addr) = self.forward_addr(&request, expected, now) {
@@ -332,6 +380,7 @@
                     reason = refusal.reason.name(), expected_ms = expected.as_millis() as u64,
                     waiting = term.scheduler.queue_len());
                 self.ctx.metrics.placement_refused(refusal.reason.name());
+                self.put_back(&call, now);
                 respond(response_tx, PlaceResponse::Refused(refusal));
             }
             None => {
@@ -434,6 +483,34 @@
     }
 }
 
+impl Term {
+    /// Applies the workspaces' limits of a configuration.
+    fn apply_limits(&mut self, cfg: &Configuration, now: Now) {
+        if self.limits_version == Some(cfg.version) {
+            return;
+        }
+        self.limits_version = Some(cfg.version);
+        let workspaces = cfg.workspaces.as_ref().map_or(&[][..], Workspaces::all);
+        self.quotas.configure(workspaces, now);
+        let limited = workspaces.iter().filter_map(|w| Some((w, w.limit?)));
+        let weights: BTreeMap<_, _> = limited
+            .map(|(w, limit)| (w.name.clone(), limit.per_s))
+            .collect();
+        if !workspaces.is_empty() {
+            let priorities: BTreeSet<Option<u8>> = workspaces.iter().map(|w| w.priority).collect();
+            tracing::info!(
+                event = "limits_applied",
+                version = cfg.version,
+                workspaces = workspaces.len(),
+                limited = weights.len(),
+                per_s = weights.values().sum::<f64>() as u64,
+                ?priorities
+            );
+        }
+        self.scheduler.set_weights(weights);
+    }
+}
+
 /// Sends a response unless the receiver has been dropped.
 fn respond(response_tx: oneshot::Sender<PlaceResponse>, response: PlaceResponse) {
     if response_tx.send(response).is_err() {
--- a/crates/gateway/src/coordinator/actions.rs
+++ b/crates/gateway/src/coordinator/actions.rs
@@ -73,18 +73,22 @@
         };
         if response_tx.send(granted).is_err() {
             self.release_grant(&call);
+        } else {
+            self.settle(&call);
         }
     }
 
     /// Releases a grant that the requester no longer waits for.
     fn release_grant(&mut self, call: &str) {
         let now = self.ctx.shared.now();
+        self.put_back(call, now);
         self.with_scheduler(|s| s.progress(call, Progress::Ended, now));
     }
 
     fn refuse(&mut self, refusal: Refusal) {
         tracing::info!(event = "place_refused", id = %refusal.call, reason = refusal.reason.name());
         self.ctx.metrics.placement_refused(refusal.reason.name());
+        self.put_back(&refusal.call, self.ctx.shared.now());
         if let Some(response_tx) = self.pending_responses.remove(&refusal.call) {
             respond(response_tx, PlaceResponse::Refused(refusal));
         }
@@ -230,7 +234,10 @@
                 () = response_tx.closed() => return,
             };
             if let Ok(granted @ PlaceResponse::Granted { .. }) = response {
-                respond(response_tx, granted);
+                if response_tx.send(granted).is_ok() {
+                    let call = req.call;
+                    tx.send(Command::GrantedElsewhere { call });
+                }
                 return;
             }
             let spent = shared.now().saturating_sub(sent_at);
--- a/crates/gateway/src/coordinator/commands.rs
+++ b/crates/gateway/src/coordinator/commands.rs
@@ -1,18 +1,51 @@
 //! Commands to the coordinator's task.
 
+use super::quotas::ShortCall;
 use crate::peer::{CallsReport, PlaceRequest, PlaceResponse, ZoneLoad};
-use reedford_fleet::InstanceId;
 use reedford_fleet::ownership::Fence;
+use reedford_fleet::quota::{ChargeOutcome, Usage};
 use reedford_fleet::scheduler::{EngineReport, Order, OrderOutcome, PlacementId, Progress};
+use reedford_fleet::workspaces::{Charge, WorkspaceName};
+use reedford_fleet::{InstanceId, ZoneId};
+use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 
-#[derive(Debug)]
+/// Whether a call was charged; `None` if this node isn't the coordinator.
+pub(crate) type Charged = Option<ChargeOutcome>;
+/// Workspaces whose calls a node has to refuse, and for how long; `None` if this node
+/// isn't the coordinator.
+pub(crate) type UsageResponse = Option<Vec<(WorkspaceName, Duration)>>;
+
 pub(crate) enum Command {
     /// Decide where a call runs.
     Place {
         req: PlaceRequest,
         response_tx: oneshot::Sender<PlaceResponse>,
     },
+    /// Place a call that another zone has charged.
+    PlaceCharged {
+        req: PlaceRequest,
+        charge: Charge,
+        response_tx: oneshot::Sender<PlaceResponse>,
+    },
+    /// No other zone can charge a call. `short` are those that were asked, with the times
+    /// after which they can.
+    LimitReached {
+        call: ShortCall,
+        short: Vec<(ZoneId, Duration)>,
+    },
+    /// Another zone has granted a call.
+    GrantedElsewhere { call: PlacementId },
+    /// Charge a call to this zone's part of its workspace's limit.
+    Charge {
+        charge: Charge,
+        response_tx: oneshot::Sender<Charged>,
+    },
+    /// Charge calls that a node admitted.
+    Usage {
+        usage: Usage,
+        response_tx: oneshot::Sender<UsageResponse>,
+    },
     /// The requester no longer waits for the placement, which may have been granted
     /// already.
     Cancel { call: PlacementId },
@@ -74,6 +107,23 @@
         }
     }
 
+    /// Requests the charge of a call.
+    pub(crate) async fn charge(&self, charge: Charge) -> Charged {
+        let (response_tx, rx) = oneshot::channel();
+        self.send(Command::Charge {
+            charge,
+            response_tx,
+        });
+        rx.await.ok().flatten()
+    }
+
+    /// Reports the calls that a node admitted.
+    pub(crate) async fn usage(&self, usage: Usage) -> UsageResponse {
+        let (response_tx, rx) = oneshot::channel();
+        self.send(Command::Usage { usage, response_tx });
+        rx.await.ok().flatten()
+    }
+
     /// Requests a placement. Dropping the future cancels the call.
     pub(crate) async fn place(&self, req: PlaceRequest) -> PlaceResponse {
         let mut pending = PendingPlacement {
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -5,7 +5,7 @@
 use crate::dialect::Dialect;
 use crate::dialer::{InstanceDialer, drop_dead_connections};
 use crate::feeds::Feed;
-use crate::handler::{CallerService, Gateway};
+use crate::handler::{CallerService, Gateway, KeyLimits};
 use crate::log::Log;
 use crate::membership::{CoordinatorKeys, Membership, ZONE_PREFIX};
 use crate::metrics::Metrics;
@@ -22,6 +22,7 @@
 use crate::state::Shared;
 use crate::sync::{StoreClients, StoreSync, WatchedPrefix};
 use crate::tunnel::MAX_TUNNELS;
+use crate::usage::UsageReporter;
 use eyre::{Result, WrapErr as _};
 use reedford_fleet::ownership::Role;
 use reedford_front::{ConnectionLimits, HttpService, ShutdownSignals, serve_connections};
@@ -150,6 +151,7 @@
             role,
             cfg.retries,
             cfg.staleness_limit,
+            cfg.quota_tolerance,
             stores.eras.clone(),
         ));
         let (commands, rx) = command_queue();
@@ -221,6 +223,14 @@
         };
         node.tasks
             .spawn(notices_reporter.run(node.background.clone()));
+        let usage_reporter = UsageReporter {
+            shared: Arc::clone(&shared),
+            peers: Arc::clone(&peers),
+            commands: commands.clone(),
+            own_addr: cfg.peers,
+        };
+        node.tasks
+            .spawn(usage_reporter.run(node.background.clone()));
         let quarantine_record = QuarantineRecord {
             cfg: Arc::clone(&cfg),
             shared: Arc::clone(&shared),
@@ -293,6 +303,10 @@
             },
             progress: progress_tx,
             metrics: Arc::clone(&metrics),
+            key_limits: KeyLimits {
+                denial: cfg.staleness_limit,
+                max_age: cfg.max_key_age,
+            },
         });
         let readiness = Readiness {
             shared,
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -9,6 +9,7 @@
 use reedford_fleet::directory::Instance;
 use reedford_fleet::ownership::Fence;
 use reedford_fleet::scheduler::{EngineReport, Order, OrderOutcome, PromptPart};
+use reedford_fleet::workspaces::KeyDigest;
 use reedford_fleet::{AdapterName, InstanceId, ModelName, WeightVersion};
 use std::time::Duration;
 
@@ -32,6 +33,21 @@
     /// Id of the caller's attempt that brought the first event of the stream to
     /// resume.
     pub resumes: Option<Box<str>>,
+    /// Whether the call names its numbers of tokens.
+    pub names_tokens: bool,
+    /// Digest of the caller's key; `None` if there is none that can be read.
+    pub key: Option<KeyDigest>,
+}
+
+/// What an instance receives of the fields that identify a caller.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallerFields<'a> {
+    /// The caller's own fields: the configuration has no workspaces.
+    Unchanged,
+    /// Neither a key nor a workspace.
+    Removed,
+    /// The name of the caller's workspace, but not its key.
+    Workspace(&'a str),
 }
 
 /// What this node adds to a call that it sends to an instance.
@@ -47,6 +63,8 @@
     pub priority: Option<u8>,
     /// Id of the last event that the caller received, to resume a stream.
     pub last_event_id: Option<&'a str>,
+    /// What identifies the caller.
+    pub caller: CallerFields<'a>,
 }
 
 /// What the head of an instance's response states.
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -21,6 +21,7 @@
 use http_body_util::{BodyExt as _, StreamBody};
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
+use reedford_fleet::Now;
 use reedford_fleet::health::CallOutcome;
 use reedford_fleet::scheduler::{Refusal, RefusalReason, Rejection};
 use reedford_front::HttpService;
@@ -54,6 +55,16 @@
     pub(crate) placer: Placer,
     pub(crate) progress: ProgressTx,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) key_limits: KeyLimits,
+}
+
+/// How old a node's configuration may be to decide on keys.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct KeyLimits {
+    /// To say that a key doesn't exist, which callers take as final.
+    pub(crate) denial: Duration,
+    /// To accept a key, if that is limited.
+    pub(crate) max_age: Option<Duration>,
 }
 
 /// HTTP service for callers.
@@ -140,7 +151,17 @@
                     NO_INSTANCE_RETRY_AFTER,
                 );
             }
+            Err(Unroutable::Denied) => {
+                let version = routes.config().version;
+                return self.reply_denied(&path, version, "unknown_key", arrived);
+            }
         };
+        if let Some(limit) = self.key_limits.max_age
+            && call.caller.key().is_some()
+            && !self.shared.lock().is_configuration_current(limit, arrived)
+        {
+            return self.reply_unconfirmed("unconfirmed_key");
+        }
         match read_body(body, limits.body_bytes).await {
             Ok(body) => call.body = body,
             Err(status) => return reply::plain_text(status, "the body can't be read"),
@@ -450,11 +471,32 @@
         taken
     }
 
+    /// Refuses a call without a key that allows it, or, if this node may not know the
+    /// newest keys, tells the caller to come back.
+    fn reply_denied(&self, path: &str, version: u64, reason: &'static str, now: Now) -> Reply {
+        let state = self.shared.lock();
+        let is_current = state.is_configuration_current(self.key_limits.denial, now);
+        drop(state);
+        if !is_current {
+            return self.reply_unconfirmed(reason);
+        }
+        tracing::info!(event = "refused", reason, path, version);
+        self.metrics.denied(reason);
+        reply::plain_text(StatusCode::UNAUTHORIZED, "the key is not known")
+    }
+
+    fn reply_unconfirmed(&self, reason: &'static str) -> Reply {
+        tracing::info!(event = "refused", reason, confirmed = false);
+        self.metrics.denied("unconfirmed");
+        self.reply_unavailable("the keys can't be confirmed", UNCONFIGURED_RETRY_AFTER)
+    }
+
     fn reply_refused(&self, call: &Call, runs: u32, refusal: &Refusal) -> Reply {
         self.record_end(call, "", refusal.reason.name(), 0);
         if runs > 0 {
             return reply::plain_text(StatusCode::BAD_GATEWAY, "no instance answered");
         }
+        self.shared.put_back_charge(call);
         let text = match refusal.reason {
             RefusalReason::Overload
             | RefusalReason::Deadline
@@ -464,6 +506,19 @@
                 "no instance can continue the stream"
             }
             RefusalReason::Quarantined => "instances crash under the request",
+            RefusalReason::LimitUnknown => "the workspace's limit can't be confirmed",
+            RefusalReason::KeyMoved => "the key was moved to another workspace",
+            RefusalReason::KeyWithdrawn => {
+                self.metrics.denied("key_withdrawn");
+                return reply::plain_text(StatusCode::UNAUTHORIZED, "the key is not known");
+            }
+            RefusalReason::Limit => {
+                return reply::plain_text_with(
+                    StatusCode::TOO_MANY_REQUESTS,
+                    "the workspace's limit is used up",
+                    self.dialect.retry_after_header(refusal.retry_after),
+                );
+            }
         };
         self.reply_unavailable(text, refusal.retry_after)
     }
@@ -473,6 +528,7 @@
         if runs > 0 {
             return reply::plain_text(StatusCode::BAD_GATEWAY, "no instance answered");
         }
+        self.shared.put_back_charge(call);
         let wait = match rejection {
             Rejection::Missing => Duration::from_millis(150),
             Rejection::Full | Rejection::Unreachable => NO_INSTANCE_RETRY_AFTER,
--- a/crates/gateway/src/handler/attempt.rs
+++ b/crates/gateway/src/handler/attempt.rs
@@ -49,18 +49,19 @@
         tried: &BTreeSet<InstanceId>,
     ) -> Result<Attempt<D>, Refusal> {
         let requested = self.shared.now();
-        if let Some(refusal) = self.shared.quarantine_refusal(call, requested) {
+        if let Some(refusal) = self.shared.standing_refusal(call, requested) {
             return Err(refusal);
         }
         let placement = if call.is_model_call {
             self.find_engine(call, tried.clone()).await?
         } else {
+            self.shared.charge_at_node(call, requested)?;
             let placement_id = new_placement_id(call);
             let placement = self
                 .placer
                 .wait_for_plain(call, placement_id, tried)
                 .await?;
-            if let Some(refusal) = self.shared.quarantine_refusal(call, self.shared.now()) {
+            if let Some(refusal) = self.shared.standing_refusal(call, self.shared.now()) {
                 return Err(refusal);
             }
             placement
@@ -95,7 +96,7 @@
                 placement.grant.addr = known.addr;
             }
             let instance = placement.grant.instance.clone();
-            if let Some(refusal) = self.shared.quarantine_refusal(call, self.shared.now()) {
+            if let Some(refusal) = self.shared.standing_refusal(call, self.shared.now()) {
                 if let Some(coordinator) = placement.coordinator {
                     let call = placement_id;
                     self.progress.report(coordinator, call, Progress::Ended);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 //! node sends a call to an instance.
 
 mod call;
+mod caller;
 mod calls_report;
 mod clock;
 mod coordinator;
@@ -42,6 +43,7 @@
 mod store_retries;
 mod sync;
 mod tunnel;
+mod usage;
 mod view;
 
 pub use daemon::{Node, run};
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -321,7 +321,7 @@
         self.zone_peers = Some(zone_peers);
         let nodes = entries.len();
         self.shared.feeds.set_node_count(nodes);
-        self.shared.lock().budget.set_node_count(nodes);
+        self.shared.lock().set_node_count(nodes, now);
         Ok(true)
     }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -4,6 +4,9 @@
     Encoder as _, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
 use reedford_fleet::scheduler::OrderOutcome;
+use reedford_fleet::workspaces::WorkspaceName;
+use std::collections::BTreeSet;
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 /// Bucket bounds of the histograms, in seconds.
@@ -11,6 +14,11 @@
     0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0,
 ];
 
+/// Workspaces that are counted by name.
+const MAX_WORKSPACE_LABELS: usize = 64;
+/// Label of all other workspaces.
+const OTHER_WORKSPACES: &str = "other";
+
 #[derive(Debug)]
 pub(crate) struct Metrics {
     registry: Registry,
@@ -22,6 +30,9 @@
     retries: IntCounterVec,
     orders: IntCounterVec,
     store_failures: IntCounterVec,
+    denied: IntCounterVec,
+    limits_reached: IntCounterVec,
+    limited_workspaces: Mutex<BTreeSet<WorkspaceName>>,
     log_lines_dropped: IntGauge,
     placements_waiting: IntGauge,
 }
@@ -66,6 +77,17 @@
                 "Failed store calls",
                 &["call"],
             )?,
+            denied: counters(
+                "reedford_denied_total",
+                "Calls refused for their key by reason",
+                &["reason"],
+            )?,
+            limits_reached: counters(
+                "reedford_limits_reached_total",
+                "Calls refused for the limit of their workspace",
+                &["workspace"],
+            )?,
+            limited_workspaces: Mutex::default(),
             log_lines_dropped: IntGauge::new(
                 "reedford_log_lines_dropped",
                 "Log lines dropped because the output was too slow",
@@ -88,6 +110,8 @@
             &self.retries,
             &self.orders,
             &self.store_failures,
+            &self.denied,
+            &self.limits_reached,
         ] {
             registry.register(Box::new(counters.clone()))?;
         }
@@ -153,6 +177,28 @@
         self.store_failures.with_label_values(&[call]).inc();
     }
 
+    pub(crate) fn denied(&self, reason: &str) {
+        self.denied.with_label_values(&[reason]).inc();
+    }
+
+    /// Counts a call that was refused for the limit of its workspace. Workspaces beyond
+    /// the first [`MAX_WORKSPACE_LABELS`] are counted together.
+    pub(crate) fn limit_reached(&self, workspace: &WorkspaceName) {
+        let mut labelled = self
+            .limited_workspaces
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if labelled.len() < MAX_WORKSPACE_LABELS {
+            labelled.insert(workspace.clone());
+        }
+        let label = if labelled.contains(workspace) {
+            workspace
+        } else {
+            OTHER_WORKSPACES
+        };
+        self.limits_reached.with_label_values(&[label]).inc();
+    }
+
     pub(crate) fn set_placements_waiting(&self, calls: usize) {
         self.placements_waiting
             .set(i64::try_from(calls).unwrap_or(i64::MAX));
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -6,12 +6,14 @@
 use reedford_fleet::departures::LeavingInstances;
 use reedford_fleet::ownership::Holder;
 use reedford_fleet::quarantine::EvidenceReport;
+use reedford_fleet::quota::{ChargeOutcome, Usage};
 use reedford_fleet::rate_limits::LimitsReport;
 use reedford_fleet::scheduler::{
     AdapterHash, AdapterKey, Grant, PlacementId, PlacementRequest, Progress, PromptPart, Refusal,
     RunningCall,
 };
 use reedford_fleet::stream_versions::StreamOrigin;
+use reedford_fleet::workspaces::{Charge, WorkspaceName};
 use reedford_fleet::{
     AdapterName, AttemptId, Era, InstanceId, ModelName, Now, ServiceName, SoftwareVersion, ZoneId,
 };
@@ -55,6 +57,15 @@
     /// Whether another coordinator forwarded the call; a call is forwarded at
     /// most once.
     pub(crate) passed_on: bool,
+    /// The caller's workspace, if the configuration has any.
+    #[serde(default)]
+    pub(crate) workspace: Option<WorkspaceName>,
+    /// Priority of the workspace, which goes before that of the route.
+    #[serde(default)]
+    pub(crate) workspace_priority: Option<u8>,
+    /// Units of the workspace's limit, if the call was not charged yet.
+    #[serde(default)]
+    pub(crate) charge: Option<u64>,
 }
 
 /// A coordinator's response to a [`PlaceRequest`].
@@ -162,6 +173,13 @@
     async fn coordinator(zone: ZoneId) -> Option<Holder>;
     /// Asks whether the receiver's own links to the instances are up.
     async fn reaches_instances() -> bool;
+    /// Requests that a zone's coordinator charges a call to its part of a workspace's
+    /// limit; `None` if the receiver isn't the coordinator.
+    async fn charge(charge: Charge) -> Option<ChargeOutcome>;
+    /// Reports calls that the sender admitted, or that did not run, to a coordinator.
+    /// Returns for how long it wants calls of these workspaces refused; `None` if the
+    /// receiver isn't the coordinator.
+    async fn usage(usage: Usage) -> Option<Vec<(WorkspaceName, Duration)>>;
 }
 
 impl PlaceRequest {
@@ -177,6 +195,8 @@
             parts: self.parts,
             output: self.output,
             priority: self.priority,
+            workspace: self.workspace,
+            workspace_priority: self.workspace_priority,
             objective_at: now + self.due_in.unwrap_or_default(),
             first_token_by: now + self.first_token_in,
             deadline: now + self.patience,
--- a/crates/gateway/src/peer_server.rs
+++ b/crates/gateway/src/peer_server.rs
@@ -1,7 +1,7 @@
 //! Serves other nodes. Placements, progress and load become commands to the
 //! coordinator's task.
 
-use crate::coordinator::{Command, CommandTx};
+use crate::coordinator::{Charged, Command, CommandTx, UsageResponse};
 use crate::feeds::{Feed, FeedResponse, KnownMetadata};
 use crate::membership::ZONE_PREFIX;
 use crate::peer::{CallsReport, Peer, PlaceRequest, PlaceResponse, StreamRecord, ZoneLoad};
@@ -11,9 +11,11 @@
 use reedford_fleet::departures::{DepartureSource, LeavingInstances};
 use reedford_fleet::ownership::Holder;
 use reedford_fleet::quarantine::EvidenceReport;
+use reedford_fleet::quota::Usage;
 use reedford_fleet::rate_limits::LimitsReport;
 use reedford_fleet::scheduler::{PlacementId, Progress};
 use reedford_fleet::stream_versions::StreamOrigin;
+use reedford_fleet::workspaces::Charge;
 use reedford_fleet::{AttemptId, Era, ZoneId};
 use reedford_store::{KeyValue, Position};
 use std::io::{self, Cursor};
@@ -205,6 +207,14 @@
         self.shared.lock().coordinator(&zone).cloned()
     }
 
+    async fn charge(self, _: Context, charge: Charge) -> Charged {
+        self.commands.charge(charge).await
+    }
+
+    async fn usage(self, _: Context, usage: Usage) -> UsageResponse {
+        self.commands.usage(usage).await
+    }
+
     async fn reaches_instances(self, _: Context) -> bool {
         !self.shared.lock().links.is_cut()
     }
--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -9,6 +9,7 @@
 use reedford_fleet::balancer::Candidate;
 use reedford_fleet::directory::{Instance, InstanceState};
 use reedford_fleet::ownership::Holder;
+use reedford_fleet::quota::ChargeOutcome;
 use reedford_fleet::scheduler::{AdapterKey, Grant, PlacementId, Refusal, RefusalReason};
 use reedford_fleet::{InstanceId, Now, ServiceName};
 use std::collections::BTreeSet;
@@ -35,6 +36,16 @@
 /// a retry may reach another node.
 const MAX_HELD_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Longest time for which a call waits for its workspace's limit instead of being
+/// refused.
+const MAX_LIMIT_WAIT: Duration = Duration::from_millis(250);
+/// Shortest pause before a call is charged again.
+const MIN_LIMIT_WAIT: Duration = Duration::from_millis(10);
+/// Timeout for a charge at another zone's coordinator.
+const CHARGE_TIMEOUT: Duration = Duration::from_millis(100);
+/// Zones that are asked to charge a call.
+const MAX_CHARGING_ZONES: usize = 2;
+
 /// Retry delay sent to callers when this node is cut off; the retry may reach
 /// another node.
 const CUT_OFF_RETRY_AFTER: Duration = Duration::from_millis(50);
@@ -99,7 +110,8 @@
         placement_id: PlacementId,
         avoid: &BTreeSet<InstanceId>,
     ) -> Result<Placement, Refusal> {
-        let started = self.shared.now();
+        let mut started = self.shared.now();
+        let mut limit_wait = Duration::ZERO;
         loop {
             let held = self
                 .wait_until_available(call, &placement_id, avoid)
@@ -112,12 +124,22 @@
             {
                 match response {
                     PlaceResponse::Granted { grant, coordinator } => {
+                        call.caller.on_charged();
                         self.record_last_instance(call, &grant);
                         return Ok(Placement {
                             grant,
                             coordinator: Some(coordinator),
                         });
                     }
+                    PlaceResponse::Refused(refusal)
+                        if refusal.reason == RefusalReason::Limit
+                            && limit_wait + refusal.retry_after <= MAX_LIMIT_WAIT =>
+                    {
+                        limit_wait += refusal.retry_after.max(MIN_LIMIT_WAIT);
+                        sleep(refusal.retry_after.max(MIN_LIMIT_WAIT)).await;
+                        started = self.shared.now();
+                        continue;
+                    }
                     PlaceResponse::Refused(refusal) => return Err(refusal),
                     PlaceResponse::NotCoordinator(holder) => self.record_coordinator(holder),
                 }
@@ -130,6 +152,7 @@
             if (cut_off || waited >= LAST_INSTANCE_DELAY)
                 && let Some(grant) = self.select_without_coordinator(call, &placement_id, avoid)
             {
+                self.charge_without_coordinator(call, cut_off).await?;
                 tracing::info!(event = "placed_without_coordinator", id = %call.id,
                     instance = %grant.instance);
                 return Ok(Placement {
@@ -155,6 +178,33 @@
         }
     }
 
+    /// Charges a call for which this zone's coordinator can't be reached: to the part of
+    /// another zone, or else to this node's reserve.
+    async fn charge_without_coordinator(&self, call: &Call, cut_off: bool) -> Result<(), Refusal> {
+        let Some(charge) = call.caller.unpaid() else {
+            return Ok(());
+        };
+        let addrs: Vec<SocketAddr> = {
+            let state = self.shared.lock();
+            let others = state.other_coordinators.values().filter(|_| !cut_off);
+            others.map(|h| h.addr).take(MAX_CHARGING_ZONES).collect()
+        };
+        for addr in addrs {
+            let charge = charge.clone();
+            let charged = self
+                .peers
+                .call(addr, CHARGE_TIMEOUT, |peer, cx| async move {
+                    peer.charge(cx, charge).await
+                })
+                .await;
+            if let Ok(Some(ChargeOutcome::Charged)) = charged {
+                call.caller.on_charged();
+                return Ok(());
+            }
+        }
+        self.shared.charge_reserve(call, self.shared.now())
+    }
+
     async fn request_placement(
         &self,
         call: &Call,
@@ -456,5 +506,8 @@
         avoid: avoid.clone(),
         software: call.required_software.clone(),
         passed_on: false,
+        workspace: call.caller.workspace().cloned(),
+        workspace_priority: call.caller.priority(),
+        charge: call.caller.unpaid().map(|charge| charge.units),
     })
 }
--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -252,8 +252,9 @@
                 instance: &grant.instance,
                 version: grant.version,
                 time_left: call.time_left(now),
-                priority: call.is_model_call.then_some(call.route.priority),
+                priority: call.is_model_call.then_some(call.engine_priority()),
                 last_event_id,
+                caller: call.caller.fields(),
             },
         );
         let mut req = Request::builder()
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -2,6 +2,7 @@
 
 use reedford_fleet::ZoneId;
 use reedford_fleet::budget::RetryLimits;
+use reedford_fleet::quota::QuotaTolerance;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -37,4 +38,9 @@
     /// Time within which every node has to follow a change of the configuration
     /// or of an instance's state.
     pub staleness_limit: Duration,
+    /// How exactly the workspaces' limits have to be kept.
+    pub quota_tolerance: QuotaTolerance,
+    /// Time after which a node that can't confirm its configuration accepts no keys any
+    /// more; `None` if it goes on with those that it knows.
+    pub max_key_age: Option<Duration>,
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,6 +19,7 @@
 use reedford_fleet::ownership::{Holder, Role};
 use reedford_fleet::pushback::Pushback;
 use reedford_fleet::quarantine::Quarantine;
+use reedford_fleet::quota::{NodeQuotas, QuotaTolerance};
 use reedford_fleet::rate_limits::RateLimits;
 use reedford_fleet::relays::Relays;
 use reedford_fleet::scheduler::{AdapterKey, Grant, PlacementId};
@@ -65,6 +66,9 @@
     pub(crate) evidence_changed: watch::Sender<()>,
     /// Notified when a call found no coordinator.
     pub(crate) coordinator_wanted: Notify,
+    /// Notified when this node has charged a call that it has to report, or put back the
+    /// charge of one.
+    pub(crate) usage_recorded: Notify,
     /// Notified when other nodes have to be listed, to open connections through them.
     pub(crate) relays_wanted: Notify,
     /// Changes when a cut of this node's links begins; whether connections hang.
@@ -84,6 +88,10 @@
     pub(crate) pushback: Pushback,
     pub(crate) quarantine: Quarantine,
     pub(crate) rate_limits: RateLimits,
+    pub(crate) quotas: NodeQuotas,
+    /// Last time at which the store, or a coordinator that follows it, had no newer
+    /// configuration.
+    pub(crate) configuration_confirmed: Option<Now>,
     /// Calls of each service that wait for an instance to become available.
     pub(crate) awaiting_turn: BTreeMap<ServiceName, u32>,
     pub(crate) budget: RetryBudget,
@@ -135,6 +143,7 @@
         role: Role,
         retries: RetryLimits,
         staleness_limit: Duration,
+        quota_tolerance: QuotaTolerance,
         eras: EraTracker,
     ) -> Self {
         Self {
@@ -149,6 +158,7 @@
             instances_changed: watch::Sender::new(()),
             evidence_changed: watch::Sender::new(()),
             coordinator_wanted: Notify::new(),
+            usage_recorded: Notify::new(),
             relays_wanted: Notify::new(),
             links_cut: watch::Sender::new(false),
             state: Mutex::new(State {
@@ -161,6 +171,8 @@
                 pushback: Pushback::default(),
                 quarantine: Quarantine::default(),
                 rate_limits: RateLimits::new(rand::random()),
+                quotas: NodeQuotas::new(quota_tolerance),
+                configuration_confirmed: None,
                 awaiting_turn: BTreeMap::new(),
                 budget: RetryBudget::new(retries),
                 role,
@@ -220,6 +232,25 @@
         self.connectivity.cut_off(now) && !self.role.leads(now)
     }
 
+    /// Records the number of nodes in the fleet.
+    pub(crate) fn set_node_count(&mut self, nodes: usize, now: Now) {
+        self.budget.set_node_count(nodes);
+        self.quotas.set_node_count(nodes, now);
+    }
+
+    /// Whether this node's configuration was the newest one less than `limit` ago.
+    pub(crate) fn is_configuration_current(&self, limit: Duration, now: Now) -> bool {
+        let confirmed = self.configuration_confirmed;
+        confirmed.is_some_and(|at| now.saturating_sub(at) < limit)
+    }
+
+    /// Returns the addresses of up to `most` coordinators, that of this zone first.
+    pub(crate) fn coordinator_addrs(&self, most: usize) -> Vec<SocketAddr> {
+        let own = self.role.holder().into_iter();
+        let holders = own.chain(self.other_coordinators.values());
+        holders.map(|holder| holder.addr).take(most).collect()
+    }
+
     /// Returns the coordinator of a zone, if it is known.
     pub(crate) fn coordinator(&self, zone: &str) -> Option<&Holder> {
         if zone == &*self.zone {
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -248,7 +248,11 @@
 
     /// Records that the store responded.
     fn on_store_response(&self) {
-        self.shared.lock().connectivity.on_success();
+        let now = self.shared.now();
+        let mut state = self.shared.lock();
+        state.connectivity.on_success();
+        state.configuration_confirmed = Some(now);
+        drop(state);
         self.shared.store_retries.on_response();
     }
 
@@ -593,7 +597,11 @@
             let now = self.shared.now();
             let mut state = self.shared.lock();
             match &response {
-                Ok(_) => state.connectivity.on_success(),
+                Ok(FeedResponse::Unknown) => state.connectivity.on_success(),
+                Ok(FeedResponse::Listing { .. } | FeedResponse::Changes { .. }) => {
+                    state.connectivity.on_success();
+                    state.configuration_confirmed = Some(now);
+                }
                 Err(_) => state.connectivity.on_failure(now),
             }
         }
@@ -665,7 +673,8 @@
             self.shared.lock().followed_notices = Some((addr, news.revision));
         }
         if metadata.nodes > 0 {
-            self.shared.lock().budget.set_node_count(metadata.nodes);
+            let now = self.shared.now();
+            self.shared.lock().set_node_count(metadata.nodes, now);
         }
         for (id, born) in &metadata.leaving {
             self.shared.on_departure(id, *born, DepartureSource::Node);
--- a/crates/gateway/src/sync/operators.rs
+++ b/crates/gateway/src/sync/operators.rs
@@ -8,6 +8,7 @@
 use reedford_fleet::config::{Configuration, RouteTable};
 use reedford_fleet::directory::Absence;
 use reedford_fleet::scheduler::AdapterKey;
+use reedford_fleet::workspaces::Workspaces;
 use reedford_store::{Change, ChangeKind, Listing};
 use std::sync::Arc;
 
@@ -47,6 +48,10 @@
     fn configure(&self, config: Configuration) {
         let version = config.version;
         let routes = config.routes.len();
+        let now = self.sync.shared.now();
+        let all = config.workspaces.as_ref().map_or(&[][..], Workspaces::all);
+        let workspaces = all.len();
+        let keys: usize = all.iter().map(|w| w.keys.len()).sum();
         let mut state = self.sync.shared.lock();
         let known = state.routes.as_ref().map(|r| r.config().version);
         if let Some(known) = known.filter(|known| *known >= version) {
@@ -56,12 +61,15 @@
             }
             return;
         }
+        state.quotas.configure(all, now);
         state.routes = Some(Arc::new(RouteTable::new(config)));
         drop(state);
         tracing::info!(
             event = "configuration",
             version,
             routes,
+            workspaces,
+            keys,
             before = known.unwrap_or(0)
         );
     }
