Keep origins and versions of streams in the store

Cause: all that is known of where streams began is lost when all nodes are.

Change: each coordinator writes the versions that served within the lifetime of a stream when they change, and, while several serve, the origins that it knows, five times a second at most, fenced by its claim; leases end them. A node that runs for less than that lifetime reads both before it concludes anything from the versions that it lists.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -17,6 +17,7 @@
 //! is then used again only after its entry was written anew.
 
 use crate::departures::{DepartureSource, Departures, LeavingInstances};
+use crate::stream_versions::VersionSets;
 use crate::{
     AdapterName, InstanceId, ModelName, Now, ServiceName, SoftwareVersion, WeightVersion, ZoneId,
 };
@@ -328,6 +329,20 @@
         versions.all(|version| version == first).then_some(first)
     }
 
+    /// Returns the software versions of the instances known since `since`, by service.
+    #[must_use]
+    pub fn version_sets(&self, since: Now) -> VersionSets {
+        let current = self.instances.values().map(|i| (&i.service, &i.software));
+        let ended = self.ended_versions.iter().filter(|(_, at)| **at >= since);
+        let ended = ended.map(|((service, version), _)| (service, version));
+        let mut sets = VersionSets::new();
+        for (service, version) in current.chain(ended) {
+            let versions = sets.entry(service.clone()).or_default();
+            versions.insert(version.clone());
+        }
+        sets
+    }
+
     fn record_end(&mut self, instance: Instance, now: Now) {
         let version = (instance.service, instance.software);
         self.ended_versions.insert(version, now);
--- a/crates/fleet/src/ownership.rs
+++ b/crates/fleet/src/ownership.rs
@@ -67,6 +67,12 @@
     representable.then_some(era.get() << REVISION_BITS | revision)
 }
 
+/// Returns the revision of the claim that a fencing token was composed of.
+#[must_use]
+pub const fn claim_revision(fence: Fence) -> i64 {
+    (fence & ((1 << REVISION_BITS) - 1)) as i64
+}
+
 /// A peer's report on the platform's store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum StoreReport {
--- a/crates/fleet/src/stream_versions.rs
+++ b/crates/fleet/src/stream_versions.rs
@@ -19,8 +19,11 @@
 /// Maximum number of recorded attempts, a few megabytes.
 const MAX_RECORDS: usize = 16_384;
 
+/// Software versions by service.
+pub type VersionSets = BTreeMap<ServiceName, BTreeSet<SoftwareVersion>>;
+
 /// Where a stream began.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct StreamOrigin {
     /// Service whose instance sent the first event.
     pub service: ServiceName,
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -20,6 +20,7 @@
 use crate::sender::Sender;
 use crate::settings::GatewaySettings;
 use crate::state::Shared;
+use crate::stream_record::stream_record;
 use crate::sync::{StoreClients, StoreSync, WatchedPrefix};
 use crate::tunnel::MAX_TUNNELS;
 use crate::usage::UsageReporter;
@@ -238,6 +239,13 @@
         };
         node.tasks
             .spawn(quarantine_record.run(node.background.clone()));
+        let (streams, stream_record_task) = stream_record(
+            Arc::clone(&cfg),
+            Arc::clone(&shared),
+            Arc::clone(&stores.short_poll),
+        );
+        node.tasks
+            .spawn(stream_record_task.run(node.background.clone()));
         let relay_nodes = RelayNodes {
             cfg: Arc::clone(&cfg),
             shared: Arc::clone(&shared),
@@ -302,6 +310,7 @@
                 zone: cfg.zone.clone(),
             },
             progress: progress_tx,
+            streams,
             metrics: Arc::clone(&metrics),
             key_limits: KeyLimits {
                 denial: cfg.staleness_limit,
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -17,6 +17,7 @@
 use crate::reply::{self, Reply, ReplyBody};
 use crate::sender::{PendingResponse, SendOutcome, Sender, idle_timeout, lost_reason};
 use crate::state::Shared;
+use crate::stream_record::StreamRecordTx;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt as _, StreamBody};
 use hyper::body::Incoming;
@@ -54,6 +55,7 @@
     pub(crate) sender: Sender<D>,
     pub(crate) placer: Placer,
     pub(crate) progress: ProgressTx,
+    pub(crate) streams: StreamRecordTx,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) key_limits: KeyLimits,
 }
--- a/crates/gateway/src/handler/stream_origin.rs
+++ b/crates/gateway/src/handler/stream_origin.rs
@@ -54,7 +54,13 @@
         };
         let software = software.filter(|software| !restarted(software));
         let required = call.required_software.take().or(software);
-        call.required_software = required.or_else(|| only_version(&state, &call.service, now));
+        let inferred = || {
+            let knows = state.knows_versions(now);
+            knows
+                .then(|| only_version(&state, &call.service, now))
+                .flatten()
+        };
+        call.required_software = required.or_else(inferred);
         let Some(software) = call.required_software.clone() else {
             call.software_unknown = true;
             tracing::info!(event = "stream_origin_unknown", id = %call.id);
@@ -89,18 +95,14 @@
     /// When the origin is unknown while instances of several versions may have sent
     /// the first event, or when no instance of that version accepts calls.
     pub(super) async fn require_origin(&self, call: &mut Call) -> Result<(), Refusal> {
+        let inferred = self.only_possible_origin(&call.service).await;
         let found = match &call.head.resumes {
-            Some(attempt) => self.find_origin(attempt, &call.service).await,
+            Some(attempt) => self.find_origin(attempt, inferred.is_none()).await,
             None => None,
         };
-        let now = self.shared.now();
-        let state = self.shared.lock();
         let known = found.is_some();
-        let origin = found.or_else(|| {
-            let software = only_version(&state, &call.service, now)?;
-            let service = call.service.clone();
-            Some(StreamOrigin { service, software })
-        });
+        let origin = found.or(inferred);
+        let state = self.shared.lock();
         let outcome = match &origin {
             None => Err(RefusalReason::UnknownVersion),
             Some(origin) if !accepts_calls(&state, call, origin) => Err(RefusalReason::VersionGone),
@@ -122,9 +124,66 @@
         })
     }
 
-    /// Returns the origin of the stream of a caller's attempt, if this node or a
-    /// coordinator knows it. `service` is the one that would run the call.
-    async fn find_origin(&self, attempt: &str, service: &ServiceName) -> Option<StreamOrigin> {
+    /// Returns the origin that streams of a service must have, if only one is possible.
+    /// `service` is the one that would run the call. A node that has started lately asks
+    /// the store which versions served before.
+    async fn only_possible_origin(&self, service: &ServiceName) -> Option<StreamOrigin> {
+        let now = self.shared.now();
+        let knows_versions = {
+            let state = self.shared.lock();
+            // Several versions are enough to know that there is no only one.
+            only_version(&state, service, now)?;
+            state.knows_versions(now)
+        };
+        let stored = if knows_versions {
+            None
+        } else {
+            Some(self.streams.read().await?)
+        };
+        let now = self.shared.now();
+        let software = only_version(&self.shared.lock(), service, now)?;
+        let stored = stored.as_ref().and_then(|s| s.versions.get(service));
+        let is_only = stored.is_none_or(|versions| versions.iter().all(|v| *v == software));
+        is_only.then(|| StreamOrigin {
+            service: service.clone(),
+            software,
+        })
+    }
+
+    /// Returns the origin of the stream of a caller's attempt that the store has.
+    async fn stored_origin(&self, attempt: &str) -> Option<StreamOrigin> {
+        let stored = self.streams.read().await?;
+        stored.origin(attempt).cloned()
+    }
+
+    /// Returns the origin of the stream of a caller's attempt, if this node, the store or a
+    /// coordinator knows it. `needed` is whether the stream can't be resumed without it.
+    async fn find_origin(&self, attempt: &str, needed: bool) -> Option<StreamOrigin> {
+        let own = {
+            let state = self.shared.lock();
+            state.stream_versions.get(attempt).cloned()
+        };
+        if own.is_some() {
+            return own;
+        }
+        // After a loss of all nodes only the store knows it, and no coordinator may be
+        // known yet.
+        let is_new = !self.shared.lock().knows_versions(self.shared.now());
+        if needed
+            && is_new
+            && let Some(origin) = self.stored_origin(attempt).await
+        {
+            return Some(origin);
+        }
+        match self.query_origins(attempt, needed).await {
+            None if needed => self.stored_origin(attempt).await,
+            queried => queried,
+        }
+    }
+
+    /// Returns the origin of the stream of a caller's attempt that this node or a
+    /// coordinator knows.
+    async fn query_origins(&self, attempt: &str, needed: bool) -> Option<StreamOrigin> {
         let started = self.shared.now();
         loop {
             let (own, coordinators, complete) = {
@@ -151,7 +210,6 @@
                 }
             }
             let now = self.shared.now();
-            let needed = only_version(&self.shared.lock(), service, now).is_none();
             if complete || !needed || now.saturating_sub(started) >= MAX_SEARCH {
                 return None;
             }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -41,6 +41,7 @@
 mod settings;
 mod state;
 mod store_retries;
+mod stream_record;
 mod sync;
 mod tunnel;
 mod usage;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -34,6 +34,8 @@
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
 
+/// Limit on origins that wait to be written to the store.
+const MAX_UNSTORED_ORIGINS: usize = 4_096;
 /// Limit on adapters whose last instance is recorded.
 const MAX_LAST_INSTANCES: usize = 4_096;
 
@@ -115,6 +117,10 @@
     pub(crate) followed_notices: Option<(SocketAddr, u64)>,
     /// Origins of the streams that this node relayed, and of those reported to it.
     pub(crate) stream_versions: StreamVersions,
+    /// Origins that this node, as coordinator, has yet to write to the store.
+    pub(crate) unstored_origins: Vec<StreamRecord>,
+    /// When the instances were listed first.
+    pub(crate) instances_listed_at: Option<Now>,
     pub(crate) stopping: bool,
 }
 
@@ -186,6 +192,8 @@
                 relays: Relays::default(),
                 followed_notices: None,
                 stream_versions: StreamVersions::default(),
+                unstored_origins: Vec::new(),
+                instances_listed_at: None,
                 stopping: false,
             }),
         }
@@ -287,6 +295,13 @@
         routes.map_or(Duration::MAX, |routes| routes.stream_lifetime())
     }
 
+    /// Whether this node has known the instances for as long as a stream may be resumed,
+    /// so that it knows all versions at which one may have begun.
+    pub(crate) fn knows_versions(&self, now: Now) -> bool {
+        let listed = self.instances_listed_at;
+        listed.is_some_and(|at| now.saturating_sub(at) >= self.stream_lifetime())
+    }
+
     /// Returns the zone whose coordinator records the origin of a stream in addition
     /// to that of this zone.
     pub(crate) fn second_recording_zone(&self, attempt: &str) -> Option<&str> {
@@ -300,7 +315,11 @@
         I: IntoIterator<Item = StreamRecord>,
     {
         let lifetime = self.stream_lifetime();
+        let is_coordinator = self.role.held_fence().is_some();
         for record in streams {
+            if is_coordinator && self.unstored_origins.len() < MAX_UNSTORED_ORIGINS {
+                self.unstored_origins.push(record.clone());
+            }
             self.stream_versions
                 .record(record.attempt, record.origin, now);
         }
--- a/crates/gateway/src/sync/instances.rs
+++ b/crates/gateway/src/sync/instances.rs
@@ -72,6 +72,7 @@
         let mut state = self.sync.shared.lock();
         let changes = state.directory.on_listing(listed, absence, now);
         state.instances_listed = true;
+        state.instances_listed_at.get_or_insert(now);
         let (outdated, copied): (Vec<InstanceId>, Vec<InstanceId>) = ready
             .into_iter()
             .partition(|id| state.directory.is_leaving_or_removed(id));
