Limit prompts by the gaps of streams; slow moments of machines

Cause: grants looked at the first event only. Nothing read the fourth figure of a load report.

Change: prompts granted to an engine within the shortest gap of its streams are limited by its rate and a factor learned from the gaps that nodes report. The momentary slowdown of a machine scales rates and loads for 0.4 s. The call's log line has the time to its first event and its longest gap.

--- a/crates/fleet/src/balancer.rs
+++ b/crates/fleet/src/balancer.rs
@@ -11,8 +11,13 @@
 /// How long a reported load is used.
 const REPORTED_LOAD_TTL: Duration = Duration::from_millis(1_500);
 
+/// How long a machine's momentary slowdown is used; it may change many times a second.
+const SLOWDOWN_TTL: Duration = Duration::from_millis(400);
+/// Plausible range of it.
+const SLOWDOWN_RANGE: (f64, f64) = (0.2, 20.0);
+
 /// Load that an instance reports with its responses.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ReportedLoad {
     /// Calls that are running.
     pub running: u32,
@@ -20,6 +25,8 @@
     pub waiting: u32,
     /// Calls that the instance runs at once.
     pub slots: u32,
+    /// How much longer work takes on its machine than usually, if it states that.
+    pub slowdown: Option<f64>,
 }
 
 /// An instance that may be selected.
@@ -45,6 +52,8 @@
     own_calls: u32,
     /// Running and queued calls of other nodes, as of the last report.
     reported_calls: u32,
+    /// How much longer work takes on its machine than usually, as of the last report.
+    slowdown: Option<f64>,
     reported_at: Option<Now>,
 }
 
@@ -77,6 +86,7 @@
     pub fn on_load_report(&mut self, id: &str, reported: ReportedLoad, now: Now) {
         let load = self.loads.entry(id.into()).or_default();
         load.reported_calls = (reported.running + reported.waiting).saturating_sub(load.own_calls);
+        load.slowdown = reported.slowdown;
         load.reported_at = Some(now);
     }
 
@@ -98,7 +108,10 @@
         let load = self.loads.get(candidate.id).copied().unwrap_or_default();
         let calls = load.own_calls + load.other_calls(now);
         let load_factor = f64::from(calls) / f64::from(candidate.slots.max(1));
-        load_factor
+        let slowdown = load.slowdown(now);
+        // An idle instance on a slow machine is worse than an idle one elsewhere, too.
+        load_factor * slowdown
+            + (slowdown - 1.0).max(0.0) / f64::from(candidate.slots.max(1))
             + if candidate.same_zone {
                 0.0
             } else {
@@ -108,6 +121,17 @@
 }
 
 impl InstanceLoad {
+    /// How much longer work takes than usually; 1 if no recent report states it.
+    fn slowdown(&self, now: Now) -> f64 {
+        let is_fresh = |at| now.saturating_sub(at) < SLOWDOWN_TTL;
+        let stated = self
+            .slowdown
+            .filter(|_| self.reported_at.is_some_and(is_fresh));
+        stated.map_or(1.0, |slowdown| {
+            slowdown.clamp(SLOWDOWN_RANGE.0, SLOWDOWN_RANGE.1)
+        })
+    }
+
     /// Running and queued calls of other nodes, as far as a recent report shows.
     fn other_calls(&self, now: Now) -> u32 {
         let is_fresh = |at| now.saturating_sub(at) < REPORTED_LOAD_TTL;
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -21,6 +21,7 @@
 mod engine_view;
 mod estimate;
 mod fair_queue;
+mod gaps;
 mod order;
 mod placement;
 mod prompt_cache;
@@ -30,8 +31,8 @@
 
 pub use order::{EngineReport, Order, OrderKind, OrderOutcome};
 pub use request::{
-    Grant, PlacementId, PlacementRequest, Progress, PromptPart, Refusal, RefusalReason, Rejection,
-    RunningCall,
+    Grant, Observation, PlacementId, PlacementRequest, Progress, PromptPart, Refusal,
+    RefusalReason, Rejection, RunningCall,
 };
 
 use crate::config::{Engine as EngineSpec, Model};
@@ -251,6 +252,19 @@
         }
     }
 
+    /// Applies what a node has observed of an engine.
+    pub fn observe(&mut self, observed: &Observation, now: Now) {
+        let Some(engine) = self.engines.get_mut(&observed.instance) else {
+            return;
+        };
+        if let Some(factor) = observed.slowdown {
+            engine.slowdown.record(factor, now);
+        }
+        if let Some(exceeded) = observed.exceeded_gap {
+            engine.gap_control.record(exceeded);
+        }
+    }
+
     /// Sets the calls per second that an engine takes, or that it takes any number.
     pub fn set_rate_limit(&mut self, id: &str, per_s: Option<f64>, now: Now) {
         let Some(engine) = self.engines.get_mut(id) else {
--- a/crates/fleet/src/scheduler/engine_view.rs
+++ b/crates/fleet/src/scheduler/engine_view.rs
@@ -1,6 +1,7 @@
 //! The coordinator's view of one engine.
 
-use super::estimate::{PrefillRate, millis};
+use super::estimate::{PrefillRate, Slowdown, millis};
+use super::gaps::{GapControl, GapLimit, RecentPrefill};
 use super::order::{EngineReport, Order, OrderKind};
 use super::prompt_cache::PromptCache;
 use super::request::{Grant, PlacementId, Rejection, RunningCall};
@@ -82,6 +83,10 @@
     consecutive_failures: u32,
     last_first_token: Now,
     prefill_rate: PrefillRate,
+    recent_prefill: RecentPrefill,
+    pub(super) gap_control: GapControl,
+    /// How much longer work takes on its machine than usually.
+    pub(super) slowdown: Slowdown,
 }
 
 /// State of a base model on an engine.
@@ -136,6 +141,8 @@
     granted_at: Now,
     expires_at: Now,
     started: bool,
+    /// Target for the longest gap between two events.
+    max_gap: Option<Duration>,
 }
 
 impl EngineView {
@@ -177,6 +184,9 @@
             consecutive_failures: 0,
             last_first_token: Now::ZERO,
             prefill_rate,
+            recent_prefill: RecentPrefill::default(),
+            gap_control: GapControl::default(),
+            slowdown: Slowdown::default(),
         };
         for model in &instance.models {
             engine
@@ -246,6 +256,28 @@
             .map_or(Duration::ZERO, |pace| pace.wait(ahead, now))
     }
 
+    /// Returns how long a call has to wait so that its prompt pauses no stream, itself
+    /// included, for too long.
+    pub(super) fn gap_wait(&self, queued: &QueuedCall, tokens: u32, now: Now) -> Duration {
+        let gaps = self.calls.values().filter_map(|call| call.max_gap);
+        let Some(gap) = gaps.chain(queued.request.max_gap).min() else {
+            return Duration::ZERO;
+        };
+        if self.calls.is_empty() {
+            return Duration::ZERO;
+        }
+        let tokens_per_ms = self.prefill_rate() / self.slowdown.factor(now);
+        let ends = now + millis(f64::from(tokens) / tokens_per_ms);
+        let limit = GapLimit {
+            gap,
+            tokens_per_ms,
+            pending: self.unstarted_tokens as f64,
+            in_time: ends < queued.request.objective_at,
+        };
+        self.recent_prefill
+            .wait(f64::from(tokens), limit, self.gap_control, now)
+    }
+
     /// Whether a call fits in addition to the granted ones.
     pub(super) fn has_room(&self, request: &PlacementRequest, slots: u32, kv_tokens: u64) -> bool {
         let limit = kv_tokens as f64 * KV_CACHE_SHARE;
@@ -303,6 +335,7 @@
             granted_at: now,
             expires_at: request.deadline + CALL_EXPIRY_MARGIN,
             started: false,
+            max_gap: request.max_gap,
         };
         self.unstarted_tokens += u64::from(call.unprocessed_tokens);
         self.reserved_tokens += call.reserved_tokens();
@@ -332,6 +365,7 @@
             granted_at: now,
             expires_at: running.deadline + CALL_EXPIRY_MARGIN,
             started: running.started,
+            max_gap: None,
         };
         if !call.started {
             self.unstarted_tokens += u64::from(call.unprocessed_tokens);
@@ -361,9 +395,12 @@
         self.consecutive_failures = 0;
         self.unstarted_tokens -= u64::from(call.unprocessed_tokens);
         let from = call.granted_at.max(self.last_first_token);
-        self.prefill_rate
-            .record_sample(f64::from(call.unprocessed_tokens), from, now);
+        // The rate is that of the machine in ordinary times.
+        let tokens = f64::from(call.unprocessed_tokens) * self.slowdown.factor(now);
+        self.prefill_rate.record_sample(tokens, from, now);
         self.last_first_token = now;
+        self.recent_prefill
+            .record(f64::from(call.unprocessed_tokens), now);
         let copy = call.key.as_ref().and_then(|k| self.copies.get_mut(k));
         let first = copy.as_ref().is_some_and(|c| c.load_complete_by > now);
         if let Some(copy) = copy {
--- a/crates/fleet/src/scheduler/estimate.rs
+++ b/crates/fleet/src/scheduler/estimate.rs
@@ -14,6 +14,10 @@
 const SAMPLE_DECAY: f64 = 0.94;
 /// Plausible range of prefill rates.
 const TOKENS_PER_MS_RANGE: (f64, f64) = (0.1, 2_000.0);
+/// How long a machine's statement is used; it may change many times a second.
+const SLOWDOWN_TTL: Duration = Duration::from_millis(400);
+/// Plausible range of a machine's statement.
+const SLOWDOWN_RANGE: (f64, f64) = (0.2, 20.0);
 /// Initial estimate of the time to load an adapter from the weight store.
 const INITIAL_COLD_LOAD: Duration = Duration::from_millis(270);
 /// Duration of a load, as a share of a cold one, when the engine held the adapter
@@ -101,6 +105,30 @@
     }
 }
 
+/// How much longer work takes on a machine than usually, as it stated last.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Slowdown {
+    last: Option<(f64, Now)>,
+}
+
+impl Slowdown {
+    /// Records what a machine states.
+    pub(super) fn record(&mut self, factor: f64, now: Now) {
+        if factor.is_finite() {
+            let (least, most) = SLOWDOWN_RANGE;
+            self.last = Some((factor.clamp(least, most), now));
+        }
+    }
+
+    /// Returns the factor; 1 if the last statement is old.
+    pub(super) fn factor(self, now: Now) -> f64 {
+        let recent = self
+            .last
+            .filter(|(_, at)| now.saturating_sub(*at) < SLOWDOWN_TTL);
+        recent.map_or(1.0, |(factor, _)| factor)
+    }
+}
+
 /// Estimate of how long loads of adapters take, and of how many may run at once.
 ///
 /// The weight store's bandwidth is shared by all zones and not known. Loads that
--- a/crates/fleet/src/scheduler/placement.rs
+++ b/crates/fleet/src/scheduler/placement.rs
@@ -344,7 +344,10 @@
         match &candidate.prerequisite {
             Prerequisite::None
                 if engine.prefill_backlog() <= max_prefill_backlog
-                    && engine.pace_wait(0.0, now).is_zero() =>
+                    && engine.pace_wait(0.0, now).is_zero()
+                    && engine
+                        .gap_wait(queued, candidate.unprocessed_tokens, now)
+                        .is_zero() =>
             {
                 let grant = engine.grant(queued, kv_tokens, now);
                 self.running.insert(grant.call.clone(), candidate.engine);
@@ -412,13 +415,17 @@
     ) -> Option<Candidate> {
         let ahead = round.planned.get(&engine.id).copied().unwrap_or(0.0);
         let unprocessed_tokens = engine.unprocessed_tokens(queued);
+        let slowdown = engine.slowdown.factor(now);
         let own_prefill = millis(f64::from(unprocessed_tokens) / engine.prefill_rate());
+        let own_prefill = own_prefill.mul_f64(slowdown);
+        let backlog = engine.prefill_backlog().mul_f64(slowdown);
         let prefill = millis(ahead / engine.prefill_rate()) + own_prefill;
         let prefill_cost = own_prefill.mul_f64(PREFILL_COST_SHARE);
         let calls_ahead = round.planned_calls.get(&engine.id).copied();
         let paced = engine.pace_wait(calls_ahead.unwrap_or(0.0), now);
+        let paced = paced.max(engine.gap_wait(queued, unprocessed_tokens, now));
         let Some(key) = &queued.key else {
-            let wait = engine.prefill_backlog().max(paced) + prefill;
+            let wait = backlog.max(paced) + prefill;
             return Some(Candidate {
                 engine: engine.id.clone(),
                 wait,
@@ -431,7 +438,7 @@
         let (prerequisite, load) =
             self.prerequisite(engine, key, warm, round, adapter_slots, now)?;
         // A load runs concurrently with the work already granted.
-        let wait = engine.prefill_backlog().max(load).max(paced) + prefill;
+        let wait = backlog.max(load).max(paced) + prefill;
         let bias = millis(home_bias(&queued.key_text, &engine.id));
         let bias = bias + drain_penalty(engine, key, now);
         let cost = wait + bias + prefill_cost + load_cost(engine, key, warm);
--- a/crates/fleet/src/scheduler/request.rs
+++ b/crates/fleet/src/scheduler/request.rs
@@ -45,6 +45,8 @@
     pub workspace: Option<WorkspaceName>,
     /// Priority of the workspace, which goes before that of the route.
     pub workspace_priority: Option<u8>,
+    /// Target for the longest gap between two events of the stream.
+    pub max_gap: Option<Duration>,
     /// When the first token is due.
     pub objective_at: Now,
     /// When the caller gives up unless it got the first token.
@@ -164,6 +166,19 @@
     }
 }
 
+/// What a node has observed of an engine.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Observation {
+    /// The engine.
+    pub instance: InstanceId,
+    /// How much longer work takes on its machine than usually, if it states that.
+    #[serde(default)]
+    pub slowdown: Option<f64>,
+    /// Whether a stream that has ended there exceeded the gap that its route allows.
+    #[serde(default)]
+    pub exceeded_gap: Option<bool>,
+}
+
 /// Progress of a granted call.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Progress {
--- a/crates/fleet/tests/routes.rs
+++ b/crates/fleet/tests/routes.rs
@@ -102,6 +102,7 @@
         running: 6,
         waiting: 3,
         slots: 6,
+        slowdown: None,
     };
     balancer.on_load_report("a", load, Now::ZERO);
     let candidate = |id| Candidate {
--- a/crates/fleet/tests/scheduler/main.rs
+++ b/crates/fleet/tests/scheduler/main.rs
@@ -3,6 +3,7 @@
 
 mod decisions;
 mod fair_shares;
+mod gaps;
 mod late_orders;
 mod load_patterns;
 mod prompts;
--- a/crates/fleet/tests/scheduler/support.rs
+++ b/crates/fleet/tests/scheduler/support.rs
@@ -115,6 +115,7 @@
         priority: 1,
         workspace: None,
         workspace_priority: None,
+        max_gap: None,
         objective_at: now + ms(1_000),
         first_token_by: now + ms(5_000),
         deadline: now + ms(5_000),
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -279,6 +279,7 @@
             Command::Progress { call, progress } => {
                 self.with_scheduler(|s| s.progress(&call, progress, now))
             }
+            Command::Observed(observed) => self.with_scheduler(|s| s.observe(&observed, now)),
             Command::PlaceCharged {
                 req,
                 charge,
--- a/crates/gateway/src/coordinator/commands.rs
+++ b/crates/gateway/src/coordinator/commands.rs
@@ -4,7 +4,9 @@
 use crate::peer::{CallsReport, PlaceRequest, PlaceResponse, ZoneLoad};
 use reedford_fleet::ownership::Fence;
 use reedford_fleet::quota::{ChargeOutcome, Usage};
-use reedford_fleet::scheduler::{EngineReport, Order, OrderOutcome, PlacementId, Progress};
+use reedford_fleet::scheduler::{
+    EngineReport, Observation, Order, OrderOutcome, PlacementId, Progress,
+};
 use reedford_fleet::workspaces::{Charge, WorkspaceName};
 use reedford_fleet::{InstanceId, ZoneId};
 use std::time::Duration;
@@ -54,6 +56,8 @@
         call: PlacementId,
         progress: Progress,
     },
+    /// A node has observed something of an engine.
+    Observed(Observation),
     /// An order has an outcome, which may be `Unknown`. `fence` is the
     /// token of the term in which the order was sent.
     OrderCompleted {
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -69,6 +69,16 @@
     pub(crate) max_age: Option<Duration>,
 }
 
+/// How far a stream has come.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Progressed {
+    pub(crate) events: u64,
+    /// Time from the call's arrival to its first event.
+    pub(crate) first_event: Option<Duration>,
+    /// Longest time between two events.
+    pub(crate) longest_gap: Option<Duration>,
+}
+
 /// HTTP service for callers.
 #[derive(Debug)]
 pub(crate) struct CallerService<D>(pub(crate) Arc<Gateway<D>>);
@@ -200,7 +210,7 @@
                         next = self.try_replace_failed(&call, &attempts, &instance).await;
                     }
                     if next.is_none() {
-                        self.record_end(&call, &instance, "answered", 0);
+                        self.record_end(&call, &instance, "answered", Progressed::default());
                         return reply;
                     }
                     failure = Some(reply);
@@ -494,7 +504,7 @@
     }
 
     fn reply_refused(&self, call: &Call, runs: u32, refusal: &Refusal) -> Reply {
-        self.record_end(call, "", refusal.reason.name(), 0);
+        self.record_end(call, "", refusal.reason.name(), Progressed::default());
         if runs > 0 {
             return reply::plain_text(StatusCode::BAD_GATEWAY, "no instance answered");
         }
@@ -526,7 +536,7 @@
     }
 
     fn reply_not_run(&self, call: &Call, runs: u32, rejection: Rejection) -> Reply {
-        self.record_end(call, "", "not_run", 0);
+        self.record_end(call, "", "not_run", Progressed::default());
         if runs > 0 {
             return reply::plain_text(StatusCode::BAD_GATEWAY, "no instance answered");
         }
@@ -539,7 +549,7 @@
     }
 
     fn reply_lost(&self, call: &Call, instance: &str, why: &'static str) -> Reply {
-        self.record_end(call, instance, why, 0);
+        self.record_end(call, instance, why, Progressed::default());
         if why == "deadline" {
             return reply::plain_text(StatusCode::GATEWAY_TIMEOUT, "no answer in time");
         }
@@ -555,11 +565,27 @@
     }
 
     /// Records the end of a call in metrics and log.
-    pub(crate) fn record_end(&self, call: &Call, instance: &str, outcome: &str, events: u64) {
+    pub(crate) fn record_end(
+        &self,
+        call: &Call,
+        instance: &str,
+        outcome: &str,
+        progressed: Progressed,
+    ) {
+        let Progressed {
+            events,
+            first_event,
+            longest_gap,
+        } = progressed;
         let took = self.shared.now().saturating_sub(call.arrived);
         self.metrics.call(&call.route.name, outcome, took);
+        if let Some(gap) = longest_gap {
+            self.metrics.longest_gap(&call.route.name, gap);
+        }
         tracing::info!(event = "call", id = %call.id, route = %call.route.name, instance,
-            outcome, events, ms = took.as_millis() as u64);
+            workspace = call.caller.workspace().map(|w| &**w), outcome, events,
+            first_ms = first_event.map(|t| t.as_millis() as u64),
+            gap_ms = longest_gap.map(|t| t.as_millis() as u64), ms = took.as_millis() as u64);
     }
 }
 
--- a/crates/gateway/src/handler/attempt.rs
+++ b/crates/gateway/src/handler/attempt.rs
@@ -7,7 +7,7 @@
 use crate::placer::Placement;
 use crate::state::LocalCall;
 use reedford_fleet::quarantine::BLAME_TIME;
-use reedford_fleet::scheduler::{Grant, PlacementId, Progress, Refusal, Rejection};
+use reedford_fleet::scheduler::{Grant, Observation, PlacementId, Progress, Refusal, Rejection};
 use reedford_fleet::{InstanceId, Now, SoftwareVersion, ZoneId};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -178,6 +178,34 @@
         }
     }
 
+    /// Reports how much longer work takes on the engine's machine than usually, if it
+    /// states that in the head of its response.
+    pub(crate) fn report_slowdown(&self, slowdown: Option<f64>) {
+        if slowdown.is_some() {
+            self.report_observation(slowdown, None);
+        }
+    }
+
+    /// Reports whether the stream, which came from this engine, exceeded its gap.
+    pub(crate) fn report_gap(&self, exceeded: bool) {
+        self.report_observation(None, Some(exceeded));
+    }
+
+    fn report_observation(&self, slowdown: Option<f64>, exceeded_gap: Option<bool>) {
+        if self.plain {
+            return;
+        }
+        if let Some(coordinator) = self.coordinator() {
+            let observed = Observation {
+                instance: self.grant.instance.clone(),
+                slowdown,
+                exceeded_gap,
+            };
+            let progress = &self.gateway.progress;
+            progress.report_observation(coordinator, observed);
+        }
+    }
+
     /// Reports the first event of the response.
     fn report_started(&mut self) {
         if self.first_event_at.is_none() {
@@ -237,15 +265,19 @@
         if self.plain {
             return;
         }
-        let state = self.gateway.shared.lock();
-        let current = state.coordinator(&self.zone).map(|holder| holder.addr);
-        drop(state);
-        if let Some(coordinator) = current.or(self.granted_by) {
+        if let Some(coordinator) = self.coordinator() {
             self.gateway
                 .progress
                 .report(coordinator, self.grant.call.clone(), progress);
         }
     }
+
+    /// Returns the coordinator of the engine's zone, which may have changed since the grant.
+    fn coordinator(&self) -> Option<SocketAddr> {
+        let state = self.gateway.shared.lock();
+        let current = state.coordinator(&self.zone).map(|holder| holder.addr);
+        current.or(self.granted_by)
+    }
 }
 
 impl<D> Drop for Attempt<D>
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -25,6 +25,7 @@
     calls: IntCounterVec,
     duration: HistogramVec,
     first_event: HistogramVec,
+    longest_gap: HistogramVec,
     placement_wait: HistogramVec,
     placements_refused: IntCounterVec,
     retries: IntCounterVec,
@@ -56,6 +57,11 @@
                 "Time to the first event",
                 "route",
             )?,
+            longest_gap: histogram(
+                "reedford_longest_gap_seconds",
+                "Longest time between two events of a stream",
+                "route",
+            )?,
             placement_wait: histogram("reedford_place_wait_seconds", "Wait for a place", "route")?,
             placements_refused: counters(
                 "reedford_places_refused_total",
@@ -115,7 +121,12 @@
         ] {
             registry.register(Box::new(counters.clone()))?;
         }
-        for histogram in [&self.duration, &self.first_event, &self.placement_wait] {
+        for histogram in [
+            &self.duration,
+            &self.first_event,
+            &self.longest_gap,
+            &self.placement_wait,
+        ] {
             registry.register(Box::new(histogram.clone()))?;
         }
         registry.register(Box::new(self.log_lines_dropped.clone()))?;
@@ -146,6 +157,13 @@
             .observe(seconds);
     }
 
+    pub(crate) fn longest_gap(&self, route: &str, gap: Duration) {
+        let seconds = gap.as_secs_f64();
+        self.longest_gap
+            .with_label_values(&[route])
+            .observe(seconds);
+    }
+
     pub(crate) fn placement_wait(&self, route: &str, took: Duration) {
         let seconds = took.as_secs_f64();
         self.placement_wait
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -9,8 +9,8 @@
 use reedford_fleet::quota::{ChargeOutcome, Usage};
 use reedford_fleet::rate_limits::LimitsReport;
 use reedford_fleet::scheduler::{
-    AdapterHash, AdapterKey, Grant, PlacementId, PlacementRequest, Progress, PromptPart, Refusal,
-    RunningCall,
+    AdapterHash, AdapterKey, Grant, Observation, PlacementId, PlacementRequest, Progress,
+    PromptPart, Refusal, RunningCall,
 };
 use reedford_fleet::stream_versions::StreamOrigin;
 use reedford_fleet::workspaces::{Charge, WorkspaceName};
@@ -63,6 +63,9 @@
     /// Priority of the workspace, which goes before that of the route.
     #[serde(default)]
     pub(crate) workspace_priority: Option<u8>,
+    /// Target for the longest gap between two events of the stream.
+    #[serde(default)]
+    pub(crate) max_gap: Option<Duration>,
     /// Units of the workspace's limit, if the call was not charged yet.
     #[serde(default)]
     pub(crate) charge: Option<u64>,
@@ -138,7 +141,12 @@
     /// has decided.
     async fn place(req: PlaceRequest) -> PlaceResponse;
     /// Reports the progress of granted calls and the origins of streams.
-    async fn progress(steps: Vec<(PlacementId, Progress)>, streams: Vec<StreamRecord>);
+    /// `observations` is `None` from a node that reports none.
+    async fn progress(
+        steps: Vec<(PlacementId, Progress)>,
+        streams: Vec<StreamRecord>,
+        observations: Option<Vec<Observation>>,
+    );
     /// Asks where the stream of a caller's attempt began.
     async fn stream_origin(attempt: AttemptId) -> Option<StreamOrigin>;
     /// Reports the sender's calls on the engines of the receiver's zone to a new
@@ -197,6 +205,7 @@
             priority: self.priority,
             workspace: self.workspace,
             workspace_priority: self.workspace_priority,
+            max_gap: self.max_gap,
             objective_at: now + self.due_in.unwrap_or_default(),
             first_token_by: now + self.first_token_in,
             deadline: now + self.patience,
--- a/crates/gateway/src/peer_server.rs
+++ b/crates/gateway/src/peer_server.rs
@@ -13,7 +13,7 @@
 use reedford_fleet::quarantine::EvidenceReport;
 use reedford_fleet::quota::Usage;
 use reedford_fleet::rate_limits::LimitsReport;
-use reedford_fleet::scheduler::{PlacementId, Progress};
+use reedford_fleet::scheduler::{Observation, PlacementId, Progress};
 use reedford_fleet::stream_versions::StreamOrigin;
 use reedford_fleet::workspaces::Charge;
 use reedford_fleet::{AttemptId, Era, ZoneId};
@@ -131,9 +131,13 @@
         _: Context,
         steps: Vec<(PlacementId, Progress)>,
         streams: Vec<StreamRecord>,
+        observations: Option<Vec<Observation>>,
     ) {
         let now = self.shared.now();
         self.shared.lock().record_streams(streams, now);
+        for observed in observations.into_iter().flatten() {
+            self.commands.send(Command::Observed(observed));
+        }
         for (call, progress) in steps {
             self.commands.send(Command::Progress { call, progress });
         }
--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -508,6 +508,7 @@
         passed_on: false,
         workspace: call.caller.workspace().cloned(),
         workspace_priority: call.caller.priority(),
+        max_gap: call.route.max_gap,
         charge: call.caller.unpaid().map(|charge| charge.units),
     })
 }
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -3,7 +3,7 @@
 
 use crate::coordinator::{Command, CommandTx};
 use crate::peer::{PeerClients, StreamRecord};
-use reedford_fleet::scheduler::{PlacementId, Progress};
+use reedford_fleet::scheduler::{Observation, PlacementId, Progress};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -28,6 +28,15 @@
 enum Subject {
     Progress(PlacementId, Progress),
     Stream(StreamRecord),
+    Observation(Observation),
+}
+
+/// What one message to a coordinator holds.
+#[derive(Debug, Default)]
+struct Message {
+    steps: Vec<(PlacementId, Progress)>,
+    streams: Vec<StreamRecord>,
+    observations: Vec<Observation>,
 }
 
 /// Queues reports.
@@ -77,6 +86,15 @@
         }
     }
 
+    /// Reports what this node has observed of an engine.
+    pub(crate) fn report_observation(&self, coordinator: SocketAddr, observed: Observation) {
+        if coordinator == self.own_addr {
+            self.commands.send(Command::Observed(observed));
+            return;
+        }
+        self.send(coordinator, Subject::Observation(observed));
+    }
+
     fn send(&self, coordinator: SocketAddr, subject: Subject) {
         let report = Report {
             coordinator,
@@ -99,32 +117,33 @@
             if received.is_none_or(|count| count == 0) {
                 return;
             }
-            let mut by_addr: BTreeMap<SocketAddr, (Vec<_>, Vec<_>)> = BTreeMap::new();
+            let mut by_addr: BTreeMap<SocketAddr, Message> = BTreeMap::new();
             for report in buf.drain(..) {
-                let (steps, streams) = by_addr.entry(report.coordinator).or_default();
+                let message = by_addr.entry(report.coordinator).or_default();
                 match report.subject {
-                    Subject::Progress(call, progress) => steps.push((call, progress)),
-                    Subject::Stream(record) => streams.push(record),
+                    Subject::Progress(call, progress) => message.steps.push((call, progress)),
+                    Subject::Stream(record) => message.streams.push(record),
+                    Subject::Observation(observed) => message.observations.push(observed),
                 }
             }
             let messages = by_addr
                 .into_iter()
-                .map(|(addr, (steps, streams))| self.send(addr, steps, streams));
+                .map(|(addr, message)| self.send(addr, message));
             futures::future::join_all(messages).await;
         }
     }
 
-    async fn send(
-        &self,
-        addr: SocketAddr,
-        steps: Vec<(PlacementId, Progress)>,
-        streams: Vec<StreamRecord>,
-    ) {
+    async fn send(&self, addr: SocketAddr, message: Message) {
+        let Message {
+            steps,
+            streams,
+            observations,
+        } = message;
         let count = steps.len() + streams.len();
         let sent = self
             .peers
             .call(addr, MESSAGE_TIMEOUT, |peer, cx| async move {
-                peer.progress(cx, steps, streams).await
+                peer.progress(cx, steps, streams, Some(observations)).await
             })
             .await;
         if let Err(error) = sent {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,7 +8,9 @@
 
 use crate::call::Call;
 use crate::dialect::Dialect;
-use crate::handler::{Attempt, Attempts, Gateway, Moved, STREAM_SILENCE_FACTOR, StreamState};
+use crate::handler::{
+    Attempt, Attempts, Gateway, Moved, Progressed, STREAM_SILENCE_FACTOR, StreamState,
+};
 use crate::reply::Truncated;
 use crate::sender::{PendingResponse, SendOutcome, idle_timeout};
 use bytes::Bytes;
@@ -37,7 +39,7 @@
     attempt: Attempt<D>,
     attempts: Attempts,
     last_event_id: Option<Box<str>>,
-    events: u64,
+    progressed: Progressed,
     done: bool,
 }
 
@@ -68,6 +70,7 @@
         attempt: Attempt<D>,
         attempts: Attempts,
     ) -> Self {
+        attempt.report_slowdown(response.slowdown);
         Self {
             gateway,
             call,
@@ -75,7 +78,7 @@
             attempt,
             attempts,
             last_event_id: None,
-            events: 0,
+            progressed: Progressed::default(),
             done: false,
         }
     }
@@ -123,7 +126,7 @@
                 call: &self.call,
                 instance: &self.attempt.grant.instance,
                 last_event_id: self.last_event_id.as_deref(),
-                silence_limit: silence_limit(&self.call, self.events),
+                silence_limit: silence_limit(&self.call, self.progressed.events),
             };
             let is_lost =
                 |(event, _): &(Result<Event, NoEvent>, _)| matches!(event, Err(NoEvent::Broken(_)));
@@ -173,16 +176,21 @@
     }
 
     fn record_event(&mut self) {
-        self.events += 1;
         let now = self.gateway.shared.now();
+        let gap = now.saturating_sub(self.call.silent_since);
         self.call.silent_since = now;
-        if self.events == 1 {
+        let progressed = &mut self.progressed;
+        progressed.events += 1;
+        if progressed.events > 1 {
+            progressed.longest_gap = progressed.longest_gap.max(Some(gap));
+        } else {
             let took = now.saturating_sub(self.call.arrived);
+            progressed.first_event = Some(took);
             self.gateway
                 .metrics
                 .first_event(&self.call.route.name, took);
         }
-        if self.events == 1 {
+        if self.progressed.events == 1 {
             let software = self.attempt.software.clone();
             let instance = &self.attempt.grant.instance;
             self.gateway
@@ -203,7 +211,7 @@
             return NoEvent::Broken("partial_event");
         }
         let resumes = self.call.head.last_event_id.is_some();
-        let is_early = self.events == 0 && !resumes;
+        let is_early = self.progressed.events == 0 && !resumes;
         if source.ends_with_conn && (is_early || source.conn.relayed) {
             return NoEvent::Broken("closed");
         }
@@ -241,7 +249,7 @@
             self.attempt = next;
             tracing::info!(event = "stream_resumed", id = %self.call.id, why,
                 instance = %self.attempt.grant.instance, software = ?self.attempt.software,
-                events = self.events);
+                events = self.progressed.events);
             let last = self.last_event_id.as_deref();
             let sent =
                 self.gateway
@@ -261,12 +269,17 @@
     fn finish(&mut self, outcome: &'static str) {
         self.done = true;
         self.source = None;
+        let gaps = self.progressed.longest_gap.zip(self.call.route.max_gap);
+        // A stream that was moved has a gap that no engine is to blame for.
+        if let Some((longest, most)) = gaps.filter(|_| self.attempts.runs <= 1) {
+            self.attempt.report_gap(longest > most);
+        }
         self.attempt.end();
         self.gateway.record_end(
             &self.call,
             &self.attempt.grant.instance,
             outcome,
-            self.events,
+            self.progressed,
         );
     }
 }
--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -56,6 +56,8 @@
 #[derive(Debug)]
 pub(crate) struct PendingResponse {
     pub(crate) incoming: IncomingResponse,
+    /// How much longer work takes on the instance's machine than usually, if it states that.
+    pub(crate) slowdown: Option<f64>,
 }
 
 impl<D> Sender<D>
@@ -202,7 +204,10 @@
             return SendOutcome::Lost("answer_of_another_call");
         }
         match head.not_run {
-            None => SendOutcome::Response(Box::new(PendingResponse { incoming })),
+            None => SendOutcome::Response(Box::new(PendingResponse {
+                incoming,
+                slowdown: head.load.and_then(|load| load.slowdown),
+            })),
             Some(why) => {
                 let status = incoming.status.as_u16();
                 self.drain_rejection(incoming).await;
