--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -203,6 +203,13 @@
                 instance = %grant.instance);
             return SendOutcome::Lost("answer_of_another_call");
         }
+        let is_identified = head.attempt_id.is_some() || call.id.is_empty();
+        if incoming.status.is_success() && !is_identified {
+            // It may be a copy of the response to an earlier call.
+            tracing::warn!(event = "answer_without_id", id = %call.id,
+                instance = %grant.instance);
+            return SendOutcome::Lost("answer_without_id");
+        }
         match head.not_run {
             None => SendOutcome::Response(Box::new(PendingResponse {
                 incoming,
