Split files by job: replies, queue order, adapter copies, terms, feed client

Change: the node's own replies, the order of queued calls, an adapter's copy, a coordinator's term and the client of change feeds have files of their own. No behaviour changes.

--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -17,6 +17,7 @@
 //! others by less than the cost of a load; beyond that, the adapter is loaded on
 //! another engine as well.
 
+mod adapter_copy;
 mod drain;
 mod engine_view;
 mod estimate;
@@ -25,6 +26,7 @@
 mod order;
 mod placement;
 mod prompt_cache;
+mod queue_order;
 mod request;
 mod synchronize;
 mod unresolved;
--- a/crates/fleet/src/scheduler/drain.rs
+++ b/crates/fleet/src/scheduler/drain.rs
@@ -5,7 +5,8 @@
 //! calls, so that it can be evicted once its calls have ended. This is done for calls of
 //! workspaces, so that the popular adapters of one don't keep out those of another.
 
-use super::engine_view::{CopyState, EngineView};
+use super::adapter_copy::CopyState;
+use super::engine_view::EngineView;
 use super::{AdapterKey, QueuedCall, Scheduler};
 use crate::{InstanceId, Now};
 use std::collections::BTreeMap;
--- a/crates/fleet/src/scheduler/placement.rs
+++ b/crates/fleet/src/scheduler/placement.rs
@@ -3,12 +3,13 @@
 //! Rendezvous hashing orders the engines for each adapter; the first one is the
 //! adapter's home engine, which is preferred when the costs are about equal.
 
+use super::adapter_copy::{AdapterCopy, CopyState};
 use super::drain::drain_penalty;
-use super::engine_view::{AdapterCopy, CopyState, EngineView, ModelState};
+use super::engine_view::{EngineView, ModelState};
 use super::estimate::{as_millis, millis, overtaking_factor};
-use super::fair_queue::StartTag;
 use super::order::OrderKind;
 use super::prompt_cache::PromptPath;
+use super::queue_order::QueueRank;
 use super::request::{Grant, PlacementRequest, Refusal, RefusalReason};
 use super::{Action, AdapterKey, QueuedCall, Scheduler};
 use crate::{InstanceId, Now};
@@ -71,17 +72,6 @@
     Load { evict: Option<AdapterKey> },
 }
 
-/// Position in the queue; the lowest goes first. Calls of the same rank are ordered by
-/// their [`StartTag`].
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct QueueRank {
-    /// Whether the call can no longer start in time.
-    late: bool,
-    /// Priority of the workspace, or of the route if it has none.
-    workspace_priority: u8,
-    priority: u8,
-}
-
 /// Expected wait for the first token.
 #[derive(Clone, Copy, Debug)]
 struct ExpectedWait {
@@ -135,7 +125,7 @@
         if !rank.late && now + expected.wait <= queued.request.objective_at {
             return expected.wait;
         }
-        let late = QueueRank { late: true, ..rank };
+        let late = rank.as_late();
         let expected = self.queue_wait(late, queued, now);
         let factor = self.overtaking(expected.awaiting_slot, now);
         expected.wait.mul_f64(factor)
@@ -208,44 +198,6 @@
         )
     }
 
-    /// Returns the queued calls that go before a call of this rank that arrives now.
-    fn calls_ahead(&self, rank: QueueRank, call: &QueuedCall, now: Now) -> Vec<&QueuedCall> {
-        let rate = self.mean_prefill_rate();
-        let ranked = self.queue.iter().map(|q| (q.rank(rate, now), q));
-        let mut ranked: Vec<(QueueRank, &QueuedCall)> =
-            ranked.filter(|(other, _)| *other <= rank).collect();
-        if call.request.workspace.is_none() {
-            return ranked.into_iter().map(|(_, q)| q).collect();
-        }
-        ranked.sort_by_key(|(rank, q)| (*rank, q.serial));
-        let mut tagger = self.fair_queue.tagger();
-        let tagged: Vec<(StartTag, QueueRank, &QueuedCall)> = ranked
-            .into_iter()
-            .map(|(rank, q)| (tagger.tag(q), rank, q))
-            .collect();
-        let own_tag = tagger.tag(call);
-        let goes_before =
-            |(tag, other, _): &(StartTag, QueueRank, &QueuedCall)| *other < rank || *tag <= own_tag;
-        let ahead = tagged.into_iter().filter(goes_before);
-        ahead.map(|(_, _, q)| q).collect()
-    }
-
-    /// Returns the queue in the order in which its calls are placed, with their tags.
-    fn ordered_queue(&mut self, now: Now) -> Vec<(StartTag, QueuedCall)> {
-        let rate = self.mean_prefill_rate();
-        let mut queue = std::mem::take(&mut self.queue);
-        queue.sort_by_key(|q| (q.rank(rate, now), q.serial));
-        let mut tagger = self.fair_queue.tagger();
-        let mut tagged: Vec<(StartTag, QueuedCall)> =
-            queue.into_iter().map(|q| (tagger.tag(&q), q)).collect();
-        tagged.sort_by(|(tag_a, a), (tag_b, b)| {
-            let by_rank = a.rank(rate, now).cmp(&b.rank(rate, now));
-            let by_tag = tag_a.total_cmp(tag_b);
-            by_rank.then(by_tag).then(a.serial.cmp(&b.serial))
-        });
-        tagged
-    }
-
     fn new_round(&self, now: Now) -> PlacementRound {
         let engine_specs = self.engines.values().filter(|e| e.is_usable(now));
         let engine_specs = engine_specs.filter_map(|e| self.specs.get(&e.service));
@@ -590,22 +542,6 @@
     }
 }
 
-impl QueuedCall {
-    /// Returns the rank of the call on engines with a mean prefill rate of
-    /// `tokens_per_ms`. Calls that can still start in time come
-    /// first, because a late response is worth little but costs as much engine
-    /// time as one in time; then the priority decides.
-    fn rank(&self, tokens_per_ms: f64, now: Now) -> QueueRank {
-        let soonest = now + millis(f64::from(self.request.tokens) / tokens_per_ms);
-        let priority = self.request.priority;
-        QueueRank {
-            late: soonest > self.request.objective_at,
-            workspace_priority: self.request.workspace_priority.unwrap_or(priority),
-            priority,
-        }
-    }
-}
-
 impl EngineView {
     /// Queues the orders that load an adapter.
     fn order_load(
--- a/crates/fleet/src/scheduler/synchronize.rs
+++ b/crates/fleet/src/scheduler/synchronize.rs
@@ -3,7 +3,8 @@
 //! orders accepted before, and a report is fetched whenever the view may be wrong,
 //! such as after an order whose outcome is unknown.
 
-use super::engine_view::{CopyState, EngineView, ModelState};
+use super::adapter_copy::CopyState;
+use super::engine_view::{EngineView, ModelState};
 use super::order::{EngineReport, Order, OrderKind, OrderOutcome};
 use super::{Action, AdapterKey, Scheduler};
 use crate::{InstanceId, Now};
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -5,6 +5,7 @@
 mod actions;
 mod commands;
 mod quotas;
+mod term;
 
 pub(crate) use commands::{Charged, Command, CommandRx, CommandTx, UsageResponse, command_queue};
 
@@ -14,17 +15,15 @@
 use crate::settings::GatewaySettings;
 use crate::state::Shared;
 use reedford_fleet::Now;
-use reedford_fleet::config::{ConfigVersion, Configuration};
-use reedford_fleet::ownership::Fence;
 use reedford_fleet::quota::ZoneQuotas;
 use reedford_fleet::scheduler::{Limits, PlacementId, PlacementRequest, Scheduler};
-use reedford_fleet::workspaces::{Charge, Workspaces};
 use reedford_fleet::zones::{self, ArrivingCall, ZoneReport};
 use reedford_targets::Pool;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use term::Term;
 use tokio::sync::oneshot;
 use tokio::time::sleep_until;
 use tokio_util::sync::CancellationToken;
@@ -79,21 +78,6 @@
     round_pending: bool,
 }
 
-/// A period during which this node is the coordinator.
-#[derive(Debug)]
-struct Term {
-    fence: Fence,
-    scheduler: Scheduler,
-    /// Whether scheduling is paused because the lease may have ended.
-    paused: bool,
-    quotas: ZoneQuotas,
-    /// Charges of calls that are not granted yet.
-    charges: BTreeMap<PlacementId, Charge>,
-    /// Configuration whose limits apply.
-    limits_version: Option<ConfigVersion>,
-    next_quota_log: Now,
-}
-
 impl<D> Coordinator<D>
 where
     D: Dialect,
@@ -186,15 +170,9 @@
         tracing::info!(event = "role", zone = %self.ctx.cfg.zone, fence = held.unwrap_or(0),
             coordinator = held.is_some());
         self.term = held.map(|fence| {
-            let mut term = Term {
-                fence,
-                scheduler: self.new_scheduler(),
-                paused: false,
-                quotas: ZoneQuotas::new(self.ctx.cfg.zones.len(), self.ctx.cfg.quota_tolerance),
-                charges: BTreeMap::new(),
-                limits_version: None,
-                next_quota_log: Now::ZERO,
-            };
+            let zones = self.ctx.cfg.zones.len();
+            let quotas = ZoneQuotas::new(zones, self.ctx.cfg.quota_tolerance);
+            let mut term = Term::new(fence, self.new_scheduler(), quotas);
             self.refresh(&mut term);
             term
         });
@@ -484,34 +462,6 @@
     }
 }
 
-impl Term {
-    /// Applies the workspaces' limits of a configuration.
-    fn apply_limits(&mut self, cfg: &Configuration, now: Now) {
-        if self.limits_version == Some(cfg.version) {
-            return;
-        }
-        self.limits_version = Some(cfg.version);
-        let workspaces = cfg.workspaces.as_ref().map_or(&[][..], Workspaces::all);
-        self.quotas.configure(workspaces, now);
-        let limited = workspaces.iter().filter_map(|w| Some((w, w.limit?)));
-        let weights: BTreeMap<_, _> = limited
-            .map(|(w, limit)| (w.name.clone(), limit.per_s))
-            .collect();
-        if !workspaces.is_empty() {
-            let priorities: BTreeSet<Option<u8>> = workspaces.iter().map(|w| w.priority).collect();
-            tracing::info!(
-                event = "limits_applied",
-                version = cfg.version,
-                workspaces = workspaces.len(),
-                limited = weights.len(),
-                per_s = weights.values().sum::<f64>() as u64,
-                ?priorities
-            );
-        }
-        self.scheduler.set_weights(weights);
-    }
-}
-
 /// Sends a response unless the receiver has been dropped.
 fn respond(response_tx: oneshot::Sender<PlaceResponse>, response: PlaceResponse) {
     if response_tx.send(response).is_err() {
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -3,10 +3,12 @@
 
 mod attempt;
 mod replacement;
+mod replies;
 mod stream_origin;
 
 pub(crate) use attempt::Attempt;
 pub(crate) use replacement::{Attempts, Moved, StreamState};
+pub(crate) use replies::Progressed;
 
 use crate::call::{Call, Unroutable};
 use crate::dialect::Dialect;
@@ -22,9 +24,8 @@
 use http_body_util::{BodyExt as _, StreamBody};
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
-use reedford_fleet::Now;
 use reedford_fleet::health::CallOutcome;
-use reedford_fleet::scheduler::{Refusal, RefusalReason, Rejection};
+use reedford_fleet::scheduler::{Refusal, Rejection};
 use reedford_front::HttpService;
 use std::sync::Arc;
 use std::time::Duration;
@@ -69,16 +70,6 @@
     pub(crate) max_age: Option<Duration>,
 }
 
-/// How far a stream has come.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Progressed {
-    pub(crate) events: u64,
-    /// Time from the call's arrival to its first event.
-    pub(crate) first_event: Option<Duration>,
-    /// Longest time between two events.
-    pub(crate) longest_gap: Option<Duration>,
-}
-
 /// HTTP service for callers.
 #[derive(Debug)]
 pub(crate) struct CallerService<D>(pub(crate) Arc<Gateway<D>>);
@@ -482,111 +473,6 @@
         }
         taken
     }
-
-    /// Refuses a call without a key that allows it, or, if this node may not know the
-    /// newest keys, tells the caller to come back.
-    fn reply_denied(&self, path: &str, version: u64, reason: &'static str, now: Now) -> Reply {
-        let state = self.shared.lock();
-        let is_current = state.is_configuration_current(self.key_limits.denial, now);
-        drop(state);
-        if !is_current {
-            return self.reply_unconfirmed(reason);
-        }
-        tracing::info!(event = "refused", reason, path, version);
-        self.metrics.denied(reason);
-        reply::plain_text(StatusCode::UNAUTHORIZED, "the key is not known")
-    }
-
-    fn reply_unconfirmed(&self, reason: &'static str) -> Reply {
-        tracing::info!(event = "refused", reason, confirmed = false);
-        self.metrics.denied("unconfirmed");
-        self.reply_unavailable("the keys can't be confirmed", UNCONFIGURED_RETRY_AFTER)
-    }
-
-    fn reply_refused(&self, call: &Call, runs: u32, refusal: &Refusal) -> Reply {
-        self.record_end(call, "", refusal.reason.name(), Progressed::default());
-        if runs > 0 {
-            return reply::plain_text(StatusCode::BAD_GATEWAY, "no instance answered");
-        }
-        self.shared.put_back_charge(call);
-        let text = match refusal.reason {
-            RefusalReason::Overload
-            | RefusalReason::Deadline
-            | RefusalReason::NoEngine
-            | RefusalReason::Held => "there is no room in time",
-            RefusalReason::UnknownVersion | RefusalReason::VersionGone => {
-                "no instance can continue the stream"
-            }
-            RefusalReason::Quarantined => "instances crash under the request",
-            RefusalReason::LimitUnknown => "the workspace's limit can't be confirmed",
-            RefusalReason::KeyMoved => "the key was moved to another workspace",
-            RefusalReason::KeyWithdrawn => {
-                self.metrics.denied("key_withdrawn");
-                return reply::plain_text(StatusCode::UNAUTHORIZED, "the key is not known");
-            }
-            RefusalReason::Limit => {
-                return reply::plain_text_with(
-                    StatusCode::TOO_MANY_REQUESTS,
-                    "the workspace's limit is used up",
-                    self.dialect.retry_after_header(refusal.retry_after),
-                );
-            }
-        };
-        self.reply_unavailable(text, refusal.retry_after)
-    }
-
-    fn reply_not_run(&self, call: &Call, runs: u32, rejection: Rejection) -> Reply {
-        self.record_end(call, "", "not_run", Progressed::default());
-        if runs > 0 {
-            return reply::plain_text(StatusCode::BAD_GATEWAY, "no instance answered");
-        }
-        self.shared.put_back_charge(call);
-        let wait = match rejection {
-            Rejection::Missing => Duration::from_millis(150),
-            Rejection::Full | Rejection::Unreachable => NO_INSTANCE_RETRY_AFTER,
-        };
-        self.reply_unavailable("no instance took the call", wait)
-    }
-
-    fn reply_lost(&self, call: &Call, instance: &str, why: &'static str) -> Reply {
-        self.record_end(call, instance, why, Progressed::default());
-        if why == "deadline" {
-            return reply::plain_text(StatusCode::GATEWAY_TIMEOUT, "no answer in time");
-        }
-        reply::plain_text(StatusCode::BAD_GATEWAY, "the answer was lost")
-    }
-
-    fn reply_unavailable(&self, text: &'static str, wait: Duration) -> Reply {
-        reply::plain_text_with(
-            StatusCode::SERVICE_UNAVAILABLE,
-            text,
-            self.dialect.retry_after_header(wait),
-        )
-    }
-
-    /// Records the end of a call in metrics and log.
-    pub(crate) fn record_end(
-        &self,
-        call: &Call,
-        instance: &str,
-        outcome: &str,
-        progressed: Progressed,
-    ) {
-        let Progressed {
-            events,
-            first_event,
-            longest_gap,
-        } = progressed;
-        let took = self.shared.now().saturating_sub(call.arrived);
-        self.metrics.call(&call.route.name, outcome, took);
-        if let Some(gap) = longest_gap {
-            self.metrics.longest_gap(&call.route.name, gap);
-        }
-        tracing::info!(event = "call", id = %call.id, route = %call.route.name, instance,
-            workspace = call.caller.workspace().map(|w| &**w), outcome, events,
-            first_ms = first_event.map(|t| t.as_millis() as u64),
-            gap_ms = longest_gap.map(|t| t.as_millis() as u64), ms = took.as_millis() as u64);
-    }
 }
 
 async fn read_body(mut body: Incoming, limit: usize) -> Result<Bytes, StatusCode> {
--- /dev/null
+++ b/crates/gateway/src/sync/feed_client.rs
@@ -0,0 +1,245 @@
+//! Follows a coordinator's change feeds in place of the store.
+
+use super::{KeyHandler, Known, StoreSync, WatchEnd, WatchedPrefix};
+use crate::dialect::Dialect;
+use crate::feeds::{Feed, FeedItem, FeedMetadata, FeedResponse};
+use reedford_fleet::departures::DepartureSource;
+use reedford_fleet::directory::Absence;
+use reedford_fleet::{Era, Now};
+use reedford_store::{Change, ChangeKind, Entry, KeyValue, Listing, Position};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Timeout for a poll of the coordinator's feed, which waits less than half a
+/// second for changes.
+const FEED_POLL_TIMEOUT: Duration = Duration::from_millis(900);
+
+impl<D, K> StoreSync<D, K>
+where
+    D: Dialect,
+    K: KeyValue,
+{
+    /// Polls a coordinator's feed until it fails or another source should be
+    /// used.
+    pub(super) async fn poll_coordinator<F>(
+        &self,
+        addr: SocketAddr,
+        watched: WatchedPrefix<'_>,
+        known: &mut Known,
+        handler: &mut F,
+    ) -> WatchEnd
+    where
+        F: KeyHandler,
+    {
+        self.shared.feeds.clear(watched.feed);
+        let end = loop {
+            let Some(has_changes) = self.request_feed(addr, watched.feed, known, handler).await
+            else {
+                break WatchEnd::CoordinatorFailed;
+            };
+            if watched.feed == Feed::Instances {
+                self.set_followed(Some(addr));
+            }
+            if self.source(watched, Now::ZERO) != Some(addr) {
+                break WatchEnd::SourceChanged;
+            }
+            if has_changes {
+                sleep(watched.pause).await;
+            }
+        };
+        if watched.feed == Feed::Instances {
+            self.set_followed(None);
+        }
+        end
+    }
+
+    /// Requests the feed of operators' keys from a coordinator whenever it
+    /// reports a newer position than the known one, until it fails or is no longer the
+    /// one that this node follows.
+    pub(super) async fn fetch_changes<F>(
+        &self,
+        addr: SocketAddr,
+        known: &mut Known,
+        handler: &mut F,
+    ) -> WatchEnd
+    where
+        F: KeyHandler,
+    {
+        self.shared.feeds.clear(Feed::Operators);
+        let mut followed = self.shared.followed.subscribe();
+        let mut reported = self.shared.operators_position.subscribe();
+        loop {
+            let newest = *reported.borrow_and_update();
+            if known.position.revision == 0 || newest > known.position {
+                let answered = self
+                    .request_feed(addr, Feed::Operators, known, handler)
+                    .await
+                    .is_some();
+                // The coordinator may not have the change that an earlier one
+                // reported.
+                if !answered || known.position < newest {
+                    return WatchEnd::CoordinatorFailed;
+                }
+                continue;
+            }
+            tokio::select! {
+                _ = reported.changed() => {}
+                () = self.wait_until_restored(known.position.era) => return WatchEnd::SourceChanged,
+                _ = followed.wait_for(|f| *f != Some(addr)) => return WatchEnd::SourceChanged,
+            }
+        }
+    }
+
+    fn set_followed(&self, coordinator: Option<SocketAddr>) {
+        self.shared
+            .followed
+            .send_if_modified(|known| std::mem::replace(known, coordinator) != coordinator);
+    }
+
+    /// Requests a coordinator's feed after the known position, which becomes that
+    /// of the response. Returns whether there were changes; `None` if the
+    /// coordinator did not serve the feed. A response of an earlier era than the
+    /// newest is dropped.
+    async fn request_feed<F>(
+        &self,
+        addr: SocketAddr,
+        feed: Feed,
+        known: &mut Known,
+        handler: &mut F,
+    ) -> Option<bool>
+    where
+        F: KeyHandler,
+    {
+        let era = self.shared.eras.known();
+        let revision_in_era = |position: Position| {
+            let current = Some(position).filter(|position| Some(position.era) == era);
+            current.map_or(0, |position| position.revision)
+        };
+        let after = revision_in_era(known.position);
+        let operators = revision_in_era(*self.shared.operators_position.borrow());
+        let notices = self.shared.lock().followed_notices;
+        let notices = notices.filter(|(from, _)| *from == addr);
+        let notices = Some(notices.map_or(0, |(_, revision)| revision));
+        let response = self
+            .peers
+            .call(addr, FEED_POLL_TIMEOUT, |peer, cx| async move {
+                peer.news(cx, feed, after, operators, era, notices).await
+            })
+            .await;
+        {
+            let now = self.shared.now();
+            let mut state = self.shared.lock();
+            match &response {
+                Ok(FeedResponse::Unknown) => state.connectivity.on_success(),
+                Ok(FeedResponse::Listing { .. } | FeedResponse::Changes { .. }) => {
+                    state.connectivity.on_success();
+                    state.configuration_confirmed = Some(now);
+                }
+                Err(_) => state.connectivity.on_failure(now),
+            }
+        }
+        let (era, metadata, has_changes) = match response {
+            Ok(
+                FeedResponse::Listing { era, revision, .. }
+                | FeedResponse::Changes { era, revision, .. },
+            ) if !self.shared.eras.observe(era) => {
+                tracing::info!(event = "feed_outdated", ?feed, %addr, %era, revision);
+                return Some(false);
+            }
+            Ok(FeedResponse::Listing {
+                era,
+                revision,
+                items,
+                lapsed,
+                metadata,
+            }) => {
+                let is_later_era = known.position.revision > 0 && known.position.era < era;
+                let absence = if std::mem::take(&mut known.restored) || is_later_era {
+                    Absence::Restored
+                } else if lapsed {
+                    Absence::Lapsed
+                } else {
+                    Absence::Removed
+                };
+                known.position = Position { era, revision };
+                let entries = items.into_iter().filter_map(into_entry).collect();
+                let listing = Listing {
+                    era,
+                    revision,
+                    entries,
+                };
+                handler.on_listing(listing, absence);
+                (era, metadata, true)
+            }
+            Ok(FeedResponse::Changes {
+                era,
+                revision,
+                items,
+                metadata,
+            }) => {
+                known.position = Position { era, revision }.max(known.position);
+                let has_changes = !items.is_empty();
+                items
+                    .into_iter()
+                    .map(into_change)
+                    .for_each(|c| handler.on_change(c, era));
+                (era, metadata, has_changes)
+            }
+            Ok(FeedResponse::Unknown) => {
+                tracing::info!(event = "feed_unknown", ?feed, %addr);
+                return None;
+            }
+            Err(error) => {
+                tracing::info!(event = "feed_lost", ?feed, %addr, %error);
+                return None;
+            }
+        };
+        handler.on_batch_end();
+        self.on_metadata(addr, era, metadata);
+        Some(has_changes)
+    }
+
+    fn on_metadata(&self, addr: SocketAddr, era: Era, metadata: FeedMetadata) {
+        if let Some(news) = metadata.notices {
+            self.shared.merge_evidence(&news.crashes, "coordinator");
+            self.shared.merge_rate_limits(&news.limits);
+            self.shared.lock().followed_notices = Some((addr, news.revision));
+        }
+        if metadata.nodes > 0 {
+            let now = self.shared.now();
+            self.shared.lock().set_node_count(metadata.nodes, now);
+        }
+        for (id, born) in &metadata.leaving {
+            self.shared.on_departure(id, *born, DepartureSource::Node);
+        }
+        let position = Position {
+            era,
+            revision: metadata.operators,
+        };
+        self.shared.operators_position.send_if_modified(|known| {
+            let newer = *known < position;
+            *known = (*known).max(position);
+            newer
+        });
+    }
+}
+
+fn into_entry(item: FeedItem) -> Option<Entry> {
+    Some(Entry {
+        key: item.key,
+        value: item.value?.into_string().into_bytes(),
+        revision: item.revision,
+    })
+}
+
+fn into_change(item: FeedItem) -> Change {
+    Change {
+        key: item.key,
+        revision: item.revision,
+        kind: match item.value {
+            Some(value) => ChangeKind::Put(value.into_string().into_bytes()),
+            None => ChangeKind::Delete,
+        },
+    }
+}
