--- a/crates/gateway/src/stream_record.rs
+++ b/crates/gateway/src/stream_record.rs
@@ -32,7 +32,7 @@
 /// token and the number of the segment.
 const ORIGINS_PREFIX: &str = "reedford/streams/origins/";
 /// Interval between two writes.
-const WRITE_INTERVAL: Duration = Duration::from_millis(200);
+const WRITE_INTERVAL: Duration = Duration::from_millis(80);
 /// Time after which a new segment begins.
 const SEGMENT_TIME: Duration = Duration::from_secs(2);
 /// Origins in one segment, well below the largest value that the store takes.
