Coordinators yield to nodes of 1.5 times their cores

A node of 0.3 core had become coordinator of a zone with nodes of 0.5 and kept the role, since only twice its cores made it yield; it sent a configuration with 600 more routes to 35 nodes so slowly that their polls timed out and began anew.

Change: a coordinator yields to a node with 1.5 times its cores.

--- a/crates/gateway/src/membership/zone_peers.rs
+++ b/crates/gateway/src/membership/zone_peers.rs
@@ -16,8 +16,9 @@
 /// meanwhile.
 const PEER_TIMEOUT: Duration = Duration::from_millis(600);
 /// Ratio of cores at or above which another node should be coordinator instead,
-/// because a coordinator schedules for its whole zone.
-const YIELD_CORES_RATIO: f64 = 2.0;
+/// because a coordinator schedules for its whole zone and sends each configuration to
+/// its nodes.
+const YIELD_CORES_RATIO: f64 = 1.5;
 
 /// Another node of the zone.
 #[derive(Clone, Copy, Debug)]
