Resumed streams first; record those that began before several versions served

Change: a call that resumes a stream goes before those that begin one of the same lateness; when a service gets a second version, the origins known so far are written, too.

--- a/crates/fleet/src/scheduler/queue_order.rs
+++ b/crates/fleet/src/scheduler/queue_order.rs
@@ -12,6 +12,9 @@
 pub(super) struct QueueRank {
     /// Whether the call can no longer start in time.
     pub(super) late: bool,
+    /// Whether the call begins a stream. One that resumes a stream goes first: the caller
+    /// has a part of it, and fewer engines can go on.
+    begins: bool,
     /// Priority of the workspace, or of the route if it has none.
     workspace_priority: u8,
     priority: u8,
@@ -79,6 +82,7 @@
         let priority = self.request.priority;
         QueueRank {
             late: soonest > self.request.objective_at,
+            begins: self.request.software.is_none(),
             workspace_priority: self.request.workspace_priority.unwrap_or(priority),
             priority,
         }
--- a/crates/fleet/tests/scheduler/fair_shares.rs
+++ b/crates/fleet/tests/scheduler/fair_shares.rs
@@ -141,3 +141,19 @@
     zone.run(ms(1_000));
     assert_eq!(zone.in_time_by_workspace.get("checks"), Some(&1));
 }
+
+/// A call that resumes a stream goes before those that begin one, and is not refused for
+/// the queue of calls that do.
+#[test]
+fn a_resumed_stream_goes_before_new_ones() {
+    let mut zone = Zone::new(1);
+    for n in 0..12 {
+        zone.submit(request(&format!("new{n}"), "a", zone.now()));
+    }
+    let mut call = request("resumed", "a", zone.now());
+    call.software = Some("v1".into());
+    call.workspace = Some("resuming".into());
+    zone.submit(call);
+    zone.run(ms(900));
+    assert_eq!(zone.in_time_by_workspace.get("resuming"), Some(&1));
+}
--- a/crates/gateway/src/stream_record.rs
+++ b/crates/gateway/src/stream_record.rs
@@ -7,6 +7,7 @@
 //! has run for less than that lifetime reads them when a caller resumes a stream.
 
 use crate::membership::ZONE_PREFIX;
+use crate::peer::StreamRecord;
 use crate::settings::GatewaySettings;
 use crate::state::Shared;
 use reedford_fleet::Now;
@@ -221,10 +222,8 @@
             let new = std::mem::take(&mut state.unstored_origins);
             (state.stream_lifetime(), new)
         };
-        let is_mixed = |origin: &StreamOrigin| {
-            let versions = versions.get(&origin.service);
-            versions.is_some_and(|versions| versions.len() > 1)
-        };
+        let is_mixed = |origin: &StreamOrigin| has_several(&versions, &origin.service);
+        let new = self.with_earlier(new, &versions, term);
         let (new, others): (Vec<_>, Vec<_>) =
             new.into_iter().partition(|record| is_mixed(&record.origin));
         if is_known {
@@ -260,6 +259,32 @@
         Ok(())
     }
 
+    /// Adds the streams that began before a service had several versions, if it has them
+    /// now.
+    fn with_earlier(
+        &self,
+        mut new: Vec<StreamRecord>,
+        versions: &VersionSets,
+        term: &Term,
+    ) -> Vec<StreamRecord> {
+        let was_mixed = |service: &str| {
+            let written = term.versions.as_ref();
+            written.is_some_and(|versions| has_several(versions, service))
+        };
+        let newly_mixed = |service: &str| has_several(versions, service) && !was_mixed(service);
+        if !versions.keys().any(|service| newly_mixed(service)) {
+            return new;
+        }
+        let state = self.shared.lock();
+        let earlier = state.stream_versions.newest().take(MAX_SEGMENT_ORIGINS);
+        let earlier = earlier.filter(|(_, origin)| newly_mixed(&origin.service));
+        new.extend(earlier.map(|(attempt, origin)| StreamRecord {
+            attempt: attempt.clone(),
+            origin: origin.clone(),
+        }));
+        new
+    }
+
     /// Returns the versions that served within the lifetime of a stream, with those that
     /// the store names while this node has not run for so long.
     fn serving_versions(&self, term: &Term, now: Now) -> VersionSets {
@@ -402,6 +427,12 @@
     }
 }
 
+fn has_several(versions: &VersionSets, service: &str) -> bool {
+    versions
+        .get(service)
+        .is_some_and(|versions| versions.len() > 1)
+}
+
 fn digest(attempt: &str) -> AttemptDigest {
     let digest = Sha256::digest(attempt.as_bytes());
     let first = digest.first_chunk().expect("a digest has 32 bytes");
