--- a/review/standins/twice.rs
+++ b/review/standins/twice.rs
@@ -12,10 +12,12 @@
 const WORKERS: usize = 5;
 /// Workers that hand out copies: a share of 0.6.
 const GARBLING: usize = 3;
+/// Times that the disruption comes, with a pause of its length after each.
+const TIMES: usize = 4;
 const GARBLE: Duration = Duration::from_secs(5);
 /// Time to load an adapter that a worker has not held.
 const LOAD_TIME: Duration = Duration::from_millis(288);
-const PAUSE: Duration = Duration::from_millis(30);
+const PAUSE: Duration = Duration::from_millis(15);
 
 /// Returns whether the rules held; `None` if the case could not run.
 pub fn run(record: &Record, trouble: bool) -> Option<bool> {
@@ -35,7 +37,19 @@
     held
 }
 
+/// Plays the disruption up to [`TIMES`] times.
 fn play(fleet: &Fleet, trouble: bool) -> Option<bool> {
+    for time in 0..TIMES {
+        let held = play_once(fleet, trouble, time);
+        if held != Some(true) {
+            return held;
+        }
+        thread::sleep(GARBLE);
+    }
+    Some(true)
+}
+
+fn play_once(fleet: &Fleet, trouble: bool, time: usize) -> Option<bool> {
     let record = &fleet.record;
     if trouble {
         record.line("3 of 5 workers hand out late second copies of up to 3 in 100 answers");
@@ -51,11 +65,11 @@
         while Instant::now() < end {
             // Most calls use a few adapters; each second one is for a rare adapter.
             let adapter = if n % 2 == 0 {
-                format!("b{n}")
+                format!("b{time}-{n}")
             } else {
                 format!("a{}", n % 10)
             };
-            let id = format!("call-{n}");
+            let id = format!("call-{time}-{n}");
             let node = n % NODES;
             calls.push(scope.spawn(move || {
                 let answer = fleet.stream(node, &id, &adapter, 2, 20);
--- a/review/standins/worker.rs
+++ b/review/standins/worker.rs
@@ -30,6 +30,8 @@
     /// Answers since the worker began to hand out copies, and the copies.
     answers: usize,
     copies: usize,
+    /// Calls that were answered with 421, and how often.
+    rejected: BTreeMap<String, u32>,
 }
 
 pub struct Worker {
@@ -170,18 +172,11 @@
 
     fn serve(&self, node: usize, mut stream: TcpStream) -> io::Result<()> {
         let mut reader = BufReader::new(stream.try_clone()?);
-        // A second copy of the last answer, which comes where the next one is expected.
-        let mut copy: Option<String> = None;
+        // The last answer on the connection and its call, if that did not run.
+        let mut last: Option<(String, String)> = None;
         while let Some(req) = read_message(&mut reader)? {
-            if let Some(copy) = copy.take() {
-                self.record.line(&format!(
-                    "worker {} sends the second copy of {:?} where the answer to {} is expected",
-                    self.id,
-                    copy.lines().next().unwrap_or(""),
-                    req.header("attempt-id").unwrap_or(req.path()),
-                ));
-                stream.write_all(copy.as_bytes())?;
-            }
+            let attempt = req.header("attempt-id").unwrap_or("");
+            let copy = last.take().filter(|(id, _)| id == attempt).map(|(_, answer)| answer);
             match req.path() {
                 "/-/report" => {
                     let mut state = self.state.lock().unwrap();
@@ -204,7 +199,7 @@
                     let status = self.order(&req);
                     write_json(&mut stream, status, "{}")?;
                 }
-                _ => copy = self.call(node, &req, &mut stream)?,
+                _ => last = self.call(node, &req, copy, &mut stream)?,
             }
         }
         Ok(())
@@ -243,13 +238,25 @@
         status
     }
 
-    /// Answers a call. Returns the second copy of the answer if there will be one.
+    /// Whether the worker hands out one more second copy, which comes late: where the
+    /// answer to the next request is expected.
+    fn take_copy(&self) -> bool {
+        let mut state = self.state.lock().unwrap();
+        let limit = state.answers as f64 * COPIED_SHARE;
+        let is_copied = self.copies.load(Ordering::SeqCst) && (state.copies + 1) as f64 <= limit;
+        state.copies += usize::from(is_copied);
+        is_copied
+    }
+
+    /// Answers a call. `copy` is an earlier answer to it on the connection, of which a second
+    /// copy may come first. Returns the call and the answer if it did not run.
     fn call(
         &self,
         node: usize,
         req: &Message,
+        copy: Option<String>,
         stream: &mut TcpStream,
-    ) -> io::Result<Option<String>> {
+    ) -> io::Result<Option<(String, String)>> {
         let attempt = req.header("attempt-id").unwrap_or("").to_owned();
         let mut state = self.state.lock().unwrap();
         state.complete_loads();
@@ -258,27 +265,33 @@
             None => true,
         };
         let is_expected = req.header("expect-instance").is_none_or(|id| id == self.id);
-        let copies = self.copies.load(Ordering::SeqCst);
-        state.answers += usize::from(copies);
+        state.answers += usize::from(self.copies.load(Ordering::SeqCst));
         if !held || !is_expected {
             let answer = format!(
                 "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: {attempt}\r\nInstance-Id: {}\r\n\
                  Not-Executed: 1\r\nKeep-Alive: timeout=10\r\nContent-Length: 0\r\n\r\n",
                 self.id
             );
-            let limit = state.answers as f64 * COPIED_SHARE;
-            let is_copied = copies && (state.copies + 1) as f64 <= limit;
-            state.copies += usize::from(is_copied);
+            *state.rejected.entry(attempt.clone()).or_default() += 1;
             drop(state);
             self.record.line(&format!(
                 "worker {} answers {attempt} with 421, adapter resident: {held}",
                 self.id
             ));
             stream.write_all(answer.as_bytes())?;
-            return Ok(is_copied.then_some(answer));
+            return Ok(Some((attempt, answer)));
         }
+        let is_first_retry = state.rejected.get(&attempt) == Some(&1);
         drop(state);
         self.record.run(&attempt, &self.id, node);
+        if let Some(copy) = copy.filter(|_| is_first_retry && self.take_copy()) {
+            self.record.line(&format!(
+                "worker {} sends the second copy of {:?} where the answer to {attempt} is expected",
+                self.id,
+                copy.lines().next().unwrap_or("")
+            ));
+            stream.write_all(copy.as_bytes())?;
+        }
         // The last two parts of the path are the number of events and their pause.
         let mut parts = req.path().rsplit('/');
         let pause = parts.next().and_then(|n| n.parse().ok()).unwrap_or(20);
