Log: name connection, exchange and id of responses that reject a call

instance_refused, answer_of_another_call and answer_without_id now have conn and exchange, the first also identified; unproven_rejection is new. Connections of a pool are numbered and count their requests.

--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -5,7 +5,7 @@
 use crate::dialer::InstanceDialer;
 use crate::state::Shared;
 use http_body_util::Full;
-use hyper::{HeaderMap, Request};
+use hyper::{HeaderMap, Request, StatusCode};
 use reedford_fleet::Now;
 use reedford_fleet::health::CallOutcome;
 use reedford_fleet::quarantine::BLAME_TIME;
@@ -200,26 +200,36 @@
         if head.attempt_id.as_ref().is_some_and(|id| *id != call.id) {
             // A response to an earlier call; dropping it closes its connection.
             tracing::warn!(event = "answer_of_another_call", id = %call.id,
-                instance = %grant.instance);
+                instance = %grant.instance, status = incoming.status.as_u16(),
+                conn = incoming.conn.id, exchange = incoming.conn.exchanges);
             return SendOutcome::Lost("answer_of_another_call");
         }
         let is_identified = head.attempt_id.is_some() || call.id.is_empty();
+        let (conn, exchange) = (incoming.conn.id, incoming.conn.exchanges);
         if incoming.status.is_success() && !is_identified {
             // It may be a copy of the response to an earlier call.
             tracing::warn!(event = "answer_without_id", id = %call.id,
-                instance = %grant.instance);
+                instance = %grant.instance, status = incoming.status.as_u16(), conn, exchange);
             return SendOutcome::Lost("answer_without_id");
         }
         match head.not_run {
-            None => SendOutcome::Response(Box::new(PendingResponse {
-                incoming,
-                slowdown: head.load.and_then(|load| load.slowdown),
-            })),
+            None => {
+                let status = incoming.status;
+                if promises_not_run(status) {
+                    tracing::warn!(event = "unproven_rejection", id = %call.id,
+                        instance = %grant.instance, status = status.as_u16(), conn, exchange);
+                }
+                SendOutcome::Response(Box::new(PendingResponse {
+                    incoming,
+                    slowdown: head.load.and_then(|load| load.slowdown),
+                }))
+            }
             Some(why) => {
                 let status = incoming.status.as_u16();
                 self.drain_rejection(incoming).await;
                 tracing::info!(event = "instance_refused", id = %call.id,
-                    instance = %grant.instance, status, why = ?why);
+                    instance = %grant.instance, status, why = ?why, conn, exchange,
+                    identified = head.attempt_id.is_some());
                 SendOutcome::NotRun(match why {
                     NotRunReason::Misdirected => Rejection::Missing,
                     NotRunReason::Full => {
@@ -298,6 +308,17 @@
     }
 }
 
+/// Whether a status tells callers that the call did not run and never will.
+const fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// The ids of a prompt's parts, as callers write them.
 struct PartIds<'a>(&'a [PromptPart]);
 
--- a/crates/targets/src/exchange.rs
+++ b/crates/targets/src/exchange.rs
@@ -216,6 +216,7 @@
     {
         req.headers_mut().insert(header::HOST, host);
     }
+    conn.exchanges = conn.exchanges.saturating_add(1);
     let sent = timeout_at(limit.at, conn.sender.try_send_request(req)).await;
     match sent {
         Ok(Ok(res)) => {
--- a/crates/targets/src/lib.rs
+++ b/crates/targets/src/lib.rs
@@ -32,7 +32,7 @@
     send_request_on,
 };
 pub use options::{DispatchOptions, PlainRequest, Timeouts};
-pub use pool::{Connection, Dialed, Dialer, Pool};
+pub use pool::{Connection, ConnectionId, Dialed, Dialer, Pool};
 pub use response::{Cancellation, DispatchResponse, PlainResponse};
 pub use sse::{Event, EventReader, InvalidEvent};
 pub use status::refusal_status;
--- a/crates/targets/src/pool.rs
+++ b/crates/targets/src/pool.rs
@@ -15,6 +15,7 @@
 use std::collections::BTreeMap;
 use std::fmt::Debug;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
@@ -55,9 +56,16 @@
     Direct,
 }
 
+/// Number of a connection, unique within its pool.
+pub type ConnectionId = u64;
+
 /// An open connection, closed when dropped.
 #[derive(Debug)]
 pub struct Connection {
+    /// Number of the connection.
+    pub id: ConnectionId,
+    /// Requests that were sent on it.
+    pub exchanges: u32,
     /// Address of the target.
     pub addr: SocketAddr,
     /// Sends requests on the connection.
@@ -81,6 +89,7 @@
     connect_timeout: Duration,
     /// Opens connections; they are opened directly if there is none.
     dialer: Option<Arc<dyn Dialer>>,
+    opened: AtomicU64,
     tasks: TaskTracker,
 }
 
@@ -92,6 +101,7 @@
             closing: CancellationToken::new(),
             connect_timeout,
             dialer: None,
+            opened: AtomicU64::default(),
             tasks: TaskTracker::new(),
         }
     }
@@ -243,6 +253,8 @@
             let _result = stopped.run_until_cancelled_owned(driver).await;
         });
         Ok(Connection {
+            id: self.opened.fetch_add(1, Ordering::Relaxed),
+            exchanges: 0,
             addr,
             sender,
             relayed,
