Rejections: require the call's id unless the response is a connection's first

Cause: the id of a success was required, that of a rejection was not, so that a late copy of any earlier rejection on a kept connection counted as proof that the current call had not run. The class of fault is evidence that belongs to another exchange.

Change: crates/fleet/src/attribution.rs decides which request a response belongs to, by its id and the number of the request on the connection. A response without an id belongs to the call only if it is the first one on the connection, where nothing else can have put it; otherwise it is dropped with its connection, the outcome is unknown, an idempotent call is retried and any other gets 502. The rule now holds for all statuses, so that an error response of another call isn't passed on either.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 //! | module | decides |
 //! |---|---|
 //! | [`config`] | route and service of a call |
+//! | [`attribution`] | which request a response belongs to |
 //! | [`departures`] | which instances announced that they are leaving |
 //! | [`directory`] | which instances may be used, also during outages of the store |
 //! | [`scheduler`] | where model calls run, which adapters are loaded and evicted |
@@ -28,6 +29,7 @@
 //! | [`workspaces`] | whose key a call has, and whether it may use a route |
 //! | [`quota`] | whether a workspace has used up its limit |
 
+pub mod attribution;
 pub mod balancer;
 pub mod budget;
 pub mod config;
--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -7,6 +7,7 @@
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, StatusCode};
 use reedford_fleet::Now;
+use reedford_fleet::attribution::{Attribution, Exchange};
 use reedford_fleet::health::CallOutcome;
 use reedford_fleet::quarantine::BLAME_TIME;
 use reedford_fleet::scheduler::{Grant, PromptPart, Rejection};
@@ -197,24 +198,26 @@
                 .balancer
                 .on_load_report(&grant.instance, load, now);
         }
-        if head.attempt_id.as_ref().is_some_and(|id| *id != call.id) {
-            // A response to an earlier call; dropping it closes its connection.
-            tracing::warn!(event = "answer_of_another_call", id = %call.id,
-                instance = %grant.instance, status = incoming.status.as_u16(),
-                conn = incoming.conn.id, exchange = incoming.conn.exchanges);
-            return SendOutcome::Lost("answer_of_another_call");
-        }
-        let is_identified = head.attempt_id.is_some() || call.id.is_empty();
-        let (conn, exchange) = (incoming.conn.id, incoming.conn.exchanges);
-        if incoming.status.is_success() && !is_identified {
-            // It may be a copy of the response to an earlier call.
-            tracing::warn!(event = "answer_without_id", id = %call.id,
-                instance = %grant.instance, status = incoming.status.as_u16(), conn, exchange);
-            return SendOutcome::Lost("answer_without_id");
+        let is_success = incoming.status.is_success();
+        let exchange = Exchange {
+            call: &call.id,
+            number: incoming.conn.exchanges,
+        };
+        let dropped = match exchange.attribute(head.attempt_id.as_deref(), is_success) {
+            Attribution::This => None,
+            Attribution::Other => Some("answer_of_another_call"),
+            Attribution::Unknown => Some("answer_without_id"),
+        };
+        let (status, conn) = (incoming.status, incoming.conn.id);
+        let exchange = exchange.number;
+        if let Some(event) = dropped {
+            // Dropping the response closes its connection.
+            tracing::warn!(event, id = %call.id, instance = %grant.instance,
+                status = status.as_u16(), conn, exchange);
+            return SendOutcome::Lost(event);
         }
         match head.not_run {
             None => {
-                let status = incoming.status;
                 if promises_not_run(status) {
                     tracing::warn!(event = "unproven_rejection", id = %call.id,
                         instance = %grant.instance, status = status.as_u16(), conn, exchange);
@@ -225,11 +228,10 @@
                 }))
             }
             Some(why) => {
-                let status = incoming.status.as_u16();
                 self.drain_rejection(incoming).await;
                 tracing::info!(event = "instance_refused", id = %call.id,
-                    instance = %grant.instance, status, why = ?why, conn, exchange,
-                    identified = head.attempt_id.is_some());
+                    instance = %grant.instance, status = status.as_u16(), why = ?why, conn,
+                    exchange, identified = head.attempt_id.is_some());
                 SendOutcome::NotRun(match why {
                     NotRunReason::Misdirected => Rejection::Missing,
                     NotRunReason::Full => {
