A call that an instance rejected goes there again on a connection of its own

Cause: after a 421 the same call may go to the same instance again, once its load of the adapter is complete, and took the connection that the rejection had come on. The id names the call, not the exchange, so that a late copy of that rejection was taken for the response to the retry. The node then placed the call once more (TWICE) or, at the third rejection or without a retry in the budget, refused it (REFUSED).

Change: a node records the instances that a call was sent to; a further sending to one of them opens a connection, and a response with the call's id counts for it only if it is the connection's first. Another idle connection would do against copies on the connection that they were sent on first; a new one holds for any kept connection, at the price of one connection a retry. attempts, exchange and pool take the choice of the connection as Reuse, which moves from exchange to pool.

--- a/crates/fleet/src/attribution.rs
+++ b/crates/fleet/src/attribution.rs
@@ -12,6 +12,9 @@
     pub call: &'a str,
     /// Number of the request on its connection, from 1.
     pub number: u32,
+    /// Whether the call was sent to the instance before, so that earlier responses may
+    /// have its id.
+    pub again: bool,
 }
 
 /// Which request a response belongs to.
@@ -29,13 +32,15 @@
     /// Attributes a response by the call id in its head, if there is one.
     #[must_use]
     pub fn attribute(&self, response: Option<&str>, is_success: bool) -> Attribution {
+        // There is no earlier response on the connection that could be copied.
+        let is_first = self.number == 1;
         match response {
-            Some(id) if id == self.call => Attribution::This,
-            Some(_) => Attribution::Other,
+            Some(id) if id != self.call => Attribution::Other,
+            Some(_) if is_first || !self.again => Attribution::This,
+            Some(_) => Attribution::Unknown,
             // An instance that has run a call knows its id.
             None if is_success && !self.call.is_empty() => Attribution::Unknown,
-            // There is no earlier response on the connection that could be copied.
-            None if self.number == 1 => Attribution::This,
+            None if is_first => Attribution::This,
             None => Attribution::Unknown,
         }
     }
--- a/crates/fleet/tests/attribution.rs
+++ b/crates/fleet/tests/attribution.rs
@@ -6,6 +6,7 @@
 struct Case {
     call: &'static str,
     number: u32,
+    again: bool,
     response: Option<&'static str>,
     is_success: bool,
     attribution: Attribution,
@@ -16,6 +17,7 @@
     const LATER: Self = Self {
         call: "a",
         number: 2,
+        again: false,
         response: Some("a"),
         is_success: false,
         attribution: Attribution::This,
@@ -27,6 +29,8 @@
 #[test_case(Case { response: Some("b"), attribution: Attribution::Other, ..Case::LATER }; "another id")]
 #[test_case(Case { number: 1, response: Some("b"), attribution: Attribution::Other, ..Case::LATER }; "another id in the first response")]
 #[test_case(Case { response: Some(""), attribution: Attribution::Other, ..Case::LATER }; "an empty id")]
+#[test_case(Case { again: true, attribution: Attribution::Unknown, ..Case::LATER }; "its id, sent again")]
+#[test_case(Case { again: true, number: 1, ..Case::LATER }; "its id, sent again on a new connection")]
 #[test_case(Case { response: None, attribution: Attribution::Unknown, ..Case::LATER }; "no id")]
 #[test_case(Case { number: 1, response: None, ..Case::LATER }; "no id in the first response")]
 #[test_case(Case { number: 1, response: None, is_success: true, attribution: Attribution::Unknown, ..Case::LATER }; "no id in a success")]
@@ -36,6 +40,7 @@
     let exchange = Exchange {
         call: case.call,
         number: case.number,
+        again: case.again,
     };
     let attribution = exchange.attribute(case.response, case.is_success);
     assert_eq!(attribution, case.attribution);
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -17,7 +17,7 @@
 use crate::progress::ProgressTx;
 use crate::relay::Relay;
 use crate::reply::{self, Reply, ReplyBody};
-use crate::sender::{PendingResponse, SendOutcome, Sender, idle_timeout, lost_reason};
+use crate::sender::{PendingResponse, SendOutcome, Sender, Sending, idle_timeout, lost_reason};
 use crate::state::Shared;
 use crate::stream_record::StreamRecordTx;
 use bytes::{Bytes, BytesMut};
@@ -250,7 +250,8 @@
         attempt: &Attempt<D>,
         attempts: &mut Attempts,
     ) -> UnaryOutcome {
-        let first = self.send_unary(call, attempt);
+        let again = attempts.record_sent(&attempt.grant.instance);
+        let first = self.send_unary(call, attempt, again);
         let mut first = std::pin::pin!(first);
         let instance = &attempt.grant.instance;
         attempts.runs += 1;
@@ -262,9 +263,10 @@
                 next = self.replace_silent(call, attempts, instance, from) => next,
             };
             attempts.runs += 1;
+            let again = attempts.record_sent(&next.grant.instance);
             attempts.tried.insert(next.grant.instance.clone());
             let outcome = {
-                let second = self.send_unary(call, &next);
+                let second = self.send_unary(call, &next, again);
                 let mut second = std::pin::pin!(second);
                 tokio::select! {
                     biased;
@@ -292,8 +294,14 @@
         }
     }
 
-    async fn send_unary(&self, call: &Call, attempt: &Attempt<D>) -> UnaryOutcome {
-        match self.sender.send(call, &attempt.grant, None).await {
+    async fn send_unary(&self, call: &Call, attempt: &Attempt<D>, again: bool) -> UnaryOutcome {
+        let sending = Sending {
+            call,
+            grant: &attempt.grant,
+            last_event_id: None,
+            again,
+        };
+        match self.sender.send(sending).await {
             SendOutcome::Response(response) => {
                 let read = self.read_response(call, attempt, *response).await;
                 read.map_or_else(UnaryOutcome::Lost, UnaryOutcome::Response)
@@ -429,7 +437,12 @@
             last_event_id,
             silence_limit: call.route.objective.mul_f64(STREAM_SILENCE_FACTOR),
         };
-        let sending = self.sender.send(call, &attempt.grant, last_event_id);
+        let sending = self.sender.send(Sending {
+            call,
+            grant: &attempt.grant,
+            last_event_id,
+            again: attempts.record_sent(&attempt.grant.instance),
+        });
         let is_lost = |sent: &SendOutcome| !sent.is_success();
         let moved = self.move_if_silent(&stream, attempts, sending, is_lost);
         let sent = match moved.await {
--- a/crates/gateway/src/handler/replacement.rs
+++ b/crates/gateway/src/handler/replacement.rs
@@ -6,7 +6,7 @@
 use super::{Attempt, Gateway};
 use crate::call::Call;
 use crate::dialect::Dialect;
-use crate::sender::SendOutcome;
+use crate::sender::{SendOutcome, Sending};
 use futures::FutureExt as _;
 use futures::future::BoxFuture;
 use reedford_fleet::{InstanceId, Now};
@@ -27,10 +27,19 @@
 pub(crate) struct Attempts {
     /// Instances that are not tried again.
     pub(crate) tried: BTreeSet<InstanceId>,
+    /// Instances that the call was sent to.
+    sent_to: BTreeSet<InstanceId>,
     /// Number of attempts that may have run the call.
     pub(crate) runs: u32,
 }
 
+impl Attempts {
+    /// Records that the call is sent to an instance; returns whether it was before.
+    pub(crate) fn record_sent(&mut self, instance: &InstanceId) -> bool {
+        !self.sent_to.insert(instance.clone())
+    }
+}
+
 /// A stream at an instance.
 pub(crate) struct StreamState<'a> {
     pub(crate) call: &'a Call,
@@ -94,10 +103,17 @@
             };
             tracing::info!(event = "stream_silent", id = %call.id, %instance,
                 next = %next.grant.instance);
+            let grant = next.grant.clone();
+            let sending = Sending {
+                call,
+                grant: &grant,
+                last_event_id: stream.last_event_id,
+                again: attempts.record_sent(&grant.instance),
+            };
             let conn = tokio::select! {
                 biased;
                 output = first.as_mut() => return Moved::Stayed(output),
-                conn = self.sender.connect(call, &next.grant) => conn,
+                conn = self.sender.connect(sending) => conn,
             };
             attempts.tried.insert(next.grant.instance.clone());
             from = self.shared.now() + SEARCH_INTERVAL;
@@ -109,9 +125,7 @@
                 }
             };
             attempts.runs += 1;
-            let last = stream.last_event_id;
-            let grant = next.grant.clone();
-            let second = self.sender.send_on(conn, call, &grant, last).boxed();
+            let second = self.sender.send_on(conn, sending).boxed();
             match overlap(first, second, &is_lost).await {
                 Overlap::First(output) => return Moved::Stayed(output),
                 Overlap::OnlySecond(second) => {
--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -12,7 +12,7 @@
 use reedford_fleet::quarantine::BLAME_TIME;
 use reedford_fleet::scheduler::{Grant, PromptPart, Rejection};
 use reedford_targets::{
-    CallError, Connection, HeadDeadline, IncomingResponse, LostReason, NotSentReason, Pool,
+    CallError, Connection, HeadDeadline, IncomingResponse, LostReason, NotSentReason, Pool, Reuse,
     send_request_on,
 };
 use std::fmt;
@@ -33,6 +33,28 @@
     pub(crate) dialer: InstanceDialer,
 }
 
+/// One sending of a call to an instance.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Sending<'a> {
+    pub(crate) call: &'a Call,
+    pub(crate) grant: &'a Grant,
+    pub(crate) last_event_id: Option<&'a str>,
+    /// Whether the call was sent to the instance before.
+    pub(crate) again: bool,
+}
+
+impl Sending<'_> {
+    /// Only on a connection of its own can the response to a call that is sent to an
+    /// instance again be told from earlier responses.
+    const fn reuse(&self) -> Reuse {
+        if self.again {
+            Reuse::Never
+        } else {
+            Reuse::Allowed
+        }
+    }
+}
+
 /// Result of sending a call, up to the head of the response.
 #[derive(Debug)]
 pub(crate) enum SendOutcome {
@@ -67,40 +89,27 @@
 {
     /// Sends a call and waits for the head of the response until the call's
     /// deadline.
-    pub(crate) async fn send(
-        &self,
-        call: &Call,
-        grant: &Grant,
-        last_event_id: Option<&str>,
-    ) -> SendOutcome {
-        match self.connect(call, grant).await {
-            Ok(conn) => self.send_on(conn, call, grant, last_event_id).await,
+    pub(crate) async fn send(&self, sending: Sending<'_>) -> SendOutcome {
+        match self.connect(sending).await {
+            Ok(conn) => self.send_on(conn, sending).await,
             Err(rejection) => SendOutcome::NotRun(rejection),
         }
     }
 
     /// Takes an idle connection to an instance, or opens one.
-    pub(crate) async fn connect(
-        &self,
-        call: &Call,
-        grant: &Grant,
-    ) -> Result<Connection, Rejection> {
+    pub(crate) async fn connect(&self, sending: Sending<'_>) -> Result<Connection, Rejection> {
+        let Sending { call, grant, .. } = sending;
         let deadline = self.shared.clock.instant(call.deadline);
-        timeout_at(deadline, self.pool.acquire(grant.addr))
+        timeout_at(deadline, self.pool.acquire(grant.addr, sending.reuse()))
             .await
             .unwrap_or(Err(NotSentReason::Deadline))
             .map_err(|reason| self.on_not_sent(call, grant, &reason))
     }
 
     /// Like [`Self::send`], on a connection of [`Self::connect`].
-    pub(crate) async fn send_on(
-        &self,
-        conn: Connection,
-        call: &Call,
-        grant: &Grant,
-        last_event_id: Option<&str>,
-    ) -> SendOutcome {
-        let req = match self.request(call, grant, last_event_id) {
+    pub(crate) async fn send_on(&self, conn: Connection, sending: Sending<'_>) -> SendOutcome {
+        let Sending { call, grant, .. } = sending;
+        let req = match self.request(sending) {
             Ok(req) => req,
             Err(error) => {
                 tracing::warn!(event = "unsendable", id = %call.id, %error);
@@ -112,8 +121,8 @@
             reason: LostReason::Deadline,
         };
         let sent_at = self.shared.now();
-        match send_request_on(&self.pool, conn, req, limit).await {
-            Ok(incoming) => self.read_head(call, grant, incoming, sent_at).await,
+        match send_request_on(&self.pool, conn, req, sending.reuse(), limit).await {
+            Ok(incoming) => self.read_head(sending, incoming, sent_at).await,
             Err(CallError::NotSent(reason)) => {
                 SendOutcome::NotRun(self.on_not_sent(call, grant, &reason))
             }
@@ -179,11 +188,11 @@
 
     async fn read_head(
         &self,
-        call: &Call,
-        grant: &Grant,
+        sending: Sending<'_>,
         incoming: IncomingResponse,
         sent_at: Now,
     ) -> SendOutcome {
+        let Sending { call, grant, .. } = sending;
         let head = self
             .dialect
             .parse_response(incoming.status, &incoming.headers);
@@ -202,10 +211,12 @@
         let exchange = Exchange {
             call: &call.id,
             number: incoming.conn.exchanges,
+            again: sending.again,
         };
         let dropped = match exchange.attribute(head.attempt_id.as_deref(), is_success) {
             Attribution::This => None,
             Attribution::Other => Some("answer_of_another_call"),
+            Attribution::Unknown if head.attempt_id.is_some() => Some("answer_of_another_sending"),
             Attribution::Unknown => Some("answer_without_id"),
         };
         let (status, conn) = (incoming.status, incoming.conn.id);
@@ -263,10 +274,9 @@
 
     fn request(
         &self,
-        call: &Call,
-        grant: &Grant,
-        last_event_id: Option<&str>,
+        sending: Sending<'_>,
     ) -> Result<Request<Full<bytes::Bytes>>, hyper::http::Error> {
+        let Sending { call, grant, .. } = sending;
         let now = self.shared.now();
         let mut headers = call.headers.clone();
         remove_hop_by_hop_headers(&mut headers);
@@ -277,7 +287,7 @@
                 version: grant.version,
                 time_left: call.time_left(now),
                 priority: call.is_model_call.then_some(call.engine_priority()),
-                last_event_id,
+                last_event_id: sending.last_event_id,
                 caller: call.caller.fields(),
             },
         );
--- a/crates/targets/src/client/orders.rs
+++ b/crates/targets/src/client/orders.rs
@@ -3,7 +3,8 @@
 
 use super::{JSON, RequestBuilder, TargetClient};
 use crate::error::{CallError, LostReason, NotSentReason, OrderError};
-use crate::exchange::{self, BufferedResponse, HeadDeadline, Reuse};
+use crate::exchange::{self, BufferedResponse, HeadDeadline};
+use crate::pool::Reuse;
 use crate::status::parse_refusal;
 use bytes::Bytes;
 use hyper::{Method, StatusCode, header};
--- a/crates/targets/src/client/plain.rs
+++ b/crates/targets/src/client/plain.rs
@@ -2,8 +2,9 @@
 
 use super::{RequestBuilder, TargetClient, check_field, content_type};
 use crate::error::{DispatchError, LostReason};
-use crate::exchange::{self, BufferedResponse, HeadDeadline, Reuse};
+use crate::exchange::{self, BufferedResponse, HeadDeadline};
 use crate::options::PlainRequest;
+use crate::pool::Reuse;
 use crate::response::PlainResponse;
 use crate::status::parse_refusal;
 use hyper::{Method, header};
--- a/crates/targets/src/client/requests.rs
+++ b/crates/targets/src/client/requests.rs
@@ -2,8 +2,9 @@
 
 use super::{JSON, RequestBuilder, TargetClient, check_field, content_type};
 use crate::error::{DispatchError, LostReason, Mismatch, NotSentReason};
-use crate::exchange::{self, BufferedResponse, HeadDeadline, IncomingResponse, Reuse};
+use crate::exchange::{self, BufferedResponse, HeadDeadline, IncomingResponse};
 use crate::options::DispatchOptions;
+use crate::pool::Reuse;
 use crate::response::DispatchResponse;
 use crate::status::parse_refusal;
 use crate::stream::{StreamExpectation, TokenStream};
--- a/crates/targets/src/client/streams.rs
+++ b/crates/targets/src/client/streams.rs
@@ -3,7 +3,8 @@
 use super::requests::{check_echo, is_event_stream};
 use super::{RequestBuilder, TargetClient};
 use crate::error::{CallError, LostReason, ResumeError};
-use crate::exchange::{self, HeadDeadline, IncomingResponse, Reuse};
+use crate::exchange::{self, HeadDeadline, IncomingResponse};
+use crate::pool::Reuse;
 use crate::response::Cancellation;
 use crate::stream::{StreamExpectation, TokenStream};
 use bytes::Bytes;
--- a/crates/targets/src/exchange.rs
+++ b/crates/targets/src/exchange.rs
@@ -6,7 +6,7 @@
 //! as not sent.
 
 use crate::error::{CallError, LostReason, NotSentReason};
-use crate::pool::{Connection, IDLE_TIMEOUT, Pool, Via};
+use crate::pool::{Connection, IDLE_TIMEOUT, Pool, Reuse};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::{Body as _, Incoming};
@@ -19,17 +19,6 @@
 /// Longest response body that is read as a whole.
 const BODY_MAX_BYTES: usize = 8 << 20;
 
-/// Whether a request may reuse an idle connection.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Reuse {
-    /// Uses an idle connection if there is one, otherwise opens a new one.
-    Allowed,
-    /// Like [`Self::Allowed`], but uses only connections that are not relayed.
-    AllowedDirect,
-    /// Always opens a new connection.
-    Never,
-}
-
 /// Limit on the wait for the head of a response.
 #[derive(Clone, Copy, Debug)]
 pub struct HeadDeadline {
@@ -130,10 +119,7 @@
     limit: HeadDeadline,
 ) -> Result<IncomingResponse, CallError> {
     let mut req = req;
-    let via = match reuse {
-        Reuse::Allowed | Reuse::Never => Via::Any,
-        Reuse::AllowedDirect => Via::Direct,
-    };
+    let via = reuse.via();
     if reuse != Reuse::Never {
         while let Some(conn) = pool.take_via(addr, via).await {
             match send(pool, conn, req, limit).await {
@@ -152,8 +138,8 @@
     })
 }
 
-/// Like [`send_request`], but prefers `conn`. Another connection is used if `conn`
-/// was closed before the request was sent.
+/// Like [`send_request`], but prefers `conn`, which [`Pool::acquire`] returned. Another
+/// connection is used if `conn` was closed before the request was sent.
 ///
 /// # Errors
 /// [`CallError::NotSent`] only if the request never reached the encoder.
@@ -161,12 +147,13 @@
     pool: &Pool,
     conn: Connection,
     req: Request<Full<Bytes>>,
+    reuse: Reuse,
     limit: HeadDeadline,
 ) -> Result<IncomingResponse, CallError> {
     let addr = conn.addr;
     match send(pool, conn, req, limit).await {
         Ok(res) => Ok(res),
-        Err(SendError::NotSent(req)) => send_request(pool, addr, *req, Reuse::Allowed, limit).await,
+        Err(SendError::NotSent(req)) => send_request(pool, addr, *req, reuse, limit).await,
         Err(SendError::Lost(reason)) => Err(reason.into()),
     }
 }
--- a/crates/targets/src/pool.rs
+++ b/crates/targets/src/pool.rs
@@ -47,6 +47,26 @@
     pub relayed: bool,
 }
 
+/// Whether a request may reuse an idle connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reuse {
+    /// Uses an idle connection if there is one, otherwise opens a new one.
+    Allowed,
+    /// Like [`Self::Allowed`], but uses only connections that are not relayed.
+    AllowedDirect,
+    /// Always opens a new connection.
+    Never,
+}
+
+impl Reuse {
+    pub(crate) const fn via(self) -> Via {
+        match self {
+            Self::Allowed | Self::Never => Via::Any,
+            Self::AllowedDirect => Via::Direct,
+        }
+    }
+}
+
 /// Which connections a request may use.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Via {
@@ -115,10 +135,6 @@
     }
 
     /// Takes an idle connection that is still open and ready for a request.
-    pub async fn take(&self, addr: SocketAddr) -> Option<Connection> {
-        self.take_via(addr, Via::Any).await
-    }
-
     pub(crate) async fn take_via(&self, addr: SocketAddr, via: Via) -> Option<Connection> {
         while let Some(mut conn) = self.pop(addr, via) {
             let ready = timeout(self.connect_timeout, conn.sender.ready()).await;
@@ -129,15 +145,22 @@
         None
     }
 
-    /// Takes an idle connection, or opens one.
+    /// Takes an idle connection that may be reused, or opens one.
     ///
     /// # Errors
     /// As [`Self::connect`].
-    pub async fn acquire(&self, addr: SocketAddr) -> Result<Connection, NotSentReason> {
-        match self.take(addr).await {
-            Some(conn) => Ok(conn),
-            None => self.connect(addr).await,
+    pub async fn acquire(
+        &self,
+        addr: SocketAddr,
+        reuse: Reuse,
+    ) -> Result<Connection, NotSentReason> {
+        let via = reuse.via();
+        if reuse != Reuse::Never
+            && let Some(conn) = self.take_via(addr, via).await
+        {
+            return Ok(conn);
         }
+        self.connect_via(addr, via).await
     }
 
     /// Opens a connection.
