A worker's failure with the status of a rejection is not passed on as a promise

What callers saw: a call that may run once was answered 503, 429 or 408 by the worker that had run it, without the field that states that it did not run.

Cause: the gateway returned any response that didn't reject the call as it was, whatever its status promises.

Change: such a response to a call that may run once is dropped, and the caller gets 502, which promises nothing, without the worker's stamp. Calls that may run again get the worker's response as before, if no other worker serves them. The log line unproven_rejection says which it was.

Evidence: the 4 cases of as_a_refusal failed before (503, 429, 408 and a stream), none fails now.

--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -230,8 +230,13 @@
         match head.not_run {
             None => {
                 if promises_not_run(status) {
+                    let passed_on = call.route.kind.retryable();
                     tracing::warn!(event = "unproven_rejection", id = %call.id,
-                        instance = %grant.instance, status = status.as_u16(), conn, exchange);
+                        instance = %grant.instance, status = status.as_u16(), conn, exchange,
+                        passed_on);
+                    if !passed_on {
+                        return SendOutcome::Lost("unproven_rejection");
+                    }
                 }
                 SendOutcome::Response(Box::new(PendingResponse {
                     incoming,
