--- a/crates/gateway/src/sync/instances.rs
+++ b/crates/gateway/src/sync/instances.rs
@@ -21,7 +21,7 @@
             Ok(StoredItem::Instance(instance)) => Some(instance),
             Ok(_) => None,
             Err(error) => {
-                tracing::debug!(event = "instance_unreadable", key, %error);
+                tracing::warn!(event = "instance_unreadable", key, %error);
                 None
             }
         }
