Streams of unknown origin: the store must name no other version, read after the call came

With real processes: one of four nodes is stopped while a worker of v2 joins, streams begin there through another node and break off; then the node goes on and reaches neither the others nor the store. It finds no origin, knows of v1 only, and continues the stream at v1.

Cause: a node that finds no origin took the only version that it knows for the only one possible, unless it had noticed for 1.2 s that it is cut off. What it knows may be old without its knowing.

Change: a version counts as the only one only if the store names no other in a read that begins after the call came: the entries of all instances and the versions that coordinators recorded (serving_versions.rs). The node first asks the coordinators; the read is needed only if they don't know the origin. If the store can't be read, the call is refused as not run.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -18,6 +18,7 @@
 use crate::quarantine_record::QuarantineRecord;
 use crate::relay_nodes::RelayNodes;
 use crate::sender::Sender;
+use crate::serving_versions::serving_versions;
 use crate::settings::GatewaySettings;
 use crate::state::Shared;
 use crate::stream_record::stream_record;
@@ -246,6 +247,9 @@
         );
         node.tasks
             .spawn(stream_record_task.run(node.background.clone()));
+        let (versions, versions_task) =
+            serving_versions(Arc::clone(&dialect), Arc::clone(&stores.short_poll));
+        node.tasks.spawn(versions_task.run(node.background.clone()));
         let relay_nodes = RelayNodes {
             cfg: Arc::clone(&cfg),
             shared: Arc::clone(&shared),
@@ -311,6 +315,7 @@
             },
             progress: progress_tx,
             streams,
+            versions,
             metrics: Arc::clone(&metrics),
             key_limits: KeyLimits {
                 denial: cfg.staleness_limit,
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -18,6 +18,7 @@
 use crate::relay::Relay;
 use crate::reply::{self, Reply, ReplyBody};
 use crate::sender::{PendingResponse, SendOutcome, Sender, Sending, idle_timeout, lost_reason};
+use crate::serving_versions::ServingVersionsTx;
 use crate::state::Shared;
 use crate::stream_record::StreamRecordTx;
 use bytes::{Bytes, BytesMut};
@@ -57,6 +58,7 @@
     pub(crate) placer: Placer,
     pub(crate) progress: ProgressTx,
     pub(crate) streams: StreamRecordTx,
+    pub(crate) versions: ServingVersionsTx,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) key_limits: KeyLimits,
 }
--- a/crates/gateway/src/handler/stream_origin.rs
+++ b/crates/gateway/src/handler/stream_origin.rs
@@ -95,11 +95,16 @@
     /// When the origin is unknown while instances of several versions may have sent
     /// the first event, or when no instance of that version accepts calls.
     pub(super) async fn require_origin(&self, call: &mut Call) -> Result<(), Refusal> {
-        let inferred = self.only_possible_origin(&call.service).await;
-        let found = match &call.head.resumes {
-            Some(attempt) => self.find_origin(attempt, inferred.is_none()).await,
-            None => None,
-        };
+        let resumes = call.head.resumes.as_deref();
+        let is_possible = self.has_only_version(&call.service);
+        let mut found = self.find_origin(resumes, !is_possible).await;
+        let mut inferred = None;
+        if found.is_none() && is_possible {
+            inferred = self.only_possible_origin(&call.service).await;
+            if inferred.is_none() {
+                found = self.find_origin(resumes, true).await;
+            }
+        }
         let known = found.is_some();
         let origin = found.or(inferred);
         let state = self.shared.lock();
@@ -124,26 +129,23 @@
         })
     }
 
+    /// Whether this node knows of one version only at which streams of a service may have
+    /// begun.
+    fn has_only_version(&self, service: &ServiceName) -> bool {
+        let now = self.shared.now();
+        only_version(&self.shared.lock(), service, now).is_some()
+    }
+
     /// Returns the origin that streams of a service must have, if only one is possible.
-    /// `service` is the one that would run the call. A node that has started lately asks
-    /// the store which versions served before.
+    /// `service` is the one that would run the call. Another version may have begun the
+    /// stream through another node before this one learned of it, so that the store must
+    /// name no other, either.
     async fn only_possible_origin(&self, service: &ServiceName) -> Option<StreamOrigin> {
-        let now = self.shared.now();
-        let knows_versions = {
-            let state = self.shared.lock();
-            // Several versions are enough to know that there is no only one.
-            only_version(&state, service, now)?;
-            state.knows_versions(now)
-        };
-        let stored = if knows_versions {
-            None
-        } else {
-            Some(self.streams.read().await?)
-        };
+        let serving = self.versions.read().await?;
         let now = self.shared.now();
         let software = only_version(&self.shared.lock(), service, now)?;
-        let stored = stored.as_ref().and_then(|s| s.versions.get(service));
-        let is_only = stored.is_none_or(|versions| versions.iter().all(|v| *v == software));
+        let serving = serving.get(service);
+        let is_only = serving.is_none_or(|versions| versions.iter().all(|v| *v == software));
         is_only.then(|| StreamOrigin {
             service: service.clone(),
             software,
@@ -158,7 +160,8 @@
 
     /// Returns the origin of the stream of a caller's attempt, if this node, the store or a
     /// coordinator knows it. `needed` is whether the stream can't be resumed without it.
-    async fn find_origin(&self, attempt: &str, needed: bool) -> Option<StreamOrigin> {
+    async fn find_origin(&self, attempt: Option<&str>, needed: bool) -> Option<StreamOrigin> {
+        let attempt = attempt?;
         let own = {
             let state = self.shared.lock();
             state.stream_versions.get(attempt).cloned()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -38,6 +38,7 @@
 mod reply;
 mod response_head;
 mod sender;
+mod serving_versions;
 mod settings;
 mod state;
 mod store_retries;
--- a/crates/gateway/src/stream_record.rs
+++ b/crates/gateway/src/stream_record.rs
@@ -28,7 +28,7 @@
 /// Prefix of all keys of this module.
 const PREFIX: &str = "reedford/streams/";
 /// Prefix of the keys with versions, which end in the zone.
-const VERSIONS_PREFIX: &str = "reedford/streams/versions/";
+pub(crate) const VERSIONS_PREFIX: &str = "reedford/streams/versions/";
 /// Prefix of the keys with origins, which go on with the zone, the coordinator's fencing
 /// token and the number of the segment.
 const ORIGINS_PREFIX: &str = "reedford/streams/origins/";
@@ -131,7 +131,7 @@
         self.origins.get(&digest(attempt))
     }
 
-    fn add(&mut self, key: &str, value: &[u8]) -> Result<(), serde_json::Error> {
+    pub(crate) fn add(&mut self, key: &str, value: &[u8]) -> Result<(), serde_json::Error> {
         if key.starts_with(VERSIONS_PREFIX) {
             let versions: VersionSets = serde_json::from_slice(value)?;
             for (service, versions) in versions {
