A stream of a worker that its node doesn't know has no version

Cause: a coordinator may grant a worker that the node which relays the stream doesn't know yet. The node then recorded the only version that it knew as the stream's origin, and resumed the stream there; a later attempt of the caller would have found that origin at the coordinators, too.

Change: the version of such a stream is unknown, so that it is not resumed.

Evidence: a node to which the entry of the v2 worker is hidden; its coordinator grants that worker. The test failed before (c0 ran at both workers) and passes now; stream_versions.rs, 15 tests, passes.

--- a/crates/gateway/src/handler/stream_origin.rs
+++ b/crates/gateway/src/handler/stream_origin.rs
@@ -53,14 +53,9 @@
             known.is_some_and(|i| i.software != *software)
         };
         let software = software.filter(|software| !restarted(software));
-        let required = call.required_software.take().or(software);
-        let inferred = || {
-            let knows = state.knows_versions(now);
-            knows
-                .then(|| only_version(&state, &call.service, now))
-                .flatten()
-        };
-        call.required_software = required.or_else(inferred);
+        // A new instance may have been granted before this node knows it. The versions that
+        // the node knows say nothing about it.
+        call.required_software = call.required_software.take().or(software);
         let Some(software) = call.required_software.clone() else {
             call.software_unknown = true;
             tracing::info!(event = "stream_origin_unknown", id = %call.id);
