A stopping node keeps the connections that it relays, and healed links are used again

Cause: a node that stops waited for its own callers only and then ended the connections that it relays for other nodes; and a relayed connection stayed in use after the link had healed, as long as requests came, since links are tested only when a connection is opened.

Change: a stopping node waits, within its time to stop, until no relayed connection is open or no byte has passed on any for 4 s. An idle relayed connection is used only while its link is broken; using it tests the link every half second.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -23,7 +23,7 @@
 use crate::state::Shared;
 use crate::stream_record::stream_record;
 use crate::sync::{StoreClients, StoreSync, WatchedPrefix};
-use crate::tunnel::MAX_TUNNELS;
+use crate::tunnel::Tunnels;
 use crate::usage::UsageReporter;
 use eyre::{Result, WrapErr as _};
 use reedford_fleet::ownership::Role;
@@ -36,8 +36,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::Semaphore;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout_at};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -118,6 +117,7 @@
     caller_addr: SocketAddr,
     pool: Arc<Pool>,
     peers: Arc<PeerClients>,
+    tunnels: Arc<Tunnels>,
     caller_shutdown: ShutdownSignals,
     /// Stops all tasks except the servers for callers, readiness and metrics, and
     /// the membership task.
@@ -159,11 +159,12 @@
         let (commands, rx) = command_queue();
         let background = CancellationToken::new();
         let tasks = TaskTracker::new();
+        let tunnels = Arc::new(Tunnels::new());
         let peer_server = PeerServer {
             commands: commands.clone(),
             shared: Arc::clone(&shared),
             store: Arc::clone(&stores.short_poll),
-            tunnels: Arc::new(Semaphore::new(MAX_TUNNELS)),
+            tunnels: Arc::clone(&tunnels),
         };
         let bound = peer_server
             .start(cfg.peers, &tasks, background.clone())
@@ -187,6 +188,7 @@
             caller_addr: cfg.callers,
             pool: Arc::clone(&pool),
             peers: Arc::clone(&peers),
+            tunnels,
             caller_shutdown: ShutdownSignals::default(),
             background,
             membership: CancellationToken::new(),
@@ -436,14 +438,19 @@
         sleep(DRAIN_DELAY).await;
         self.caller_shutdown.graceful.cancel();
         let left = self.cfg.stop_grace.saturating_sub(DRAIN_DELAY + CLOSE_TIME);
+        let end = Instant::now() + left;
         self.probes.graceful.cancel();
         self.serving.close();
-        if timeout(left, self.serving.wait()).await.is_err() {
+        if timeout_at(end, self.serving.wait()).await.is_err() {
             tracing::warn!(event = "calls_cut", connections = self.serving.len());
             self.caller_shutdown.abort.cancel();
             self.probes.abort.cancel();
             self.serving.wait().await;
         }
+        let quiet = self.tunnels.wait_until_quiet();
+        if timeout_at(end, quiet).await.is_err() {
+            tracing::warn!(event = "tunnels_cut");
+        }
         self.background.cancel();
         self.tasks.close();
         self.tasks.wait().await;
--- a/crates/gateway/src/dialer.rs
+++ b/crates/gateway/src/dialer.rs
@@ -73,6 +73,21 @@
         }
         .boxed()
     }
+
+    /// Tests a broken link while connections around it are in use, so that they go out of
+    /// use when it works again: the node that relays them may be stopped.
+    fn uses_relay(&self, addr: SocketAddr) -> bool {
+        match self.route(addr) {
+            Some((target, Route::Relayed { test })) => {
+                if test {
+                    self.spawn_test(target);
+                }
+                true
+            }
+            Some((_, Route::Direct | Route::DirectOnly)) => false,
+            None => true,
+        }
+    }
 }
 
 impl InstanceDialer {
--- a/crates/gateway/src/peer_server.rs
+++ b/crates/gateway/src/peer_server.rs
@@ -6,7 +6,7 @@
 use crate::membership::ZONE_PREFIX;
 use crate::peer::{CallsReport, Peer, PlaceRequest, PlaceResponse, StreamRecord, ZoneLoad};
 use crate::state::Shared;
-use crate::tunnel;
+use crate::tunnel::{self, Tunnels};
 use futures::StreamExt as _;
 use reedford_fleet::departures::{DepartureSource, LeavingInstances};
 use reedford_fleet::ownership::Holder;
@@ -29,7 +29,6 @@
 use tarpc::tokio_util::codec::LengthDelimitedCodec;
 use tokio::io::AsyncReadExt as _;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -48,7 +47,7 @@
     pub(crate) shared: Arc<Shared>,
     pub(crate) store: Arc<K>,
     /// Limits the connections to instances that are passed on for other nodes.
-    pub(crate) tunnels: Arc<Semaphore>,
+    pub(crate) tunnels: Arc<Tunnels>,
 }
 
 impl<K> Clone for PeerServer<K> {
--- a/crates/targets/src/pool.rs
+++ b/crates/targets/src/pool.rs
@@ -35,6 +35,9 @@
     /// # Errors
     /// If none can be established.
     fn dial(&self, addr: SocketAddr) -> BoxFuture<'_, Result<Dialed, NotSentReason>>;
+
+    /// Whether an idle connection to a target that is relayed may be used now.
+    fn uses_relay(&self, addr: SocketAddr) -> bool;
 }
 
 /// A transport connection to a target.
@@ -137,6 +140,10 @@
     /// Takes an idle connection that is still open and ready for a request.
     pub(crate) async fn take_via(&self, addr: SocketAddr, via: Via) -> Option<Connection> {
         while let Some(mut conn) = self.pop(addr, via) {
+            let dialer = self.dialer.as_ref().filter(|_| conn.relayed);
+            if dialer.is_some_and(|dialer| !dialer.uses_relay(addr)) {
+                continue;
+            }
             let ready = timeout(self.connect_timeout, conn.sender.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
                 return Some(conn);
