A node that stops refuses calls that can't end in time, instead of cutting them

Callers of a node in a planned stop got a closed connection and no response, 7.3 s after SIGTERM: calls whose head or body came slowly were passed on as late as the body came, also those that may run once, and were cut while the instance worked; a call that waited until the end for an instance that had asked the node to wait was cut, too, although it had not run.

Cause: a stop ended by the clock alone. What was received or still waited when the listener closed was treated like a call at an instance: sent whenever it could be, and aborted at the end. Nothing asked whether it could end in time.

A stop now has two times (`reedford-fleet`, `stopping`). A request that is not received to its end 2.8 s after SIGTERM, when idle connections are closed, is refused with 503 and Retry-After. A call that waits for an instance may be sent until the time that calls of its route usually run is all that is left, and is refused then, or as soon as the wait is known to last longer. All of them have not run. A call that an instance has is kept until the end, as before, also while it sends nothing.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -24,6 +24,7 @@
 //! | [`store_retries`] | when to try a store again that does not respond |
 //! | [`links`] | whether this node's own links to the instances are broken |
 //! | [`relays`] | which other node opens connections to instances for this one |
+//! | [`stopping`] | until when a node that stops sends calls to instances |
 //! | [`connectivity`] | whether this node is cut off from the store and its peers |
 //! | [`zones`] | which availability zone places a call |
 //! | [`workspaces`] | whose key a call has, and whether it may use a route |
@@ -45,6 +46,7 @@
 pub mod rate_limits;
 pub mod relays;
 pub mod scheduler;
+pub mod stopping;
 pub mod store_retries;
 pub mod stream_versions;
 pub mod workspaces;
--- a/crates/fleet/src/scheduler/request.rs
+++ b/crates/fleet/src/scheduler/request.rs
@@ -144,6 +144,9 @@
     KeyWithdrawn,
     /// The caller's key was moved to another workspace since the call arrived.
     KeyMoved,
+    /// The node that the caller reached stops before the call could end. No other node
+    /// gives this reason.
+    Stopping,
 }
 
 impl RefusalReason {
@@ -162,6 +165,7 @@
             Self::LimitUnknown => "limit_unknown",
             Self::KeyWithdrawn => "key_withdrawn",
             Self::KeyMoved => "key_moved",
+            Self::Stopping => "stopping",
         }
     }
 }
--- a/crates/front/src/accept.rs
+++ b/crates/front/src/accept.rs
@@ -23,7 +23,7 @@
 const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Time for which a connection that is idle at the graceful shutdown stays open,
 /// so that a request which was already sent can still be read.
-const IDLE_CLOSE_DELAY: Duration = Duration::from_millis(200);
+pub const IDLE_CLOSE_DELAY: Duration = Duration::from_millis(200);
 /// Pause after a connection could not be accepted, for example because the
 /// process has no file descriptors left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -27,7 +27,9 @@
 mod serve;
 mod stream;
 
-pub use accept::{ConnectionLimits, HttpService, ShutdownSignals, serve_connections};
+pub use accept::{
+    ConnectionLimits, HttpService, IDLE_CLOSE_DELAY, ShutdownSignals, serve_connections,
+};
 pub use handler::{CallOptions, ChatCall, Handler, PlainCall, Readiness, RequestDigest};
 pub use options::TENANT_HEADER;
 pub use refusal::{CallRefusal, ErrorBody, ErrorDetail, Outcome, RefusalCode};
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -27,7 +27,10 @@
 use crate::usage::UsageReporter;
 use eyre::{Result, WrapErr as _};
 use reedford_fleet::ownership::Role;
-use reedford_front::{ConnectionLimits, HttpService, ShutdownSignals, serve_connections};
+use reedford_fleet::stopping::StopTimes;
+use reedford_front::{
+    ConnectionLimits, HttpService, IDLE_CLOSE_DELAY, ShutdownSignals, serve_connections,
+};
 use reedford_store::KeyValue;
 use reedford_targets::Pool;
 use std::net::SocketAddr;
@@ -36,7 +39,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{sleep, timeout_at};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -430,6 +433,13 @@
             // while this one still sends orders.
             state.role.resign();
         }
+        let began = self.shared.now();
+        let times = StopTimes {
+            last_request_at: began + DRAIN_DELAY + IDLE_CLOSE_DELAY,
+            closed_at: began + self.cfg.stop_grace.saturating_sub(CLOSE_TIME),
+        };
+        // Calls that can't end in time are refused.
+        self.shared.stop_times.send_replace(Some(times));
         tracing::info!(
             event = "stopping",
             grace_ms = self.cfg.stop_grace.as_millis() as u64
@@ -437,8 +447,7 @@
         self.membership.cancel();
         sleep(DRAIN_DELAY).await;
         self.caller_shutdown.graceful.cancel();
-        let left = self.cfg.stop_grace.saturating_sub(DRAIN_DELAY + CLOSE_TIME);
-        let end = Instant::now() + left;
+        let end = self.shared.clock.instant(times.closed_at);
         self.probes.graceful.cancel();
         self.serving.close();
         if timeout_at(end, self.serving.wait()).await.is_err() {
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -167,11 +167,21 @@
         {
             return self.reply_unconfirmed("unconfirmed_key");
         }
-        match read_body(body, limits.body_bytes).await {
+        let stopped = self.shared.last_refusals();
+        let read = tokio::select! {
+            biased;
+            read = read_body(body, limits.body_bytes) => read,
+            () = stopped => return self.reply_stopping(&call),
+        };
+        match read {
             Ok(body) => call.body = body,
             Err(status) => return reply::plain_text(status, "the body can't be read"),
         }
         let now = self.shared.now();
+        // Such a call could not end before the connections of callers are closed.
+        if self.shared.is_stopped(now) {
+            return self.reply_stopping(&call);
+        }
         self.shared.lock().budget.record_call(&call.service, now);
         if call.route.kind.is_stream() {
             self.serve_stream(call).await
@@ -340,6 +350,7 @@
         self.sender.record_outcome(&attempt.grant, outcome);
         if outcome == CallOutcome::Good {
             self.shared.on_answered(call);
+            attempt.record_run_time(call);
         }
         let (status, headers) = (response.status, response.headers.clone());
         let body = match idle_timeout {
--- a/crates/gateway/src/handler/attempt.rs
+++ b/crates/gateway/src/handler/attempt.rs
@@ -6,6 +6,7 @@
 use crate::dialect::Dialect;
 use crate::placer::Placement;
 use crate::state::LocalCall;
+use crate::stop;
 use reedford_fleet::quarantine::BLAME_TIME;
 use reedford_fleet::scheduler::{Grant, Observation, PlacementId, Progress, Refusal, Rejection};
 use reedford_fleet::{InstanceId, Now, SoftwareVersion, ZoneId};
@@ -31,6 +32,7 @@
     /// Whether the instance belongs to a plain service, whose calls the balancer
     /// counts.
     plain: bool,
+    placed_at: Now,
     /// When the first event of the response came.
     pub(crate) first_event_at: Option<Now>,
     /// Whether it was recorded that the instance answers the call.
@@ -42,11 +44,23 @@
 where
     D: Dialect,
 {
-    /// Finds an instance for the next attempt.
+    /// Finds an instance for the next attempt, unless this node stops before it could end.
     pub(crate) async fn find_instance(
         self: &Arc<Self>,
         call: &Call,
         tried: &BTreeSet<InstanceId>,
+    ) -> Result<Attempt<D>, Refusal> {
+        tokio::select! {
+            biased;
+            () = self.shared.last_sending(call) => Err(stop::refusal(call.id.clone())),
+            found = self.search_instance(call, tried) => found,
+        }
+    }
+
+    async fn search_instance(
+        self: &Arc<Self>,
+        call: &Call,
+        tried: &BTreeSet<InstanceId>,
     ) -> Result<Attempt<D>, Refusal> {
         let requested = self.shared.now();
         if let Some(refusal) = self.shared.standing_refusal(call, requested) {
@@ -172,12 +186,20 @@
             software,
             granted_by: placement.coordinator,
             plain: !call.is_model_call,
+            placed_at: now,
             first_event_at: None,
             answer_recorded: false,
             ended: false,
         }
     }
 
+    /// Records that the call has run to its end.
+    pub(crate) fn record_run_time(&self, call: &Call) {
+        let took = self.gateway.shared.now().saturating_sub(self.placed_at);
+        let mut state = self.gateway.shared.lock();
+        state.run_times.record(&call.route.name, took);
+    }
+
     /// Reports how much longer work takes on the engine's machine than usually, if it
     /// states that in the head of its response.
     pub(crate) fn report_slowdown(&self, slowdown: Option<f64>) {
--- a/crates/gateway/src/handler/replies.rs
+++ b/crates/gateway/src/handler/replies.rs
@@ -4,6 +4,7 @@
 use crate::call::Call;
 use crate::dialect::Dialect;
 use crate::reply::{self, Reply};
+use crate::stop;
 use hyper::StatusCode;
 use reedford_fleet::Now;
 use reedford_fleet::scheduler::{Refusal, RefusalReason, Rejection};
@@ -63,6 +64,7 @@
             RefusalReason::UnknownVersion | RefusalReason::VersionGone => {
                 "no instance can continue the stream"
             }
+            RefusalReason::Stopping => "the node stops",
             RefusalReason::Quarantined => "instances crash under the request",
             RefusalReason::LimitUnknown => "the workspace's limit can't be confirmed",
             RefusalReason::KeyMoved => "the key was moved to another workspace",
@@ -81,6 +83,11 @@
         self.reply_unavailable(text, refusal.retry_after)
     }
 
+    /// Refuses a call that came too late for this node, which stops.
+    pub(super) fn reply_stopping(&self, call: &Call) -> Reply {
+        self.reply_refused(call, 0, &stop::refusal(call.id.clone()))
+    }
+
     pub(super) fn reply_not_run(&self, call: &Call, runs: u32, rejection: Rejection) -> Reply {
         self.record_end(call, "", "not_run", Progressed::default());
         if runs > 0 {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -41,6 +41,7 @@
 mod serving_versions;
 mod settings;
 mod state;
+mod stop;
 mod store_retries;
 mod stream_record;
 mod sync;
--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -5,6 +5,7 @@
 use crate::handler::NO_INSTANCE_RETRY_AFTER;
 use crate::peer::{PeerClients, PlaceRequest, PlaceResponse};
 use crate::state::{Shared, State};
+use crate::stop;
 use reedford_fleet::WeightVersion;
 use reedford_fleet::balancer::Candidate;
 use reedford_fleet::directory::{Instance, InstanceState};
@@ -332,6 +333,11 @@
             } else {
                 wait
             };
+            if let Some(last) = self.shared.last_sending_at(call)
+                && now + expected > last
+            {
+                return Err(stop::refusal(placement_id.clone()));
+            }
             if now + expected > latest {
                 tracing::info!(event = "held_off", id = %call.id, held = held.len(),
                     wait_ms = expected.as_millis() as u64);
@@ -342,7 +348,12 @@
                 });
             }
             waiting.get_or_insert_with(|| Waiting::new(&self.shared, &call.service));
-            sleep(wait).await;
+            let is_stopping = self.shared.stop_times.borrow().is_some();
+            tokio::select! {
+                () = sleep(wait) => {}
+                // The wait may be too long for a node that stops.
+                _ = self.shared.stop_begins(), if !is_stopping => {}
+            }
         }
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -219,6 +219,7 @@
             .sender
             .record_outcome(&self.attempt.grant, CallOutcome::Good);
         self.attempt.on_answered(&self.call);
+        self.attempt.record_run_time(&self.call);
         if let Some(idle_timeout) = source.idle_timeout {
             self.gateway
                 .sender
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -23,6 +23,7 @@
 use reedford_fleet::rate_limits::RateLimits;
 use reedford_fleet::relays::Relays;
 use reedford_fleet::scheduler::{AdapterKey, Grant, PlacementId};
+use reedford_fleet::stopping::{RunTimes, StopTimes};
 use reedford_fleet::stream_versions::StreamVersions;
 use reedford_fleet::zones::ZoneReport;
 use reedford_fleet::{InstanceId, Now, ServiceName, WeightVersion, ZoneId};
@@ -73,6 +74,8 @@
     pub(crate) usage_recorded: Notify,
     /// Notified when other nodes have to be listed, to open connections through them.
     pub(crate) relays_wanted: Notify,
+    /// When this node handles calls for the last time, once it stops.
+    pub(crate) stop_times: watch::Sender<Option<StopTimes>>,
     /// Changes when a cut of this node's links begins; whether connections hang.
     pub(crate) links_cut: watch::Sender<bool>,
     state: Mutex<State>,
@@ -122,6 +125,8 @@
     /// When the instances were listed first.
     pub(crate) instances_listed_at: Option<Now>,
     pub(crate) stopping: bool,
+    /// How long the calls of each route run.
+    pub(crate) run_times: RunTimes,
 }
 
 /// The instance that an adapter ran on last.
@@ -166,6 +171,7 @@
             coordinator_wanted: Notify::new(),
             usage_recorded: Notify::new(),
             relays_wanted: Notify::new(),
+            stop_times: watch::Sender::new(None),
             links_cut: watch::Sender::new(false),
             state: Mutex::new(State {
                 routes: None,
@@ -195,6 +201,7 @@
                 unstored_origins: Vec::new(),
                 instances_listed_at: None,
                 stopping: false,
+                run_times: RunTimes::default(),
             }),
         }
     }
