A stopping node waits for the calls on the connections that it relays, not for silence

Cause: the stopping node decided from something other than the calls whether others depended on it.

Only the node that opened a connection knows whether it carries a call. That node now keeps a watch on each node that relays for it: a connection on which the other one sends its state, and says at once when it begins to stop. The connections that are idle are then closed, the others after their calls, and new ones are opened elsewhere. The stopping node waits until all are closed, within its time to stop. A node of an older version closes the watch, since it takes the first bytes for the length of a message that is too long; connections through it are used as before. `tunnels_cut` in the log names how many.

--- a/crates/fleet/src/relays.rs
+++ b/crates/fleet/src/relays.rs
@@ -7,6 +7,8 @@
 
 /// Time for which a node that failed or refused is not used.
 const AVOIDANCE_TIME: Duration = Duration::from_secs(1);
+/// Time for which a node that stops is not used; longer than it takes to stop.
+const STOPPING_TIME: Duration = Duration::from_secs(10);
 /// Age at which the list of nodes is read again while it is in use.
 const MAX_LIST_AGE: Duration = Duration::from_secs(10);
 /// Weight of a node of this zone, as a multiple of that of others.
@@ -47,8 +49,20 @@
 
     /// Records that a node failed or refused to open a connection.
     pub fn avoid(&mut self, addr: SocketAddr, now: Now) {
+        self.avoid_until(addr, now + AVOIDANCE_TIME, now);
+    }
+
+    /// Records that a node stops. The nodes have to be listed again, since others may have
+    /// started in its place.
+    pub fn on_stopping(&mut self, addr: SocketAddr, now: Now) {
+        self.avoid_until(addr, now + STOPPING_TIME, now);
+        self.listed_at = None;
+    }
+
+    fn avoid_until(&mut self, addr: SocketAddr, until: Now, now: Now) {
         self.avoided_until.retain(|_, until| *until > now);
-        self.avoided_until.insert(addr, now + AVOIDANCE_TIME);
+        let avoided = self.avoided_until.entry(addr).or_default();
+        *avoided = until.max(*avoided);
     }
 
     /// Selects a node, with a probability that grows with its cores and is higher in the
--- a/crates/fleet/tests/relays.rs
+++ b/crates/fleet/tests/relays.rs
@@ -88,3 +88,19 @@
     assert_eq!(chosen, Some(addr(1)));
     assert!(relays.wants_list(seconds(12)));
 }
+
+/// Guards against connections through a node that stops, and against a node that finds no
+/// other one because it doesn't know those that have started since.
+#[test]
+fn a_node_that_stops_is_not_used() {
+    let mut relays = Relays::default();
+    relays.set_nodes(vec![node(1, "z1", 0.5), node(2, "z1", 0.5)], seconds(1));
+    relays.on_stopping(addr(1), seconds(2));
+    relays.avoid(addr(1), seconds(3));
+    assert!(relays.wants_list(seconds(3)));
+    for random in [0.0, 0.4, 0.9] {
+        let chosen = relays.choose("z1", &[], random, seconds(9));
+        assert_eq!(chosen, Some(addr(2)));
+    }
+    assert_eq!(relays.choose("z1", &[], 0.0, seconds(13)), Some(addr(1)));
+}
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -3,7 +3,7 @@
 use crate::calls_report::CallsReporter;
 use crate::coordinator::{Command, CommandTx, Coordinator, CoordinatorContext, command_queue};
 use crate::dialect::Dialect;
-use crate::dialer::{InstanceDialer, drop_dead_connections};
+use crate::dialer::{InstanceDialer, keep_up_connections};
 use crate::feeds::Feed;
 use crate::handler::{CallerService, Gateway, KeyLimits};
 use crate::log::Log;
@@ -17,6 +17,7 @@
 use crate::progress::progress_queue;
 use crate::quarantine_record::QuarantineRecord;
 use crate::relay_nodes::RelayNodes;
+use crate::relay_watch::RelayWatches;
 use crate::sender::Sender;
 use crate::serving_versions::serving_versions;
 use crate::settings::GatewaySettings;
@@ -180,6 +181,11 @@
         let dialer = InstanceDialer {
             shared: Arc::clone(&shared),
             own_addr: cfg.peers,
+            relays: Arc::new(RelayWatches::new(
+                Arc::clone(&shared),
+                tasks.clone(),
+                background.clone(),
+            )),
             tasks: tasks.clone(),
             stop: background.clone(),
         };
@@ -261,11 +267,8 @@
             store: Arc::clone(&stores.short_poll),
         };
         node.tasks.spawn(relay_nodes.run(node.background.clone()));
-        node.tasks.spawn(drop_dead_connections(
-            Arc::clone(&shared),
-            Arc::clone(&pool),
-            node.background.clone(),
-        ));
+        node.tasks
+            .spawn(keep_up_connections(dialer.clone(), Arc::clone(&pool)));
         let sync = Arc::new(StoreSync {
             dialect: Arc::clone(&dialect),
             stores: StoreClients {
@@ -438,7 +441,8 @@
             last_request_at: began + DRAIN_DELAY + IDLE_CLOSE_DELAY,
             closed_at: began + self.cfg.stop_grace.saturating_sub(CLOSE_TIME),
         };
-        // Calls that can't end in time are refused.
+        // Calls that can't end in time are refused, and nodes whose connections this one
+        // passes on close those that are idle.
         self.shared.stop_times.send_replace(Some(times));
         tracing::info!(
             event = "stopping",
@@ -456,9 +460,10 @@
             self.probes.abort.cancel();
             self.serving.wait().await;
         }
-        let quiet = self.tunnels.wait_until_quiet();
-        if timeout_at(end, quiet).await.is_err() {
-            tracing::warn!(event = "tunnels_cut");
+        let closed = self.tunnels.wait_until_closed();
+        if timeout_at(end, closed).await.is_err() {
+            let connections = self.tunnels.open_count();
+            tracing::warn!(event = "tunnels_cut", connections);
         }
         self.background.cancel();
         self.tasks.close();
--- a/crates/gateway/src/dialer.rs
+++ b/crates/gateway/src/dialer.rs
@@ -1,6 +1,7 @@
 //! Opens connections to instances: directly, or through another node while this node's
 //! own links are broken.
 
+use crate::relay_watch::RelayWatches;
 use crate::state::Shared;
 use crate::tunnel::{self, Status, TunnelError};
 use futures::FutureExt as _;
@@ -9,13 +10,13 @@
 use reedford_fleet::InstanceId;
 use reedford_fleet::links::{LinkChange, Route};
 use reedford_fleet::relays::RelayNode;
-use reedford_targets::{Dialed, Dialer, NotSentReason, Pool};
+use reedford_targets::{Dialed, Dialer, NotSentReason, Pool, Relay};
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{interval, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -29,6 +30,8 @@
 const MAX_FAILURES: usize = 2;
 /// Other links that are tested when the first one breaks.
 const TESTED_LINKS: usize = 4;
+/// Interval at which relayed connections that are not used any more are closed.
+const UPKEEP_INTERVAL: Duration = Duration::from_millis(250);
 /// Cores that a coordinator of unknown size is assumed to have.
 const ASSUMED_CORES: f64 = 0.25;
 
@@ -37,6 +40,7 @@
 pub(crate) struct InstanceDialer {
     pub(crate) shared: Arc<Shared>,
     pub(crate) own_addr: SocketAddr,
+    pub(crate) relays: Arc<RelayWatches>,
     pub(crate) tasks: TaskTracker,
     pub(crate) stop: CancellationToken,
 }
@@ -62,7 +66,7 @@
                         self.spawn_test(target.clone());
                     }
                     match self.relay(&target).await {
-                        Ok(stream) => Ok(relayed(stream)),
+                        Ok(dialed) => Ok(dialed),
                         Err(Some(Status::Refused)) => {
                             Err(NotSentReason::Connect(ErrorKind::ConnectionRefused))
                         }
@@ -145,7 +149,7 @@
                 Err(error) => self.relay_instead(target, &error).await,
             },
             relay = &mut relaying => match relay {
-                Ok(stream) => Ok(relayed(stream)),
+                Ok(dialed) => Ok(dialed),
                 Err(_) => self.finish_direct(target, direct.await),
             }
         }
@@ -157,10 +161,8 @@
         target: &Target,
         direct_error: &io::Error,
     ) -> Result<Dialed, NotSentReason> {
-        let relay = self.relay(target).await;
-        relay
-            .map(relayed)
-            .map_err(|_relay| NotSentReason::Connect(direct_error.kind()))
+        let relayed = self.relay(target).await;
+        relayed.map_err(|_status| NotSentReason::Connect(direct_error.kind()))
     }
 
     async fn dial_direct(&self, target: &Target) -> Result<Dialed, NotSentReason> {
@@ -186,19 +188,22 @@
 
     /// Opens a connection through another node. An error has the status if the node could
     /// not reach the instance.
-    async fn relay(&self, target: &Target) -> Result<TcpStream, Option<Status>> {
+    async fn relay(&self, target: &Target) -> Result<Dialed, Option<Status>> {
         let mut failures = 0;
         for _ in 0..MAX_NODES_ASKED {
             let Some(node) = self.choose_node() else {
                 return Err(None);
             };
+            let relay = self.relays.get(node);
             let opened = tunnel::open(node, &target.id).await;
             let now = self.shared.now();
             match opened {
+                // The node began to stop meanwhile.
+                Ok(_) if relay.is_retired() => {}
                 Ok(stream) => {
                     tracing::info!(event = "relayed", instance = %target.id, %node);
                     self.on_relayed(target);
-                    return Ok(stream);
+                    return Ok(relayed(stream, relay));
                 }
                 Err(TunnelError::Status(
                     status @ (Status::Refused | Status::Unreachable | Status::Unknown),
@@ -244,17 +249,26 @@
         let dialer = self.clone();
         let stop = self.stop.clone();
         self.tasks.spawn(async move {
-            stop.run_until_cancelled(dialer.test(&target)).await;
+            let testing = async {
+                if !dialer.test_direct(&target).await {
+                    // The outcome is recorded.
+                    let _ = dialer.relay(&target).await;
+                }
+            };
+            stop.run_until_cancelled(testing).await;
         });
     }
 
-    async fn test(&self, target: &Target) {
+    /// Connects directly; returns whether that succeeds.
+    async fn test_direct(&self, target: &Target) -> bool {
         match timeout(RELAY_DELAY * 2, TcpStream::connect(target.addr)).await {
-            Ok(Ok(_connected)) => self.on_connected(target),
+            Ok(Ok(_connected)) => {
+                self.on_connected(target);
+                true
+            }
             failed => {
                 self.on_failed(target, failed.is_err());
-                // The outcome is recorded.
-                let _ = self.relay(target).await;
+                false
             }
         }
     }
@@ -308,22 +322,31 @@
     }
 }
 
-/// Closes the open connections to instances whenever the links to them hang.
-pub(crate) async fn drop_dead_connections(
-    shared: Arc<Shared>,
-    pool: Arc<Pool>,
-    stop: CancellationToken,
-) {
-    let mut cuts = shared.links_cut.subscribe();
-    let dropping = async {
-        while cuts.changed().await.is_ok() {
-            let hung = *cuts.borrow_and_update();
-            if hung {
-                pool.drop_idle_direct();
+/// Closes idle connections to instances that are dead because the links to them hang, or
+/// that depend on another node for no reason, until the node stops.
+pub(crate) async fn keep_up_connections(dialer: InstanceDialer, pool: Arc<Pool>) {
+    let mut cuts = dialer.shared.links_cut.subscribe();
+    let mut ticks = interval(UPKEEP_INTERVAL);
+    let stop = dialer.stop.clone();
+    let upkeep = async {
+        loop {
+            tokio::select! {
+                changed = cuts.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    let hung = *cuts.borrow_and_update();
+                    if hung {
+                        pool.drop_idle_direct();
+                    }
+                }
+                _ = ticks.tick() => {
+                    pool.drop_unused_relayed();
+                }
             }
         }
     };
-    stop.run_until_cancelled(dropping).await;
+    stop.run_until_cancelled(upkeep).await;
 }
 
 async fn direct(addr: SocketAddr) -> Result<Dialed, NotSentReason> {
@@ -336,13 +359,13 @@
 const fn unrelayed(stream: TcpStream) -> Dialed {
     Dialed {
         stream,
-        relayed: false,
+        relay: None,
     }
 }
 
-const fn relayed(stream: TcpStream) -> Dialed {
+const fn relayed(stream: TcpStream, relay: Arc<Relay>) -> Dialed {
     Dialed {
         stream,
-        relayed: true,
+        relay: Some(relay),
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod quarantine_record;
 mod relay;
 mod relay_nodes;
+mod relay_watch;
 mod reply;
 mod response_head;
 mod sender;
--- a/crates/gateway/src/peer_server.rs
+++ b/crates/gateway/src/peer_server.rs
@@ -5,6 +5,7 @@
 use crate::feeds::{Feed, FeedResponse, KnownMetadata};
 use crate::membership::ZONE_PREFIX;
 use crate::peer::{CallsReport, Peer, PlaceRequest, PlaceResponse, StreamRecord, ZoneLoad};
+use crate::relay_watch;
 use crate::state::Shared;
 use crate::tunnel::{self, Tunnels};
 use futures::StreamExt as _;
@@ -103,8 +104,10 @@
         let _ = stream.set_nodelay(true);
         let mut first = [0; tunnel::MAGIC.len()];
         stream.read_exact(&mut first).await?;
-        if first == tunnel::MAGIC {
-            return tunnel::serve(stream, self.shared, self.tunnels).await;
+        match first {
+            tunnel::MAGIC => return tunnel::serve(stream, self.shared, self.tunnels).await,
+            relay_watch::MAGIC => return relay_watch::serve(stream, self.shared).await,
+            _ => {}
         }
         let (rx, tx) = stream.into_split();
         let stream = tokio::io::join(Cursor::new(first).chain(rx), tx);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -212,7 +212,7 @@
         }
         let resumes = self.call.head.last_event_id.is_some();
         let is_early = self.progressed.events == 0 && !resumes;
-        if source.ends_with_conn && (is_early || source.conn.relayed) {
+        if source.ends_with_conn && (is_early || source.conn.is_relayed()) {
             return NoEvent::Broken("closed");
         }
         self.gateway
--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -9,13 +9,12 @@
 use reedford_fleet::links::LinkChange;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _, copy};
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::{Instant, sleep, timeout};
-use tokio_util::io::InspectReader;
+use tokio::time::{sleep, timeout};
 
 /// First bytes of a request. Other messages between nodes begin with their length, whose
 /// first byte is 0.
@@ -28,56 +27,36 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(330);
 /// Connections that a node passes on at most; each uses two file descriptors.
 const MAX_TUNNELS: usize = 256;
-/// Time without a byte on any connection that is passed on, after which none carries a
-/// call in progress. Callers give up a stream after a shorter silence.
-const QUIET_TIME: Duration = Duration::from_secs(4);
-/// Interval at which a node that stops looks whether its connections are quiet.
-const QUIET_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval at which a node that stops looks whether its connections are closed.
+const CLOSED_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// The connections that a node passes on.
 #[derive(Debug)]
 pub(crate) struct Tunnels {
     permits: Arc<Semaphore>,
-    last_bytes: Mutex<Instant>,
 }
 
 impl Tunnels {
     pub(crate) fn new() -> Self {
         Self {
             permits: Arc::new(Semaphore::new(MAX_TUNNELS)),
-            last_bytes: Mutex::new(Instant::now()),
         }
     }
 
-    /// Waits until no connection that is passed on carries a call in progress.
-    pub(crate) async fn wait_until_quiet(&self) {
-        while self.is_open() && self.last_bytes().elapsed() < QUIET_TIME {
-            sleep(QUIET_POLL_INTERVAL).await;
+    /// Waits until the nodes that opened the connections have closed them. They are told of
+    /// the stop by [`crate::relay_watch`], and know which connections carry calls.
+    pub(crate) async fn wait_until_closed(&self) {
+        while self.open_count() > 0 {
+            sleep(CLOSED_POLL_INTERVAL).await;
         }
     }
 
-    fn is_open(&self) -> bool {
-        self.permits.available_permits() < MAX_TUNNELS
+    pub(crate) fn open_count(&self) -> usize {
+        MAX_TUNNELS - self.permits.available_permits()
     }
 
     fn try_open(&self) -> Option<OwnedSemaphorePermit> {
-        let permit = Arc::clone(&self.permits).try_acquire_owned().ok()?;
-        self.on_bytes();
-        Some(permit)
-    }
-
-    fn on_bytes(&self) {
-        *self
-            .last_bytes
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner) = Instant::now();
-    }
-
-    fn last_bytes(&self) -> Instant {
-        *self
-            .last_bytes
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        Arc::clone(&self.permits).try_acquire_owned().ok()
     }
 }
 
@@ -177,7 +156,7 @@
     tracing::info!(event = "relay", instance = %id, ?status);
     node.write_u8(status.to_byte()).await?;
     match connected {
-        Ok(instance) => pass(node, instance, &tunnels).await,
+        Ok(instance) => pass(node, instance).await,
         Err(_) => Ok(()),
     }
 }
@@ -218,11 +197,9 @@
 /// Passes bytes on in both directions. Nodes never close one direction only, so that the
 /// end of the node's side ends both. The instance's side may end with a reset, which must
 /// not look like a complete response.
-async fn pass(node: TcpStream, instance: TcpStream, tunnels: &Tunnels) -> io::Result<()> {
-    let (from_node, mut to_node) = node.into_split();
-    let (from_instance, mut to_instance) = instance.into_split();
-    let mut from_node = InspectReader::new(from_node, |_| tunnels.on_bytes());
-    let mut from_instance = InspectReader::new(from_instance, |_| tunnels.on_bytes());
+async fn pass(node: TcpStream, instance: TcpStream) -> io::Result<()> {
+    let (mut from_node, mut to_node) = node.into_split();
+    let (mut from_instance, mut to_instance) = instance.into_split();
     let response = tokio::select! {
         biased;
         response = copy(&mut from_instance, &mut to_node) => response,
--- a/crates/targets/src/exchange.rs
+++ b/crates/targets/src/exchange.rs
@@ -230,7 +230,7 @@
     mut res: IncomingResponse,
     progress: Duration,
 ) -> Result<BufferedResponse, LostReason> {
-    if res.conn.relayed && res.ends_with_conn() && !res.body.is_end_stream() {
+    if res.conn.is_relayed() && res.ends_with_conn() && !res.body.is_end_stream() {
         return Err(LostReason::Closed);
     }
     let mut buf = BytesMut::new();
--- a/crates/targets/src/lib.rs
+++ b/crates/targets/src/lib.rs
@@ -31,7 +31,7 @@
     BufferedResponse, HeadDeadline, IncomingResponse, read_body, send_request, send_request_on,
 };
 pub use options::{DispatchOptions, PlainRequest, Timeouts};
-pub use pool::{Connection, ConnectionId, Dialed, Dialer, Pool, Reuse};
+pub use pool::{Connection, ConnectionId, Dialed, Dialer, Pool, Relay, Reuse};
 pub use response::{Cancellation, DispatchResponse, PlainResponse};
 pub use sse::{Event, EventReader, InvalidEvent};
 pub use status::refusal_status;
--- a/crates/targets/src/pool.rs
+++ b/crates/targets/src/pool.rs
@@ -45,9 +45,34 @@
 pub struct Dialed {
     /// The connection, or the first part of it.
     pub stream: TcpStream,
-    /// Whether something else than the target has accepted the connection and passes its
-    /// bytes on. Its end may then be that of the relay.
-    pub relayed: bool,
+    /// What has accepted the connection and passes its bytes on, if it isn't the target.
+    /// The connection's end may then be that of the relay.
+    pub relay: Option<Arc<Relay>>,
+}
+
+/// Passes on the bytes of connections, which share this value.
+#[derive(Debug)]
+pub struct Relay {
+    retired: CancellationToken,
+    _in_use: DropGuard,
+}
+
+impl Relay {
+    /// Creates a relay, whose connections serve no further requests once `retired` is
+    /// cancelled. Cancels `released` when its last connection has ended.
+    #[must_use]
+    pub fn new(retired: CancellationToken, released: CancellationToken) -> Self {
+        Self {
+            retired,
+            _in_use: released.drop_guard(),
+        }
+    }
+
+    /// Whether its connections serve no further requests.
+    #[must_use]
+    pub fn is_retired(&self) -> bool {
+        self.retired.is_cancelled()
+    }
 }
 
 /// Whether a request may reuse an idle connection.
@@ -93,11 +118,23 @@
     pub addr: SocketAddr,
     /// Sends requests on the connection.
     pub sender: SendRequest<Full<Bytes>>,
-    /// Whether something else than the target passes its bytes on.
-    pub relayed: bool,
+    /// What passes its bytes on, if it doesn't end at the target.
+    relay: Option<Arc<Relay>>,
     _driver: DropGuard,
 }
 
+impl Connection {
+    /// Whether something else than the target passes its bytes on.
+    #[must_use]
+    pub const fn is_relayed(&self) -> bool {
+        self.relay.is_some()
+    }
+
+    fn is_retired(&self) -> bool {
+        self.relay.as_ref().is_some_and(|relay| relay.is_retired())
+    }
+}
+
 #[derive(Debug)]
 struct IdleConnection {
     conn: Connection,
@@ -140,7 +177,7 @@
     /// Takes an idle connection that is still open and ready for a request.
     pub(crate) async fn take_via(&self, addr: SocketAddr, via: Via) -> Option<Connection> {
         while let Some(mut conn) = self.pop(addr, via) {
-            let dialer = self.dialer.as_ref().filter(|_| conn.relayed);
+            let dialer = self.dialer.as_ref().filter(|_| conn.is_relayed());
             if dialer.is_some_and(|dialer| !dialer.uses_relay(addr)) {
                 continue;
             }
@@ -199,7 +236,7 @@
 
     /// Like [`Self::put`], but the connection is kept idle for at most `timeout`.
     pub fn put_with_idle_timeout(&self, conn: Connection, timeout: Duration) {
-        if self.closing.is_cancelled() || conn.sender.is_closed() {
+        if self.closing.is_cancelled() || conn.sender.is_closed() || conn.is_retired() {
             return;
         }
         let now = Instant::now();
@@ -225,11 +262,37 @@
     pub fn drop_idle_direct(&self) {
         let mut idle = self.lock();
         idle.retain(|_, conns| {
-            conns.retain(|c| c.conn.relayed);
+            conns.retain(|c| c.conn.is_relayed());
             !conns.is_empty()
         });
     }
 
+    /// Closes the idle relayed connections that serve no further requests: those that have
+    /// expired, or whose relay is retired or not used any more.
+    pub fn drop_unused_relayed(&self) {
+        let Some(dialer) = &self.dialer else { return };
+        for addr in self.idle_relayed() {
+            let uses_relay = dialer.uses_relay(addr);
+            let now = Instant::now();
+            let is_kept = |c: &IdleConnection| {
+                !c.conn.is_relayed() || uses_relay && now < c.expires && !c.conn.is_retired()
+            };
+            let mut idle = self.lock();
+            if let Some(conns) = idle.get_mut(&addr) {
+                conns.retain(is_kept);
+            }
+        }
+    }
+
+    /// Addresses of the targets to which there are idle relayed connections.
+    #[must_use]
+    pub fn idle_relayed(&self) -> Vec<SocketAddr> {
+        let idle = self.lock();
+        let is_relayed = |conns: &Vec<IdleConnection>| conns.iter().any(|c| c.conn.is_relayed());
+        let relayed = idle.iter().filter(|(_, conns)| is_relayed(conns));
+        relayed.map(|(addr, _)| *addr).collect()
+    }
+
     /// Spawns a task, which [`Self::close`] cancels and joins.
     pub fn spawn<F>(&self, task: F)
     where
@@ -253,21 +316,21 @@
         let now = Instant::now();
         let mut idle = self.lock();
         let conns = idle.get_mut(&addr)?;
-        conns.retain(|c| now < c.expires && !c.conn.sender.is_closed());
-        let is_usable = |c: &IdleConnection| via == Via::Any || !c.conn.relayed;
+        conns.retain(|c| now < c.expires && !c.conn.sender.is_closed() && !c.conn.is_retired());
+        let is_usable = |c: &IdleConnection| via == Via::Any || !c.conn.is_relayed();
         let last = conns.iter().rposition(is_usable)?;
         Some(conns.remove(last).conn)
     }
 
     async fn open(&self, addr: SocketAddr, via: Via) -> Result<Connection, NotSentReason> {
         let dialer = self.dialer.as_ref().filter(|_| via == Via::Any);
-        let Dialed { stream, relayed } = match dialer {
+        let Dialed { stream, relay } = match dialer {
             Some(dialer) => dialer.dial(addr).await?,
             None => Dialed {
                 stream: TcpStream::connect(addr)
                     .await
                     .map_err(|e| NotSentReason::Connect(e.kind()))?,
-                relayed: false,
+                relay: None,
             },
         };
         stream
@@ -287,7 +350,7 @@
             exchanges: 0,
             addr,
             sender,
-            relayed,
+            relay,
             _driver: stop.drop_guard(),
         })
     }
