A broken link is tested without calls, and idle connections around it are closed

After its link to an instance was healed, a node still sent its next streams through another node, if no call had come meanwhile, and they depended on that node for no reason: when it was stopped, or failed, they were cut.

Cause: only a call made the node test a link that it believed broken, and the call that did so had already taken the old way. The node now tests broken links twice a second, at most eight at a time, without calls, too; a test that fails is followed by one through another node only while connections around the link are idle.

The module test of broken_links_are_tested_without_calls holds the rate of tests.

--- a/crates/fleet/src/links.rs
+++ b/crates/fleet/src/links.rs
@@ -23,6 +23,8 @@
 const TEST_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after which an instance that no node reached is sought through others again.
 const UNREACHABLE_TIME: Duration = Duration::from_millis(500);
+/// Links that are tested at once at most.
+const MAX_TESTS: usize = 8;
 /// Limit on the links whose state is kept; the others are dropped beyond it.
 const MAX_LINKS: usize = 2_048;
 
@@ -112,6 +114,28 @@
         }
     }
 
+    /// Returns the broken links whose test is due, those tested longest ago first, and
+    /// defers their next tests. They are tested without a call, too, so that no call goes
+    /// through another node because there was none to show that the link works.
+    pub fn start_due_tests(&mut self, now: Now) -> Vec<InstanceId> {
+        let is_cut = self.cut.is_some();
+        let is_broken =
+            |link: &Link| is_cut || link.relayed_at.is_some_and(|at| now < at + BROKEN_TIME);
+        let is_due = |link: &Link| link.tested_at.is_none_or(|at| now >= at + TEST_INTERVAL);
+        let links = self.links.iter();
+        let mut due: Vec<(Option<Now>, InstanceId)> = links
+            .filter(|(_, link)| is_broken(link) && is_due(link))
+            .map(|(id, link)| (link.tested_at, id.clone()))
+            .collect();
+        due.sort_unstable();
+        due.truncate(MAX_TESTS);
+        let due: Vec<InstanceId> = due.into_iter().map(|(_, id)| id).collect();
+        for id in &due {
+            self.entry(id).tested_at = Some(now);
+        }
+        due
+    }
+
     /// Returns whether to test the link to an instance that sends nothing, and if so,
     /// defers the next test.
     pub fn start_test(&mut self, instance: &str, now: Now) -> bool {
--- a/crates/fleet/tests/links.rs
+++ b/crates/fleet/tests/links.rs
@@ -142,3 +142,34 @@
     assert_eq!(cut, Some(LinkChange::Cut { hung: true }));
     assert_eq!(links.on_connected("a", ms(20)), Some(LinkChange::Restored));
 }
+
+/// Load pattern: no calls. Guards against a link that is not tested because no call comes,
+/// and against a cut node that tests all of its links at once.
+#[test]
+fn broken_links_are_tested_without_calls() {
+    const MAX_TESTS: usize = 8;
+    let mut links = Links::default();
+    assert!(links.start_due_tests(ms(0)).is_empty());
+    links.on_failed("a", true, ms(0));
+    assert!(links.start_due_tests(ms(5)).is_empty(), "not known broken");
+    links.on_relayed("a", INSTANCES, ms(10));
+    assert_eq!(links.start_due_tests(ms(20)), ["a".into()]);
+    assert!(links.start_due_tests(ms(400)).is_empty(), "not due");
+    assert_eq!(links.start_due_tests(ms(520)), ["a".into()]);
+    assert!(
+        links.start_due_tests(ms(6_000)).is_empty(),
+        "connections are direct again"
+    );
+    for n in 0..20 {
+        let id = format!("i{n}");
+        links.on_failed(&id, true, ms(7_000));
+        links.on_relayed(&id, INSTANCES, ms(7_010));
+    }
+    assert!(links.is_cut());
+    let mut tested: Vec<_> = links.start_due_tests(ms(8_000)).into_iter().collect();
+    assert_eq!(tested.len(), MAX_TESTS);
+    tested.extend(links.start_due_tests(ms(8_250)));
+    tested.sort_unstable();
+    tested.dedup();
+    assert_eq!(tested.len(), 2 * MAX_TESTS, "others come next");
+}
--- a/crates/gateway/src/dialer.rs
+++ b/crates/gateway/src/dialer.rs
@@ -30,7 +30,8 @@
 const MAX_FAILURES: usize = 2;
 /// Other links that are tested when the first one breaks.
 const TESTED_LINKS: usize = 4;
-/// Interval at which relayed connections that are not used any more are closed.
+/// Interval at which relayed connections that are not used any more are closed, and
+/// broken links are tested whose test is due.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(250);
 /// Cores that a coordinator of unknown size is assumed to have.
 const ASSUMED_CORES: f64 = 0.25;
@@ -273,6 +274,34 @@
         }
     }
 
+    /// Tests the broken links whose test is due, those of `relayed` through another node,
+    /// too: their connections are used as long as another node reaches the instance.
+    fn test_broken_links(&self, relayed: &[SocketAddr]) {
+        let now = self.shared.now();
+        let targets: Vec<Target> = {
+            let mut state = self.shared.lock();
+            let due = state.links.start_due_tests(now);
+            let known = due.iter().filter_map(|id| state.directory.get(id));
+            known
+                .map(|i| Target {
+                    id: i.id.clone(),
+                    addr: i.addr,
+                })
+                .collect()
+        };
+        for target in targets {
+            if relayed.contains(&target.addr) {
+                self.spawn_test(target);
+                continue;
+            }
+            let dialer = self.clone();
+            let stop = self.stop.clone();
+            self.tasks.spawn(async move {
+                stop.run_until_cancelled(dialer.test_direct(&target)).await;
+            });
+        }
+    }
+
     fn on_connected(&self, target: &Target) {
         let now = self.shared.now();
         let change = self.shared.lock().links.on_connected(&target.id, now);
@@ -323,7 +352,7 @@
 }
 
 /// Closes idle connections to instances that are dead because the links to them hang, or
-/// that depend on another node for no reason, until the node stops.
+/// that depend on another node for no reason, until the node stops. Tests broken links.
 pub(crate) async fn keep_up_connections(dialer: InstanceDialer, pool: Arc<Pool>) {
     let mut cuts = dialer.shared.links_cut.subscribe();
     let mut ticks = interval(UPKEEP_INTERVAL);
@@ -341,6 +370,7 @@
                     }
                 }
                 _ = ticks.tick() => {
+                    dialer.test_broken_links(&pool.idle_relayed());
                     pool.drop_unused_relayed();
                 }
             }
