Only the rest of a stream goes on with it after another instance has taken it

A stream that had begun and broke off was joined with any success of the next instance: events came twice or were missing, or the stream ended as complete though its last events had not come (ORDER). An error's text did not get into a stream (a status other than 2xx was refused before); a 200 with other text could.

Cause: a 2xx was all that was asked of the response that goes on, and an end without any event counted as the end of the stream.

That response now needs the status and content type of the first one and has to begin with the event after the last one that the caller has (`reedford-fleet`, `event_order`); one of another version of the weights has to name it in its first event, as the platform's pages have it. A response without an event completes a stream only for a caller that resumes it, and not if it is framed by the end of its connection. A 2xx other than 200 is returned whole, not read as events. `continuation_refused` in the log says what differed.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 //! |---|---|
 //! | [`config`] | route and service of a call |
 //! | [`attribution`] | which request a response belongs to |
+//! | [`event_order`] | whether an event of another instance goes on with a stream |
 //! | [`departures`] | which instances announced that they are leaving |
 //! | [`directory`] | which instances may be used, also during outages of the store |
 //! | [`scheduler`] | where model calls run, which adapters are loaded and evicted |
@@ -37,6 +38,7 @@
 pub mod connectivity;
 pub mod departures;
 pub mod directory;
+pub mod event_order;
 pub mod health;
 pub mod links;
 pub mod ownership;
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -72,6 +72,10 @@
 pub struct ResponseHead {
     /// The reason, if the instance rejected the call, which then did not run.
     pub not_run: Option<NotRunReason>,
+    /// Whether it has the instance's signature, without which a success is not one.
+    pub signed: bool,
+    /// Version of the weights at which a stream begins.
+    pub weight_version: Option<WeightVersion>,
     /// Id of the caller's attempt that the response belongs to.
     pub attempt_id: Option<Box<str>>,
     /// The instance's load.
@@ -139,6 +143,9 @@
     /// for a report.
     fn parse_response(&self, status: StatusCode, headers: &HeaderMap) -> ResponseHead;
 
+    /// Returns the version of the weights that an event names because it changes there.
+    fn event_weight_version(&self, event: &[u8]) -> Option<WeightVersion>;
+
     /// Returns the header field that tells a caller when to retry.
     fn retry_after_header(
         &self,
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -392,7 +392,7 @@
                 .await;
             let instance = attempt.grant.instance.clone();
             match sent {
-                SendOutcome::Response(response) if response.incoming.status.is_success() => {
+                SendOutcome::Response(response) if response.incoming.status == StatusCode::OK => {
                     return self.relay(call, *response, attempt, attempts);
                 }
                 SendOutcome::Response(response) => {
@@ -400,6 +400,14 @@
                     let reply = timeout(ERROR_BODY_TIMEOUT, read).await;
                     let reply = reply.unwrap_or(Err("unreadable"));
                     attempt.end();
+                    // A success of another kind has no events.
+                    let reply = match reply {
+                        Ok(reply) if reply.status().is_success() => {
+                            self.record_end(&call, &instance, "answered", Progressed::default());
+                            return reply;
+                        }
+                        other => other,
+                    };
                     next = self.try_replace_failed(&call, &attempts, &instance).await;
                     if next.is_none() {
                         return reply.unwrap_or_else(|why| self.reply_lost(&call, &instance, why));
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -15,9 +15,13 @@
 use crate::sender::{PendingResponse, SendOutcome, idle_timeout};
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
+use hyper::StatusCode;
 use hyper::body::{Frame, Incoming};
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use reedford_fleet::WeightVersion;
+use reedford_fleet::event_order::EventOrder;
 use reedford_fleet::health::CallOutcome;
-use reedford_targets::{Connection, Event, EventReader};
+use reedford_targets::{Connection, Event, EventReader, IncomingResponse};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::timeout_at;
@@ -38,11 +42,46 @@
     source: Option<EventSource>,
     attempt: Attempt<D>,
     attempts: Attempts,
-    last_event_id: Option<Box<str>>,
+    /// Head that the caller got.
+    head: StreamHead,
+    /// What the caller has of the stream.
+    order: EventOrder,
     progressed: Progressed,
     done: bool,
 }
 
+/// What the heads of all responses that go on with a stream have in common.
+#[derive(Clone, Debug)]
+struct StreamHead {
+    status: StatusCode,
+    /// Content type without parameters, if the head has one.
+    content_type: Option<Box<str>>,
+}
+
+impl StreamHead {
+    fn new(response: &PendingResponse) -> Self {
+        let IncomingResponse {
+            headers, status, ..
+        } = &response.incoming;
+        Self {
+            status: *status,
+            content_type: headers.get(CONTENT_TYPE).map(media_type),
+        }
+    }
+
+    /// Whether a response with the head `next` can go on with the stream.
+    fn accepts(&self, next: &Self) -> bool {
+        let types = self.content_type.as_ref().zip(next.content_type.as_ref());
+        self.status == next.status && types.is_none_or(|(a, b)| a == b)
+    }
+}
+
+fn media_type(content_type: &HeaderValue) -> Box<str> {
+    let text = String::from_utf8_lossy(content_type.as_bytes());
+    let media_type = text.split(';').next().unwrap_or_default();
+    media_type.trim().to_ascii_lowercase().into()
+}
+
 /// An instance's response body, read as events.
 struct EventSource {
     body: Incoming,
@@ -51,6 +90,10 @@
     idle_timeout: Option<Duration>,
     /// Whether the end of the connection is the end of the body.
     ends_with_conn: bool,
+    /// Version of the weights that the head of the response names.
+    weight_version: Option<WeightVersion>,
+    /// Number of events that came.
+    events: u64,
 }
 
 /// Why there is no next event.
@@ -71,13 +114,15 @@
         attempts: Attempts,
     ) -> Self {
         attempt.report_slowdown(response.slowdown);
+        let order = EventOrder::after(call.head.last_event_id.clone());
         Self {
             gateway,
             call,
+            head: StreamHead::new(&response),
             source: Some(EventSource::new(response)),
             attempt,
             attempts,
-            last_event_id: None,
+            order,
             progressed: Progressed::default(),
             done: false,
         }
@@ -125,7 +170,7 @@
             let stream = StreamState {
                 call: &self.call,
                 instance: &self.attempt.grant.instance,
-                last_event_id: self.last_event_id.as_deref(),
+                last_event_id: self.order.last(),
                 silence_limit: silence_limit(&self.call, self.progressed.events),
             };
             let is_lost =
@@ -148,7 +193,7 @@
                 .insert(self.attempt.grant.instance.clone());
             self.attempt = *next;
             match sent {
-                SendOutcome::Response(response) if response.incoming.status.is_success() => {
+                SendOutcome::Response(response) if self.continues(&response) => {
                     self.source = Some(EventSource::new(*response));
                 }
                 SendOutcome::Response(_) => return Err(NoEvent::Broken("failed")),
@@ -168,13 +213,42 @@
             Err(NoEvent::End) => return Err(self.on_body_end()),
             Err(broken @ NoEvent::Broken(_)) => return Err(broken),
         };
-        if let Some(id) = event.id {
-            self.last_event_id = Some(id.into_boxed_str());
+        let Some(source) = &mut self.source else {
+            return Err(NoEvent::Broken("no_source"));
+        };
+        let id = event.id.map(String::into_boxed_str);
+        let version = self.gateway.dialect.event_weight_version(&event.raw);
+        if source.events == 0 {
+            let checked = self
+                .order
+                .check(id.as_deref(), source.weight_version, version);
+            if let Err(mismatch) = checked {
+                tracing::warn!(event = "continuation_refused", id = %self.call.id,
+                    instance = %self.attempt.grant.instance, last = ?self.order.last(),
+                    first = ?id, version = ?source.weight_version, ?mismatch);
+                self.source = None;
+                return Err(NoEvent::Broken("other_event"));
+            }
         }
+        source.events += 1;
+        let version = version.or(source.weight_version.filter(|_| source.events == 1));
+        self.order.record(id, version);
         self.record_event();
         Ok(event.raw)
     }
 
+    /// Whether a response can go on with the stream, as far as its head shows.
+    fn continues(&self, response: &PendingResponse) -> bool {
+        let head = StreamHead::new(response);
+        let continues = self.head.accepts(&head);
+        if !continues {
+            tracing::warn!(event = "continuation_refused", id = %self.call.id,
+                instance = %self.attempt.grant.instance, status = head.status.as_u16(),
+                content_type = ?head.content_type);
+        }
+        continues
+    }
+
     fn record_event(&mut self) {
         let now = self.gateway.shared.now();
         let gap = now.saturating_sub(self.call.silent_since);
@@ -199,9 +273,9 @@
         self.attempt.on_event(&self.call);
     }
 
-    /// Handles the end of the body. If it ended within an event, or with its connection
-    /// before the first event of a stream or on a relayed connection, returns
-    /// [`NoEvent::Broken`]. Otherwise records the success, keeps the connection if it is
+    /// Handles the end of the body. If it ended within an event, without an event, or with
+    /// its connection if that is relayed, returns [`NoEvent::Broken`]. Only a caller that
+    /// resumes a stream may already have all of its events. Otherwise records the success, keeps the connection if it is
     /// reusable, and returns [`NoEvent::End`].
     fn on_body_end(&mut self) -> NoEvent {
         let Some(source) = self.source.take() else {
@@ -210,11 +284,13 @@
         if source.reader.has_partial() {
             return NoEvent::Broken("partial_event");
         }
-        let resumes = self.call.head.last_event_id.is_some();
-        let is_early = self.progressed.events == 0 && !resumes;
-        if source.ends_with_conn && (is_early || source.conn.is_relayed()) {
+        if source.ends_with_conn && (source.events == 0 || source.conn.is_relayed()) {
             return NoEvent::Broken("closed");
         }
+        let may_be_over = self.call.head.last_event_id.is_some() && self.attempts.runs <= 1;
+        if source.events == 0 && !may_be_over {
+            return NoEvent::Broken("no_event");
+        }
         self.gateway
             .sender
             .record_outcome(&self.attempt.grant, CallOutcome::Good);
@@ -251,12 +327,12 @@
             tracing::info!(event = "stream_resumed", id = %self.call.id, why,
                 instance = %self.attempt.grant.instance, software = ?self.attempt.software,
                 events = self.progressed.events);
-            let last = self.last_event_id.as_deref();
+            let last = self.order.last();
             let sent =
                 self.gateway
                     .send_stream(&self.call, &mut self.attempt, last, &mut self.attempts);
             match sent.await {
-                SendOutcome::Response(response) if response.incoming.status.is_success() => {
+                SendOutcome::Response(response) if self.continues(&response) => {
                     self.source = Some(EventSource::new(*response));
                     return true;
                 }
@@ -332,6 +408,8 @@
         Self {
             ends_with_conn: incoming.ends_with_conn(),
             idle_timeout: idle_timeout(&incoming.headers),
+            weight_version: response.weight_version,
+            events: 0,
             body: incoming.body,
             conn: incoming.conn,
             reader: EventReader::default(),
--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -6,11 +6,11 @@
 use crate::state::Shared;
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, StatusCode};
-use reedford_fleet::Now;
 use reedford_fleet::attribution::{Attribution, Exchange};
 use reedford_fleet::health::CallOutcome;
 use reedford_fleet::quarantine::BLAME_TIME;
 use reedford_fleet::scheduler::{Grant, PromptPart, Rejection};
+use reedford_fleet::{Now, WeightVersion};
 use reedford_targets::{
     CallError, Connection, HeadDeadline, IncomingResponse, LostReason, NotSentReason, Pool, Reuse,
     send_request_on,
@@ -81,6 +81,8 @@
     pub(crate) incoming: IncomingResponse,
     /// How much longer work takes on the instance's machine than usually, if it states that.
     pub(crate) slowdown: Option<f64>,
+    /// Version of the weights that the head names.
+    pub(crate) weight_version: Option<WeightVersion>,
 }
 
 impl<D> Sender<D>
@@ -241,6 +243,7 @@
                 SendOutcome::Response(Box::new(PendingResponse {
                     incoming,
                     slowdown: head.load.and_then(|load| load.slowdown),
+                    weight_version: head.weight_version,
                 }))
             }
             Some(why) => {
