A success needs a signature, and a body unless it says that it has none

Cause: the end of the connection counted as the end of any body without a length, an empty one included, and a success was not asked for its signature.

Both are lost responses now: 502 to a call that may have run once, another attempt where the call allows it; so is an informational response in place of a final one. Heads that break off at any byte were never taken for whole: that is shown for each byte of head and body, closed and reset, on a direct and on a relayed connection, for calls and streams.

--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -229,6 +229,13 @@
                 status = status.as_u16(), conn, exchange);
             return SendOutcome::Lost(event);
         }
+        // Only the instance itself can sign a success, and a change of protocol was not asked
+        // for.
+        if is_success && !head.signed || status.is_informational() {
+            tracing::warn!(event = "unsigned_answer", id = %call.id, instance = %grant.instance,
+                status = status.as_u16(), conn, exchange);
+            return SendOutcome::Lost("unsigned");
+        }
         match head.not_run {
             None => {
                 if promises_not_run(status) {
--- a/crates/targets/src/exchange.rs
+++ b/crates/targets/src/exchange.rs
@@ -230,7 +230,8 @@
     mut res: IncomingResponse,
     progress: Duration,
 ) -> Result<BufferedResponse, LostReason> {
-    if res.conn.is_relayed() && res.ends_with_conn() && !res.body.is_end_stream() {
+    let until_close = res.ends_with_conn() && !res.body.is_end_stream();
+    if until_close && res.conn.is_relayed() {
         return Err(LostReason::Closed);
     }
     let mut buf = BytesMut::new();
@@ -247,6 +248,10 @@
             buf.extend_from_slice(&data);
         }
     }
+    // A target that has no body to send says so; this one ended after its head.
+    if until_close && buf.is_empty() {
+        return Err(LostReason::Closed);
+    }
     Ok(BufferedResponse {
         body: buf.freeze(),
         headers: res.headers,
