--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -21,6 +21,7 @@
 use crate::sender::Sender;
 use crate::serving_versions::serving_versions;
 use crate::settings::GatewaySettings;
+use crate::signals::Signals;
 use crate::state::Shared;
 use crate::stream_record::stream_record;
 use crate::sync::{StoreClients, StoreSync, WatchedPrefix};
@@ -39,7 +40,6 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time::{sleep, timeout_at};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -486,37 +486,3 @@
         }
     }
 }
-
-struct Signals {
-    hangup: Signal,
-    interrupt: Signal,
-    terminate: Signal,
-}
-
-impl Signals {
-    fn new() -> Result<Self> {
-        Ok(Self {
-            hangup: signal_handler(SignalKind::hangup(), "SIGHUP")?,
-            interrupt: signal_handler(SignalKind::interrupt(), "SIGINT")?,
-            terminate: signal_handler(SignalKind::terminate(), "SIGTERM")?,
-        })
-    }
-
-    /// Waits for SIGINT or SIGTERM; SIGHUP reloads the settings.
-    async fn wait_for_stop<R>(&mut self, reload: &R)
-    where
-        R: Fn(),
-    {
-        loop {
-            tokio::select! {
-                _ = self.hangup.recv() => reload(),
-                _ = self.interrupt.recv() => return,
-                _ = self.terminate.recv() => return,
-            }
-        }
-    }
-}
-
-fn signal_handler(kind: SignalKind, name: &str) -> Result<Signal> {
-    signal(kind).wrap_err_with(|| format!("can't install the handler for {name}"))
-}
--- /dev/null
+++ b/crates/gateway/src/handler/unary.rs
@@ -0,0 +1,215 @@
+//! Calls whose response is read whole before it is returned.
+
+use super::{Attempt, Attempts, Gateway, MAX_REJECTED_ATTEMPTS, Progressed};
+use crate::call::Call;
+use crate::dialect::Dialect;
+use crate::reply::{self, Reply};
+use crate::sender::{PendingResponse, SendOutcome, Sending, idle_timeout, lost_reason};
+use reedford_fleet::health::CallOutcome;
+use reedford_fleet::scheduler::Rejection;
+use std::sync::Arc;
+
+/// Time without a response after which an idempotent call is retried, as a
+/// fraction of the route's objective.
+const RETRY_TIMEOUT_FACTOR: f64 = 0.8;
+
+enum UnaryOutcome {
+    Response(Reply),
+    /// The call may have run, but its response is lost.
+    Lost(&'static str),
+    /// The call did not run.
+    NotRun(Rejection),
+}
+
+impl UnaryOutcome {
+    fn is_success(&self) -> bool {
+        match self {
+            Self::Response(reply) => !reply.status().is_server_error(),
+            Self::Lost(_) | Self::NotRun(_) => false,
+        }
+    }
+
+    /// Takes an attempt that did not run the call out of the count.
+    const fn counted(self, attempts: &mut Attempts) -> Self {
+        if matches!(self, Self::NotRun(_)) {
+            attempts.runs -= 1;
+        }
+        self
+    }
+
+    /// Returns the outcome that tells the caller more.
+    fn or(self, other: Self) -> Self {
+        match (&self, &other) {
+            (Self::Response(_), _) | (_, Self::NotRun(_)) => self,
+            (_, Self::Response(_) | Self::Lost(_)) => other,
+        }
+    }
+}
+
+impl<D> Gateway<D>
+where
+    D: Dialect,
+{
+    /// Serves a call whose response is not a stream.
+    pub(super) async fn serve_unary(self: &Arc<Self>, call: Call) -> Reply {
+        let mut attempts = Attempts::default();
+        let mut rejected = 0;
+        // Error response of an earlier attempt, returned if no later one succeeds.
+        let mut failure = None;
+        let mut next = None;
+        loop {
+            let mut attempt = match self.next_attempt(&call, &attempts, next.take()).await {
+                Ok(attempt) => attempt,
+                Err(refusal) => {
+                    let runs = attempts.runs;
+                    return failure.unwrap_or_else(|| self.reply_refused(&call, runs, &refusal));
+                }
+            };
+            let instance = attempt.grant.instance.clone();
+            match self.attempt_unary(&call, &attempt, &mut attempts).await {
+                UnaryOutcome::Response(reply) => {
+                    attempt.end();
+                    if reply.status().is_server_error() {
+                        next = self.try_replace_failed(&call, &attempts, &instance).await;
+                    }
+                    if next.is_none() {
+                        self.record_end(&call, &instance, "answered", Progressed::default());
+                        return reply;
+                    }
+                    failure = Some(reply);
+                }
+                UnaryOutcome::Lost(why) => {
+                    attempt.end();
+                    next = self.try_replace(&call, &attempts, &instance, why).await;
+                    if next.is_none() {
+                        return failure.unwrap_or_else(|| self.reply_lost(&call, &instance, why));
+                    }
+                }
+                UnaryOutcome::NotRun(rejection) => {
+                    attempt.report_rejected(rejection);
+                    rejected += 1;
+                    let retry = rejected < MAX_REJECTED_ATTEMPTS
+                        && self.try_withdraw_retry(&call, "refused");
+                    if !retry {
+                        let runs = attempts.runs;
+                        return failure
+                            .unwrap_or_else(|| self.reply_not_run(&call, runs, rejection));
+                    }
+                }
+            }
+            attempts.tried.insert(instance);
+        }
+    }
+
+    /// Sends a call and reads the complete response. If the instance is silent, the
+    /// call is sent to another one as well, and the first success counts.
+    async fn attempt_unary(
+        self: &Arc<Self>,
+        call: &Call,
+        attempt: &Attempt<D>,
+        attempts: &mut Attempts,
+    ) -> UnaryOutcome {
+        let again = attempts.record_sent(&attempt.grant.instance);
+        let first = self.send_unary(call, attempt, again);
+        let mut first = std::pin::pin!(first);
+        let instance = &attempt.grant.instance;
+        attempts.runs += 1;
+        let mut from = self.shared.now() + call.route.objective.mul_f64(RETRY_TIMEOUT_FACTOR);
+        loop {
+            let mut next = tokio::select! {
+                biased;
+                outcome = first.as_mut() => return outcome.counted(attempts),
+                next = self.replace_silent(call, attempts, instance, from) => next,
+            };
+            attempts.runs += 1;
+            let again = attempts.record_sent(&next.grant.instance);
+            attempts.tried.insert(next.grant.instance.clone());
+            let outcome = {
+                let second = self.send_unary(call, &next, again);
+                let mut second = std::pin::pin!(second);
+                tokio::select! {
+                    biased;
+                    outcome = first.as_mut() => {
+                        let outcome = outcome.counted(attempts);
+                        if outcome.is_success() {
+                            return outcome;
+                        }
+                        return outcome.or(second.await.counted(attempts));
+                    }
+                    outcome = second.as_mut() => outcome,
+                }
+            };
+            match outcome.counted(attempts) {
+                UnaryOutcome::NotRun(rejection) => {
+                    next.report_rejected(rejection);
+                    from = self.shared.now();
+                }
+                outcome if outcome.is_success() => {
+                    self.sender.on_silent(&attempt.grant);
+                    return outcome;
+                }
+                outcome => return first.await.counted(attempts).or(outcome),
+            }
+        }
+    }
+
+    async fn send_unary(&self, call: &Call, attempt: &Attempt<D>, again: bool) -> UnaryOutcome {
+        let sending = Sending {
+            call,
+            grant: &attempt.grant,
+            last_event_id: None,
+            again,
+        };
+        match self.sender.send(sending).await {
+            SendOutcome::Response(response) => {
+                let read = self.read_response(call, attempt, *response).await;
+                read.map_or_else(UnaryOutcome::Lost, UnaryOutcome::Response)
+            }
+            SendOutcome::NotRun(rejection) => UnaryOutcome::NotRun(rejection),
+            SendOutcome::Lost(why) => UnaryOutcome::Lost(why),
+        }
+    }
+
+    pub(super) async fn read_response(
+        &self,
+        call: &Call,
+        attempt: &Attempt<D>,
+        response: PendingResponse,
+    ) -> Result<Reply, &'static str> {
+        let idle_timeout = idle_timeout(&response.incoming.headers);
+        let left = call.time_left(self.shared.now());
+        let deadline = self.shared.clock.instant(call.deadline);
+        let whole =
+            reedford_targets::read_body(&self.sender.pool, response.incoming, left, Some(deadline))
+                .await;
+        let response = whole.map_err(|reason| {
+            let why = lost_reason(reason);
+            self.sender
+                .record_outcome(&attempt.grant, CallOutcome::Failed);
+            self.sender.on_broken(call, &attempt.grant, why, None);
+            why
+        })?;
+        let outcome = if response.status.is_server_error() {
+            CallOutcome::Failed
+        } else {
+            CallOutcome::Good
+        };
+        self.sender.record_outcome(&attempt.grant, outcome);
+        if outcome == CallOutcome::Good {
+            self.shared.on_answered(call);
+            attempt.record_run_time(call);
+        }
+        let (status, headers) = (response.status, response.headers.clone());
+        let body = match idle_timeout {
+            Some(idle_timeout) => {
+                response.into_body_with_idle_timeout(&self.sender.pool, idle_timeout)
+            }
+            None => response.body,
+        };
+        Ok(reply::from_instance(
+            status,
+            headers,
+            reply::full_body(body),
+        ))
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -41,6 +41,7 @@
 mod sender;
 mod serving_versions;
 mod settings;
+mod signals;
 mod state;
 mod stop;
 mod store_retries;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,22 +6,21 @@
 //! instance. An instance that sends nothing for a while may go on later, so that
 //! its stream is given up only once another instance has taken the call.
 
+mod source;
+
 use crate::call::Call;
 use crate::dialect::Dialect;
 use crate::handler::{
     Attempt, Attempts, Gateway, Moved, Progressed, STREAM_SILENCE_FACTOR, StreamState,
 };
 use crate::reply::Truncated;
-use crate::sender::{PendingResponse, SendOutcome, idle_timeout};
+use crate::sender::{PendingResponse, SendOutcome};
 use bytes::Bytes;
-use http_body_util::BodyExt as _;
-use hyper::StatusCode;
-use hyper::body::{Frame, Incoming};
-use hyper::header::{CONTENT_TYPE, HeaderValue};
-use reedford_fleet::WeightVersion;
+use hyper::body::Frame;
 use reedford_fleet::event_order::EventOrder;
 use reedford_fleet::health::CallOutcome;
-use reedford_targets::{Connection, Event, EventReader, IncomingResponse};
+use reedford_targets::Event;
+use source::{EventSource, NoEvent, StreamHead};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::timeout_at;
@@ -50,58 +49,6 @@
     done: bool,
 }
 
-/// What the heads of all responses that go on with a stream have in common.
-#[derive(Clone, Debug)]
-struct StreamHead {
-    status: StatusCode,
-    /// Content type without parameters, if the head has one.
-    content_type: Option<Box<str>>,
-}
-
-impl StreamHead {
-    fn new(response: &PendingResponse) -> Self {
-        let IncomingResponse {
-            headers, status, ..
-        } = &response.incoming;
-        Self {
-            status: *status,
-            content_type: headers.get(CONTENT_TYPE).map(media_type),
-        }
-    }
-
-    /// Whether a response with the head `next` can go on with the stream.
-    fn accepts(&self, next: &Self) -> bool {
-        let types = self.content_type.as_ref().zip(next.content_type.as_ref());
-        self.status == next.status && types.is_none_or(|(a, b)| a == b)
-    }
-}
-
-fn media_type(content_type: &HeaderValue) -> Box<str> {
-    let text = String::from_utf8_lossy(content_type.as_bytes());
-    let media_type = text.split(';').next().unwrap_or_default();
-    media_type.trim().to_ascii_lowercase().into()
-}
-
-/// An instance's response body, read as events.
-struct EventSource {
-    body: Incoming,
-    conn: Connection,
-    reader: EventReader,
-    idle_timeout: Option<Duration>,
-    /// Whether the end of the connection is the end of the body.
-    ends_with_conn: bool,
-    /// Version of the weights that the head of the response names.
-    weight_version: Option<WeightVersion>,
-    /// Number of events that came.
-    events: u64,
-}
-
-/// Why there is no next event.
-enum NoEvent {
-    End,
-    Broken(&'static str),
-}
-
 impl<D> Relay<D>
 where
     D: Dialect,
@@ -381,38 +328,3 @@
         call.route.max_gap.unwrap_or(DEFAULT_MAX_GAP) * STALL_FACTOR
     }
 }
-
-impl EventSource {
-    /// Returns the next event. Nothing is lost if the future is dropped.
-    async fn next_event(&mut self) -> Result<Event, NoEvent> {
-        loop {
-            match self.reader.next_event() {
-                Ok(Some(event)) => return Ok(event),
-                Ok(None) => {}
-                Err(_unreadable) => return Err(NoEvent::Broken("unreadable")),
-            }
-            match self.body.frame().await {
-                Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        self.reader.push(&data);
-                    }
-                }
-                Some(Err(_cut)) => return Err(NoEvent::Broken("closed")),
-                None => return Err(NoEvent::End),
-            }
-        }
-    }
-
-    fn new(response: PendingResponse) -> Self {
-        let incoming = response.incoming;
-        Self {
-            ends_with_conn: incoming.ends_with_conn(),
-            idle_timeout: idle_timeout(&incoming.headers),
-            weight_version: response.weight_version,
-            events: 0,
-            body: incoming.body,
-            conn: incoming.conn,
-            reader: EventReader::default(),
-        }
-    }
-}
--- a/scripts/soak-mutations.sh
+++ b/scripts/soak-mutations.sh
@@ -20,7 +20,7 @@
   'a_rejected_call_reuses_its_connection|crates/gateway/src/handler/replacement.rs|s/!self\.sent_to\.insert\(instance\.clone\(\)\)/!(self.sent_to.insert(instance.clone()) || true)/'
   'failures_of_workers_promise|crates/gateway/src/sender.rs|s/if !passed_on \{/if !passed_on \&\& false {/'
   'a_cut_stream_ends_cleanly|crates/gateway/src/relay.rs|s/return Some\(\(Err\(Truncated\(why\)\), self\)\);/return None;/'
-  'a_resumed_stream_begins_anew|crates/gateway/src/relay.rs|s/let last = self\.last_event_id\.as_deref\(\);/let last: Option<\&str> = None;/'
+  'a_resumed_stream_begins_anew|crates/gateway/src/relay.rs|s/let last = self\.order\.last\(\);/let last: Option<\&str> = None;/'
   'a_lost_call_counts_as_not_sent|crates/gateway/src/sender.rs|s/SendOutcome::Lost\(lost_reason\(reason\)\)/SendOutcome::NotRun(Rejection::Unreachable)/'
   'calls_that_crash_instances_are_sent|crates/gateway/src/quarantine.rs|s/let verdict = self\.lock\(\)\.quarantine\.verdict\(&suspect, now\)\?;/let verdict = self.lock().quarantine.verdict(\&suspect, now).filter(|_| false)?;/'
   'crashes_behind_a_proxy_are_missed|crates/gateway/src/sync/instances.rs|s/self\.sync\.shared\.on_directory_change\(change\);/_ = change;/'
@@ -28,6 +28,9 @@
   'keys_are_passed_on|platform/src/headers.rs|s/headers\.remove\(AUTHORIZATION\);//g'
   'unknown_keys_are_accepted|crates/gateway/src/caller.rs|s/Access::Denied => return None,/Access::Denied => return Some(Self::Public),/'
   'limits_are_not_kept|crates/fleet/src/quota/zone.rs|s/Err\(wait\) => ChargeOutcome::Short \{ wait \},/Err(_wait) => ChargeOutcome::Charged,/'
+  'any_success_goes_on_with_a_stream|crates/gateway/src/relay.rs|s/SendOutcome::Response\(response\) if self\.continues\(&response\)/SendOutcome::Response(response) if response.incoming.status.is_success()/g; s/if source\.events == 0 \{\n/if false {\n/'
+  'a_continuation_without_events_ends_a_stream|crates/gateway/src/relay.rs|s/if source\.events == 0 && !may_be_over/if source.events == 0 \&\& !may_be_over \&\& false/'
+  'late_calls_are_sent|crates/gateway/src/stop.rs|s/times\.is_some_and\(\|times\| !times\.accepts\(now\)\)/times.is_some_and(|times| !times.accepts(now)) \&\& false/; s/sleep_until\(self\.clock\.instant\(last\)\)\.await/sleep_until(self.clock.instant(last + std::time::Duration::from_secs(60))).await/'
   'a_stop_waits_for_nothing_and_hangs|crates/gateway/src/daemon.rs|s/self\.caller_shutdown\.graceful\.cancel\(\);/self.caller_shutdown.graceful.is_cancelled();/'
 )
 
