--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -43,8 +43,8 @@
         }
     }
 
-    /// Waits until the nodes that opened the connections have closed them. They are told of
-    /// the stop by [`crate::relay_watch`], and know which connections carry calls.
+    /// Waits until the nodes that opened the connections have closed them. They know which
+    /// ones carry calls, and learn of the stop through [`crate::relay_watch`].
     pub(crate) async fn wait_until_closed(&self) {
         while self.open_count() > 0 {
             sleep(CLOSED_POLL_INTERVAL).await;
