--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -178,6 +178,7 @@
             }
         }
         source.events += 1;
+        // The head names the version at which the response begins.
         let version = version.or(source.weight_version.filter(|_| source.events == 1));
         self.order.record(id, version);
         self.record_event();
@@ -222,8 +223,8 @@
 
     /// Handles the end of the body. If it ended within an event, without an event, or with
     /// its connection if that is relayed, returns [`NoEvent::Broken`]. Only a caller that
-    /// resumes a stream may already have all of its events. Otherwise records the success, keeps the connection if it is
-    /// reusable, and returns [`NoEvent::End`].
+    /// resumes a stream may already have all of its events. Otherwise records the success,
+    /// keeps the connection if it is reusable, and returns [`NoEvent::End`].
     fn on_body_end(&mut self) -> NoEvent {
         let Some(source) = self.source.take() else {
             return NoEvent::End;
