Log: the line on a call names its status, its sendings and those that may have run it

Now each call that is answered has one line with the status that the caller got, how often it was sent and how many sendings are not proved to have run nothing; `instance_refused` says whether the response is signed, which a rejection need not be. Metric: reedford_call_statuses_total by status and may_have_run.

No decision changed.

--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -9,7 +9,7 @@
 
 pub(crate) use attempt::Attempt;
 pub(crate) use replacement::{Attempts, Moved, StreamState};
-pub(crate) use replies::Progressed;
+pub(crate) use replies::{CallEnd, Progressed};
 
 use crate::call::{Call, Unroutable};
 use crate::dialect::Dialect;
@@ -131,11 +131,12 @@
         {
             return self.reply_unconfirmed("unconfirmed_key");
         }
+        let attempts = Attempts::default();
         let stopped = self.shared.last_refusals();
         let read = tokio::select! {
             biased;
             read = read_body(body, limits.body_bytes) => read,
-            () = stopped => return self.reply_stopping(&call),
+            () = stopped => return self.reply_stopping(&call, &attempts),
         };
         match read {
             Ok(body) => call.body = body,
@@ -144,13 +145,13 @@
         let now = self.shared.now();
         // Such a call could not end before the connections of callers are closed.
         if self.shared.is_stopped(now) {
-            return self.reply_stopping(&call);
+            return self.reply_stopping(&call, &attempts);
         }
         self.shared.lock().budget.record_call(&call.service, now);
         if call.route.kind.is_stream() {
-            self.serve_stream(call).await
+            self.serve_stream(call, attempts).await
         } else {
-            self.serve_unary(call).await
+            self.serve_unary(call, attempts).await
         }
     }
 
@@ -168,13 +169,12 @@
     }
 
     /// Serves a call whose response is a stream of events.
-    async fn serve_stream(self: &Arc<Self>, mut call: Call) -> Reply {
+    async fn serve_stream(self: &Arc<Self>, mut call: Call, mut attempts: Attempts) -> Reply {
         if call.head.last_event_id.is_some()
             && let Err(refusal) = self.require_origin(&mut call).await
         {
-            return self.reply_refused(&call, 0, &refusal);
+            return self.reply_refused(&call, &attempts, &refusal);
         }
-        let mut attempts = Attempts::default();
         let mut rejected = 0;
         // Error response of an earlier attempt, returned if no later one succeeds.
         let mut failure = None;
@@ -183,8 +183,10 @@
             let mut attempt = match self.next_attempt(&call, &attempts, next.take()).await {
                 Ok(attempt) => attempt,
                 Err(refusal) => {
-                    let runs = attempts.runs;
-                    return failure.unwrap_or_else(|| self.reply_refused(&call, runs, &refusal));
+                    return match failure {
+                        Some(reply) => self.reply_failed(&call, &attempts, reply),
+                        None => self.reply_refused(&call, &attempts, &refusal),
+                    };
                 }
             };
             let last = call.head.last_event_id.as_deref();
@@ -204,14 +206,17 @@
                     // A success of another kind has no events.
                     let reply = match reply {
                         Ok(reply) if reply.status().is_success() => {
-                            self.record_end(&call, &instance, "answered", Progressed::default());
-                            return reply;
+                            return self
+                                .record_reply(&call, &attempts, &instance, "answered", reply);
                         }
                         other => other,
                     };
                     next = self.try_replace_failed(&call, &attempts, &instance).await;
                     if next.is_none() {
-                        return reply.unwrap_or_else(|why| self.reply_lost(&call, &instance, why));
+                        return match reply {
+                            Ok(reply) => self.reply_failed(&call, &attempts, reply),
+                            Err(why) => self.reply_lost(&call, &attempts, &instance, why),
+                        };
                     }
                     failure = reply.ok().or(failure);
                 }
@@ -219,7 +224,10 @@
                     attempt.end();
                     next = self.try_replace(&call, &attempts, &instance, why).await;
                     if next.is_none() {
-                        return failure.unwrap_or_else(|| self.reply_lost(&call, &instance, why));
+                        return match failure {
+                            Some(reply) => self.reply_failed(&call, &attempts, reply),
+                            None => self.reply_lost(&call, &attempts, &instance, why),
+                        };
                     }
                 }
                 SendOutcome::NotRun(rejection) => {
@@ -228,9 +236,10 @@
                     let retry = rejected < MAX_REJECTED_ATTEMPTS
                         && self.try_withdraw_retry(&call, "refused");
                     if !retry {
-                        let runs = attempts.runs;
-                        return failure
-                            .unwrap_or_else(|| self.reply_not_run(&call, runs, rejection));
+                        return match failure {
+                            Some(reply) => self.reply_failed(&call, &attempts, reply),
+                            None => self.reply_not_run(&call, &attempts, rejection),
+                        };
                     }
                     // The same instance may be granted again, e.g. once its load of
                     // the adapter is complete.
--- a/crates/gateway/src/handler/replacement.rs
+++ b/crates/gateway/src/handler/replacement.rs
@@ -29,6 +29,8 @@
     pub(crate) tried: BTreeSet<InstanceId>,
     /// Instances that the call was sent to.
     sent_to: BTreeSet<InstanceId>,
+    /// Number of attempts.
+    pub(crate) sent: u32,
     /// Number of attempts that may have run the call.
     pub(crate) runs: u32,
 }
@@ -36,6 +38,7 @@
 impl Attempts {
     /// Records that the call is sent to an instance; returns whether it was before.
     pub(crate) fn record_sent(&mut self, instance: &InstanceId) -> bool {
+        self.sent += 1;
         !self.sent_to.insert(instance.clone())
     }
 }
--- a/crates/gateway/src/handler/unary.rs
+++ b/crates/gateway/src/handler/unary.rs
@@ -1,6 +1,6 @@
 //! Calls whose response is read whole before it is returned.
 
-use super::{Attempt, Attempts, Gateway, MAX_REJECTED_ATTEMPTS, Progressed};
+use super::{Attempt, Attempts, Gateway, MAX_REJECTED_ATTEMPTS};
 use crate::call::Call;
 use crate::dialect::Dialect;
 use crate::reply::{self, Reply};
@@ -51,8 +51,7 @@
     D: Dialect,
 {
     /// Serves a call whose response is not a stream.
-    pub(super) async fn serve_unary(self: &Arc<Self>, call: Call) -> Reply {
-        let mut attempts = Attempts::default();
+    pub(super) async fn serve_unary(self: &Arc<Self>, call: Call, mut attempts: Attempts) -> Reply {
         let mut rejected = 0;
         // Error response of an earlier attempt, returned if no later one succeeds.
         let mut failure = None;
@@ -61,8 +60,10 @@
             let mut attempt = match self.next_attempt(&call, &attempts, next.take()).await {
                 Ok(attempt) => attempt,
                 Err(refusal) => {
-                    let runs = attempts.runs;
-                    return failure.unwrap_or_else(|| self.reply_refused(&call, runs, &refusal));
+                    return match failure {
+                        Some(reply) => self.reply_failed(&call, &attempts, reply),
+                        None => self.reply_refused(&call, &attempts, &refusal),
+                    };
                 }
             };
             let instance = attempt.grant.instance.clone();
@@ -73,8 +74,7 @@
                         next = self.try_replace_failed(&call, &attempts, &instance).await;
                     }
                     if next.is_none() {
-                        self.record_end(&call, &instance, "answered", Progressed::default());
-                        return reply;
+                        return self.record_reply(&call, &attempts, &instance, "answered", reply);
                     }
                     failure = Some(reply);
                 }
@@ -82,7 +82,10 @@
                     attempt.end();
                     next = self.try_replace(&call, &attempts, &instance, why).await;
                     if next.is_none() {
-                        return failure.unwrap_or_else(|| self.reply_lost(&call, &instance, why));
+                        return match failure {
+                            Some(reply) => self.reply_failed(&call, &attempts, reply),
+                            None => self.reply_lost(&call, &attempts, &instance, why),
+                        };
                     }
                 }
                 UnaryOutcome::NotRun(rejection) => {
@@ -91,9 +94,10 @@
                     let retry = rejected < MAX_REJECTED_ATTEMPTS
                         && self.try_withdraw_retry(&call, "refused");
                     if !retry {
-                        let runs = attempts.runs;
-                        return failure
-                            .unwrap_or_else(|| self.reply_not_run(&call, runs, rejection));
+                        return match failure {
+                            Some(reply) => self.reply_failed(&call, &attempts, reply),
+                            None => self.reply_not_run(&call, &attempts, rejection),
+                        };
                     }
                 }
             }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -23,6 +23,7 @@
 pub(crate) struct Metrics {
     registry: Registry,
     calls: IntCounterVec,
+    statuses: IntCounterVec,
     duration: HistogramVec,
     first_event: HistogramVec,
     longest_gap: HistogramVec,
@@ -51,6 +52,11 @@
                 "Calls by end",
                 &["route", "outcome"],
             )?,
+            statuses: counters(
+                "reedford_call_statuses_total",
+                "Calls by status, and whether an instance may have run them",
+                &["status", "may_have_run"],
+            )?,
             duration: histogram("reedford_call_seconds", "Time of whole calls", "route")?,
             first_event: histogram(
                 "reedford_first_event_seconds",
@@ -112,6 +118,7 @@
         let registry = &self.registry;
         for counters in [
             &self.calls,
+            &self.statuses,
             &self.placements_refused,
             &self.retries,
             &self.orders,
@@ -150,6 +157,13 @@
         self.duration.with_label_values(&[route]).observe(seconds);
     }
 
+    pub(crate) fn call_status(&self, status: u16, may_have_run: bool) {
+        let may_have_run = if may_have_run { "yes" } else { "no" };
+        self.statuses
+            .with_label_values(&[&*status.to_string(), may_have_run])
+            .inc();
+    }
+
     pub(crate) fn first_event(&self, route: &str, took: Duration) {
         let seconds = took.as_secs_f64();
         self.first_event
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,7 +11,7 @@
 use crate::call::Call;
 use crate::dialect::Dialect;
 use crate::handler::{
-    Attempt, Attempts, Gateway, Moved, Progressed, STREAM_SILENCE_FACTOR, StreamState,
+    Attempt, Attempts, CallEnd, Gateway, Moved, Progressed, STREAM_SILENCE_FACTOR, StreamState,
 };
 use crate::reply::Truncated;
 use crate::sender::{PendingResponse, SendOutcome};
@@ -300,12 +300,13 @@
             self.attempt.report_gap(longest > most);
         }
         self.attempt.end();
-        self.gateway.record_end(
-            &self.call,
-            &self.attempt.grant.instance,
+        let end = CallEnd {
+            instance: &self.attempt.grant.instance,
             outcome,
-            self.progressed,
-        );
+            status: self.head.status,
+            progressed: self.progressed,
+        };
+        self.gateway.record_end(&self.call, &self.attempts, end);
     }
 }
 
--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -257,7 +257,7 @@
                 self.drain_rejection(incoming).await;
                 tracing::info!(event = "instance_refused", id = %call.id,
                     instance = %grant.instance, status = status.as_u16(), why = ?why, conn,
-                    exchange, identified = head.attempt_id.is_some());
+                    exchange, identified = head.attempt_id.is_some(), signed = head.signed);
                 SendOutcome::NotRun(match why {
                     NotRunReason::Misdirected => Rejection::Missing,
                     NotRunReason::Full => {
