A refusal is built only from the proof that no sending of the call ran it

Callers of calls that may run once were told 503, "not run", after two workers had run them: a node took `Not-Executed` for proof whatever the status beside it.

Now `crates/fleet/src/not_run.rs` decides, without I/O. A sending is `Unsent` until its first byte may leave, then `Sent`; only the transport's return of the call or a rejection that belongs to the sending, with a status that a rejection can have, proves that it ran nothing, and a dropped future proves nothing. `NeverRan` exists only if all sendings are proved so, and `reply::refusal`, which takes it, is the one way to a 408, 429 or 503 of the node's own; an instance's response is returned with an `AnswerStatus`, which for a call that may run once is none of the four. A contradictory success is lost (502); a contradictory failure is returned as the failure that it is.

The header fields of one connection moved from sender.rs to a file of their own.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 //! |---|---|
 //! | [`config`] | route and service of a call |
 //! | [`attribution`] | which request a response belongs to |
+//! | [`not_run`] | whether it is proved that a call did not run |
 //! | [`event_order`] | whether an event of another instance goes on with a stream |
 //! | [`departures`] | which instances announced that they are leaving |
 //! | [`directory`] | which instances may be used, also during outages of the store |
@@ -41,6 +42,7 @@
 pub mod event_order;
 pub mod health;
 pub mod links;
+pub mod not_run;
 pub mod ownership;
 pub mod pushback;
 pub mod quarantine;
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -17,7 +17,7 @@
 use crate::placer::Placer;
 use crate::progress::ProgressTx;
 use crate::relay::Relay;
-use crate::reply::{self, Reply, ReplyBody};
+use crate::reply::{self, Failure, Reply, ReplyBody};
 use crate::sender::{PendingResponse, SendOutcome, Sender, Sending};
 use crate::serving_versions::ServingVersionsTx;
 use crate::state::Shared;
@@ -98,12 +98,13 @@
 {
     async fn serve(self: &Arc<Self>, req: Request<Incoming>) -> Reply {
         let (parts, body) = req.into_parts();
+        let attempts = Attempts::default();
         let arrived = self.shared.now();
         let head = self.dialect.parse_call(&parts);
         let routes = self.shared.lock().routes.clone();
         let Some(routes) = routes else {
             tracing::info!(event = "refused", id = ?head.attempt_id, reason = "no_configuration");
-            return self.reply_unavailable("no configuration yet", UNCONFIGURED_RETRY_AFTER);
+            return self.reply_unsent(&attempts, "no configuration yet", UNCONFIGURED_RETRY_AFTER);
         };
         let limits = routes.config().limits;
         let path = parts.uri.path().to_owned();
@@ -112,26 +113,26 @@
             Err(Unroutable::NoRoute) => {
                 tracing::info!(event = "refused", reason = "no_route", %path,
                     version = routes.config().version);
-                return reply::plain_text(StatusCode::NOT_FOUND, "no route takes this path");
+                return reply::failure(Failure::NotFound, "no route takes this path");
             }
             Err(Unroutable::NoService) => {
-                return self.reply_unavailable(
+                return self.reply_unsent(
+                    &attempts,
                     "the route's service does not exist",
                     NO_INSTANCE_RETRY_AFTER,
                 );
             }
             Err(Unroutable::Denied) => {
                 let version = routes.config().version;
-                return self.reply_denied(&path, version, "unknown_key", arrived);
+                return self.reply_denied(&attempts, &path, version, "unknown_key", arrived);
             }
         };
         if let Some(limit) = self.key_limits.max_age
             && call.caller.key().is_some()
             && !self.shared.lock().is_configuration_current(limit, arrived)
         {
-            return self.reply_unconfirmed("unconfirmed_key");
+            return self.reply_unconfirmed(&attempts, "unconfirmed_key");
         }
-        let attempts = Attempts::default();
         let stopped = self.shared.last_refusals();
         let read = tokio::select! {
             biased;
@@ -140,7 +141,7 @@
         };
         match read {
             Ok(body) => call.body = body,
-            Err(status) => return reply::plain_text(status, "the body can't be read"),
+            Err(error) => return self.reply_unreadable(&attempts, error),
         }
         let now = self.shared.now();
         // Such a call could not end before the connections of callers are closed.
@@ -230,7 +231,8 @@
                         };
                     }
                 }
-                SendOutcome::NotRun(rejection) => {
+                SendOutcome::NotRun(proof) => {
+                    let rejection = proof.rejection();
                     attempt.report_rejected(rejection);
                     rejected += 1;
                     let retry = rejected < MAX_REJECTED_ATTEMPTS
@@ -261,19 +263,19 @@
         last_event_id: Option<&str>,
         attempts: &mut Attempts,
     ) -> SendOutcome {
-        attempts.runs += 1;
+        let unsent = attempts.sendings.begin(&attempt.grant.instance);
         let stream = StreamState {
             call,
             instance: &attempt.grant.instance,
             last_event_id,
             silence_limit: call.route.objective.mul_f64(STREAM_SILENCE_FACTOR),
         };
-        let sending = self.sender.send(Sending {
+        let sending = Sending {
             call,
             grant: &attempt.grant,
             last_event_id,
-            again: attempts.record_sent(&attempt.grant.instance),
-        });
+        };
+        let sending = self.sender.send(unsent, sending);
         let is_lost = |sent: &SendOutcome| !sent.is_success();
         let moved = self.move_if_silent(&stream, attempts, sending, is_lost);
         let sent = match moved.await {
@@ -285,8 +287,8 @@
                 sent
             }
         };
-        if matches!(sent, SendOutcome::NotRun(_)) {
-            attempts.runs -= 1;
+        if let SendOutcome::NotRun(proof) = &sent {
+            attempts.sendings.on_not_run(proof);
         }
         sent
     }
@@ -298,7 +300,7 @@
         attempt: Attempt<D>,
         attempts: Attempts,
     ) -> Reply {
-        let status = response.incoming.status;
+        let status = response.status;
         let headers = response.incoming.headers.clone();
         let relay = Relay::new(Arc::clone(self), call, response, attempt, attempts);
         let events = futures::stream::unfold(relay, Relay::next);
@@ -319,16 +321,24 @@
     }
 }
 
-async fn read_body(mut body: Incoming, limit: usize) -> Result<Bytes, StatusCode> {
+/// Why the body of a request can't be read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum BodyError {
+    Cut,
+    TooLarge,
+    TooSlow,
+}
+
+async fn read_body(mut body: Incoming, limit: usize) -> Result<Bytes, BodyError> {
     let reading = async {
         let mut buf = BytesMut::new();
         while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|_cut| StatusCode::BAD_REQUEST)?;
+            let frame = frame.map_err(|_cut| BodyError::Cut)?;
             let Some(data) = frame.data_ref() else {
                 continue;
             };
             if buf.len() + data.len() > limit {
-                return Err(StatusCode::PAYLOAD_TOO_LARGE);
+                return Err(BodyError::TooLarge);
             }
             buf.extend_from_slice(data);
         }
@@ -336,5 +346,5 @@
     };
     timeout(BODY_TIMEOUT, reading)
         .await
-        .unwrap_or(Err(StatusCode::REQUEST_TIMEOUT))
+        .unwrap_or(Err(BodyError::TooSlow))
 }
--- a/crates/gateway/src/handler/replacement.rs
+++ b/crates/gateway/src/handler/replacement.rs
@@ -9,6 +9,7 @@
 use crate::sender::{SendOutcome, Sending};
 use futures::FutureExt as _;
 use futures::future::BoxFuture;
+use reedford_fleet::not_run::Sendings;
 use reedford_fleet::{InstanceId, Now};
 use std::collections::BTreeSet;
 use std::pin::Pin;
@@ -27,20 +28,7 @@
 pub(crate) struct Attempts {
     /// Instances that are not tried again.
     pub(crate) tried: BTreeSet<InstanceId>,
-    /// Instances that the call was sent to.
-    sent_to: BTreeSet<InstanceId>,
-    /// Number of attempts.
-    pub(crate) sent: u32,
-    /// Number of attempts that may have run the call.
-    pub(crate) runs: u32,
-}
-
-impl Attempts {
-    /// Records that the call is sent to an instance; returns whether it was before.
-    pub(crate) fn record_sent(&mut self, instance: &InstanceId) -> bool {
-        self.sent += 1;
-        !self.sent_to.insert(instance.clone())
-    }
+    pub(crate) sendings: Sendings,
 }
 
 /// A stream at an instance.
@@ -107,28 +95,29 @@
             tracing::info!(event = "stream_silent", id = %call.id, %instance,
                 next = %next.grant.instance);
             let grant = next.grant.clone();
+            let unsent = attempts.sendings.begin(&grant.instance);
             let sending = Sending {
                 call,
                 grant: &grant,
                 last_event_id: stream.last_event_id,
-                again: attempts.record_sent(&grant.instance),
             };
             let conn = tokio::select! {
                 biased;
-                output = first.as_mut() => return Moved::Stayed(output),
-                conn = self.sender.connect(sending) => conn,
+                output = first.as_mut() => {
+                    attempts.sendings.on_not_run(&unsent.not_sent());
+                    return Moved::Stayed(output);
+                }
+                conn = self.sender.connect(&unsent, sending) => conn,
             };
             attempts.tried.insert(next.grant.instance.clone());
             from = self.shared.now() + SEARCH_INTERVAL;
-            let conn = match conn {
-                Ok(conn) => conn,
-                Err(rejection) => {
-                    next.report_rejected(rejection);
-                    continue;
-                }
+            let Some(conn) = conn else {
+                let proof = unsent.not_sent();
+                attempts.sendings.on_not_run(&proof);
+                next.report_rejected(proof.rejection());
+                continue;
             };
-            attempts.runs += 1;
-            let second = self.sender.send_on(conn, sending).boxed();
+            let second = self.sender.send_on(conn, unsent, sending).boxed();
             match overlap(first, second, &is_lost).await {
                 Overlap::First(output) => return Moved::Stayed(output),
                 Overlap::OnlySecond(second) => {
@@ -145,9 +134,9 @@
                 }
                 Overlap::Second(sent, still_silent) => {
                     first = still_silent;
-                    if let SendOutcome::NotRun(rejection) = sent {
-                        attempts.runs -= 1;
-                        next.report_rejected(rejection);
+                    if let SendOutcome::NotRun(proof) = sent {
+                        attempts.sendings.on_not_run(&proof);
+                        next.report_rejected(proof.rejection());
                     }
                 }
             }
@@ -188,7 +177,7 @@
         silent: &InstanceId,
         from: Now,
     ) -> Attempt<D> {
-        if !call.may_run_again(attempts.runs) {
+        if !call.may_run_again(attempts.sendings.may_have_run()) {
             return std::future::pending().await;
         }
         sleep_until(self.shared.clock.instant(from)).await;
@@ -199,7 +188,7 @@
             }
             let searched = self.shared.now().saturating_sub(from);
             tracing::info!(event = "silent_instance_kept", id = %call.id, instance = %silent,
-                runs = attempts.runs, searched_ms = searched.as_millis() as u64);
+                runs = attempts.sendings.may_have_run(), searched_ms = searched.as_millis() as u64);
             sleep(SEARCH_INTERVAL).await;
         }
     }
@@ -227,7 +216,7 @@
         instance: &InstanceId,
         why: &'static str,
     ) -> Option<Attempt<D>> {
-        if why == "deadline" || !call.may_run_again(attempts.runs) {
+        if why == "deadline" || !call.may_run_again(attempts.sendings.may_have_run()) {
             return None;
         }
         let now = self.shared.now();
--- a/crates/gateway/src/handler/replies.rs
+++ b/crates/gateway/src/handler/replies.rs
@@ -1,15 +1,19 @@
 //! Responses of the node itself, and the record of how a call ended.
 
-use super::{Attempts, Gateway, NO_INSTANCE_RETRY_AFTER, UNCONFIGURED_RETRY_AFTER};
+use super::{Attempts, BodyError, Gateway, NO_INSTANCE_RETRY_AFTER, UNCONFIGURED_RETRY_AFTER};
 use crate::call::Call;
 use crate::dialect::Dialect;
-use crate::reply::{self, Reply};
+use crate::reply::{self, Failure, Promise, Reply};
 use crate::stop;
 use hyper::StatusCode;
+use hyper::header::{HeaderName, HeaderValue};
 use reedford_fleet::Now;
 use reedford_fleet::scheduler::{Refusal, RefusalReason, Rejection};
 use std::time::Duration;
 
+const NO_ANSWER: &str = "no instance answered";
+const UNKNOWN_KEY: &str = "the key is not known";
+
 /// How far a stream has come.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Progressed {
@@ -39,6 +43,7 @@
     /// newest keys, tells the caller to come back.
     pub(super) fn reply_denied(
         &self,
+        attempts: &Attempts,
         path: &str,
         version: u64,
         reason: &'static str,
@@ -48,17 +53,30 @@
         let is_current = state.is_configuration_current(self.key_limits.denial, now);
         drop(state);
         if !is_current {
-            return self.reply_unconfirmed(reason);
+            return self.reply_unconfirmed(attempts, reason);
         }
         tracing::info!(event = "refused", reason, path, version);
         self.metrics.denied(reason);
-        reply::plain_text(StatusCode::UNAUTHORIZED, "the key is not known")
+        reply::failure(Failure::Unauthorized, UNKNOWN_KEY)
     }
 
-    pub(super) fn reply_unconfirmed(&self, reason: &'static str) -> Reply {
+    pub(super) fn reply_unconfirmed(&self, attempts: &Attempts, reason: &'static str) -> Reply {
         tracing::info!(event = "refused", reason, confirmed = false);
         self.metrics.denied("unconfirmed");
-        self.reply_unavailable("the keys can't be confirmed", UNCONFIGURED_RETRY_AFTER)
+        self.reply_unsent(
+            attempts,
+            "the keys can't be confirmed",
+            UNCONFIGURED_RETRY_AFTER,
+        )
+    }
+
+    pub(super) fn reply_unreadable(&self, attempts: &Attempts, error: BodyError) -> Reply {
+        const TEXT: &str = "the body can't be read";
+        match error {
+            BodyError::Cut => reply::failure(Failure::BadRequest, TEXT),
+            BodyError::TooLarge => reply::failure(Failure::PayloadTooLarge, TEXT),
+            BodyError::TooSlow => promise_or_fail(attempts, Promise::RequestTimeout, TEXT, None),
+        }
     }
 
     pub(super) fn reply_refused(
@@ -67,14 +85,14 @@
         attempts: &Attempts,
         refusal: &Refusal,
     ) -> Reply {
-        let reply = self.refusal(call, attempts.runs, refusal);
+        let reply = self.refusal(call, attempts, refusal);
         self.record_reply(call, attempts, "", refusal.reason.name(), reply)
     }
 
-    fn refusal(&self, call: &Call, runs: u32, refusal: &Refusal) -> Reply {
-        if runs > 0 {
-            return reply::plain_text(StatusCode::BAD_GATEWAY, "no instance answered");
-        }
+    fn refusal(&self, call: &Call, attempts: &Attempts, refusal: &Refusal) -> Reply {
+        let Some(proof) = attempts.sendings.never_ran() else {
+            return reply::failure(Failure::BadGateway, NO_ANSWER);
+        };
         self.shared.put_back_charge(call);
         let text = match refusal.reason {
             RefusalReason::Overload
@@ -90,17 +108,16 @@
             RefusalReason::KeyMoved => "the key was moved to another workspace",
             RefusalReason::KeyWithdrawn => {
                 self.metrics.denied("key_withdrawn");
-                return reply::plain_text(StatusCode::UNAUTHORIZED, "the key is not known");
+                return reply::failure(Failure::Unauthorized, UNKNOWN_KEY);
             }
             RefusalReason::Limit => {
-                return reply::plain_text_with(
-                    StatusCode::TOO_MANY_REQUESTS,
-                    "the workspace's limit is used up",
-                    self.dialect.retry_after_header(refusal.retry_after),
-                );
+                let wait = self.dialect.retry_after_header(refusal.retry_after);
+                let text = "the workspace's limit is used up";
+                return reply::refusal(proof, Promise::TooManyRequests, text, Some(wait));
             }
         };
-        self.reply_unavailable(text, refusal.retry_after)
+        let wait = self.dialect.retry_after_header(refusal.retry_after);
+        reply::refusal(proof, Promise::Unavailable, text, Some(wait))
     }
 
     /// Refuses a call that came too late for this node, which stops.
@@ -114,16 +131,14 @@
         attempts: &Attempts,
         rejection: Rejection,
     ) -> Reply {
-        let reply = if attempts.runs > 0 {
-            reply::plain_text(StatusCode::BAD_GATEWAY, "no instance answered")
-        } else {
+        if attempts.sendings.never_ran().is_some() {
             self.shared.put_back_charge(call);
-            let wait = match rejection {
-                Rejection::Missing => Duration::from_millis(150),
-                Rejection::Full | Rejection::Unreachable => NO_INSTANCE_RETRY_AFTER,
-            };
-            self.reply_unavailable("no instance took the call", wait)
+        }
+        let wait = match rejection {
+            Rejection::Missing => Duration::from_millis(150),
+            Rejection::Full | Rejection::Unreachable => NO_INSTANCE_RETRY_AFTER,
         };
+        let reply = self.reply_unsent(attempts, "no instance took the call", wait);
         self.record_reply(call, attempts, "", "not_run", reply)
     }
 
@@ -135,9 +150,9 @@
         why: &'static str,
     ) -> Reply {
         let reply = if why == "deadline" {
-            reply::plain_text(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
+            reply::failure(Failure::GatewayTimeout, "no answer in time")
         } else {
-            reply::plain_text(StatusCode::BAD_GATEWAY, "the answer was lost")
+            reply::failure(Failure::BadGateway, "the answer was lost")
         };
         self.record_reply(call, attempts, instance, why, reply)
     }
@@ -147,12 +162,15 @@
         self.record_reply(call, attempts, "", "failed", reply)
     }
 
-    pub(super) fn reply_unavailable(&self, text: &'static str, wait: Duration) -> Reply {
-        reply::plain_text_with(
-            StatusCode::SERVICE_UNAVAILABLE,
-            text,
-            self.dialect.retry_after_header(wait),
-        )
+    /// Refuses a call that no instance has run; otherwise, only tells that there is no answer.
+    pub(super) fn reply_unsent(
+        &self,
+        attempts: &Attempts,
+        text: &'static str,
+        wait: Duration,
+    ) -> Reply {
+        let wait = self.dialect.retry_after_header(wait);
+        promise_or_fail(attempts, Promise::Unavailable, text, Some(wait))
     }
 
     /// Records the end of a call whose response is complete, and returns the response.
@@ -189,14 +207,28 @@
         } = progressed;
         let took = self.shared.now().saturating_sub(call.arrived);
         self.metrics.call(&call.route.name, outcome, took);
-        self.metrics.call_status(status.as_u16(), attempts.runs > 0);
+        let runs = attempts.sendings.may_have_run();
+        self.metrics.call_status(status.as_u16(), runs > 0);
         if let Some(gap) = longest_gap {
             self.metrics.longest_gap(&call.route.name, gap);
         }
         tracing::info!(event = "call", id = %call.id, route = %call.route.name, instance,
             workspace = call.caller.workspace().map(|w| &**w), outcome,
-            status = status.as_u16(), sent = attempts.sent, may_have_run = attempts.runs, events,
+            status = status.as_u16(), sent = attempts.sendings.begun(), may_have_run = runs, events,
             first_ms = first_event.map(|t| t.as_millis() as u64),
             gap_ms = longest_gap.map(|t| t.as_millis() as u64), ms = took.as_millis() as u64);
     }
 }
+
+/// Returns a promise if it is proved that no instance has run the call.
+fn promise_or_fail(
+    attempts: &Attempts,
+    promise: Promise,
+    text: &'static str,
+    retry_after: Option<(HeaderName, HeaderValue)>,
+) -> Reply {
+    match attempts.sendings.never_ran() {
+        Some(proof) => reply::refusal(proof, promise, text, retry_after),
+        None => reply::failure(Failure::BadGateway, NO_ANSWER),
+    }
+}
--- a/crates/gateway/src/handler/unary.rs
+++ b/crates/gateway/src/handler/unary.rs
@@ -2,11 +2,12 @@
 
 use super::{Attempt, Attempts, Gateway, MAX_REJECTED_ATTEMPTS};
 use crate::call::Call;
+use crate::connection_headers::idle_timeout;
 use crate::dialect::Dialect;
 use crate::reply::{self, Reply};
-use crate::sender::{PendingResponse, SendOutcome, Sending, idle_timeout, lost_reason};
+use crate::sender::{PendingResponse, SendOutcome, Sending, lost_reason};
 use reedford_fleet::health::CallOutcome;
-use reedford_fleet::scheduler::Rejection;
+use reedford_fleet::not_run::{NotRun, Unsent};
 use std::sync::Arc;
 
 /// Time without a response after which an idempotent call is retried, as a
@@ -18,7 +19,7 @@
     /// The call may have run, but its response is lost.
     Lost(&'static str),
     /// The call did not run.
-    NotRun(Rejection),
+    NotRun(NotRun),
 }
 
 impl UnaryOutcome {
@@ -29,10 +30,10 @@
         }
     }
 
-    /// Takes an attempt that did not run the call out of the count.
-    const fn counted(self, attempts: &mut Attempts) -> Self {
-        if matches!(self, Self::NotRun(_)) {
-            attempts.runs -= 1;
+    /// Records the proof that the attempt did not run the call, if it is one.
+    fn recorded(self, attempts: &mut Attempts) -> Self {
+        if let Self::NotRun(proof) = &self {
+            attempts.sendings.on_not_run(proof);
         }
         self
     }
@@ -88,7 +89,8 @@
                         };
                     }
                 }
-                UnaryOutcome::NotRun(rejection) => {
+                UnaryOutcome::NotRun(proof) => {
+                    let rejection = proof.rejection();
                     attempt.report_rejected(rejection);
                     rejected += 1;
                     let retry = rejected < MAX_REJECTED_ATTEMPTS
@@ -113,63 +115,60 @@
         attempt: &Attempt<D>,
         attempts: &mut Attempts,
     ) -> UnaryOutcome {
-        let again = attempts.record_sent(&attempt.grant.instance);
-        let first = self.send_unary(call, attempt, again);
-        let mut first = std::pin::pin!(first);
         let instance = &attempt.grant.instance;
-        attempts.runs += 1;
+        let unsent = attempts.sendings.begin(instance);
+        let first = self.send_unary(call, attempt, unsent);
+        let mut first = std::pin::pin!(first);
         let mut from = self.shared.now() + call.route.objective.mul_f64(RETRY_TIMEOUT_FACTOR);
         loop {
             let mut next = tokio::select! {
                 biased;
-                outcome = first.as_mut() => return outcome.counted(attempts),
+                outcome = first.as_mut() => return outcome.recorded(attempts),
                 next = self.replace_silent(call, attempts, instance, from) => next,
             };
-            attempts.runs += 1;
-            let again = attempts.record_sent(&next.grant.instance);
+            let unsent = attempts.sendings.begin(&next.grant.instance);
             attempts.tried.insert(next.grant.instance.clone());
             let outcome = {
-                let second = self.send_unary(call, &next, again);
+                let second = self.send_unary(call, &next, unsent);
                 let mut second = std::pin::pin!(second);
                 tokio::select! {
                     biased;
                     outcome = first.as_mut() => {
-                        let outcome = outcome.counted(attempts);
+                        let outcome = outcome.recorded(attempts);
                         if outcome.is_success() {
                             return outcome;
                         }
-                        return outcome.or(second.await.counted(attempts));
+                        return outcome.or(second.await.recorded(attempts));
                     }
                     outcome = second.as_mut() => outcome,
                 }
             };
-            match outcome.counted(attempts) {
-                UnaryOutcome::NotRun(rejection) => {
-                    next.report_rejected(rejection);
+            match outcome.recorded(attempts) {
+                UnaryOutcome::NotRun(proof) => {
+                    next.report_rejected(proof.rejection());
                     from = self.shared.now();
                 }
                 outcome if outcome.is_success() => {
                     self.sender.on_silent(&attempt.grant);
                     return outcome;
                 }
-                outcome => return first.await.counted(attempts).or(outcome),
+                outcome => return first.await.recorded(attempts).or(outcome),
             }
         }
     }
 
-    async fn send_unary(&self, call: &Call, attempt: &Attempt<D>, again: bool) -> UnaryOutcome {
+    async fn send_unary(&self, call: &Call, attempt: &Attempt<D>, unsent: Unsent) -> UnaryOutcome {
         let sending = Sending {
             call,
             grant: &attempt.grant,
             last_event_id: None,
-            again,
         };
-        match self.sender.send(sending).await {
+        match self.sender.send(unsent, sending).await {
             SendOutcome::Response(response) => {
                 let read = self.read_response(call, attempt, *response).await;
                 read.map_or_else(UnaryOutcome::Lost, UnaryOutcome::Response)
             }
-            SendOutcome::NotRun(rejection) => UnaryOutcome::NotRun(rejection),
+            SendOutcome::NotRun(proof) => UnaryOutcome::NotRun(proof),
             SendOutcome::Lost(why) => UnaryOutcome::Lost(why),
         }
     }
@@ -180,6 +179,7 @@
         attempt: &Attempt<D>,
         response: PendingResponse,
     ) -> Result<Reply, &'static str> {
+        let answer = response.status;
         let idle_timeout = idle_timeout(&response.incoming.headers);
         let left = call.time_left(self.shared.now());
         let deadline = self.shared.clock.instant(call.deadline);
@@ -203,7 +203,7 @@
             self.shared.on_answered(call);
             attempt.record_run_time(call);
         }
-        let (status, headers) = (response.status, response.headers.clone());
+        let headers = response.headers.clone();
         let body = match idle_timeout {
             Some(idle_timeout) => {
                 response.into_body_with_idle_timeout(&self.sender.pool, idle_timeout)
@@ -211,7 +211,7 @@
             None => response.body,
         };
         Ok(reply::from_instance(
-            status,
+            answer,
             headers,
             reply::full_body(body),
         ))
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod caller;
 mod calls_report;
 mod clock;
+mod connection_headers;
 mod coordinator;
 mod daemon;
 mod departures;
--- a/crates/gateway/src/probes.rs
+++ b/crates/gateway/src/probes.rs
@@ -21,12 +21,12 @@
 
     async fn handle(&self, req: Request<Incoming>) -> Reply {
         if req.uri().path() != &*self.path {
-            return reply::plain_text(StatusCode::NOT_FOUND, "no such path");
+            return reply::to_probe(StatusCode::NOT_FOUND, "no such path");
         }
         if self.shared.lock().ready(self.shared.now()) {
-            reply::plain_text(StatusCode::OK, "ready")
+            reply::to_probe(StatusCode::OK, "ready")
         } else {
-            reply::plain_text(StatusCode::SERVICE_UNAVAILABLE, "not ready")
+            reply::to_probe(StatusCode::SERVICE_UNAVAILABLE, "not ready")
         }
     }
 }
@@ -43,10 +43,10 @@
 
     async fn handle(&self, req: Request<Incoming>) -> Reply {
         if req.uri().path() != "/metrics" {
-            return reply::plain_text(StatusCode::NOT_FOUND, "no such path");
+            return reply::to_probe(StatusCode::NOT_FOUND, "no such path");
         }
         let text = self.metrics.text(self.dropped.load(Ordering::Relaxed));
-        let mut reply = reply::plain_text(StatusCode::OK, "");
+        let mut reply = reply::to_probe(StatusCode::OK, "");
         *reply.body_mut() = reply::full_body(text.into());
         reply
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -145,9 +145,9 @@
                 }
                 SendOutcome::Response(_) => return Err(NoEvent::Broken("failed")),
                 SendOutcome::Lost(why) => return Err(NoEvent::Broken(why)),
-                SendOutcome::NotRun(rejection) => {
-                    self.attempts.runs -= 1;
-                    self.attempt.report_rejected(rejection);
+                SendOutcome::NotRun(proof) => {
+                    self.attempts.sendings.on_not_run(&proof);
+                    self.attempt.report_rejected(proof.rejection());
                     return Err(NoEvent::Broken("silent"));
                 }
             }
@@ -235,7 +235,8 @@
         if source.ends_with_conn && (source.events == 0 || source.conn.is_relayed()) {
             return NoEvent::Broken("closed");
         }
-        let may_be_over = self.call.head.last_event_id.is_some() && self.attempts.runs <= 1;
+        let runs = self.attempts.sendings.may_have_run();
+        let may_be_over = self.call.head.last_event_id.is_some() && runs <= 1;
         if source.events == 0 && !may_be_over {
             return NoEvent::Broken("no_event");
         }
@@ -285,7 +286,7 @@
                     return true;
                 }
                 SendOutcome::Response(_) | SendOutcome::Lost(_) => {}
-                SendOutcome::NotRun(rejection) => self.attempt.report_rejected(rejection),
+                SendOutcome::NotRun(proof) => self.attempt.report_rejected(proof.rejection()),
             }
             self.attempt.end();
         }
@@ -296,7 +297,7 @@
         self.source = None;
         let gaps = self.progressed.longest_gap.zip(self.call.route.max_gap);
         // A stream that was moved has a gap that no engine is to blame for.
-        if let Some((longest, most)) = gaps.filter(|_| self.attempts.runs <= 1) {
+        if let Some((longest, most)) = gaps.filter(|_| self.attempts.sendings.may_have_run() <= 1) {
             self.attempt.report_gap(longest > most);
         }
         self.attempt.end();
--- a/crates/gateway/src/relay/source.rs
+++ b/crates/gateway/src/relay/source.rs
@@ -1,6 +1,7 @@
 //! Responses of instances, read as events of a stream.
 
-use crate::sender::{PendingResponse, idle_timeout};
+use crate::connection_headers::idle_timeout;
+use crate::sender::PendingResponse;
 use http_body_util::BodyExt as _;
 use hyper::StatusCode;
 use hyper::body::Incoming;
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -5,6 +5,7 @@
 use http_body_util::{BodyExt as _, Full};
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{HeaderMap, Response, StatusCode};
+use reedford_fleet::not_run::{AnswerStatus, NeverRan};
 use std::convert::Infallible;
 
 /// Aborts a response body, so that the caller sees that it is incomplete.
@@ -22,8 +23,73 @@
         .boxed_unsync()
 }
 
-/// Returns a plain-text response of this node.
-pub(crate) fn plain_text(status: StatusCode, text: &'static str) -> Reply {
+/// A status of this node that tells callers nothing on whether their call ran, or that it is
+/// refused for good.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Failure {
+    BadGateway,
+    BadRequest,
+    GatewayTimeout,
+    NotFound,
+    PayloadTooLarge,
+    Unauthorized,
+}
+
+impl Failure {
+    const fn status(self) -> StatusCode {
+        match self {
+            Self::BadGateway => StatusCode::BAD_GATEWAY,
+            Self::BadRequest => StatusCode::BAD_REQUEST,
+            Self::GatewayTimeout => StatusCode::GATEWAY_TIMEOUT,
+            Self::NotFound => StatusCode::NOT_FOUND,
+            Self::PayloadTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Unauthorized => StatusCode::UNAUTHORIZED,
+        }
+    }
+}
+
+/// A status of this node that callers take for the promise that their call did not run and
+/// never will.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Promise {
+    RequestTimeout,
+    TooManyRequests,
+    Unavailable,
+}
+
+impl Promise {
+    const fn status(self) -> StatusCode {
+        match self {
+            Self::RequestTimeout => StatusCode::REQUEST_TIMEOUT,
+            Self::TooManyRequests => StatusCode::TOO_MANY_REQUESTS,
+            Self::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+}
+
+/// Returns a response that promises nothing.
+pub(crate) fn failure(failure: Failure, text: &'static str) -> Reply {
+    plain_text(failure.status(), text)
+}
+
+/// Returns a response that promises that the call never ran, as `proof` shows.
+pub(crate) fn refusal(
+    _proof: NeverRan<'_>,
+    promise: Promise,
+    text: &'static str,
+    retry_after: Option<(HeaderName, HeaderValue)>,
+) -> Reply {
+    let mut reply = plain_text(promise.status(), text);
+    reply.headers_mut().extend(retry_after);
+    reply
+}
+
+/// Returns a response to a request that is not a call.
+pub(crate) fn to_probe(status: StatusCode, text: &'static str) -> Reply {
+    plain_text(status, text)
+}
+
+fn plain_text(status: StatusCode, text: &'static str) -> Reply {
     let mut reply = Response::new(full_body(Bytes::from_static(text.as_bytes())));
     *reply.status_mut() = status;
     reply.headers_mut().insert(
@@ -33,22 +99,15 @@
     reply
 }
 
-/// Returns a plain-text response of this node with an additional header field.
-pub(crate) fn plain_text_with(
-    status: StatusCode,
-    text: &'static str,
-    header: (HeaderName, HeaderValue),
-) -> Reply {
-    let mut reply = plain_text(status, text);
-    reply.headers_mut().insert(header.0, header.1);
-    reply
-}
-
 /// Returns an instance's response as it is sent to the caller.
-pub(crate) fn from_instance(status: StatusCode, mut headers: HeaderMap, body: ReplyBody) -> Reply {
-    crate::sender::remove_hop_by_hop_headers(&mut headers);
+pub(crate) fn from_instance(
+    status: AnswerStatus,
+    mut headers: HeaderMap,
+    body: ReplyBody,
+) -> Reply {
+    crate::connection_headers::remove_hop_by_hop_headers(&mut headers);
     let mut reply = Response::new(body);
-    *reply.status_mut() = status;
+    *reply.status_mut() = StatusCode::from_u16(status.get()).unwrap_or(StatusCode::BAD_GATEWAY);
     *reply.headers_mut() = headers;
     reply
 }
--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -1,13 +1,16 @@
 //! Sends a call to an instance and reads the head of the response.
 
 use crate::call::Call;
-use crate::dialect::{Dialect, Dispatch, NotRunReason};
+use crate::connection_headers::{idle_timeout, remove_hop_by_hop_headers};
+use crate::dialect::{Dialect, Dispatch, NotRunReason, ResponseHead};
 use crate::dialer::InstanceDialer;
 use crate::state::Shared;
 use http_body_util::Full;
-use hyper::{HeaderMap, Request, StatusCode};
-use reedford_fleet::attribution::{Attribution, Exchange};
+use hyper::Request;
 use reedford_fleet::health::CallOutcome;
+use reedford_fleet::not_run::{
+    AnswerStatus, NotRun, Sent, Statement, Unsent, Verdict, promises_not_run,
+};
 use reedford_fleet::quarantine::BLAME_TIME;
 use reedford_fleet::scheduler::{Grant, PromptPart, Rejection};
 use reedford_fleet::{Now, WeightVersion};
@@ -33,25 +36,21 @@
     pub(crate) dialer: InstanceDialer,
 }
 
-/// One sending of a call to an instance.
+/// What is sent to an instance.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Sending<'a> {
     pub(crate) call: &'a Call,
     pub(crate) grant: &'a Grant,
     pub(crate) last_event_id: Option<&'a str>,
-    /// Whether the call was sent to the instance before.
-    pub(crate) again: bool,
 }
 
-impl Sending<'_> {
-    /// Only on a connection of its own can the response to a call that is sent to an
-    /// instance again be told from earlier responses.
-    const fn reuse(&self) -> Reuse {
-        if self.again {
-            Reuse::Never
-        } else {
-            Reuse::Allowed
-        }
+/// Only on a connection of its own can the response to a call that is sent to an
+/// instance again be told from earlier responses.
+const fn reuse(unsent: &Unsent) -> Reuse {
+    if unsent.again() {
+        Reuse::Never
+    } else {
+        Reuse::Allowed
     }
 }
 
@@ -61,7 +60,7 @@
     /// The head of a response to this call.
     Response(Box<PendingResponse>),
     /// The call did not run.
-    NotRun(Rejection),
+    NotRun(NotRun),
     /// The call may have run, but its response is lost.
     Lost(&'static str),
 }
@@ -79,6 +78,8 @@
 #[derive(Debug)]
 pub(crate) struct PendingResponse {
     pub(crate) incoming: IncomingResponse,
+    /// The status, which the caller may get.
+    pub(crate) status: AnswerStatus,
     /// How much longer work takes on the instance's machine than usually, if it states that.
     pub(crate) slowdown: Option<f64>,
     /// Version of the weights that the head names.
@@ -91,31 +92,41 @@
 {
     /// Sends a call and waits for the head of the response until the call's
     /// deadline.
-    pub(crate) async fn send(&self, sending: Sending<'_>) -> SendOutcome {
-        match self.connect(sending).await {
-            Ok(conn) => self.send_on(conn, sending).await,
-            Err(rejection) => SendOutcome::NotRun(rejection),
+    pub(crate) async fn send(&self, unsent: Unsent, sending: Sending<'_>) -> SendOutcome {
+        match self.connect(&unsent, sending).await {
+            Some(conn) => self.send_on(conn, unsent, sending).await,
+            None => SendOutcome::NotRun(unsent.not_sent()),
         }
     }
 
     /// Takes an idle connection to an instance, or opens one.
-    pub(crate) async fn connect(&self, sending: Sending<'_>) -> Result<Connection, Rejection> {
+    pub(crate) async fn connect(
+        &self,
+        unsent: &Unsent,
+        sending: Sending<'_>,
+    ) -> Option<Connection> {
         let Sending { call, grant, .. } = sending;
         let deadline = self.shared.clock.instant(call.deadline);
-        timeout_at(deadline, self.pool.acquire(grant.addr, sending.reuse()))
+        timeout_at(deadline, self.pool.acquire(grant.addr, reuse(unsent)))
             .await
             .unwrap_or(Err(NotSentReason::Deadline))
             .map_err(|reason| self.on_not_sent(call, grant, &reason))
+            .ok()
     }
 
     /// Like [`Self::send`], on a connection of [`Self::connect`].
-    pub(crate) async fn send_on(&self, conn: Connection, sending: Sending<'_>) -> SendOutcome {
+    pub(crate) async fn send_on(
+        &self,
+        conn: Connection,
+        unsent: Unsent,
+        sending: Sending<'_>,
+    ) -> SendOutcome {
         let Sending { call, grant, .. } = sending;
         let req = match self.request(sending) {
             Ok(req) => req,
             Err(error) => {
                 tracing::warn!(event = "unsendable", id = %call.id, %error);
-                return SendOutcome::NotRun(Rejection::Unreachable);
+                return SendOutcome::NotRun(unsent.not_sent());
             }
         };
         let limit = HeadDeadline {
@@ -123,10 +134,13 @@
             reason: LostReason::Deadline,
         };
         let sent_at = self.shared.now();
-        match send_request_on(&self.pool, conn, req, sending.reuse(), limit).await {
-            Ok(incoming) => self.read_head(sending, incoming, sent_at).await,
+        let reuse = reuse(&unsent);
+        let sent = unsent.send();
+        match send_request_on(&self.pool, conn, req, reuse, limit).await {
+            Ok(incoming) => self.read_head(sent, sending, incoming, sent_at).await,
             Err(CallError::NotSent(reason)) => {
-                SendOutcome::NotRun(self.on_not_sent(call, grant, &reason))
+                self.on_not_sent(call, grant, &reason);
+                SendOutcome::NotRun(sent.returned())
             }
             Err(CallError::Lost(reason)) => {
                 let why = lost_reason(reason);
@@ -182,14 +196,14 @@
         });
     }
 
-    fn on_not_sent(&self, call: &Call, grant: &Grant, reason: &NotSentReason) -> Rejection {
+    fn on_not_sent(&self, call: &Call, grant: &Grant, reason: &NotSentReason) {
         self.record_outcome(grant, CallOutcome::Unreachable);
         tracing::info!(event = "not_sent", id = %call.id, instance = %grant.instance, %reason);
-        Rejection::Unreachable
     }
 
     async fn read_head(
         &self,
+        sent: Sent,
         sending: Sending<'_>,
         incoming: IncomingResponse,
         sent_at: Now,
@@ -198,78 +212,69 @@
         let head = self
             .dialect
             .parse_response(incoming.status, &incoming.headers);
-        self.shared
-            .on_response_head(&grant.instance, grant.born, &head);
-        self.shared
-            .on_rate_limit(&grant.instance, grant.born, &head, sent_at);
-        if let Some(load) = head.load {
-            let now = self.shared.now();
-            self.shared
-                .lock()
-                .balancer
-                .on_load_report(&grant.instance, load, now);
-        }
-        let is_success = incoming.status.is_success();
-        let exchange = Exchange {
-            call: &call.id,
-            number: incoming.conn.exchanges,
-            again: sending.again,
-        };
-        let dropped = match exchange.attribute(head.attempt_id.as_deref(), is_success) {
-            Attribution::This => None,
-            Attribution::Other => Some("answer_of_another_call"),
-            Attribution::Unknown if head.attempt_id.is_some() => Some("answer_of_another_sending"),
-            Attribution::Unknown => Some("answer_without_id"),
+        self.on_head(grant, &head, sent_at);
+        let status = incoming.status.as_u16();
+        let (conn, exchange) = (incoming.conn.id, incoming.conn.exchanges);
+        let identified = head.attempt_id.is_some();
+        let statement = Statement {
+            id: head.attempt_id.as_deref(),
+            status,
+            signed: head.signed,
+            rejection: head.not_run.map(|why| match why {
+                NotRunReason::Misdirected => Rejection::Missing,
+                NotRunReason::Full => Rejection::Full,
+            }),
         };
-        let (status, conn) = (incoming.status, incoming.conn.id);
-        let exchange = exchange.number;
-        if let Some(event) = dropped {
-            // Dropping the response closes its connection.
-            tracing::warn!(event, id = %call.id, instance = %grant.instance,
-                status = status.as_u16(), conn, exchange);
-            return SendOutcome::Lost(event);
-        }
-        // Only the instance itself can sign a success, and a change of protocol was not asked
-        // for.
-        if is_success && !head.signed || status.is_informational() {
-            tracing::warn!(event = "unsigned_answer", id = %call.id, instance = %grant.instance,
-                status = status.as_u16(), conn, exchange);
-            return SendOutcome::Lost("unsigned");
-        }
-        match head.not_run {
-            None => {
+        let repeatable = call.route.kind.retryable();
+        match sent.judge(&call.id, exchange, statement, repeatable) {
+            Verdict::Answer(answer) => {
                 if promises_not_run(status) {
-                    let passed_on = call.route.kind.retryable();
                     tracing::warn!(event = "unproven_rejection", id = %call.id,
-                        instance = %grant.instance, status = status.as_u16(), conn, exchange,
-                        passed_on);
-                    if !passed_on {
-                        return SendOutcome::Lost("unproven_rejection");
-                    }
+                        instance = %grant.instance, status, conn, exchange, passed_on = true);
                 }
                 SendOutcome::Response(Box::new(PendingResponse {
                     incoming,
+                    status: answer,
                     slowdown: head.load.and_then(|load| load.slowdown),
                     weight_version: head.weight_version,
                 }))
             }
-            Some(why) => {
+            Verdict::NotRun(proof) => {
                 self.drain_rejection(incoming).await;
+                let why = proof.rejection();
                 tracing::info!(event = "instance_refused", id = %call.id,
-                    instance = %grant.instance, status = status.as_u16(), why = ?why, conn,
-                    exchange, identified = head.attempt_id.is_some(), signed = head.signed);
-                SendOutcome::NotRun(match why {
-                    NotRunReason::Misdirected => Rejection::Missing,
-                    NotRunReason::Full => {
-                        self.shared
-                            .on_rejected(&grant.instance, grant.born, sent_at);
-                        Rejection::Full
-                    }
-                })
+                    instance = %grant.instance, status, ?why, conn, exchange, identified,
+                    signed = head.signed);
+                if why == Rejection::Full {
+                    self.shared
+                        .on_rejected(&grant.instance, grant.born, sent_at);
+                }
+                SendOutcome::NotRun(proof)
+            }
+            // Dropping the response closes its connection.
+            Verdict::Lost(doubt) => {
+                tracing::warn!(event = doubt.name(), id = %call.id, instance = %grant.instance,
+                    status, conn, exchange, identified, signed = head.signed);
+                SendOutcome::Lost(doubt.name())
             }
         }
     }
 
+    /// Records what the head of a response states of its instance.
+    fn on_head(&self, grant: &Grant, head: &ResponseHead, sent_at: Now) {
+        self.shared
+            .on_response_head(&grant.instance, grant.born, head);
+        self.shared
+            .on_rate_limit(&grant.instance, grant.born, head, sent_at);
+        if let Some(load) = head.load {
+            let now = self.shared.now();
+            self.shared
+                .lock()
+                .balancer
+                .on_load_report(&grant.instance, load, now);
+        }
+    }
+
     /// Reads the short body of a rejection, so that the connection can be
     /// reused.
     async fn drain_rejection(&self, incoming: IncomingResponse) {
@@ -335,17 +340,6 @@
     }
 }
 
-/// Whether a status tells callers that the call did not run and never will.
-const fn promises_not_run(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::REQUEST_TIMEOUT
-            | StatusCode::MISDIRECTED_REQUEST
-            | StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::SERVICE_UNAVAILABLE
-    )
-}
-
 /// The ids of a prompt's parts, as callers write them.
 struct PartIds<'a>(&'a [PromptPart]);
 
@@ -359,69 +353,6 @@
     }
 }
 
-/// Returns for how long a connection may be kept after a response; `None` if it
-/// must be closed.
-pub(crate) fn idle_timeout(headers: &HeaderMap) -> Option<Duration> {
-    /// Used if the instance sends no timeout.
-    const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
-    /// Subtracted from the instance's timeout, so that this node closes the
-    /// connection first.
-    const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(400);
-    let closes = headers
-        .get_all(hyper::header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .any(|value| value.to_ascii_lowercase().contains("close"));
-    if closes {
-        return None;
-    }
-    let advertised = headers
-        .get("keep-alive")
-        .and_then(|value| value.to_str().ok())
-        .and_then(|value| {
-            value
-                .split(',')
-                .find_map(|p| p.trim().strip_prefix("timeout="))
-        })
-        .and_then(|seconds| seconds.parse().ok())
-        .map(Duration::from_secs);
-    match advertised {
-        Some(advertised) => advertised
-            .checked_sub(IDLE_TIMEOUT_MARGIN)
-            .filter(|left| !left.is_zero()),
-        None => Some(DEFAULT_IDLE_TIMEOUT),
-    }
-}
-
-/// Removes hop-by-hop header fields.
-pub(crate) fn remove_hop_by_hop_headers(headers: &mut HeaderMap) {
-    let listed: Vec<String> = headers
-        .get_all(hyper::header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
-    for name in listed {
-        headers.remove(name);
-    }
-    for name in [
-        "connection",
-        "content-length",
-        "expect",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    ] {
-        headers.remove(name);
-    }
-}
-
 pub(crate) const fn lost_reason(reason: LostReason) -> &'static str {
     match reason {
         LostReason::Closed => "closed",
