Callers that resume streams at once share one read of the records

A new node answered its callers one after the other, and after a read that failed, or took longer than it is used for, each with a read of its own; the first callers' reads thus took the time of the others, and 600 ms is short for a node with a narrow link that starts.

Now all callers that wait share a read, which may take 1.5 s, and the origin of a stream is determined in 1.5 s altogether, below the 2 s for which callers of streams wait at least.

Evidence: `callers_that_resume_streams_at_once_share_a_read_of_the_records`, 3 of 3 failed before (2.1 s with a store that lists in 0.4 s, refused at 1 s, 5.4 s with a silent one), pass now.

--- a/crates/gateway/src/handler/stream_origin.rs
+++ b/crates/gateway/src/handler/stream_origin.rs
@@ -17,7 +17,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// Timeout for a query to a coordinator, as long as the slowest round trip between
 /// zones with a margin.
@@ -27,6 +27,9 @@
 const MAX_SEARCH: Duration = Duration::from_millis(500);
 /// Pause between two rounds of queries.
 const SEARCH_PAUSE: Duration = Duration::from_millis(50);
+/// Longest time in which the origin of a stream is determined, below the shortest time that
+/// callers of streams wait.
+const MAX_ORIGIN_TIME: Duration = Duration::from_millis(1_500);
 /// Retry delay sent to callers whose streams can't be resumed now; nodes report
 /// the origins that they know to a new coordinator in that time.
 const UNRESUMABLE_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -90,18 +93,8 @@
     /// When the origin is unknown while instances of several versions may have sent
     /// the first event, or when no instance of that version accepts calls.
     pub(super) async fn require_origin(&self, call: &mut Call) -> Result<(), Refusal> {
-        let resumes = call.head.resumes.as_deref();
-        let is_possible = self.has_only_version(&call.service);
-        let mut found = self.find_origin(resumes, !is_possible).await;
-        let mut inferred = None;
-        if found.is_none() && is_possible {
-            inferred = self.only_possible_origin(&call.service).await;
-            if inferred.is_none() {
-                found = self.find_origin(resumes, true).await;
-            }
-        }
-        let known = found.is_some();
-        let origin = found.or(inferred);
+        let determining = timeout(MAX_ORIGIN_TIME, self.determine_origin(call));
+        let (known, origin) = determining.await.unwrap_or((false, None));
         let state = self.shared.lock();
         let outcome = match &origin {
             None => Err(RefusalReason::UnknownVersion),
@@ -124,6 +117,22 @@
         })
     }
 
+    /// Returns the origin of the stream that a call resumes, and whether it was recorded
+    /// instead of being the only possible one.
+    async fn determine_origin(&self, call: &Call) -> (bool, Option<StreamOrigin>) {
+        let resumes = call.head.resumes.as_deref();
+        let is_possible = self.has_only_version(&call.service);
+        let mut found = self.find_origin(resumes, !is_possible).await;
+        let mut inferred = None;
+        if found.is_none() && is_possible {
+            inferred = self.only_possible_origin(&call.service).await;
+            if inferred.is_none() {
+                found = self.find_origin(resumes, true).await;
+            }
+        }
+        (found.is_some(), found.or(inferred))
+    }
+
     /// Whether this node knows of one version only at which streams of a service may have
     /// begun.
     fn has_only_version(&self, service: &ServiceName) -> bool {
--- a/crates/gateway/src/stream_record.rs
+++ b/crates/gateway/src/stream_record.rs
@@ -42,8 +42,8 @@
 const MAX_SEGMENT_ORIGINS: usize = 8_192;
 /// Pause after a failed write.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
-/// Timeout for reading the records.
-const READ_TIMEOUT: Duration = Duration::from_millis(600);
+/// Timeout for reading the records, below the shortest time that callers of streams wait.
+const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time for which what was read is used for further queries.
 const READ_TTL: Duration = Duration::from_millis(300);
 
@@ -164,10 +164,11 @@
     /// Runs until the node stops.
     pub(crate) async fn run(mut self, stop: CancellationToken) {
         let running = async {
+            let shared = Arc::clone(&self.shared);
             let mut term = None;
             let mut known = None;
             loop {
-                let holder_changed = self.shared.holder_changed.notified();
+                let holder_changed = shared.holder_changed.notified();
                 let mut holder_changed = std::pin::pin!(holder_changed);
                 holder_changed.as_mut().enable();
                 let pause = self.update(&mut term).await;
@@ -350,16 +351,22 @@
         Ok(matches!(outcome, TransactionOutcome::Committed { .. }))
     }
 
-    /// Responds to a query with what was read lately, or reads it.
-    async fn respond(&self, query: Query, known: &mut Option<(Now, Arc<StoredStreams>)>) {
+    /// Responds to a query, and to those that came meanwhile, with what was read lately, or
+    /// reads it.
+    async fn respond(&mut self, first: Query, known: &mut Option<(Now, Arc<StoredStreams>)>) {
         let now = self.shared.now();
         let is_recent = |at: Now| now.saturating_sub(at) < READ_TTL;
         if known.as_ref().is_none_or(|(at, _)| !is_recent(*at)) {
             *known = self.read().await.map(|stored| (now, Arc::new(stored)));
         }
         let stored = known.as_ref().map(|(_, stored)| Arc::clone(stored));
-        if query.send(stored).is_err() {
-            tracing::debug!(event = "streams_unclaimed");
+        let mut queries = vec![first];
+        while let Ok(query) = self.queries.try_recv() {
+            queries.push(query);
+        }
+        for query in queries {
+            // A caller that has left does not wait for the response.
+            let _ = query.send(stored.clone());
         }
     }
 
