--- a/crates/fleet/tests/not_run.rs
+++ b/crates/fleet/tests/not_run.rs
@@ -68,7 +68,7 @@
     };
 }
 
-/// Guards against a call that is told as not run, or runs twice, on a response that does not
+/// Guards against a call that is reported as not run, or runs twice, on a response that does not
 /// prove that it did not run.
 #[test_case(Case { ..Case::FULL }; "full")]
 #[test_case(Case { signed: SIGNED, ..Case::FULL }; "full, signed")]
