Log and metrics: how far a node is behind the operators' keys

Cause: the log did not say how large a transfer of operators' keys was and how long it took, whether the node knew that it was behind when it answered 404, or that the store brought nothing after a feed was lost.

Change: the position of the newest change that a coordinator reported and that of the changes read are kept (key_lag), with a line at the beginning and end of each lag; sizes and times of feeds and listings; two gauges. No decision depends on it.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -27,6 +27,7 @@
 //! | [`links`] | whether this node's own links to the instances are broken |
 //! | [`relays`] | which other node opens connections to instances for this one |
 //! | [`stopping`] | until when a node that stops sends calls to instances |
+//! | [`key_lag`] | how far this node is behind the keys that operators write |
 //! | [`connectivity`] | whether this node is cut off from the store and its peers |
 //! | [`zones`] | which availability zone places a call |
 //! | [`workspaces`] | whose key a call has, and whether it may use a route |
@@ -41,6 +42,7 @@
 pub mod directory;
 pub mod event_order;
 pub mod health;
+pub mod key_lag;
 pub mod links;
 pub mod not_run;
 pub mod ownership;
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -333,10 +333,14 @@
             },
         });
         let readiness = Readiness {
-            shared,
+            shared: Arc::clone(&shared),
             path: dialect.readiness_path().into(),
         };
-        let endpoint = MetricsEndpoint { metrics, dropped };
+        let endpoint = MetricsEndpoint {
+            shared,
+            metrics,
+            dropped,
+        };
         node.serve(
             "readiness",
             cfg.readiness,
--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -53,6 +53,17 @@
     Operators,
 }
 
+impl Feed {
+    /// Name in logs and metrics.
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::Instances => "instances",
+            Self::Members => "members",
+            Self::Operators => "operators",
+        }
+    }
+}
+
 /// A key and its value in a feed.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) struct FeedItem {
@@ -411,6 +422,19 @@
 }
 
 impl FeedResponse {
+    /// Returns the size of all values in bytes.
+    pub(crate) fn value_bytes(&self) -> usize {
+        let items = match self {
+            Self::Changes { items, .. } | Self::Listing { items, .. } => &items[..],
+            Self::Unknown => &[],
+        };
+        items
+            .iter()
+            .filter_map(|i| i.value.as_ref())
+            .map(|v| v.len())
+            .sum()
+    }
+
     /// Returns whether the response has nothing new for a node that knows
     /// operators' keys up to this revision.
     fn has_nothing_after(&self, known: i64) -> bool {
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -111,8 +111,10 @@
         let mut call = match Call::new(parts, head, &routes, arrived) {
             Ok(call) => call,
             Err(Unroutable::NoRoute) => {
+                let behind = self.shared.lock().operators_lag.behind(arrived);
                 tracing::info!(event = "refused", reason = "no_route", %path,
-                    version = routes.config().version);
+                    version = routes.config().version,
+                    behind_ms = behind.map(|b| b.as_millis() as u64));
                 return reply::failure(Failure::NotFound, "no route takes this path");
             }
             Err(Unroutable::NoService) => {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,7 +1,8 @@
 //! Metrics of a node in Prometheus' text format.
 
 use prometheus::{
-    Encoder as _, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder as _, Gauge, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 use reedford_fleet::scheduler::OrderOutcome;
 use reedford_fleet::workspaces::WorkspaceName;
@@ -35,6 +36,11 @@
     denied: IntCounterVec,
     limits_reached: IntCounterVec,
     limited_workspaces: Mutex<BTreeSet<WorkspaceName>>,
+    feed_bytes: IntCounterVec,
+    feed_failures: IntCounterVec,
+    feed_read: HistogramVec,
+    configuration_version: IntGauge,
+    configuration_behind: Gauge,
     log_lines_dropped: IntGauge,
     placements_waiting: IntGauge,
 }
@@ -100,6 +106,29 @@
                 &["workspace"],
             )?,
             limited_workspaces: Mutex::default(),
+            feed_bytes: counters(
+                "reedford_feed_bytes_total",
+                "Size of the values read from coordinators",
+                &["feed"],
+            )?,
+            feed_failures: counters(
+                "reedford_feed_failures_total",
+                "Polls of coordinators without a response",
+                &["feed"],
+            )?,
+            feed_read: histogram(
+                "reedford_feed_read_seconds",
+                "Time of polls of coordinators that brought changes",
+                "feed",
+            )?,
+            configuration_version: IntGauge::new(
+                "reedford_configuration_version",
+                "Version of the configuration in force at this node, 0 if none",
+            )?,
+            configuration_behind: Gauge::new(
+                "reedford_configuration_behind_seconds",
+                "Time for which a newer configuration or adapter version is known, but not read",
+            )?,
             log_lines_dropped: IntGauge::new(
                 "reedford_log_lines_dropped",
                 "Log lines dropped because the output was too slow",
@@ -125,6 +154,8 @@
             &self.store_failures,
             &self.denied,
             &self.limits_reached,
+            &self.feed_bytes,
+            &self.feed_failures,
         ] {
             registry.register(Box::new(counters.clone()))?;
         }
@@ -133,10 +164,13 @@
             &self.first_event,
             &self.longest_gap,
             &self.placement_wait,
+            &self.feed_read,
         ] {
             registry.register(Box::new(histogram.clone()))?;
         }
         registry.register(Box::new(self.log_lines_dropped.clone()))?;
+        registry.register(Box::new(self.configuration_version.clone()))?;
+        registry.register(Box::new(self.configuration_behind.clone()))?;
         registry.register(Box::new(self.placements_waiting.clone()))
     }
 
@@ -231,6 +265,26 @@
         self.limits_reached.with_label_values(&[label]).inc();
     }
 
+    /// Counts a poll of a coordinator that brought values.
+    pub(crate) fn feed_read(&self, feed: &str, bytes: usize, took: Duration) {
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        self.feed_bytes.with_label_values(&[feed]).inc_by(bytes);
+        let seconds = took.as_secs_f64();
+        self.feed_read.with_label_values(&[feed]).observe(seconds);
+    }
+
+    pub(crate) fn feed_failure(&self, feed: &str) {
+        self.feed_failures.with_label_values(&[feed]).inc();
+    }
+
+    /// Sets the version of the configuration in force, and for how long a newer one has
+    /// been known.
+    pub(crate) fn set_configuration(&self, version: u64, behind: Duration) {
+        self.configuration_version
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
+        self.configuration_behind.set(behind.as_secs_f64());
+    }
+
     pub(crate) fn set_placements_waiting(&self, calls: usize) {
         self.placements_waiting
             .set(i64::try_from(calls).unwrap_or(i64::MAX));
--- a/crates/gateway/src/probes.rs
+++ b/crates/gateway/src/probes.rs
@@ -34,6 +34,7 @@
 /// Serves the metrics.
 #[derive(Debug)]
 pub(crate) struct MetricsEndpoint {
+    pub(crate) shared: Arc<Shared>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) dropped: Arc<AtomicU64>,
 }
@@ -45,6 +46,13 @@
         if req.uri().path() != "/metrics" {
             return reply::to_probe(StatusCode::NOT_FOUND, "no such path");
         }
+        let now = self.shared.now();
+        let state = self.shared.lock();
+        let routes = state.routes.as_ref();
+        let version = routes.map_or(0, |routes| routes.config().version);
+        let behind = state.operators_lag.behind(now).unwrap_or_default();
+        drop(state);
+        self.metrics.set_configuration(version, behind);
         let text = self.metrics.text(self.dropped.load(Ordering::Relaxed));
         let mut reply = reply::to_probe(StatusCode::OK, "");
         *reply.body_mut() = reply::full_body(text.into());
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -15,6 +15,7 @@
 use reedford_fleet::connectivity::Connectivity;
 use reedford_fleet::directory::{Directory, Instance};
 use reedford_fleet::health::Health;
+use reedford_fleet::key_lag::KeyLag;
 use reedford_fleet::links::Links;
 use reedford_fleet::ownership::{Holder, Role};
 use reedford_fleet::pushback::Pushback;
@@ -97,6 +98,8 @@
     /// Last time at which the store, or a coordinator that follows it, had no newer
     /// configuration.
     pub(crate) configuration_confirmed: Option<Now>,
+    /// How far this node is behind the keys that operators write.
+    pub(crate) operators_lag: KeyLag<Position>,
     /// Calls of each service that wait for an instance to become available.
     pub(crate) awaiting_turn: BTreeMap<ServiceName, u32>,
     pub(crate) budget: RetryBudget,
@@ -185,6 +188,7 @@
                 rate_limits: RateLimits::new(rand::random()),
                 quotas: NodeQuotas::new(quota_tolerance),
                 configuration_confirmed: None,
+                operators_lag: KeyLag::default(),
                 awaiting_turn: BTreeMap::new(),
                 budget: RetryBudget::new(retries),
                 role,
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -251,6 +251,16 @@
         self.shared.store_retries.on_response();
     }
 
+    /// Records that this node has all changes of operators' keys up to a position.
+    fn on_operators_read(&self, position: Position) {
+        let now = self.shared.now();
+        let ended = self.shared.lock().operators_lag.on_read(position, now);
+        if let Some(behind) = ended {
+            tracing::info!(event = "operators_current", era = %position.era,
+                revision = position.revision, behind_ms = behind.as_millis() as u64);
+        }
+    }
+
     fn on_store_lost(&self, watched: WatchedPrefix<'_>, error: &KvError, known: &mut Known) {
         let now = self.shared.now();
         self.shared.lock().connectivity.on_failure(now);
@@ -311,6 +321,9 @@
                         handler.on_change(change, era);
                     }
                     handler.on_batch_end();
+                    if watched.feed == Feed::Operators {
+                        self.on_operators_read(known.position);
+                    }
                     let client_changed = !Arc::ptr_eq(store, self.client(watched));
                     if client_changed || self.source(watched, direct_until).is_some() {
                         return WatchEnd::SourceChanged;
@@ -342,6 +355,7 @@
     where
         F: KeyHandler,
     {
+        let sent_at = self.shared.now();
         let listing = match watched.feed {
             Feed::Members if !known.history_gone && !self.is_coordinator() => {
                 store.list_stale(watched.prefix).await?
@@ -362,10 +376,19 @@
             Absence::Removed
         };
         self.on_store_response();
+        if watched.feed == Feed::Operators {
+            let bytes: usize = listing.entries.iter().map(|entry| entry.value.len()).sum();
+            let took = self.shared.now().saturating_sub(sent_at);
+            tracing::info!(event = "operators_listed", era = %position.era,
+                revision = position.revision, bytes, ms = took.as_millis() as u64);
+        }
         self.publish_listing(watched, &listing, absence);
         handler.on_listing(listing, absence);
         handler.on_batch_end();
         known.position = position;
+        if watched.feed == Feed::Operators {
+            self.on_operators_read(position);
+        }
         Ok(())
     }
 
--- a/crates/gateway/src/sync/feed_client.rs
+++ b/crates/gateway/src/sync/feed_client.rs
@@ -121,6 +121,7 @@
         let notices = self.shared.lock().followed_notices;
         let notices = notices.filter(|(from, _)| *from == addr);
         let notices = Some(notices.map_or(0, |(_, revision)| revision));
+        let sent_at = self.shared.now();
         let response = self
             .peers
             .call(addr, FEED_POLL_TIMEOUT, |peer, cx| async move {
@@ -139,6 +140,8 @@
                 Err(_) => state.connectivity.on_failure(now),
             }
         }
+        let took = self.shared.now().saturating_sub(sent_at);
+        let bytes = response.as_ref().map_or(0, FeedResponse::value_bytes);
         let (era, metadata, has_changes) = match response {
             Ok(
                 FeedResponse::Listing { era, revision, .. }
@@ -191,11 +194,24 @@
                 return None;
             }
             Err(error) => {
-                tracing::info!(event = "feed_lost", ?feed, %addr, %error);
+                let newest = self.shared.lock().operators_lag.newest();
+                tracing::info!(event = "feed_lost", ?feed, %addr, after, newest = newest.revision,
+                    ms = took.as_millis() as u64, %error);
+                self.metrics.feed_failure(feed.name());
                 return None;
             }
         };
         handler.on_batch_end();
+        if has_changes {
+            self.metrics.feed_read(feed.name(), bytes, took);
+        }
+        if feed == Feed::Operators {
+            if has_changes {
+                tracing::info!(event = "operators_read", %addr, %era, after,
+                    revision = known.position.revision, bytes, ms = took.as_millis() as u64);
+            }
+            self.on_operators_read(known.position);
+        }
         self.on_metadata(addr, era, metadata);
         Some(has_changes)
     }
@@ -222,6 +238,14 @@
             *known = (*known).max(position);
             newer
         });
+        let now = self.shared.now();
+        let lag = &mut self.shared.lock().operators_lag;
+        let was_behind = lag.behind(now).is_some();
+        lag.on_reported(position, now);
+        if !was_behind && lag.behind(now).is_some() {
+            tracing::info!(event = "operators_behind", %addr, %era,
+                read = lag.read().revision, newest = position.revision);
+        }
     }
 }
 
