Feeds: large values go as compressed bodies, in parts, on connections of their own

Cause: a feed's response held whole values, as JSON within JSON, on the one connection to the coordinator. It took longer than the 500 ms of a report or the 900 ms of a poll, whose limits close that connection; the transfer began anew.

Change: a response holds at most 16 KiB of values. What is more is offered as a body: compressed by zstd against the last large value that the node has (a change of one route is some hundred bytes of a megabyte), and requested in parts on connections that carry nothing else. Each part has a time limit, a transfer goes on where it broke off and is given up only if its rate is too low for the staleness limit, and a node gives bodies half of its link. Nodes of earlier versions get and send whole values as before. feeds.rs is split by job.

Why it works: no limit is for a time that grows with the size, nothing prompt waits behind a body, and what goes over a link follows what changed.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -28,6 +28,7 @@
 //! | [`relays`] | which other node opens connections to instances for this one |
 //! | [`stopping`] | until when a node that stops sends calls to instances |
 //! | [`key_lag`] | how far this node is behind the keys that operators write |
+//! | [`transfer`] | how large values get from one node to many others |
 //! | [`connectivity`] | whether this node is cut off from the store and its peers |
 //! | [`zones`] | which availability zone places a call |
 //! | [`workspaces`] | whose key a call has, and whether it may use a route |
@@ -55,6 +56,7 @@
 pub mod stopping;
 pub mod store_retries;
 pub mod stream_versions;
+pub mod transfer;
 pub mod workspaces;
 pub mod zones;
 
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -36,8 +36,8 @@
 use reedford_store::KeyValue;
 use reedford_targets::Pool;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
@@ -122,6 +122,8 @@
     caller_addr: SocketAddr,
     pool: Arc<Pool>,
     peers: Arc<PeerClients>,
+    /// Connections to other nodes that carry nothing but parts of bodies.
+    body_peers: Arc<PeerClients>,
     tunnels: Arc<Tunnels>,
     caller_shutdown: ShutdownSignals,
     /// Stops all tasks except the servers for callers, readiness and metrics, and
@@ -159,6 +161,7 @@
             cfg.retries,
             cfg.staleness_limit,
             cfg.quota_tolerance,
+            cfg.link_bytes_per_s,
             stores.eras.clone(),
         ));
         let (commands, rx) = command_queue();
@@ -193,12 +196,14 @@
         };
         let pool = Arc::new(Pool::with_dialer(CONNECT_TIMEOUT, Arc::new(dialer.clone())));
         let peers = Arc::new(PeerClients::new(CONNECT_TIMEOUT));
+        let body_peers = Arc::new(PeerClients::new(CONNECT_TIMEOUT));
         let mut node = Self {
             shared: Arc::clone(&shared),
             cfg: Arc::clone(&cfg),
             caller_addr: cfg.callers,
             pool: Arc::clone(&pool),
             peers: Arc::clone(&peers),
+            body_peers: Arc::clone(&body_peers),
             tunnels,
             caller_shutdown: ShutdownSignals::default(),
             background,
@@ -283,6 +288,8 @@
             metrics: Arc::clone(&metrics),
             commands: commands.clone(),
             peers: Arc::clone(&peers),
+            body_peers,
+            receptions: Mutex::default(),
             own_addr: cfg.peers,
             staleness_limit: cfg.staleness_limit,
         });
@@ -476,6 +483,7 @@
         self.tasks.wait().await;
         self.pool.close().await;
         self.peers.close().await;
+        self.body_peers.close().await;
     }
 }
 
--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -13,16 +13,31 @@
 //!
 //! Operators' keys change rarely. The responses of the other feeds carry their
 //! newest revision, and nodes request their feed only when that increases.
+//!
+//! A response is small, whatever the values: items that are larger than
+//! [`MAX_RESPONSE_VALUE_BYTES`] become a body, which is compressed and requested in
+//! parts ([`reedford_fleet::transfer`]), on connections that carry nothing else.
+
+mod block;
+mod contents;
+mod protocol;
+
+pub(crate) use protocol::{
+    BodyRequest, Feed, FeedItem, FeedMetadata, FeedResponse, KnownMetadata, NoticesNews,
+};
 
+use contents::{FeedState, StoredValue};
 use reedford_fleet::departures::LeavingInstances;
 use reedford_fleet::directory::{ABSENCE_GRACE, Absence};
-use reedford_fleet::quarantine::{Evidence, EvidenceReport};
+use reedford_fleet::quarantine::Evidence;
 use reedford_fleet::rate_limits::{LimitsReport, Statements};
+use reedford_fleet::transfer::{
+    Bodies, Body, BodyInfo, DecodeError, Digest, PART_BYTES, RecentValues, Reception,
+};
 use reedford_fleet::{Era, Now};
-use reedford_store::{Change, ChangeKind, Changes, Entry, Listing, Position};
-use serde::{Deserialize, Serialize};
+use reedford_store::{ChangeKind, Changes, Entry, Listing, Position};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::timeout;
@@ -38,108 +53,18 @@
 /// a watch that failed on a compacted history or a broken connection has been
 /// restarted.
 const UNAVAILABLE_POLL_TIMEOUT: Duration = Duration::from_millis(250);
-/// Length of the log of changes; a poll with an older revision than the log covers
-/// gets a listing.
-const MAX_LOGGED_CHANGES: usize = 512;
-
-/// A part of the store that the coordinator passes on.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
-pub(crate) enum Feed {
-    /// Entries of the instances.
-    Instances,
-    /// Keys of the zones' coordinators.
-    Members,
-    /// Keys that operators write.
-    Operators,
-}
-
-impl Feed {
-    /// Name in logs and metrics.
-    pub(crate) const fn name(self) -> &'static str {
-        match self {
-            Self::Instances => "instances",
-            Self::Members => "members",
-            Self::Operators => "operators",
-        }
-    }
-}
+/// Size of the values that a response may hold.
+const MAX_RESPONSE_VALUE_BYTES: usize = PART_BYTES;
 
 /// A key and its value in a feed.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub(crate) struct FeedItem {
+#[derive(Clone, Debug)]
+pub(crate) struct FeedEntry {
     pub(crate) key: Box<str>,
-    /// Value as text; `None` if the key was deleted. Values that are not UTF-8
-    /// are converted lossily, because the receiver can't parse them either.
-    pub(crate) value: Option<Box<str>>,
+    /// `None` if the key was deleted.
+    pub(crate) value: Option<Arc<[u8]>>,
     pub(crate) revision: i64,
 }
 
-/// Data sent with every response, whatever the feed.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
-pub(crate) struct FeedMetadata {
-    /// Newest revision of the keys that operators write, in the era of the
-    /// response; 0 if none is known in it.
-    pub(crate) operators: i64,
-    /// Number of nodes in the fleet, 0 if not known.
-    pub(crate) nodes: usize,
-    /// Instances that are leaving although the store does not show it.
-    #[serde(default)]
-    pub(crate) leaving: LeavingInstances,
-    /// What nodes learned from responses, if the requesting node has another revision
-    /// of it.
-    #[serde(default)]
-    pub(crate) notices: Option<NoticesNews>,
-}
-
-/// What nodes learned from responses of instances.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub(crate) struct NoticesNews {
-    /// Unique among all revisions of the node that sends it.
-    pub(crate) revision: u64,
-    /// Calls under which instances crash.
-    pub(crate) crashes: EvidenceReport,
-    /// Limits on calls that instances name.
-    pub(crate) limits: LimitsReport,
-}
-
-/// What a node that polls a feed knows already of the data beside it.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct KnownMetadata {
-    /// Newest revision of operators' keys in the era of the known position.
-    pub(crate) operators: i64,
-    /// Revision of this node's notices that the requesting node has, 0 if none;
-    /// `None` if it wants none.
-    pub(crate) notices: Option<u64>,
-}
-
-/// Response to a poll of a feed.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub(crate) enum FeedResponse {
-    /// All keys of the feed.
-    Listing {
-        #[serde(default)]
-        era: Era,
-        revision: i64,
-        items: Vec<FeedItem>,
-        /// Whether the store was unreachable shortly before, so that entries
-        /// may have expired although their instances run.
-        lapsed: bool,
-        #[serde(rename = "aside")]
-        metadata: FeedMetadata,
-    },
-    /// Changes since the revision of the request.
-    Changes {
-        #[serde(default)]
-        era: Era,
-        revision: i64,
-        items: Vec<FeedItem>,
-        #[serde(rename = "aside")]
-        metadata: FeedMetadata,
-    },
-    /// This node has no recent state of the feed.
-    Unknown,
-}
-
 /// All feeds of a node.
 #[derive(Debug)]
 pub(crate) struct Feeds {
@@ -161,37 +86,9 @@
     rate_limits: Statements,
     /// Revision of the evidence and the limits.
     notices_revision: u64,
-}
-
-#[derive(Debug, Default)]
-struct FeedState {
-    items: BTreeMap<Box<str>, StoredValue>,
-    /// Keys that changed; their values are in `items`.
-    log: VecDeque<LoggedChange>,
-    /// Era of the store, to which all revisions belong.
-    era: Era,
-    /// The log is complete after this revision.
-    log_after: i64,
-    revision: i64,
-    last_message: Option<Now>,
-    /// When the store became reachable again after an outage.
-    recovered_at: Option<Now>,
-}
-
-#[derive(Debug)]
-struct LoggedChange {
-    key: Box<str>,
-    revision: i64,
-}
-
-#[derive(Debug)]
-struct StoredValue {
-    value: Box<str>,
-    revision: i64,
-    /// Hash of the part of the value that other nodes need; `None` if the value
-    /// comes from a copy of the store, so that the next write is passed on even if
-    /// it changes nothing.
-    digest: Option<u64>,
+    /// Values of each feed that bodies are compressed against.
+    recent_values: BTreeMap<Feed, RecentValues>,
+    bodies: Bodies,
 }
 
 impl Feeds {
@@ -225,9 +122,11 @@
             Absence::Removed => state.by_feed.get(&feed).and_then(|f| f.recovered_at),
         };
         let is_current = absence != Absence::Restored;
+        let recent = state.recent_values.entry(feed).or_default();
+        listing.entries.iter().for_each(|e| recent.record(&e.value));
         let stored = listing.entries.iter().map(|entry: &Entry| {
             let stored = StoredValue {
-                value: String::from_utf8_lossy(&entry.value).into(),
+                value: entry.value.as_slice().into(),
                 revision: entry.revision,
                 digest: is_current.then(|| digest(&entry.value)),
             };
@@ -253,6 +152,12 @@
         F: Fn(&[u8]) -> u64,
     {
         let mut state = self.lock();
+        let recent = state.recent_values.entry(feed).or_default();
+        for change in &changes.changes {
+            if let ChangeKind::Put(value) = &change.kind {
+                recent.record(value);
+            }
+        }
         // Without a listing in the same era the feed would be incomplete.
         let feed_state = state.by_feed.get_mut(&feed);
         let Some(feed_state) = feed_state.filter(|f| f.era == changes.era) else {
@@ -345,7 +250,7 @@
         let changed = self.changed.notified();
         let mut changed = std::pin::pin!(changed);
         changed.as_mut().enable();
-        let first = self.response(feed, after, metadata.notices, clock());
+        let first = self.response(feed, after, metadata, clock());
         let limit = match &first {
             FeedResponse::Unknown => UNAVAILABLE_POLL_TIMEOUT,
             known if known.has_nothing_after(metadata.operators) => POLL_TIMEOUT,
@@ -354,137 +259,151 @@
         if timeout(limit, changed).await.is_err() {
             tracing::trace!(event = "no_news");
         }
-        self.response(feed, after, metadata.notices, clock())
+        self.response(feed, after, metadata, clock())
     }
 
     fn response(
         &self,
         feed: Feed,
         after: Position,
-        known_notices: Option<u64>,
+        receiver: KnownMetadata,
         now: Now,
     ) -> FeedResponse {
-        let state = self.lock();
-        let known = state.by_feed.get(&feed);
-        let Some(known) = known.filter(|f| f.era >= after.era) else {
+        let mut state = self.lock();
+        let Some(known) = state.current(feed, after, self.max_age, now) else {
             return FeedResponse::Unknown;
         };
-        let era = known.era;
-        let operators = Some(state.operators).filter(|position| position.era == era);
-        let revision = state.notices_revision;
-        let has_news = known_notices.is_some_and(|known| known != revision);
-        let metadata = FeedMetadata {
-            notices: has_news.then(|| NoticesNews {
-                revision,
-                crashes: state.evidence.report(now),
-                limits: LimitsReport::new(&state.rate_limits, now),
-            }),
-            operators: operators.map_or(0, |position| position.revision),
-            nodes: state.nodes,
-            leaving: state.leaving.clone(),
-        };
-        // A message on any feed shows that the store responds.
-        let last_message = state.by_feed.values().filter_map(|f| f.last_message).max();
-        let is_fresh = last_message.is_some_and(|at| now.saturating_sub(at) < self.max_age);
-        if !is_fresh || known.last_message.is_none() {
-            return FeedResponse::Unknown;
-        }
-        let revision = known.revision;
+        let (era, revision) = (known.era, known.revision);
         let is_logged = after.era == era && after.revision >= known.log_after;
-        if after.revision == 0 || !is_logged {
-            let items = known.items.keys().map(|key| known.item(key, revision));
-            let is_recent = |recovered_at| now.saturating_sub(recovered_at) < ABSENCE_GRACE;
-            return FeedResponse::Listing {
+        let is_listing = after.revision == 0 || !is_logged;
+        let entries: Vec<FeedEntry> = if is_listing {
+            let keys = known.items.keys();
+            keys.map(|key| known.entry(key, revision)).collect()
+        } else {
+            let log = known.log.iter();
+            let new = log.filter(|change| change.revision > after.revision);
+            let keys: BTreeSet<&str> = new.map(|change| &*change.key).collect();
+            let keys = keys.into_iter();
+            keys.map(|key| known.entry(key, revision)).collect()
+        };
+        let is_recent = |recovered_at| now.saturating_sub(recovered_at) < ABSENCE_GRACE;
+        let lapsed = known.recovered_at.is_some_and(is_recent);
+        let metadata = state.metadata(era, receiver.notices, now);
+        let body = state.body(feed, &entries, receiver.body);
+        let items = match body {
+            Some(_) => Vec::new(),
+            None => block::to_items(&entries),
+        };
+        if is_listing {
+            FeedResponse::Listing {
                 era,
                 revision,
-                items: items.collect(),
-                lapsed: known.recovered_at.is_some_and(is_recent),
+                items,
+                body,
+                lapsed,
                 metadata,
-            };
-        }
-        let new = known
-            .log
-            .iter()
-            .filter(|change| change.revision > after.revision);
-        let keys: BTreeSet<&str> = new.map(|change| &*change.key).collect();
-        let items = keys.into_iter().map(|key| known.item(key, revision));
-        FeedResponse::Changes {
-            era,
-            revision,
-            items: items.collect(),
-            metadata,
+            }
+        } else {
+            FeedResponse::Changes {
+                era,
+                revision,
+                items,
+                body,
+                metadata,
+            }
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, State> {
-        self.feeds.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Returns the hash of the newest large value of a feed that this node has.
+    pub(crate) fn newest_value(&self, feed: Feed) -> Option<Digest> {
+        self.lock().recent_values.get(&feed)?.newest()
     }
-}
 
-impl FeedResponse {
-    /// Returns the size of all values in bytes.
-    pub(crate) fn value_bytes(&self) -> usize {
-        let items = match self {
-            Self::Changes { items, .. } | Self::Listing { items, .. } => &items[..],
-            Self::Unknown => &[],
-        };
-        items
-            .iter()
-            .filter_map(|i| i.value.as_ref())
-            .map(|v| v.len())
-            .sum()
+    /// Returns a body that was offered to a node lately.
+    pub(crate) fn offered_body(&self, id: Digest) -> Option<Arc<Body>> {
+        self.lock().bodies.get(id)
     }
 
-    /// Returns whether the response has nothing new for a node that knows
-    /// operators' keys up to this revision.
-    fn has_nothing_after(&self, known: i64) -> bool {
-        match self {
-            Self::Changes {
-                items, metadata, ..
-            } => items.is_empty() && metadata.operators <= known && metadata.notices.is_none(),
-            Self::Listing { .. } | Self::Unknown => false,
+    /// Returns the items of a body that was received, and keeps large values to compress
+    /// later ones against.
+    pub(crate) fn decode_body(
+        &self,
+        feed: Feed,
+        reception: &Reception,
+    ) -> Result<Vec<FeedEntry>, DecodeError> {
+        let mut state = self.lock();
+        let recent = state.recent_values.entry(feed).or_default();
+        let block = reception.decode(recent)?;
+        let entries = block::decode(&block).ok_or(DecodeError::Corrupt)?;
+        for value in entries.iter().filter_map(|entry| entry.value.as_ref()) {
+            recent.record(value);
         }
+        Ok(entries)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.feeds.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-impl FeedState {
-    /// Returns the current state of a key; `revision` is that of a deleted key.
-    fn item(&self, key: &str, revision: i64) -> FeedItem {
-        let stored = self.items.get(key);
-        FeedItem {
-            key: key.into(),
-            value: stored.map(|s| s.value.clone()),
-            revision: stored.map_or(revision, |s| s.revision),
+impl State {
+    /// Returns a feed for a node that knows a position, if the store responded to this
+    /// node lately.
+    fn current(
+        &self,
+        feed: Feed,
+        after: Position,
+        max_age: Duration,
+        now: Now,
+    ) -> Option<&FeedState> {
+        let known = self.by_feed.get(&feed).filter(|f| f.era >= after.era)?;
+        // A message on any feed shows that the store responds.
+        let last_message = self.by_feed.values().filter_map(|f| f.last_message).max()?;
+        let is_fresh = now.saturating_sub(last_message) < max_age;
+        (is_fresh && known.last_message.is_some()).then_some(known)
+    }
+
+    fn metadata(&self, era: Era, known_notices: Option<u64>, now: Now) -> FeedMetadata {
+        let operators = Some(self.operators).filter(|position| position.era == era);
+        let revision = self.notices_revision;
+        let has_news = known_notices.is_some_and(|known| known != revision);
+        FeedMetadata {
+            notices: has_news.then(|| NoticesNews {
+                revision,
+                crashes: self.evidence.report(now),
+                limits: LimitsReport::new(&self.rate_limits, now),
+            }),
+            operators: operators.map_or(0, |position| position.revision),
+            nodes: self.nodes,
+            leaving: self.leaving.clone(),
         }
     }
 
-    fn apply<F>(&mut self, change: &Change, digest: &F)
-    where
-        F: Fn(&[u8]) -> u64,
-    {
-        match &change.kind {
-            ChangeKind::Put(value) => {
-                let stored = StoredValue {
-                    value: String::from_utf8_lossy(value).into(),
-                    revision: change.revision,
-                    digest: Some(digest(value)),
-                };
-                let digest = stored.digest;
-                let before = self.items.insert(change.key.clone(), stored);
-                if before.is_some_and(|b| b.digest == digest) {
-                    return;
-                }
-            }
-            ChangeKind::Delete => _ = self.items.remove(&change.key),
+    /// Returns a body with the entries if they are too large for a response.
+    fn body(
+        &mut self,
+        feed: Feed,
+        entries: &[FeedEntry],
+        receiver: Option<BodyRequest>,
+    ) -> Option<BodyInfo> {
+        let values = entries.iter().filter_map(|entry| entry.value.as_ref());
+        let size: usize = values.map(|value| value.len()).sum();
+        if size <= MAX_RESPONSE_VALUE_BYTES {
+            return None;
         }
-        self.log.push_back(LoggedChange {
-            key: change.key.clone(),
-            revision: change.revision,
+        let recent = self.recent_values.get(&feed);
+        let base = receiver?.base.and_then(|digest| {
+            let value = recent?.get(digest)?;
+            Some((digest, value))
         });
-        if self.log.len() > MAX_LOGGED_CHANGES
-            && let Some(dropped) = self.log.pop_front()
-        {
-            self.log_after = dropped.revision;
+        let base = base.as_ref().map(|(digest, value)| (*digest, &**value));
+        let block = block::encode(entries).map_err(std::io::Error::from);
+        match block.and_then(|block| self.bodies.encode(&block, base)) {
+            Ok(info) => Some(info),
+            Err(error) => {
+                tracing::warn!(event = "body_unencodable", feed = feed.name(), size, %error);
+                None
+            }
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! request again, as an attempt of its own; `attempt` otherwise means that this
 //! node sends a call to an instance.
 
+mod body_part;
 mod call;
 mod caller;
 mod calls_report;
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -1,6 +1,12 @@
 //! The protocol between nodes, over tarpc.
 
-use crate::feeds::{Feed, FeedResponse};
+#![expect(
+    clippy::too_many_arguments,
+    reason = "nodes of earlier versions send the arguments one by one"
+)]
+
+use crate::body_part::BodyPart;
+use crate::feeds::{BodyRequest, Feed, FeedResponse};
 use futures::FutureExt as _;
 use futures::future::BoxFuture;
 use reedford_fleet::departures::LeavingInstances;
@@ -13,6 +19,7 @@
     PromptPart, Refusal, RunningCall,
 };
 use reedford_fleet::stream_versions::StreamOrigin;
+use reedford_fleet::transfer::Digest;
 use reedford_fleet::workspaces::{Charge, WorkspaceName};
 use reedford_fleet::{
     AdapterName, AttemptId, Era, InstanceId, ModelName, Now, ServiceName, SoftwareVersion, ZoneId,
@@ -166,15 +173,20 @@
     /// for all keys. `operators` is the newest revision of operators' keys that
     /// the sender knows. Both are revisions of `era`, the newest era of the store
     /// that the sender knows. `notices` is the revision of the receiver's notices
-    /// that the sender has, 0 if none; `None` if it wants none. Responds within
-    /// a second.
+    /// that the sender has, 0 if none; `None` if it wants none. `body` says how the
+    /// sender can get values that are too large for a response; `None` from a node that
+    /// can't. Responds within a second.
     async fn news(
         feed: Feed,
         after: i64,
         operators: i64,
         era: Option<Era>,
         notices: Option<u64>,
+        body: Option<BodyRequest>,
     ) -> FeedResponse;
+    /// Requests the part at an offset of a body that the receiver offered; `None` if it
+    /// no longer has that body.
+    async fn body_part(body: Digest, offset: usize) -> Option<BodyPart>;
     /// Asks whether the platform's store responds to the receiver.
     async fn store_answers() -> bool;
     /// Asks which coordinator of a zone the receiver knows of.
--- a/crates/gateway/src/peer_server.rs
+++ b/crates/gateway/src/peer_server.rs
@@ -1,8 +1,9 @@
 //! Serves other nodes. Placements, progress and load become commands to the
 //! coordinator's task.
 
+use crate::body_part::BodyPart;
 use crate::coordinator::{Charged, Command, CommandTx, UsageResponse};
-use crate::feeds::{Feed, FeedResponse, KnownMetadata};
+use crate::feeds::{BodyRequest, Feed, FeedResponse, KnownMetadata};
 use crate::membership::ZONE_PREFIX;
 use crate::peer::{CallsReport, Peer, PlaceRequest, PlaceResponse, StreamRecord, ZoneLoad};
 use crate::relay_watch;
@@ -16,6 +17,7 @@
 use reedford_fleet::rate_limits::LimitsReport;
 use reedford_fleet::scheduler::{Observation, PlacementId, Progress};
 use reedford_fleet::stream_versions::StreamOrigin;
+use reedford_fleet::transfer::Digest;
 use reedford_fleet::workspaces::Charge;
 use reedford_fleet::{AttemptId, Era, ZoneId};
 use reedford_store::{KeyValue, Position};
@@ -187,6 +189,7 @@
         operators: i64,
         era: Option<Era>,
         notices: Option<u64>,
+        body: Option<BodyRequest>,
     ) -> FeedResponse {
         self.shared.lock().connectivity.on_success();
         let after = Position {
@@ -196,11 +199,24 @@
         if let Some(era) = era {
             self.shared.eras.observe(era);
         }
-        let known = KnownMetadata { operators, notices };
+        let known = KnownMetadata {
+            body,
+            operators,
+            notices,
+        };
         let clock = || self.shared.now();
         self.shared.feeds.poll(feed, after, known, clock).await
     }
 
+    async fn body_part(self, _: Context, body: Digest, offset: usize) -> Option<BodyPart> {
+        let body = self.shared.feeds.offered_body(body)?;
+        let part = body.part(offset)?;
+        let now = self.shared.now();
+        let wait = self.shared.lock().link_share.take(part.len(), now);
+        sleep(wait).await;
+        Some(BodyPart(part.into()))
+    }
+
     async fn store_answers(self, _: Context) -> bool {
         if self.shared.lock().stopping {
             return false;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -29,6 +29,8 @@
     pub min_lease_ttl: Duration,
     /// Cores that the node may use.
     pub cores: f64,
+    /// Bandwidth of the node's link in bytes per second, if it is known.
+    pub link_bytes_per_s: Option<f64>,
     /// Limit on open file descriptors.
     pub max_open_files: usize,
     /// The fleet's retry budget.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -26,6 +26,7 @@
 use reedford_fleet::scheduler::{AdapterKey, Grant, PlacementId};
 use reedford_fleet::stopping::{RunTimes, StopTimes};
 use reedford_fleet::stream_versions::StreamVersions;
+use reedford_fleet::transfer::LinkShare;
 use reedford_fleet::zones::ZoneReport;
 use reedford_fleet::{InstanceId, Now, ServiceName, WeightVersion, ZoneId};
 use reedford_store::{EraTracker, Position};
@@ -128,6 +129,8 @@
     /// When the instances were listed first.
     pub(crate) instances_listed_at: Option<Now>,
     pub(crate) stopping: bool,
+    /// Share of this node's link for bodies of feeds.
+    pub(crate) link_share: LinkShare,
     /// How long the calls of each route run.
     pub(crate) run_times: RunTimes,
 }
@@ -158,6 +161,7 @@
         retries: RetryLimits,
         staleness_limit: Duration,
         quota_tolerance: QuotaTolerance,
+        link_bytes_per_s: Option<f64>,
         eras: EraTracker,
     ) -> Self {
         Self {
@@ -205,6 +209,7 @@
                 unstored_origins: Vec::new(),
                 instances_listed_at: None,
                 stopping: false,
+                link_share: LinkShare::new(link_bytes_per_s),
                 run_times: RunTimes::default(),
             }),
         }
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -10,6 +10,7 @@
 //! is listed again, or requested from the coordinator. A position is only ever
 //! used in its own era.
 
+mod body_client;
 mod feed_client;
 mod instances;
 mod operators;
@@ -24,10 +25,12 @@
 use instances::InstanceEntries;
 use operators::OperatorKeys;
 use reedford_fleet::directory::Absence;
+use reedford_fleet::transfer::Reception;
 use reedford_fleet::{Era, Now};
 use reedford_store::{Change, Changes, EraTracker, KeyValue, KvError, Listing, Position};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::time::{sleep, sleep_until};
 use tokio_util::sync::CancellationToken;
@@ -57,6 +60,10 @@
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) commands: CommandTx,
     pub(crate) peers: Arc<PeerClients>,
+    /// Connections that carry nothing but parts of bodies.
+    pub(crate) body_peers: Arc<PeerClients>,
+    /// Bodies of which some parts have been received.
+    pub(crate) receptions: Mutex<BTreeMap<Feed, Reception>>,
     pub(crate) own_addr: SocketAddr,
     pub(crate) staleness_limit: Duration,
 }
--- a/crates/gateway/src/sync/feed_client.rs
+++ b/crates/gateway/src/sync/feed_client.rs
@@ -2,9 +2,10 @@
 
 use super::{KeyHandler, Known, StoreSync, WatchEnd, WatchedPrefix};
 use crate::dialect::Dialect;
-use crate::feeds::{Feed, FeedItem, FeedMetadata, FeedResponse};
+use crate::feeds::{BodyRequest, Feed, FeedEntry, FeedItem, FeedMetadata, FeedResponse};
 use reedford_fleet::departures::DepartureSource;
 use reedford_fleet::directory::Absence;
+use reedford_fleet::transfer::BodyInfo;
 use reedford_fleet::{Era, Now};
 use reedford_store::{Change, ChangeKind, Entry, KeyValue, Listing, Position};
 use std::net::SocketAddr;
@@ -121,11 +122,14 @@
         let notices = self.shared.lock().followed_notices;
         let notices = notices.filter(|(from, _)| *from == addr);
         let notices = Some(notices.map_or(0, |(_, revision)| revision));
+        let base = self.shared.feeds.newest_value(feed);
         let sent_at = self.shared.now();
         let response = self
             .peers
             .call(addr, FEED_POLL_TIMEOUT, |peer, cx| async move {
-                peer.news(cx, feed, after, operators, era, notices).await
+                let body = Some(BodyRequest { base });
+                peer.news(cx, feed, after, operators, era, notices, body)
+                    .await
             })
             .await;
         {
@@ -140,24 +144,43 @@
                 Err(_) => state.connectivity.on_failure(now),
             }
         }
-        let took = self.shared.now().saturating_sub(sent_at);
-        let bytes = response.as_ref().map_or(0, FeedResponse::value_bytes);
-        let (era, metadata, has_changes) = match response {
-            Ok(
-                FeedResponse::Listing { era, revision, .. }
-                | FeedResponse::Changes { era, revision, .. },
-            ) if !self.shared.eras.observe(era) => {
-                tracing::info!(event = "feed_outdated", ?feed, %addr, %era, revision);
-                return Some(false);
+        let response = match response {
+            Ok(response) => response,
+            Err(error) => {
+                let ms = self.shared.now().saturating_sub(sent_at).as_millis() as u64;
+                let newest = self.shared.lock().operators_lag.newest();
+                tracing::info!(event = "feed_lost", ?feed, %addr, after, newest = newest.revision,
+                    ms, %error);
+                self.metrics.feed_failure(feed.name());
+                return None;
             }
-            Ok(FeedResponse::Listing {
-                era,
-                revision,
-                items,
-                lapsed,
-                metadata,
-            }) => {
-                let is_later_era = known.position.revision > 0 && known.position.era < era;
+        };
+        let Some(news) = News::new(response) else {
+            tracing::info!(event = "feed_unknown", ?feed, %addr);
+            return None;
+        };
+        if self.is_outdated(addr, feed, &news) {
+            return Some(false);
+        }
+        let entries = match news.body {
+            Some(info) => self.receive_body(addr, feed, info).await?,
+            None => news.items.into_iter().map(FeedEntry::from).collect(),
+        };
+        // The store may have been restored while the body was received.
+        if !self.shared.eras.observe(news.era) {
+            return Some(false);
+        }
+        let took = self.shared.now().saturating_sub(sent_at);
+        let values = entries.iter().filter_map(|entry| entry.value.as_ref());
+        let bytes: usize = values.map(|value| value.len()).sum();
+        let has_changes = !entries.is_empty() || matches!(news.extent, Extent::All { .. });
+        let position = Position {
+            era: news.era,
+            revision: news.revision,
+        };
+        match news.extent {
+            Extent::All { lapsed } => {
+                let is_later_era = known.position.revision > 0 && known.position.era < news.era;
                 let absence = if std::mem::take(&mut known.restored) || is_later_era {
                     Absence::Restored
                 } else if lapsed {
@@ -165,57 +188,45 @@
                 } else {
                     Absence::Removed
                 };
-                known.position = Position { era, revision };
-                let entries = items.into_iter().filter_map(into_entry).collect();
+                known.position = position;
                 let listing = Listing {
-                    era,
-                    revision,
-                    entries,
+                    era: news.era,
+                    revision: news.revision,
+                    entries: entries.into_iter().filter_map(into_entry).collect(),
                 };
                 handler.on_listing(listing, absence);
-                (era, metadata, true)
-            }
-            Ok(FeedResponse::Changes {
-                era,
-                revision,
-                items,
-                metadata,
-            }) => {
-                known.position = Position { era, revision }.max(known.position);
-                let has_changes = !items.is_empty();
-                items
-                    .into_iter()
-                    .map(into_change)
-                    .for_each(|c| handler.on_change(c, era));
-                (era, metadata, has_changes)
             }
-            Ok(FeedResponse::Unknown) => {
-                tracing::info!(event = "feed_unknown", ?feed, %addr);
-                return None;
-            }
-            Err(error) => {
-                let newest = self.shared.lock().operators_lag.newest();
-                tracing::info!(event = "feed_lost", ?feed, %addr, after, newest = newest.revision,
-                    ms = took.as_millis() as u64, %error);
-                self.metrics.feed_failure(feed.name());
-                return None;
+            Extent::Changes => {
+                known.position = known.position.max(position);
+                let changes = entries.into_iter().map(into_change);
+                changes.for_each(|change| handler.on_change(change, news.era));
             }
-        };
+        }
         handler.on_batch_end();
         if has_changes {
             self.metrics.feed_read(feed.name(), bytes, took);
         }
         if feed == Feed::Operators {
             if has_changes {
-                tracing::info!(event = "operators_read", %addr, %era, after,
-                    revision = known.position.revision, bytes, ms = took.as_millis() as u64);
+                tracing::info!(event = "operators_read", %addr, era = %news.era, after,
+                    revision = news.revision, bytes, ms = took.as_millis() as u64);
             }
             self.on_operators_read(known.position);
         }
-        self.on_metadata(addr, era, metadata);
+        self.on_metadata(addr, news.era, news.metadata);
         Some(has_changes)
     }
 
+    /// Whether a response is of an earlier era than the newest.
+    fn is_outdated(&self, addr: SocketAddr, feed: Feed, news: &News) -> bool {
+        let is_outdated = !self.shared.eras.observe(news.era);
+        if is_outdated {
+            tracing::info!(event = "feed_outdated", ?feed, %addr, era = %news.era,
+                revision = news.revision);
+        }
+        is_outdated
+    }
+
     fn on_metadata(&self, addr: SocketAddr, era: Era, metadata: FeedMetadata) {
         if let Some(news) = metadata.notices {
             self.shared.merge_evidence(&news.crashes, "coordinator");
@@ -249,20 +260,87 @@
     }
 }
 
-fn into_entry(item: FeedItem) -> Option<Entry> {
+/// What a response of a coordinator that serves the feed says.
+struct News {
+    era: Era,
+    revision: i64,
+    extent: Extent,
+    items: Vec<FeedItem>,
+    /// The items, if they are too large for the response.
+    body: Option<BodyInfo>,
+    metadata: FeedMetadata,
+}
+
+/// Which keys a response has.
+enum Extent {
+    /// All keys of the feed. `lapsed` as in [`FeedResponse::Listing`].
+    All { lapsed: bool },
+    /// Those that changed since the known position.
+    Changes,
+}
+
+impl News {
+    /// Returns `None` if the coordinator has no recent state of the feed.
+    fn new(response: FeedResponse) -> Option<Self> {
+        match response {
+            FeedResponse::Listing {
+                era,
+                revision,
+                items,
+                body,
+                lapsed,
+                metadata,
+            } => Some(Self {
+                era,
+                revision,
+                extent: Extent::All { lapsed },
+                items,
+                body,
+                metadata,
+            }),
+            FeedResponse::Changes {
+                era,
+                revision,
+                items,
+                body,
+                metadata,
+            } => Some(Self {
+                era,
+                revision,
+                extent: Extent::Changes,
+                items,
+                body,
+                metadata,
+            }),
+            FeedResponse::Unknown => None,
+        }
+    }
+}
+
+impl From<FeedItem> for FeedEntry {
+    fn from(item: FeedItem) -> Self {
+        Self {
+            key: item.key,
+            value: item.value.map(|value| value.as_bytes().into()),
+            revision: item.revision,
+        }
+    }
+}
+
+fn into_entry(entry: FeedEntry) -> Option<Entry> {
     Some(Entry {
-        key: item.key,
-        value: item.value?.into_string().into_bytes(),
-        revision: item.revision,
+        key: entry.key,
+        value: entry.value?.to_vec(),
+        revision: entry.revision,
     })
 }
 
-fn into_change(item: FeedItem) -> Change {
+fn into_change(entry: FeedEntry) -> Change {
     Change {
-        key: item.key,
-        revision: item.revision,
-        kind: match item.value {
-            Some(value) => ChangeKind::Put(value.into_string().into_bytes()),
+        key: entry.key,
+        revision: entry.revision,
+        kind: match entry.value {
+            Some(value) => ChangeKind::Put(value.to_vec()),
             None => ChangeKind::Delete,
         },
     }
