Store client: the body of a response may take longer while it arrives

Cause: 1.2 s for a whole request, and 0.7 s beyond the wait of a watch, of which a megabyte in base64 takes 1.1 s on an idle link. Each try began anew.

Change: the limit is for the head. After that the body may take as long as it arrives at 64 KiB/s or more and no second passes without a byte, so that a body which stalls, or trickles, still ends.

--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -2,7 +2,7 @@
 
 use crate::eras::EraHeader;
 use crate::kv::KvError;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
@@ -15,12 +15,18 @@
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+/// Longest time without a byte of a body that has begun to arrive.
+const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Rate above which the body of a response may take any time. Listings are larger than
+/// what a narrow link passes on within the timeout of a call.
+const MIN_BODY_BYTES_PER_S: f64 = 65_536.0;
+
 type HttpClient = Client<HttpConnector, Full<Bytes>>;
 
 /// Addresses of the platform and timeouts of requests to it.
@@ -30,7 +36,8 @@
     pub addresses: Vec<SocketAddr>,
     /// Time to connect to one address.
     pub connect_timeout: Duration,
-    /// Time for one call, including the attempts at all addresses.
+    /// Time for one call, including the attempts at all addresses, beside that in which
+    /// the body of a response arrives.
     pub call_timeout: Duration,
     /// Time without a message after which a watch counts as failed.
     pub watch_timeout: Duration,
@@ -242,20 +249,17 @@
 
     /// Sends a call and reads the whole response body.
     async fn call(&self, call: &Call<'_>) -> Result<Reply<Bytes>, KvError> {
-        self.try_addresses(call, |res| async {
+        self.try_addresses(call, |res, deadline| async move {
             let era = self.era(&res);
-            let body = res.into_body().collect().await.map_err(unknown_outcome)?;
-            Ok(Reply {
-                era,
-                body: body.to_bytes(),
-            })
+            let body = read_body(res.into_body(), &deadline).await?;
+            Ok(Reply { era, body })
         })
         .await
     }
 
     /// Sends a call and returns the response body once the headers have arrived.
     pub(crate) async fn open_stream(&self, call: &Call<'_>) -> Result<Incoming, KvError> {
-        self.try_addresses(call, |res| async { Ok(res.into_body()) })
+        self.try_addresses(call, |res, _deadline| async { Ok(res.into_body()) })
             .await
     }
 
@@ -263,7 +267,7 @@
     /// outcome or the time for the call is over.
     async fn try_addresses<F, Fut, T>(&self, call: &Call<'_>, read: F) -> Result<T, KvError>
     where
-        F: Fn(Response<Incoming>) -> Fut,
+        F: Fn(Response<Incoming>, Arc<Deadline>) -> Fut,
         Fut: Future<Output = Result<T, KvError>>,
     {
         let deadline = Instant::now() + self.cfg.call_timeout;
@@ -307,9 +311,10 @@
         read: &F,
     ) -> Result<T, KvError>
     where
-        F: Fn(Response<Incoming>) -> Fut,
+        F: Fn(Response<Incoming>, Arc<Deadline>) -> Fut,
         Fut: Future<Output = Result<T, KvError>>,
     {
+        let deadline = Arc::new(Deadline::new(deadline));
         let current = self.current_client();
         let req = request(self.cfg.addresses[index], call)?;
         let exchange = async {
@@ -322,7 +327,7 @@
             })?;
             let era = self.era(&res);
             let outcome = if res.status().is_success() {
-                read(res).await
+                read(res, Arc::clone(&deadline)).await
             } else {
                 Err(error_from_response(res, era, call.idempotency).await)
             };
@@ -335,11 +340,12 @@
                 _ => outcome,
             }
         };
-        match timeout_at(deadline, exchange).await {
-            Ok(outcome) => outcome,
-            Err(elapsed) => {
+        tokio::select! {
+            biased;
+            outcome = exchange => outcome,
+            () = deadline.passed() => {
                 self.replace_client(current.generation);
-                Err(unknown_outcome(elapsed))
+                Err(unknown_outcome("deadline has elapsed"))
             }
         }
     }
@@ -368,6 +374,58 @@
     }
 }
 
+/// Deadline of an exchange, which moves on while the body of the response arrives.
+#[derive(Debug)]
+struct Deadline(Mutex<DeadlineState>);
+
+#[derive(Debug)]
+struct DeadlineState {
+    at: Instant,
+    /// When all bytes that have arrived would have been late at the lowest rate.
+    by_rate: Instant,
+}
+
+impl Deadline {
+    const fn new(at: Instant) -> Self {
+        Self(Mutex::new(DeadlineState { at, by_rate: at }))
+    }
+
+    /// Records that bytes of the body have arrived.
+    fn on_bytes(&self, bytes: usize) {
+        let time = Duration::from_secs_f64(bytes as f64 / MIN_BODY_BYTES_PER_S);
+        let mut state = self.lock();
+        state.by_rate += time;
+        state.at = state.by_rate.min(Instant::now() + BODY_IDLE_TIMEOUT);
+    }
+
+    /// Returns once the deadline has passed.
+    async fn passed(&self) {
+        loop {
+            let at = self.lock().at;
+            if Instant::now() >= at {
+                return;
+            }
+            sleep_until(at).await;
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, DeadlineState> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn read_body(mut body: Incoming, deadline: &Deadline) -> Result<Bytes, KvError> {
+    let mut buf = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(unknown_outcome)?;
+        if let Some(data) = frame.data_ref() {
+            deadline.on_bytes(data.len());
+            buf.extend_from_slice(data);
+        }
+    }
+    Ok(buf.freeze())
+}
+
 fn new_client(cfg: &EndpointConfig, connections: &ConnectionTasks) -> HttpClient {
     let mut connector = HttpConnector::new();
     connector.set_connect_timeout(Some(cfg.connect_timeout));
