Sync: a node that is behind waits for the store's response that is on its way

Cause: a watch on operators' keys that is behind what a coordinator reported was replaced after 200 ms, to get rid of connections that are silent. Its successor was behind, too, and was replaced as soon; a response that needs longer than 200 ms never came.

Change: only a watch that was not behind when it began is replaced. Its successor uses short polls, whose limits notice a silent connection. A transfer from a coordinator is given up also while its first part is missing.

--- a/crates/fleet/src/transfer.rs
+++ b/crates/fleet/src/transfer.rs
@@ -196,7 +196,7 @@
         /// Share of the limit after which the rate is known.
         const TRIAL_SHARE: f64 = 0.25;
         let elapsed = now.saturating_sub(self.began_at);
-        if elapsed < limit.mul_f64(TRIAL_SHARE) {
+        if self.next_offset().is_none() || elapsed < limit.mul_f64(TRIAL_SHARE) {
             return false;
         }
         let received = self.received.len() - self.began_with;
--- a/crates/fleet/tests/transfer.rs
+++ b/crates/fleet/tests/transfer.rs
@@ -175,6 +175,8 @@
     "fast enough for the rest")]
 #[test_case(Rate { before: 0, parts: 39, elapsed: Duration::from_millis(2_100), is_too_slow: true };
     "over time")]
+#[test_case(Rate { before: 0, parts: 40, elapsed: Duration::from_millis(2_100), is_too_slow: false };
+    "complete")]
 fn a_transfer_is_given_up_if_its_rate_is_too_low(rate: Rate) {
     const LIMIT: Duration = Duration::from_secs(2);
     let value = noise(40 * PART_BYTES - 1_000);
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -48,7 +48,7 @@
 /// serve a feed, as a share of the limit on staleness.
 const DIRECT_PERIOD_SHARE: f64 = 0.4;
 /// Time for which a watch may lag behind a revision of operators' keys that
-/// another node reported, before the prefix is listed again.
+/// another node reported, before it is replaced by one that must respond soon.
 const MAX_OPERATORS_LAG: Duration = Duration::from_millis(200);
 
 /// Keeps a node's state in step with the store.
@@ -306,11 +306,16 @@
             Ok(watch) => watch,
             Err(error) => return WatchEnd::StoreFailed(error),
         };
+        // Such a node needs the response that is on its way, which may be large. It uses
+        // short polls, so that a connection that is silent is noticed all the same.
+        let is_behind = self.is_behind(watched);
         loop {
             let next = tokio::select! {
                 next = watch.next() => next,
                 () = self.wait_until_restored(known.position.era) => return WatchEnd::SourceChanged,
-                () = self.wait_until_outdated(watched, known.position) => return WatchEnd::SourceChanged,
+                () = self.wait_until_outdated(watched, known.position), if !is_behind => {
+                    return WatchEnd::SourceChanged;
+                }
                 () = self.wait_until_coordinator(), if resumed => return WatchEnd::SourceChanged,
             };
             match next {
@@ -420,12 +425,21 @@
         }
     }
 
+    /// Whether another node has reported a change of operators' keys that this one has not
+    /// read.
+    fn is_behind(&self, watched: WatchedPrefix<'_>) -> bool {
+        let now = self.shared.now();
+        watched.feed == Feed::Operators && self.shared.lock().operators_lag.behind(now).is_some()
+    }
+
     /// Returns the client for a prefix: the short-polling one for instances,
-    /// whose watch shows that the store responds, and the long-polling one for
-    /// operators' keys while a coordinator reports their changes.
+    /// whose watch shows that the store responds, and for operators' keys that are
+    /// known to have changed, and the long-polling one for operators' keys while a
+    /// coordinator reports their changes.
     fn client(&self, watched: WatchedPrefix<'_>) -> &Arc<K> {
         match watched.feed {
             Feed::Instances => &self.stores.short_poll,
+            Feed::Operators if self.is_behind(watched) => &self.stores.short_poll,
             Feed::Operators if self.shared.followed.borrow().is_some() => &self.stores.long_poll,
             Feed::Operators | Feed::Members => &self.stores.medium_poll,
         }
--- a/crates/gateway/src/sync/body_client.rs
+++ b/crates/gateway/src/sync/body_client.rs
@@ -112,12 +112,14 @@
                         if failures == MAX_PART_FAILURES {
                             return Err(error.into());
                         }
-                        break;
                     }
                 }
                 if reception.is_too_slow(limit, self.shared.now()) {
                     return Err(BodyError::TooSlow);
                 }
+                if failures > 0 {
+                    break;
+                }
             }
         }
         Ok(())
