Feeds: the time limit of a part is a share of the staleness limit

Cause: a part could take 1 s, a third of the time that a node has, before the node turned to the store. Under load a_node_reads_the_store failed by 0.1 s once (503 at 3.10 s, beside a release build).

Change: a quarter of the longest expected time of a transfer, at which the rate of a transfer is first judged.

--- a/crates/gateway/src/sync/body_client.rs
+++ b/crates/gateway/src/sync/body_client.rs
@@ -10,11 +10,10 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{MutexGuard, PoisonError};
-use std::time::Duration;
 
-/// Timeout for one part, which is small even for a link with 1 Mbit/s; it may have to
-/// wait for the parts of other nodes.
-const PART_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Timeout for one part, which may have to wait for the parts of other nodes, as a share
+/// of the longest expected time of a transfer.
+const PART_TIME_SHARE: f64 = 0.25;
 /// Parts that are requested at a time, so that the link is used while a request is on its
 /// way.
 const MAX_PARTS_REQUESTED: usize = 2;
@@ -85,13 +84,14 @@
     ) -> Result<(), BodyError> {
         let body = reception.info().id;
         let limit = self.staleness_limit.mul_f64(TRANSFER_TIME_SHARE);
+        let part_limit = limit.mul_f64(PART_TIME_SHARE);
         let mut failures = 0;
         while let Some(first) = reception.next_offset() {
             let offsets = (first..reception.info().size).step_by(PART_BYTES);
             let parts = offsets.map(|offset| async move {
                 let part = self
                     .body_peers
-                    .call(addr, PART_TIMEOUT, |peer, cx| async move {
+                    .call(addr, part_limit, |peer, cx| async move {
                         peer.body_part(cx, body, offset).await
                     })
                     .await;
