Callers are told to come back where a route may be newer than the node knows

Cause: a node confirmed its configuration with every response of its coordinator or the store, also one that names a newer position than the node has read; and 404 did not ask for a confirmation at all, as 401 does.

Change: a response confirms nothing while a newer position is known. 404 and 401 are given only if nothing newer is known and the configuration was confirmed within the staleness limit; otherwise 503 with Retry-After, since the call has not run.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -5,7 +5,7 @@
 use crate::dialect::Dialect;
 use crate::dialer::{InstanceDialer, MAX_CONCURRENT_TESTS, keep_up_connections};
 use crate::feeds::Feed;
-use crate::handler::{CallerService, Gateway, KeyLimits};
+use crate::handler::{AgeLimits, CallerService, Gateway};
 use crate::log::Log;
 use crate::membership::{CoordinatorKeys, Membership, ZONE_PREFIX};
 use crate::metrics::Metrics;
@@ -334,7 +334,7 @@
             streams,
             versions,
             metrics: Arc::clone(&metrics),
-            key_limits: KeyLimits {
+            age_limits: AgeLimits {
                 denial: cfg.staleness_limit,
                 max_age: cfg.max_key_age,
             },
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -17,7 +17,7 @@
 use crate::placer::Placer;
 use crate::progress::ProgressTx;
 use crate::relay::Relay;
-use crate::reply::{self, Failure, Reply, ReplyBody};
+use crate::reply::{self, Reply, ReplyBody};
 use crate::sender::{PendingResponse, SendOutcome, Sender, Sending};
 use crate::serving_versions::ServingVersionsTx;
 use crate::state::Shared;
@@ -57,13 +57,13 @@
     pub(crate) streams: StreamRecordTx,
     pub(crate) versions: ServingVersionsTx,
     pub(crate) metrics: Arc<Metrics>,
-    pub(crate) key_limits: KeyLimits,
+    pub(crate) age_limits: AgeLimits,
 }
 
-/// How old a node's configuration may be to decide on keys.
+/// How old a node's configuration may be.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct KeyLimits {
-    /// To say that a key doesn't exist, which callers take as final.
+pub(crate) struct AgeLimits {
+    /// To say that a route or a key doesn't exist, which callers take as final.
     pub(crate) denial: Duration,
     /// To accept a key, if that is limited.
     pub(crate) max_age: Option<Duration>,
@@ -111,11 +111,8 @@
         let mut call = match Call::new(parts, head, &routes, arrived) {
             Ok(call) => call,
             Err(Unroutable::NoRoute) => {
-                let behind = self.shared.lock().operators_lag.behind(arrived);
-                tracing::info!(event = "refused", reason = "no_route", %path,
-                    version = routes.config().version,
-                    behind_ms = behind.map(|b| b.as_millis() as u64));
-                return reply::failure(Failure::NotFound, "no route takes this path");
+                let version = routes.config().version;
+                return self.reply_no_route(&attempts, &path, version, arrived);
             }
             Err(Unroutable::NoService) => {
                 return self.reply_unsent(
@@ -129,7 +126,7 @@
                 return self.reply_denied(&attempts, &path, version, "unknown_key", arrived);
             }
         };
-        if let Some(limit) = self.key_limits.max_age
+        if let Some(limit) = self.age_limits.max_age
             && call.caller.key().is_some()
             && !self.shared.lock().is_configuration_current(limit, arrived)
         {
--- a/crates/gateway/src/handler/replies.rs
+++ b/crates/gateway/src/handler/replies.rs
@@ -49,10 +49,7 @@
         reason: &'static str,
         now: Now,
     ) -> Reply {
-        let state = self.shared.lock();
-        let is_current = state.is_configuration_current(self.key_limits.denial, now);
-        drop(state);
-        if !is_current {
+        if !self.may_deny(now) {
             return self.reply_unconfirmed(attempts, reason);
         }
         tracing::info!(event = "refused", reason, path, version);
@@ -60,6 +57,42 @@
         reply::failure(Failure::Unauthorized, UNKNOWN_KEY)
     }
 
+    /// Denies a call that no route takes, or, if this node may not know the newest routes,
+    /// tells the caller to come back.
+    pub(super) fn reply_no_route(
+        &self,
+        attempts: &Attempts,
+        path: &str,
+        version: u64,
+        now: Now,
+    ) -> Reply {
+        let confirmed = self.may_deny(now);
+        let behind = self.shared.lock().operators_lag.behind(now);
+        let behind_ms = behind.map(|b| b.as_millis() as u64);
+        tracing::info!(
+            event = "refused",
+            reason = "no_route",
+            path,
+            version,
+            confirmed,
+            behind_ms
+        );
+        if confirmed {
+            reply::failure(Failure::NotFound, "no route takes this path")
+        } else {
+            self.reply_unsent(
+                attempts,
+                "the routes can't be confirmed",
+                UNCONFIGURED_RETRY_AFTER,
+            )
+        }
+    }
+
+    fn may_deny(&self, now: Now) -> bool {
+        let state = self.shared.lock();
+        state.may_deny(self.age_limits.denial, now)
+    }
+
     pub(super) fn reply_unconfirmed(&self, attempts: &Attempts, reason: &'static str) -> Reply {
         tracing::info!(event = "refused", reason, confirmed = false);
         self.metrics.denied("unconfirmed");
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -251,10 +251,7 @@
     /// Records that the store responded.
     fn on_store_response(&self) {
         let now = self.shared.now();
-        let mut state = self.shared.lock();
-        state.connectivity.on_success();
-        state.configuration_confirmed = Some(now);
-        drop(state);
+        self.shared.lock().on_source_response(now);
         self.shared.store_retries.on_response();
     }
 
--- a/crates/gateway/src/sync/feed_client.rs
+++ b/crates/gateway/src/sync/feed_client.rs
@@ -134,14 +134,10 @@
             .await;
         {
             let now = self.shared.now();
-            let mut state = self.shared.lock();
+            let connectivity = &mut self.shared.lock().connectivity;
             match &response {
-                Ok(FeedResponse::Unknown) => state.connectivity.on_success(),
-                Ok(FeedResponse::Listing { .. } | FeedResponse::Changes { .. }) => {
-                    state.connectivity.on_success();
-                    state.configuration_confirmed = Some(now);
-                }
-                Err(_) => state.connectivity.on_failure(now),
+                Ok(_) => connectivity.on_success(),
+                Err(_) => connectivity.on_failure(now),
             }
         }
         let response = match response {
@@ -214,6 +210,8 @@
             self.on_operators_read(known.position);
         }
         self.on_metadata(addr, news.era, news.metadata);
+        let now = self.shared.now();
+        self.shared.lock().on_source_response(now);
         Some(has_changes)
     }
 
