Sync: a node that is behind lists the operators' keys instead of watching them

Cause: a watch delivers each version since the known revision, of a megabyte each, in one response; a node needs the last one only.

Change: a node that knows that it is behind lists the prefix.

A coordinator that reads slower than operators write still gets each version in turn: it does not know of the next one.

--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -290,9 +290,16 @@
         F: KeyHandler,
     {
         let store = self.client(watched);
-        // A node that followed a coordinator knows all changes up to a revision. The
-        // coordinator itself needs a listing, which its feeds begin with.
-        let resumed = known.position.revision > 0 && !known.store_lost && !self.is_coordinator();
+        // Such a node needs the response that is on its way, which may be large. It uses
+        // short polls, so that a connection that is silent is noticed all the same.
+        let is_behind = self.is_behind(watched);
+        // A node that followed a coordinator knows all changes up to a revision. If it is
+        // behind, a watch would deliver each version since, of which it needs the last one.
+        // The coordinator itself needs a listing, which its feeds begin with.
+        let resumed = known.position.revision > 0
+            && !is_behind
+            && !known.store_lost
+            && !self.is_coordinator();
         if !resumed && let Err(error) = self.list(watched, store, handler, known).await {
             return WatchEnd::StoreFailed(error);
         }
@@ -303,9 +310,6 @@
             Ok(watch) => watch,
             Err(error) => return WatchEnd::StoreFailed(error),
         };
-        // Such a node needs the response that is on its way, which may be large. It uses
-        // short polls, so that a connection that is silent is noticed all the same.
-        let is_behind = self.is_behind(watched);
         loop {
             let next = tokio::select! {
                 next = watch.next() => next,
