Feeds: a node keeps the operators' keys that it follows, to serve them on takeover

Cause: a node that claimed the role dropped the response that was on its way and listed the prefix, since its feeds begin with a listing: another 1.3 s for a megabyte, during which it could serve no other node either.

Change: what a node follows of the operators' keys fills its own feed, which is withheld until the store has responded to it as coordinator. A takeover goes on from the known revision.

--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -179,13 +179,22 @@
         self.lock().by_feed.remove(&feed);
     }
 
-    /// Records that the store is unreachable.
-    pub(crate) fn on_store_lost(&self, feed: Feed) {
+    /// Stops serving a feed until the store's next message on it, since the store is
+    /// unreachable, or another node keeps this one up to date.
+    pub(crate) fn withhold(&self, feed: Feed) {
         if let Some(state) = self.lock().by_feed.get_mut(&feed) {
             state.last_message = None;
         }
     }
 
+    /// Whether this node has all keys of a feed up to a position, so that it can serve the
+    /// feed without a listing of the store.
+    pub(crate) fn is_complete(&self, feed: Feed, position: Position) -> bool {
+        let state = self.lock();
+        let known = state.by_feed.get(&feed);
+        known.is_some_and(|f| f.era == position.era && f.revision >= position.revision)
+    }
+
     /// Records the position of the newest of the keys that operators write.
     pub(crate) fn on_operators_position(&self, position: Position) {
         let mut state = self.lock();
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -270,7 +270,7 @@
         self.shared.lock().connectivity.on_failure(now);
         self.shared.store_retries.on_failure(now);
         self.metrics.store_failure("watch");
-        self.shared.feeds.on_store_lost(watched.feed);
+        self.shared.feeds.withhold(watched.feed);
         if !known.store_lost {
             tracing::warn!(event = "store_lost", prefix = watched.prefix, %error);
             known.store_lost = true;
@@ -295,11 +295,11 @@
         let is_behind = self.is_behind(watched);
         // A node that followed a coordinator knows all changes up to a revision. If it is
         // behind, a watch would deliver each version since, of which it needs the last one.
-        // The coordinator itself needs a listing, which its feeds begin with.
-        let resumed = known.position.revision > 0
-            && !is_behind
-            && !known.store_lost
-            && !self.is_coordinator();
+        let may_resume = known.position.revision > 0 && !is_behind && !known.store_lost;
+        // The feeds of the coordinator begin with a listing, unless it has one.
+        let feeds = &self.shared.feeds;
+        let can_serve = may_resume && feeds.is_complete(watched.feed, known.position);
+        let resumed = may_resume && (can_serve || !self.is_coordinator());
         if !resumed && let Err(error) = self.list(watched, store, handler, known).await {
             return WatchEnd::StoreFailed(error);
         }
@@ -317,7 +317,7 @@
                 () = self.wait_until_outdated(watched, known.position), if !is_behind => {
                     return WatchEnd::SourceChanged;
                 }
-                () = self.wait_until_coordinator(), if resumed => return WatchEnd::SourceChanged,
+                () = self.wait_until_coordinator(), if resumed && !can_serve => return WatchEnd::SourceChanged,
             };
             match next {
                 Some(Ok(changes)) if changes.era != known.position.era => {
@@ -327,7 +327,7 @@
                     known.position = known.position.max(changes.position());
                     known.history_gone = false;
                     self.on_store_response();
-                    self.publish_changes(watched, &changes);
+                    self.publish_changes(watched.feed, &changes);
                     let has_changes = !changes.changes.is_empty();
                     let era = changes.era;
                     for change in changes.changes {
@@ -395,7 +395,7 @@
             tracing::info!(event = "operators_listed", era = %position.era,
                 revision = position.revision, bytes, ms = took.as_millis() as u64);
         }
-        self.publish_listing(watched, &listing, absence);
+        self.publish_listing(watched.feed, &listing, absence);
         handler.on_listing(listing, absence);
         handler.on_batch_end();
         known.position = position;
@@ -472,9 +472,8 @@
         }
     }
 
-    fn publish_listing(&self, watched: WatchedPrefix<'_>, listing: &Listing, absence: Absence) {
+    fn publish_listing(&self, feed: Feed, listing: &Listing, absence: Absence) {
         let now = self.shared.now();
-        let feed = watched.feed;
         let digest = |value: &[u8]| self.digest(feed, value);
         self.shared
             .feeds
@@ -485,9 +484,8 @@
         }
     }
 
-    fn publish_changes(&self, watched: WatchedPrefix<'_>, changes: &Changes) {
+    fn publish_changes(&self, feed: Feed, changes: &Changes) {
         let now = self.shared.now();
-        let feed = watched.feed;
         let digest = |value: &[u8]| self.digest(feed, value);
         self.shared.feeds.on_changes(feed, changes, digest, now);
         if feed == Feed::Operators {
--- a/crates/gateway/src/sync/feed_client.rs
+++ b/crates/gateway/src/sync/feed_client.rs
@@ -7,7 +7,7 @@
 use reedford_fleet::directory::Absence;
 use reedford_fleet::transfer::BodyInfo;
 use reedford_fleet::{Era, Now};
-use reedford_store::{Change, ChangeKind, Entry, KeyValue, Listing, Position};
+use reedford_store::{Change, ChangeKind, Changes, Entry, KeyValue, Listing, Position};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -67,7 +67,7 @@
     where
         F: KeyHandler,
     {
-        self.shared.feeds.clear(Feed::Operators);
+        self.shared.feeds.withhold(Feed::Operators);
         let mut followed = self.shared.followed.subscribe();
         let mut reported = self.shared.operators_position.subscribe();
         loop {
@@ -190,14 +190,29 @@
                     revision: news.revision,
                     entries: entries.into_iter().filter_map(into_entry).collect(),
                 };
+                if feed == Feed::Operators {
+                    self.publish_listing(feed, &listing, absence);
+                }
                 handler.on_listing(listing, absence);
             }
             Extent::Changes => {
                 known.position = known.position.max(position);
-                let changes = entries.into_iter().map(into_change);
+                let changes = Changes {
+                    era: news.era,
+                    revision: news.revision,
+                    changes: entries.into_iter().map(into_change).collect(),
+                };
+                if feed == Feed::Operators {
+                    self.publish_changes(feed, &changes);
+                }
+                let changes = changes.changes.into_iter();
                 changes.for_each(|change| handler.on_change(change, news.era));
             }
         }
+        if feed == Feed::Operators {
+            // Kept to serve the feed at once if this node becomes the coordinator.
+            self.shared.feeds.withhold(feed);
+        }
         handler.on_batch_end();
         if has_changes {
             self.metrics.feed_read(feed.name(), bytes, took);
