Sources of a watch, publication, responses and bodies in modules of their own

Change: moved without a change of behaviour: where a prefix comes from (sync/source.rs), what is passed on (sync/publish.rs), the parts of a response (feeds/responses.rs), the confirmation of the configuration (confirmation.rs), time limits of bodies (store/body.rs).

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod caller;
 mod calls_report;
 mod clock;
+mod confirmation;
 mod connection_headers;
 mod coordinator;
 mod daemon;
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -14,9 +14,11 @@
 mod feed_client;
 mod instances;
 mod operators;
+mod publish;
+mod source;
 
 use crate::coordinator::CommandTx;
-use crate::dialect::{Dialect, StoredItem};
+use crate::dialect::Dialect;
 use crate::feeds::Feed;
 use crate::metrics::Metrics;
 use crate::peer::PeerClients;
@@ -27,30 +29,21 @@
 use reedford_fleet::directory::Absence;
 use reedford_fleet::transfer::Reception;
 use reedford_fleet::{Era, Now};
-use reedford_store::{Change, Changes, EraTracker, KeyValue, KvError, Listing, Position};
+use reedford_store::{Change, EraTracker, KeyValue, KvError, Listing, Position};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::time::{sleep, sleep_until};
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
-use xxhash_rust::xxh3::xxh3_64;
 
 /// Pause between two reads of the watch on instances, whose entries change all
 /// the time, as a share of the limit on staleness; it limits the rate of store
 /// requests.
 const INSTANCES_PAUSE_SHARE: f64 = 0.2;
-/// Longest wait for another coordinator before the store is used directly, as a
-/// share of the limit on staleness.
-const COORDINATOR_WAIT_SHARE: f64 = 0.25;
-
 /// Time for which the store is used directly after the coordinator failed to
 /// serve a feed, as a share of the limit on staleness.
 const DIRECT_PERIOD_SHARE: f64 = 0.4;
-/// Time for which a watch may lag behind a revision of operators' keys that
-/// another node reported, before it is replaced by one that must respond soon.
-const MAX_OPERATORS_LAG: Duration = Duration::from_millis(200);
-
 /// Keeps a node's state in step with the store.
 #[derive(Debug)]
 pub(crate) struct StoreSync<D, K> {
@@ -194,60 +187,6 @@
         };
     }
 
-    /// Returns the coordinator that serves a prefix's feed; `None` to use the
-    /// store. If no coordinator is known, waits a short time for one.
-    async fn wait_for_source(
-        &self,
-        watched: WatchedPrefix<'_>,
-        direct_until: Now,
-    ) -> Option<SocketAddr> {
-        let longest = self.staleness_limit.mul_f64(COORDINATOR_WAIT_SHARE);
-        let end = self.shared.clock.instant(self.shared.now() + longest);
-        let mut followed = self.shared.followed.subscribe();
-        loop {
-            let holder_changed = self.shared.holder_changed.notified();
-            let mut holder_changed = std::pin::pin!(holder_changed);
-            holder_changed.as_mut().enable();
-            followed.mark_unchanged();
-            let source = self.source(watched, direct_until);
-            if source.is_some() || !self.may_become_available(watched, direct_until) {
-                return source;
-            }
-            tokio::select! {
-                () = holder_changed => {}
-                changed = followed.changed() => changed.ok()?,
-                () = sleep_until(end) => return None,
-            }
-        }
-    }
-
-    /// Returns the coordinator that serves a prefix's feed now.
-    fn source(&self, watched: WatchedPrefix<'_>, direct_until: Now) -> Option<SocketAddr> {
-        if self.shared.now() < direct_until {
-            return None;
-        }
-        if watched.feed == Feed::Operators {
-            return *self.shared.followed.borrow();
-        }
-        let addr = self.shared.lock().role.holder()?.addr;
-        (addr != self.own_addr).then_some(addr)
-    }
-
-    /// Whether a coordinator may soon serve a feed that none serves now. The
-    /// coordinators' keys are what shows a new coordinator, so that the store is
-    /// always used for them.
-    fn may_become_available(&self, watched: WatchedPrefix<'_>, direct_until: Now) -> bool {
-        if watched.feed == Feed::Members || self.shared.now() < direct_until {
-            return false;
-        }
-        let state = self.shared.lock();
-        let holder = state.role.holder();
-        match watched.feed {
-            Feed::Operators => holder.is_none_or(|h| h.addr != self.own_addr),
-            Feed::Instances | Feed::Members => holder.is_none(),
-        }
-    }
-
     /// Records that the store responded.
     fn on_store_response(&self) {
         let now = self.shared.now();
@@ -410,120 +349,6 @@
         retries.take_or_await_turn(&self.shared.clock).await
     }
 
-    fn is_coordinator(&self) -> bool {
-        self.shared.lock().role.held_fence().is_some()
-    }
-
-    async fn wait_until_coordinator(&self) {
-        loop {
-            let changed = self.shared.holder_changed.notified();
-            let mut changed = std::pin::pin!(changed);
-            changed.as_mut().enable();
-            if self.is_coordinator() {
-                return;
-            }
-            changed.await;
-        }
-    }
-
-    /// Whether another node has reported a change of operators' keys that this one has not
-    /// read.
-    fn is_behind(&self, watched: WatchedPrefix<'_>) -> bool {
-        let now = self.shared.now();
-        watched.feed == Feed::Operators && self.shared.lock().operators_lag.behind(now).is_some()
-    }
-
-    /// Returns the client for a prefix: the short-polling one for instances,
-    /// whose watch shows that the store responds, and for operators' keys that are
-    /// known to have changed, and the long-polling one for operators' keys while a
-    /// coordinator reports their changes.
-    fn client(&self, watched: WatchedPrefix<'_>) -> &Arc<K> {
-        match watched.feed {
-            Feed::Instances => &self.stores.short_poll,
-            Feed::Operators if self.is_behind(watched) => &self.stores.short_poll,
-            Feed::Operators if self.shared.followed.borrow().is_some() => &self.stores.long_poll,
-            Feed::Operators | Feed::Members => &self.stores.medium_poll,
-        }
-    }
-
-    /// Returns when the store has passed an era.
-    async fn wait_until_restored(&self, era: Era) {
-        let mut newest = self.shared.eras.subscribe();
-        if newest.wait_for(|newest| *newest > Some(era)).await.is_err() {
-            std::future::pending().await
-        }
-    }
-
-    /// Returns when a watch on operators' keys lags behind what another node
-    /// reported.
-    async fn wait_until_outdated(&self, watched: WatchedPrefix<'_>, seen: Position) {
-        if watched.feed != Feed::Operators {
-            return std::future::pending().await;
-        }
-        let mut reported = self.shared.operators_position.subscribe();
-        loop {
-            if *reported.borrow_and_update() > seen {
-                sleep(MAX_OPERATORS_LAG).await;
-                return;
-            }
-            if reported.changed().await.is_err() {
-                return std::future::pending().await;
-            }
-        }
-    }
-
-    fn publish_listing(&self, feed: Feed, listing: &Listing, absence: Absence) {
-        let now = self.shared.now();
-        let digest = |value: &[u8]| self.digest(feed, value);
-        self.shared
-            .feeds
-            .on_listing(feed, listing, digest, absence, now);
-        if feed == Feed::Operators {
-            let newest = listing.entries.iter().map(|e| e.revision).max();
-            self.publish_operators_revision(listing.era, newest);
-        }
-    }
-
-    fn publish_changes(&self, feed: Feed, changes: &Changes) {
-        let now = self.shared.now();
-        let digest = |value: &[u8]| self.digest(feed, value);
-        self.shared.feeds.on_changes(feed, changes, digest, now);
-        if feed == Feed::Operators {
-            let newest = changes.changes.iter().map(|c| c.revision).max();
-            self.publish_operators_revision(changes.era, newest);
-        }
-    }
-
-    /// Reports a revision of operators' keys to the nodes that poll this one, once
-    /// the feed of these keys has it.
-    fn publish_operators_revision(&self, era: Era, newest: Option<i64>) {
-        if let Some(revision) = newest {
-            let position = Position { era, revision };
-            self.shared.feeds.on_operators_position(position);
-        }
-    }
-
-    /// Hashes the part of a value that other nodes need, so that feeds omit
-    /// heartbeats and the like.
-    fn digest(&self, feed: Feed, value: &[u8]) -> u64 {
-        match feed {
-            Feed::Members | Feed::Operators => xxh3_64(value),
-            Feed::Instances => match self.dialect.parse_stored(&self.dummy_instance_key(), value) {
-                Ok(StoredItem::Instance(mut instance)) => {
-                    instance.models.clear();
-                    xxh3_64(format!("{instance:?}").as_bytes())
-                }
-                Ok(_) | Err(_) => 0,
-            },
-        }
-    }
-
-    /// Returns a key without an instance: `parse_stored` selects the format of a
-    /// value by the prefix of its key.
-    fn dummy_instance_key(&self) -> String {
-        format!("{}any", self.dialect.instance_prefix())
-    }
-
     /// Watches the keys that operators write.
     pub(crate) async fn watch_operators(self: Arc<Self>, stop: CancellationToken) {
         let handler = OperatorKeys { sync: &self };
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -1,8 +1,9 @@
 //! HTTP requests to the platform, with failover between its addresses.
 
+use crate::body::{Deadline, read_body};
 use crate::eras::EraHeader;
 use crate::kv::KvError;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
@@ -15,18 +16,12 @@
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-/// Longest time without a byte of a body that has begun to arrive.
-const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(1);
-/// Rate above which the body of a response may take any time. Listings are larger than
-/// what a narrow link passes on within the timeout of a call.
-const MIN_BODY_BYTES_PER_S: f64 = 65_536.0;
-
 type HttpClient = Client<HttpConnector, Full<Bytes>>;
 
 /// Addresses of the platform and timeouts of requests to it.
@@ -374,58 +369,6 @@
     }
 }
 
-/// Deadline of an exchange, which moves on while the body of the response arrives.
-#[derive(Debug)]
-struct Deadline(Mutex<DeadlineState>);
-
-#[derive(Debug)]
-struct DeadlineState {
-    at: Instant,
-    /// When all bytes that have arrived would have been late at the lowest rate.
-    by_rate: Instant,
-}
-
-impl Deadline {
-    const fn new(at: Instant) -> Self {
-        Self(Mutex::new(DeadlineState { at, by_rate: at }))
-    }
-
-    /// Records that bytes of the body have arrived.
-    fn on_bytes(&self, bytes: usize) {
-        let time = Duration::from_secs_f64(bytes as f64 / MIN_BODY_BYTES_PER_S);
-        let mut state = self.lock();
-        state.by_rate += time;
-        state.at = state.by_rate.min(Instant::now() + BODY_IDLE_TIMEOUT);
-    }
-
-    /// Returns once the deadline has passed.
-    async fn passed(&self) {
-        loop {
-            let at = self.lock().at;
-            if Instant::now() >= at {
-                return;
-            }
-            sleep_until(at).await;
-        }
-    }
-
-    fn lock(&self) -> MutexGuard<'_, DeadlineState> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-async fn read_body(mut body: Incoming, deadline: &Deadline) -> Result<Bytes, KvError> {
-    let mut buf = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(unknown_outcome)?;
-        if let Some(data) = frame.data_ref() {
-            deadline.on_bytes(data.len());
-            buf.extend_from_slice(data);
-        }
-    }
-    Ok(buf.freeze())
-}
-
 fn new_client(cfg: &EndpointConfig, connections: &ConnectionTasks) -> HttpClient {
     let mut connector = HttpConnector::new();
     connector.set_connect_timeout(Some(cfg.connect_timeout));
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -8,6 +8,7 @@
 //! Errors distinguish calls that certainly had no effect from calls that may have
 //! had one; see [`KvError`].
 
+mod body;
 mod document;
 mod eras;
 mod http;
