Feeds: the operators' keys are served from the beginning of a takeover

Cause: the feed that a node keeps as it follows was withheld until the store's next message on it, which a watch without changes brings after two seconds. Until then nodes that started, or were behind, read the store: a megabyte each.

Change: withholding is a state of its own, and ends with the role. Only this feed is taken over; the others begin with a listing as before.

--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -140,6 +140,7 @@
             log_after: listing.revision,
             revision: listing.revision,
             last_message: Some(now),
+            withheld: false,
             recovered_at,
         };
         state.by_feed.insert(feed, new);
@@ -165,6 +166,7 @@
             return;
         };
         feed_state.last_message = Some(now);
+        feed_state.withheld = false;
         feed_state.revision = feed_state.revision.max(changes.revision);
         for change in &changes.changes {
             feed_state.apply(change, &digest);
@@ -180,11 +182,19 @@
         self.lock().by_feed.remove(&feed);
     }
 
-    /// Stops serving a feed until the store's next message on it, since the store is
-    /// unreachable, or another node keeps this one up to date.
+    /// Stops serving a feed until it is released or the store's next message on it, since the
+    /// store is unreachable, or another node keeps this one up to date.
     pub(crate) fn withhold(&self, feed: Feed) {
         if let Some(state) = self.lock().by_feed.get_mut(&feed) {
             state.last_message = None;
+            state.withheld = true;
+        }
+    }
+
+    /// Serves a feed that was withheld while another node kept this one up to date.
+    pub(crate) fn release(&self, feed: Feed) {
+        if let Some(state) = self.lock().by_feed.get_mut(&feed) {
+            state.withheld = false;
         }
     }
 
--- a/crates/gateway/src/feeds/contents.rs
+++ b/crates/gateway/src/feeds/contents.rs
@@ -21,7 +21,10 @@
     /// The log is complete after this revision.
     pub(super) log_after: i64,
     pub(super) revision: i64,
+    /// Time of the store's last message on this feed.
     pub(super) last_message: Option<Now>,
+    /// Whether the feed is not served.
+    pub(super) withheld: bool,
     /// When the store became reachable again after an outage.
     pub(super) recovered_at: Option<Now>,
 }
--- a/crates/gateway/src/feeds/responses.rs
+++ b/crates/gateway/src/feeds/responses.rs
@@ -23,7 +23,7 @@
         // A message on any feed shows that the store responds.
         let last_message = self.by_feed.values().filter_map(|f| f.last_message).max()?;
         let is_fresh = now.saturating_sub(last_message) < max_age;
-        (is_fresh && known.last_message.is_some()).then_some(known)
+        (is_fresh && !known.withheld).then_some(known)
     }
 
     pub(super) fn metadata(&self, era: Era, known_notices: Option<u64>, now: Now) -> FeedMetadata {
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -235,10 +235,14 @@
         // A node that followed a coordinator knows all changes up to a revision. If it is
         // behind, a watch would deliver each version since, of which it needs the last one.
         let may_resume = known.position.revision > 0 && !is_behind && !known.store_lost;
-        // The feeds of the coordinator begin with a listing, unless it has one.
+        // The feeds of the coordinator begin with a listing, but for the operators' keys,
+        // which a node keeps as it follows them.
         let feeds = &self.shared.feeds;
-        let can_serve = may_resume && feeds.is_complete(watched.feed, known.position);
+        let can_serve = may_resume
+            && watched.feed == Feed::Operators
+            && feeds.is_complete(watched.feed, known.position);
         let resumed = may_resume && (can_serve || !self.is_coordinator());
+        let mut awaits_role = resumed;
         if !resumed && let Err(error) = self.list(watched, store, handler, known).await {
             return WatchEnd::StoreFailed(error);
         }
@@ -256,7 +260,14 @@
                 () = self.wait_until_outdated(watched, known.position), if !is_behind => {
                     return WatchEnd::SourceChanged;
                 }
-                () = self.wait_until_coordinator(), if resumed && !can_serve => return WatchEnd::SourceChanged,
+                () = self.wait_until_coordinator(), if awaits_role => {
+                    if !can_serve {
+                        return WatchEnd::SourceChanged;
+                    }
+                    feeds.release(watched.feed);
+                    awaits_role = false;
+                    continue;
+                }
             };
             match next {
                 Some(Ok(changes)) if changes.era != known.position.era => {
