Log and metrics: calls that come again, and responses with an id where none is expected

No line says that a call came to the node before and how it ended, whether a connection had carried a failure of the call, to which address a call is placed, or that the response to an order has the id of a call.

Change: a node keeps the attempts that may run once for 30 s after their end, at most 8,192, by a hash of id, workspace and request; `call_repeated` and `reedford_calls_repeated_total` say how far the earlier ones came. A connection keeps the calls that failed on it, at most 64, for `failed_before` of the lines on rejections. `placed` has the address, and `answer_of_a_call` is new. Nothing is decided by any of it yet.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`config`] | route and service of a call |
 //! | [`attribution`] | which request a response belongs to |
 //! | [`not_run`] | whether it is proved that a call did not run |
+//! | [`recent_calls`] | whether a call came to this node before |
 //! | [`event_order`] | whether an event of another instance goes on with a stream |
 //! | [`departures`] | which instances announced that they are leaving |
 //! | [`directory`] | which instances may be used, also during outages of the store |
@@ -51,6 +52,7 @@
 pub mod quarantine;
 pub mod quota;
 pub mod rate_limits;
+pub mod recent_calls;
 pub mod relays;
 pub mod scheduler;
 pub mod stopping;
--- a/crates/gateway/src/coordinator/actions.rs
+++ b/crates/gateway/src/coordinator/actions.rs
@@ -282,6 +282,11 @@
         let head = self
             .dialect
             .parse_response(incoming.status, &incoming.headers);
+        if let Some(id) = &head.attempt_id {
+            tracing::warn!(event = "answer_of_a_call", %id, instance = %self.instance,
+                status = incoming.status.as_u16(), conn = incoming.conn.id,
+                exchange = incoming.conn.exchanges);
+        }
         if let Some(born) = self.born {
             self.shared.on_response_head(&self.instance, born, &head);
         }
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -2,6 +2,7 @@
 //! returns the response.
 
 mod attempt;
+mod repeated;
 mod replacement;
 mod replies;
 mod stream_origin;
@@ -98,7 +99,7 @@
 {
     async fn serve(self: &Arc<Self>, req: Request<Incoming>) -> Reply {
         let (parts, body) = req.into_parts();
-        let attempts = Attempts::default();
+        let mut attempts = Attempts::default();
         let arrived = self.shared.now();
         let head = self.dialect.parse_call(&parts);
         let routes = self.shared.lock().routes.clone();
@@ -147,6 +148,7 @@
         if self.shared.is_stopped(now) {
             return self.reply_stopping(&call, &attempts);
         }
+        attempts.receipt = self.receive(&call, now);
         self.shared.lock().budget.record_call(&call.service, now);
         if call.route.kind.is_stream() {
             self.serve_stream(call, attempts).await
--- a/crates/gateway/src/handler/attempt.rs
+++ b/crates/gateway/src/handler/attempt.rs
@@ -84,6 +84,7 @@
         self.metrics.placement_wait(&call.route.name, waited);
         let attempt = Attempt::new(Arc::clone(self), placement, call);
         tracing::info!(event = "placed", id = %call.id, instance = %attempt.grant.instance,
+            addr = %attempt.grant.addr,
             software = ?attempt.software, version = ?attempt.grant.version,
             waited_ms = waited.as_millis() as u64);
         Ok(attempt)
--- /dev/null
+++ b/crates/gateway/src/handler/repeated.rs
@@ -0,0 +1,45 @@
+//! Calls that come to this node again.
+
+use super::Gateway;
+use crate::call::Call;
+use crate::dialect::Dialect;
+use crate::state::Shared;
+use reedford_fleet::Now;
+use reedford_fleet::recent_calls::AttemptKey;
+use std::sync::Arc;
+
+/// A call that is recorded as under way.
+#[derive(Debug)]
+pub(crate) struct Receipt {
+    shared: Arc<Shared>,
+    key: AttemptKey,
+}
+
+impl Receipt {
+    /// Records the end of the call.
+    pub(super) fn end(self, may_have_run: bool) {
+        let now = self.shared.now();
+        let mut state = self.shared.lock();
+        state.recent_calls.end(self.key, may_have_run, now);
+    }
+}
+
+impl<D> Gateway<D>
+where
+    D: Dialect,
+{
+    /// Records a call that may run once.
+    pub(super) fn receive(&self, call: &Call, now: Now) -> Option<Receipt> {
+        let key = call.attempt_key()?;
+        let earlier = self.shared.lock().recent_calls.begin(key, now);
+        if let Some(earlier) = earlier {
+            tracing::warn!(event = "call_repeated", id = %call.id, times = earlier.times,
+                progress = ?earlier.progress);
+            self.metrics.call_repeated(earlier.progress);
+        }
+        Some(Receipt {
+            shared: Arc::clone(&self.shared),
+            key,
+        })
+    }
+}
--- a/crates/gateway/src/handler/replacement.rs
+++ b/crates/gateway/src/handler/replacement.rs
@@ -3,6 +3,7 @@
 //! A silent instance may be sound and respond later. Its attempt is therefore
 //! given up only once another instance has taken the call.
 
+use super::repeated::Receipt;
 use super::{Attempt, Gateway};
 use crate::call::Call;
 use crate::dialect::Dialect;
@@ -29,6 +30,16 @@
     /// Instances that are not tried again.
     pub(crate) tried: BTreeSet<InstanceId>,
     pub(crate) sendings: Sendings,
+    /// Records the call's end, if it may run once.
+    pub(crate) receipt: Option<Receipt>,
+}
+
+impl Drop for Attempts {
+    fn drop(&mut self) {
+        if let Some(receipt) = self.receipt.take() {
+            receipt.end(self.sendings.may_have_run() > 0);
+        }
+    }
 }
 
 /// A stream at an instance.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -4,6 +4,7 @@
     Encoder as _, Gauge, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
 };
+use reedford_fleet::recent_calls::Progress;
 use reedford_fleet::scheduler::OrderOutcome;
 use reedford_fleet::workspaces::WorkspaceName;
 use std::collections::BTreeSet;
@@ -31,6 +32,7 @@
     placement_wait: HistogramVec,
     placements_refused: IntCounterVec,
     retries: IntCounterVec,
+    repeated: IntCounterVec,
     orders: IntCounterVec,
     store_failures: IntCounterVec,
     denied: IntCounterVec,
@@ -85,6 +87,11 @@
                 "Further sendings by cause",
                 &["cause"],
             )?,
+            repeated: counters(
+                "reedford_calls_repeated_total",
+                "Calls that may run once and came before, by how far they came then",
+                &["progress"],
+            )?,
             orders: counters(
                 "reedford_orders_total",
                 "Orders to engines by answer",
@@ -150,6 +157,7 @@
             &self.statuses,
             &self.placements_refused,
             &self.retries,
+            &self.repeated,
             &self.orders,
             &self.store_failures,
             &self.denied,
@@ -227,6 +235,16 @@
         self.retries.with_label_values(&[cause]).inc();
     }
 
+    /// Counts a call that came to this node before.
+    pub(crate) fn call_repeated(&self, progress: Progress) {
+        let progress = match progress {
+            Progress::UnderWay => "under_way",
+            Progress::MayHaveRun => "may_have_run",
+            Progress::NeverRan => "never_ran",
+        };
+        self.repeated.with_label_values(&[progress]).inc();
+    }
+
     pub(crate) fn order(&self, outcome: OrderOutcome) {
         let name = match outcome {
             OrderOutcome::Accepted | OrderOutcome::Done => "accepted",
--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -205,10 +205,14 @@
         &self,
         sent: Sent,
         sending: Sending<'_>,
-        incoming: IncomingResponse,
+        mut incoming: IncomingResponse,
         sent_at: Now,
     ) -> SendOutcome {
         let Sending { call, grant, .. } = sending;
+        let failed_before = incoming.conn.has_failed(call.id_hash());
+        if !incoming.status.is_success() {
+            incoming.conn.record_failure(call.id_hash());
+        }
         let head = self
             .dialect
             .parse_response(incoming.status, &incoming.headers);
@@ -244,7 +248,7 @@
                 let why = proof.rejection();
                 tracing::info!(event = "instance_refused", id = %call.id,
                     instance = %grant.instance, status, ?why, conn, exchange, identified,
-                    signed = head.signed);
+                    signed = head.signed, failed_before);
                 if why == Rejection::Full {
                     self.shared
                         .on_rejected(&grant.instance, grant.born, sent_at);
@@ -254,7 +258,7 @@
             // Dropping the response closes its connection.
             Verdict::Lost(doubt) => {
                 tracing::warn!(event = doubt.name(), id = %call.id, instance = %grant.instance,
-                    status, conn, exchange, identified, signed = head.signed);
+                    status, conn, exchange, identified, signed = head.signed, failed_before);
                 SendOutcome::Lost(doubt.name())
             }
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -22,6 +22,7 @@
 use reedford_fleet::quarantine::Quarantine;
 use reedford_fleet::quota::{NodeQuotas, QuotaTolerance};
 use reedford_fleet::rate_limits::RateLimits;
+use reedford_fleet::recent_calls::RecentCalls;
 use reedford_fleet::relays::Relays;
 use reedford_fleet::scheduler::{AdapterKey, Grant, PlacementId};
 use reedford_fleet::stopping::{RunTimes, StopTimes};
@@ -95,6 +96,8 @@
     pub(crate) pushback: Pushback,
     pub(crate) quarantine: Quarantine,
     pub(crate) rate_limits: RateLimits,
+    /// Calls that may run once.
+    pub(crate) recent_calls: RecentCalls,
     pub(crate) quotas: NodeQuotas,
     /// Last time at which the store, or a coordinator that follows it, had no newer
     /// configuration.
@@ -190,6 +193,7 @@
                 pushback: Pushback::default(),
                 quarantine: Quarantine::default(),
                 rate_limits: RateLimits::new(rand::random()),
+                recent_calls: RecentCalls::default(),
                 quotas: NodeQuotas::new(quota_tolerance),
                 configuration_confirmed: None,
                 operators_lag: KeyLag::default(),
--- a/crates/targets/src/lib.rs
+++ b/crates/targets/src/lib.rs
@@ -15,6 +15,7 @@
 mod client;
 mod error;
 mod exchange;
+mod failed_calls;
 mod options;
 mod pool;
 mod response;
@@ -30,6 +31,7 @@
 pub use exchange::{
     BufferedResponse, HeadDeadline, IncomingResponse, read_body, send_request, send_request_on,
 };
+pub use failed_calls::CallKey;
 pub use options::{DispatchOptions, PlainRequest, Timeouts};
 pub use pool::{Connection, ConnectionId, Dialed, Dialer, Pool, Relay, Reuse};
 pub use response::{Cancellation, DispatchResponse, PlainResponse};
--- a/crates/targets/src/pool.rs
+++ b/crates/targets/src/pool.rs
@@ -7,6 +7,7 @@
 //! is dropped is closed.
 
 use crate::error::NotSentReason;
+use crate::failed_calls::{CallKey, FailedCalls};
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use http_body_util::Full;
@@ -120,6 +121,7 @@
     pub sender: SendRequest<Full<Bytes>>,
     /// What passes its bytes on, if it doesn't end at the target.
     relay: Option<Arc<Relay>>,
+    failed: FailedCalls,
     _driver: DropGuard,
 }
 
@@ -130,6 +132,18 @@
         self.relay.is_some()
     }
 
+    /// Whether a response to the call on this connection was not a success, so that a copy
+    /// of it may follow.
+    #[must_use]
+    pub fn has_failed(&self, call: CallKey) -> bool {
+        self.failed.contains(call)
+    }
+
+    /// Records that a response to the call on this connection was not a success.
+    pub fn record_failure(&mut self, call: CallKey) {
+        self.failed.record(call);
+    }
+
     fn is_retired(&self) -> bool {
         self.relay.as_ref().is_some_and(|relay| relay.is_retired())
     }
@@ -351,6 +365,7 @@
             addr,
             sender,
             relay,
+            failed: FailedCalls::default(),
             _driver: stop.drop_guard(),
         })
     }
