A call that may run once and may have run is not run again when it comes again

What callers saw: a call that may run once ran twice (TWICE) when its id came to a node twice: after its response, after a lost one, after a failure, or while it was under way (4 of 4 cases).

Cause: "at most once" was kept for one handling of a call; nothing tied two handlings of one id.

Change: the register of attempts decides.

--- a/crates/fleet/src/recent_calls.rs
+++ b/crates/fleet/src/recent_calls.rs
@@ -1,7 +1,8 @@
 //! The calls that came to this node a short time ago and may run once.
 //!
 //! Callers give each attempt of a request an id of its own. A caller, or a proxy before this
-//! node, may send an attempt again nevertheless, also after it was answered.
+//! node, may send an attempt again nevertheless, also after it was answered. It then runs
+//! again only if it is known that it never ran.
 
 use crate::Now;
 use std::collections::{BTreeMap, VecDeque};
@@ -27,6 +28,17 @@
     NeverRan,
 }
 
+impl Progress {
+    /// Whether the attempt must not be sent to an instance again.
+    #[must_use]
+    pub const fn may_have_run(self) -> bool {
+        match self {
+            Self::UnderWay | Self::MayHaveRun => true,
+            Self::NeverRan => false,
+        }
+    }
+}
+
 /// The earlier times at which an attempt was received.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Earlier {
@@ -36,11 +48,10 @@
     pub progress: Progress,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 struct Attempt {
     times: u32,
-    under_way: u32,
-    may_have_run: bool,
+    progress: Progress,
     ended_at: Now,
 }
 
@@ -53,24 +64,40 @@
 }
 
 impl RecentCalls {
-    /// Records that an attempt was received, until [`Self::end`]. Returns the earlier times,
-    /// if there were any.
+    /// Records that an attempt was received. Returns the earlier times, if there were any. The
+    /// attempt is under way until [`Self::end`], unless it may have run before.
     pub fn begin(&mut self, key: AttemptKey, now: Now) -> Option<Earlier> {
         self.forget_old(now);
-        let attempt = self.attempts.entry(key).or_default();
-        let earlier = attempt.earlier();
+        let Some(attempt) = self.attempts.get_mut(&key) else {
+            let first = Attempt {
+                times: 1,
+                progress: Progress::UnderWay,
+                ended_at: now,
+            };
+            self.attempts.insert(key, first);
+            return None;
+        };
+        let earlier = Earlier {
+            times: attempt.times,
+            progress: attempt.progress,
+        };
         attempt.times = attempt.times.saturating_add(1);
-        attempt.under_way += 1;
-        earlier
+        if !earlier.progress.may_have_run() {
+            attempt.progress = Progress::UnderWay;
+        }
+        Some(earlier)
     }
 
-    /// Records the end of an attempt after [`Self::begin`].
+    /// Records the end of an attempt that is under way.
     pub fn end(&mut self, key: AttemptKey, may_have_run: bool, now: Now) {
         let Some(attempt) = self.attempts.get_mut(&key) else {
             return;
         };
-        attempt.under_way = attempt.under_way.saturating_sub(1);
-        attempt.may_have_run |= may_have_run;
+        attempt.progress = if may_have_run {
+            Progress::MayHaveRun
+        } else {
+            Progress::NeverRan
+        };
         attempt.ended_at = now;
         self.ended.push_back((now, key));
         self.forget_old(now);
@@ -95,27 +122,11 @@
             }
             self.ended.pop_front();
             let attempt = self.attempts.get(&key);
-            // One that came again has a later end.
-            if attempt.is_some_and(|a| a.under_way == 0 && a.ended_at == at) {
+            // One that came again is under way, or has a later end.
+            let is_last = |a: &Attempt| a.progress != Progress::UnderWay && a.ended_at == at;
+            if attempt.is_some_and(is_last) {
                 self.attempts.remove(&key);
             }
         }
     }
 }
-
-impl Attempt {
-    fn earlier(&self) -> Option<Earlier> {
-        let progress = match self {
-            Self { times: 0, .. } => return None,
-            Self { under_way: 1.., .. } => Progress::UnderWay,
-            Self {
-                may_have_run: true, ..
-            } => Progress::MayHaveRun,
-            Self { .. } => Progress::NeverRan,
-        };
-        Some(Earlier {
-            times: self.times,
-            progress,
-        })
-    }
-}
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -29,6 +29,7 @@
 use hyper::{Request, StatusCode};
 use reedford_fleet::scheduler::{Refusal, Rejection};
 use reedford_front::HttpService;
+use repeated::MayHaveRun;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -148,7 +149,10 @@
         if self.shared.is_stopped(now) {
             return self.reply_stopping(&call, &attempts);
         }
-        attempts.receipt = self.receive(&call, now);
+        match self.receive(&call, now) {
+            Ok(receipt) => attempts.receipt = receipt,
+            Err(MayHaveRun) => return self.reply_repeated(&call, &attempts),
+        }
         self.shared.lock().budget.record_call(&call.service, now);
         if call.route.kind.is_stream() {
             self.serve_stream(call, attempts).await
--- a/crates/gateway/src/handler/repeated.rs
+++ b/crates/gateway/src/handler/repeated.rs
@@ -24,22 +24,31 @@
     }
 }
 
+/// The call came before, and may have run.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct MayHaveRun;
+
 impl<D> Gateway<D>
 where
     D: Dialect,
 {
-    /// Records a call that may run once.
-    pub(super) fn receive(&self, call: &Call, now: Now) -> Option<Receipt> {
-        let key = call.attempt_key()?;
+    /// Records a call that may run once; an error if it may have run before.
+    pub(super) fn receive(&self, call: &Call, now: Now) -> Result<Option<Receipt>, MayHaveRun> {
+        let Some(key) = call.attempt_key() else {
+            return Ok(None);
+        };
         let earlier = self.shared.lock().recent_calls.begin(key, now);
         if let Some(earlier) = earlier {
             tracing::warn!(event = "call_repeated", id = %call.id, times = earlier.times,
                 progress = ?earlier.progress);
             self.metrics.call_repeated(earlier.progress);
+            if earlier.progress.may_have_run() {
+                return Err(MayHaveRun);
+            }
         }
-        Some(Receipt {
+        Ok(Some(Receipt {
             shared: Arc::clone(&self.shared),
             key,
-        })
+        }))
     }
 }
