A response with the id of a call is no response to an order or a report

What callers saw: nothing so far.

Cause: orders, requests for reports and calls share connections, and responses to the first two were taken without a look at the id.

Change: such a response is dropped with its connection; the outcome of the order is unknown, which holds its room until a report. `Node::metrics_addr` for tests.

--- a/crates/gateway/src/coordinator/actions.rs
+++ b/crates/gateway/src/coordinator/actions.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
+use reedford_fleet::attribution::{Attribution, Exchange};
 use reedford_fleet::ownership::Fence;
 use reedford_fleet::scheduler::{
     Action, EngineReport, Grant, Order, OrderKind, OrderOutcome, Progress, Refusal,
@@ -282,10 +283,18 @@
         let head = self
             .dialect
             .parse_response(incoming.status, &incoming.headers);
-        if let Some(id) = &head.attempt_id {
-            tracing::warn!(event = "answer_of_a_call", %id, instance = %self.instance,
-                status = incoming.status.as_u16(), conn = incoming.conn.id,
-                exchange = incoming.conn.exchanges);
+        let exchange = Exchange {
+            call: "",
+            number: incoming.conn.exchanges,
+            failed_before: false,
+        };
+        let is_success = incoming.status.is_success();
+        if exchange.attribute(head.attempt_id.as_deref(), is_success) == Attribution::Other {
+            tracing::warn!(event = "answer_of_a_call", id = ?head.attempt_id,
+                instance = %self.instance, status = incoming.status.as_u16(),
+                conn = incoming.conn.id, exchange = exchange.number);
+            // Dropping the response closes its connection.
+            return Err(LostReason::OtherRequest.into());
         }
         if let Some(born) = self.born {
             self.shared.on_response_head(&self.instance, born, &head);
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -120,6 +120,7 @@
     shared: Arc<Shared>,
     cfg: Arc<GatewaySettings>,
     caller_addr: SocketAddr,
+    metrics_addr: SocketAddr,
     pool: Arc<Pool>,
     peers: Arc<PeerClients>,
     /// Connections to other nodes that carry nothing but parts of bodies.
@@ -201,6 +202,7 @@
             shared: Arc::clone(&shared),
             cfg: Arc::clone(&cfg),
             caller_addr: cfg.callers,
+            metrics_addr: cfg.metrics,
             pool: Arc::clone(&pool),
             peers: Arc::clone(&peers),
             body_peers: Arc::clone(&body_peers),
@@ -356,14 +358,15 @@
             &node.probes,
         )
         .await?;
-        node.serve(
-            "metrics",
-            cfg.metrics,
-            endpoint,
-            PROBE_CONNECTIONS,
-            &node.probes,
-        )
-        .await?;
+        node.metrics_addr = node
+            .serve(
+                "metrics",
+                cfg.metrics,
+                endpoint,
+                PROBE_CONNECTIONS,
+                &node.probes,
+            )
+            .await?;
         let connections = cfg
             .max_open_files
             .saturating_sub(RESERVED_FILE_DESCRIPTORS)
@@ -439,6 +442,12 @@
         self.caller_addr
     }
 
+    /// Address of the metrics.
+    #[must_use]
+    pub const fn metrics_addr(&self) -> SocketAddr {
+        self.metrics_addr
+    }
+
     /// Gives up the coordinator role, waits for the load balancer to stop using
     /// the node, completes calls in progress, and stops all tasks.
     pub async fn stop(self) {
--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -363,6 +363,7 @@
         LostReason::Status(_)
         | LostReason::Unreadable
         | LostReason::NoAttemptId
+        | LostReason::OtherRequest
         | LostReason::TooLong => "unreadable",
     }
 }
--- a/crates/targets/src/error.rs
+++ b/crates/targets/src/error.rs
@@ -50,6 +50,9 @@
     /// The response has no attempt id.
     #[error("response without attempt id")]
     NoAttemptId,
+    /// The response belongs to another request.
+    #[error("response to another request")]
+    OtherRequest,
     /// The response body is longer than the client accepts.
     #[error("response too long")]
     TooLong,
