An id names one attempt, and no promise is given under the id of a call that may have run

What callers saw: a call that had run, or was under way, and came again got 408 when its body did not end, or 503 while the node stopped; it ran twice when its host was spelled otherwise, or its id was not ASCII.

Cause: the register was asked after the body had been read, by a hash of id, workspace and content: promises that are given earlier did not ask it, and one attempt could have several hashes. Besides, calls that never ran, of which a node that sheds has many, pushed those out that may have run.

Change: the id and the caller's key name an attempt. Each request is looked up once its head is read, before anything else can refuse it. Calls that never ran have a limit of their own (1,024). An id that is not ASCII is an id.

--- a/crates/fleet/src/recent_calls.rs
+++ b/crates/fleet/src/recent_calls.rs
@@ -8,14 +8,16 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-/// Hash of an attempt: its id, its caller's workspace and the request.
+/// Hash of an attempt: its id and its caller's key.
 pub type AttemptKey = u64;
 
 /// Time for which an attempt is known after it has ended.
 pub const KEPT_FOR: Duration = Duration::from_secs(30);
-/// Attempts known after their end; the oldest ones are forgotten first. About half a
-/// megabyte.
+/// Attempts known after their end that may have run; the oldest ones are forgotten first.
 pub const MAX_ENDED: usize = 8_192;
+/// Attempts known after their end that never ran. A node that sheds calls has many of them,
+/// which must push none of the others out.
+pub const MAX_NEVER_RAN: usize = 1_024;
 
 /// How far the earlier times have come at which an attempt was received.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -59,33 +61,38 @@
 #[derive(Debug, Default)]
 pub struct RecentCalls {
     attempts: BTreeMap<AttemptKey, Attempt>,
-    /// Ends in their order.
+    /// Ends of attempts that may have run, in their order.
     ended: VecDeque<(Now, AttemptKey)>,
+    /// Ends of attempts that never ran.
+    never_ran: VecDeque<(Now, AttemptKey)>,
 }
 
 impl RecentCalls {
-    /// Records that an attempt was received. Returns the earlier times, if there were any. The
-    /// attempt is under way until [`Self::end`], unless it may have run before.
-    pub fn begin(&mut self, key: AttemptKey, now: Now) -> Option<Earlier> {
+    /// Returns the earlier times at which an attempt was received, if there were any.
+    pub fn earlier(&mut self, key: AttemptKey, now: Now) -> Option<Earlier> {
         self.forget_old(now);
-        let Some(attempt) = self.attempts.get_mut(&key) else {
-            let first = Attempt {
-                times: 1,
-                progress: Progress::UnderWay,
-                ended_at: now,
-            };
-            self.attempts.insert(key, first);
-            return None;
-        };
-        let earlier = Earlier {
+        let attempt = self.attempts.get(&key)?;
+        Some(Earlier {
             times: attempt.times,
             progress: attempt.progress,
-        };
+        })
+    }
+
+    /// Records that an attempt that may run once was received. Returns the earlier times, if
+    /// there were any. The attempt is under way until [`Self::end`], unless it may have run
+    /// before.
+    pub fn begin(&mut self, key: AttemptKey, now: Now) -> Option<Earlier> {
+        let earlier = self.earlier(key, now);
+        let attempt = self.attempts.entry(key).or_insert(Attempt {
+            times: 0,
+            progress: Progress::NeverRan,
+            ended_at: now,
+        });
         attempt.times = attempt.times.saturating_add(1);
-        if !earlier.progress.may_have_run() {
+        if !attempt.progress.may_have_run() {
             attempt.progress = Progress::UnderWay;
         }
-        Some(earlier)
+        earlier
     }
 
     /// Records the end of an attempt that is under way.
@@ -93,13 +100,14 @@
         let Some(attempt) = self.attempts.get_mut(&key) else {
             return;
         };
-        attempt.progress = if may_have_run {
-            Progress::MayHaveRun
-        } else {
-            Progress::NeverRan
-        };
         attempt.ended_at = now;
-        self.ended.push_back((now, key));
+        if may_have_run {
+            attempt.progress = Progress::MayHaveRun;
+            self.ended.push_back((now, key));
+        } else {
+            attempt.progress = Progress::NeverRan;
+            self.never_ran.push_back((now, key));
+        }
         self.forget_old(now);
     }
 
@@ -116,16 +124,22 @@
     }
 
     fn forget_old(&mut self, now: Now) {
-        while let Some((at, key)) = self.ended.front().copied() {
-            if self.ended.len() <= MAX_ENDED && now < at + KEPT_FOR {
-                return;
-            }
-            self.ended.pop_front();
-            let attempt = self.attempts.get(&key);
-            // One that came again is under way, or has a later end.
-            let is_last = |a: &Attempt| a.progress != Progress::UnderWay && a.ended_at == at;
-            if attempt.is_some_and(is_last) {
-                self.attempts.remove(&key);
+        let Self {
+            attempts,
+            ended,
+            never_ran,
+        } = self;
+        for (ends, limit) in [(ended, MAX_ENDED), (never_ran, MAX_NEVER_RAN)] {
+            while let Some((at, key)) = ends.front().copied() {
+                if ends.len() <= limit && now < at + KEPT_FOR {
+                    break;
+                }
+                ends.pop_front();
+                // One that came again is under way, or has a later end.
+                let is_last = |a: &Attempt| a.progress != Progress::UnderWay && a.ended_at == at;
+                if attempts.get(&key).is_some_and(is_last) {
+                    attempts.remove(&key);
+                }
             }
         }
     }
--- a/crates/fleet/tests/recent_calls.rs
+++ b/crates/fleet/tests/recent_calls.rs
@@ -1,7 +1,7 @@
 //! Which calls came to this node before.
 
 use reedford_fleet::Now;
-use reedford_fleet::recent_calls::{Earlier, MAX_ENDED, Progress, RecentCalls};
+use reedford_fleet::recent_calls::{Earlier, MAX_ENDED, MAX_NEVER_RAN, Progress, RecentCalls};
 use std::time::Duration;
 use test_case::test_case;
 
@@ -70,3 +70,19 @@
     let last = calls.begin(count - 1, Now::ZERO);
     assert_eq!(last, earlier(1, Progress::MayHaveRun));
 }
+
+/// Load pattern: a node sheds calls. Guards against a call that may have run and is forgotten
+/// in favour of calls that never ran.
+#[test]
+fn calls_that_never_ran_push_none_out_that_may_have_run() {
+    let mut calls = RecentCalls::default();
+    calls.begin(0, Now::ZERO);
+    calls.end(0, RAN, Now::ZERO);
+    for key in 1..=MAX_ENDED as u64 {
+        calls.begin(key, Now::ZERO);
+        calls.end(key, !RAN, Now::ZERO);
+    }
+    assert_eq!(calls.len(), MAX_NEVER_RAN + 1);
+    let soon = Now::ZERO + Duration::from_secs(1);
+    assert_eq!(calls.earlier(0, soon), earlier(1, Progress::MayHaveRun));
+}
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -9,14 +9,13 @@
 use reedford_fleet::config::{Route, RouteTable, Service};
 use reedford_fleet::directory::Instance;
 use reedford_fleet::quarantine::RequestDigest;
-use reedford_fleet::recent_calls::AttemptKey;
 use reedford_fleet::scheduler::AdapterKey;
 use reedford_fleet::stream_versions::StreamOrigin;
 use reedford_fleet::{Now, ServiceName, SoftwareVersion};
 use sha2::{Digest as _, Sha256};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
-use xxhash_rust::xxh3::{Xxh3Default, xxh3_64};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// A call: one request of a caller.
 #[derive(Clone, Debug)]
@@ -147,33 +146,6 @@
         })
     }
 
-    /// Returns the hash of this attempt at a request that may run once; `None` if the call
-    /// may run more often, or has no id. Other requests under the same id, and those of other
-    /// workspaces, have other hashes.
-    ///
-    /// The body must have been read.
-    pub(crate) fn attempt_key(&self) -> Option<AttemptKey> {
-        if self.id.is_empty() || self.route.kind.retryable() {
-            return None;
-        }
-        let host = self.headers.get(HOST).map_or(&b""[..], |v| v.as_bytes());
-        let path = self.uri.path_and_query().map_or("", |path| path.as_str());
-        let mut hasher = Xxh3Default::new();
-        for part in [
-            self.id.as_bytes(),
-            self.caller.workspace().map_or("", |w| w).as_bytes(),
-            self.method.as_str().as_bytes(),
-            host,
-            path.as_bytes(),
-            &self.body,
-        ] {
-            // The length keeps different requests from running into the same bytes.
-            hasher.update(&(part.len() as u64).to_le_bytes());
-            hasher.update(part);
-        }
-        Some(hasher.digest())
-    }
-
     /// Returns the adapter that the call names.
     pub(crate) fn adapter(&self) -> Option<AdapterKey> {
         let (model, adapter) = self.head.model.as_ref()?;
@@ -220,7 +192,7 @@
         }
     }
 
-    /// Hash of the call's id, used to spread calls evenly.
+    /// Hash of the call's id, by which calls are spread evenly and connections know them.
     pub(crate) fn id_hash(&self) -> u64 {
         xxh3_64(self.id.as_bytes())
     }
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -18,7 +18,7 @@
 use crate::placer::Placer;
 use crate::progress::ProgressTx;
 use crate::relay::Relay;
-use crate::reply::{self, Reply, ReplyBody};
+use crate::reply::{self, Failure, Reply, ReplyBody};
 use crate::sender::{PendingResponse, SendOutcome, Sender, Sending};
 use crate::serving_versions::ServingVersionsTx;
 use crate::state::Shared;
@@ -29,7 +29,6 @@
 use hyper::{Request, StatusCode};
 use reedford_fleet::scheduler::{Refusal, Rejection};
 use reedford_front::HttpService;
-use repeated::MayHaveRun;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -75,7 +74,6 @@
 #[derive(Debug)]
 pub(crate) struct CallerService<D>(pub(crate) Arc<Gateway<D>>);
 
-/// Outcome of one attempt of a call that is not streamed.
 impl<D> HttpService for CallerService<D>
 where
     D: Dialect,
@@ -103,6 +101,9 @@
         let mut attempts = Attempts::default();
         let arrived = self.shared.now();
         let head = self.dialect.parse_call(&parts);
+        if self.may_have_run(&head, arrived) {
+            return reply::failure(Failure::BadGateway, "the call may have run before");
+        }
         let routes = self.shared.lock().routes.clone();
         let Some(routes) = routes else {
             tracing::info!(event = "refused", id = ?head.attempt_id, reason = "no_configuration");
@@ -128,6 +129,7 @@
                 return self.reply_denied(&attempts, &path, version, "unknown_key", arrived);
             }
         };
+        attempts.receipt = self.receive(&call, arrived);
         if let Some(limit) = self.age_limits.max_age
             && call.caller.key().is_some()
             && !self.shared.lock().is_configuration_current(limit, arrived)
@@ -149,10 +151,6 @@
         if self.shared.is_stopped(now) {
             return self.reply_stopping(&call, &attempts);
         }
-        match self.receive(&call, now) {
-            Ok(receipt) => attempts.receipt = receipt,
-            Err(MayHaveRun) => return self.reply_repeated(&call, &attempts),
-        }
         self.shared.lock().budget.record_call(&call.service, now);
         if call.route.kind.is_stream() {
             self.serve_stream(call, attempts).await
--- a/crates/gateway/src/handler/replies.rs
+++ b/crates/gateway/src/handler/replies.rs
@@ -190,12 +190,6 @@
         self.record_reply(call, attempts, instance, why, reply)
     }
 
-    /// Ends a call that came before and may have run, without a promise.
-    pub(super) fn reply_repeated(&self, call: &Call, attempts: &Attempts) -> Reply {
-        let reply = reply::failure(Failure::BadGateway, "the call may have run before");
-        self.record_reply(call, attempts, "", "repeated", reply)
-    }
-
     /// Returns an instance's error response.
     pub(super) fn reply_failed(&self, call: &Call, attempts: &Attempts, reply: Reply) -> Reply {
         self.record_reply(call, attempts, "", "failed", reply)
