The head of a response that may belong to another request states nothing of its instance

What callers saw: an instance that had asked for a pause of a second got no calls for another one, because a copy of that response came late; a call got 503 at once.

Cause: what a head states (a pause, that the instance leaves, limits, load) was used before it was judged whose response it is.

Change: it is used unless the response belongs, or may belong, to another request.

--- a/crates/fleet/src/not_run.rs
+++ b/crates/fleet/src/not_run.rs
@@ -207,6 +207,16 @@
 }
 
 impl Doubt {
+    /// Whether the response may belong to another request, so that it states nothing of the
+    /// present.
+    #[must_use]
+    pub const fn is_foreign(self) -> bool {
+        match self {
+            Self::OtherCall | Self::OtherSending | Self::NoId => true,
+            Self::Unsigned | Self::Contradiction | Self::Unproven => false,
+        }
+    }
+
     /// Name for logs.
     #[must_use]
     pub const fn name(self) -> &'static str {
--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -208,7 +208,6 @@
         let head = self
             .dialect
             .parse_response(incoming.status, &incoming.headers);
-        self.on_head(grant, &head, sent_at);
         let status = incoming.status.as_u16();
         let (conn, number) = (incoming.conn.id, incoming.conn.exchanges);
         let identified = head.attempt_id.is_some();
@@ -227,7 +226,11 @@
             number,
             failed_before,
         };
-        match sent.judge(exchange, statement, repeatable) {
+        let verdict = sent.judge(exchange, statement, repeatable);
+        if !matches!(&verdict, Verdict::Lost(doubt) if doubt.is_foreign()) {
+            self.on_head(grant, &head, sent_at);
+        }
+        match verdict {
             Verdict::Answer(answer) => {
                 if promises_not_run(status) {
                     tracing::warn!(event = "unproven_rejection", id = %call.id,
