A connection closes after an order was refused on it

What callers saw: nothing so far. A copy of an order's refusal, which has no id, that came where the response to a later order was expected made an order that was carried out count as refused.

Cause: responses to orders have no identity but their place on the connection.

Change: the connection on which an order was refused is not used again.

--- a/crates/gateway/src/coordinator/actions.rs
+++ b/crates/gateway/src/coordinator/actions.rs
@@ -113,7 +113,10 @@
             };
             log_order(&order, fence, outcome, sent.elapsed());
             metrics.order(outcome);
-            if let Ok(res) = result {
+            // A copy of a refusal, which has no id, could be taken for that of a later order.
+            if let Ok(res) = result
+                && matches!(outcome, OrderOutcome::Accepted | OrderOutcome::Done)
+            {
                 res.into_body(&engine.pool);
             }
             tx.send(Command::OrderCompleted {
