Targets: a response with an attempt id is no response to an order

What callers saw: nothing so far. A copy of a request's refusal that came where the response to an order was expected made `reedford serve` take a load that was carried out for refused.

Cause: the client of the targets did not look at the id.

Change: such a response is dropped with its connection; the order is unknown.

--- a/crates/targets/src/client/orders.rs
+++ b/crates/targets/src/client/orders.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use hyper::{Method, StatusCode, header};
 use reedford_wire::engine::{AdapterOrder, EngineState, OrderResponse};
+use reedford_wire::headers;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -109,6 +110,11 @@
         let deadline = Instant::now() + timeout;
         let limit = HeadDeadline::earliest(timeout, None);
         let res = exchange::send_request(&self.pool, addr, req, Reuse::Allowed, limit).await?;
+        // A copy of the response to another request. Dropping it closes its connection.
+        let id = res.headers.get(headers::ATTEMPT_ID);
+        if id.is_some_and(|id| !id.is_empty()) {
+            return Err(LostReason::OtherRequest.into());
+        }
         Ok(self.read_body(res, Some(deadline)).await?)
     }
 }
