A caller that takes nothing for 10 s is given up

Cause: a caller that stops to receive kept the response in the node's memory as long as its connection lived, and with it a share of the memory that all bodies have; a few such callers would leave large responses none.

Change: a write of which no byte is taken for 10 s ends the connection. Slow callers that take some bytes are served to the end.

--- a/crates/front/src/accept.rs
+++ b/crates/front/src/accept.rs
@@ -1,5 +1,6 @@
 //! Accepts connections, serves them with an [`HttpService`], and shuts them down.
 
+use crate::write_timeout::WriteTimeout;
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -24,6 +25,8 @@
 /// Time for which a connection that is idle at the graceful shutdown stays open,
 /// so that a request which was already sent can still be read.
 pub const IDLE_CLOSE_DELAY: Duration = Duration::from_millis(200);
+/// Time for which a caller may take no byte of a response, which is held for it.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Pause after a connection could not be accepted, for example because the
 /// process has no file descriptors left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -178,6 +181,7 @@
         // An error is ignored, since the option only reduces the latency of small
         // writes.
         let _ = stream.set_nodelay(true);
+        let stream = WriteTimeout::new(stream, WRITE_TIMEOUT);
         let serving = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(self.limits.head_timeout)
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -26,6 +26,7 @@
 mod routes;
 mod serve;
 mod stream;
+mod write_timeout;
 
 pub use accept::{
     ConnectionLimits, HttpService, IDLE_CLOSE_DELAY, ShutdownSignals, serve_connections,
