Responses of the store have a largest length

Cause: the body of a response was read as long as bytes came, and the time limit moves on with them, so that a response without end filled the memory; the body of an error likewise, until its time was over.

Change: at most 32 MiB of a response are read, and 64 KiB of an error. This is a limit for each response; it does not follow the node's memory.

--- a/crates/store/src/body.rs
+++ b/crates/store/src/body.rs
@@ -3,12 +3,16 @@
 use crate::http::unknown_outcome;
 use crate::kv::KvError;
 use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::time::{Instant, sleep_until};
 
+/// Largest body of a response. Values have up to 1 MiB each, and listings many of them.
+const MAX_BODY_BYTES: usize = 32 << 20;
+/// What is read of the body of an error.
+const MAX_ERROR_BYTES: usize = 64 << 10;
 /// Longest time without a byte of a body that has begun to arrive.
 const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Rate above which the body of a response may take any time. Listings are larger than
@@ -56,15 +60,26 @@
     }
 }
 
-/// Reads a body to its end, as long as it arrives in time.
+/// Reads a body to its end, as long as it arrives in time and is not too long.
 pub(crate) async fn read_body(mut body: Incoming, deadline: &Deadline) -> Result<Bytes, KvError> {
     let mut buf = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(unknown_outcome)?;
         if let Some(data) = frame.data_ref() {
+            if buf.len() + data.len() > MAX_BODY_BYTES {
+                return Err(unknown_outcome("the response is too long"));
+            }
             deadline.on_bytes(data.len());
             buf.extend_from_slice(data);
         }
     }
     Ok(buf.freeze())
 }
+
+/// Reads the message of an error.
+pub(crate) async fn read_error(body: Incoming) -> Box<str> {
+    match Limited::new(body, MAX_ERROR_BYTES).collect().await {
+        Ok(body) => String::from_utf8_lossy(&body.to_bytes()).into(),
+        Err(error) => error.to_string().into(),
+    }
+}
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -1,10 +1,10 @@
 //! HTTP requests to the platform, with failover between its addresses.
 
-use crate::body::{Deadline, read_body};
+use crate::body::{Deadline, read_body, read_error};
 use crate::eras::EraHeader;
 use crate::kv::KvError;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper::rt::Executor;
@@ -406,17 +406,14 @@
     idempotency: Idempotency,
 ) -> KvError {
     let status = res.status();
-    let message = match res.into_body().collect().await {
-        Ok(body) => String::from_utf8_lossy(&body.to_bytes()).into_owned(),
-        Err(error) => error.to_string(),
-    };
+    let message = read_error(res.into_body()).await;
     if status.is_server_error() && idempotency == Idempotency::NonIdempotent {
         return unknown_outcome(format!("status {status}: {message}"));
     }
     KvError::Rejected {
         status: status.as_u16(),
         era,
-        message: message.into(),
+        message,
     }
 }
 
