Refusals of unread bodies reach callers that send all first

Cause: a connection with unread bytes is reset when it is closed, and a reset may discard the refusal. The server of `reedford serve` reads on for a while for that reason; the one of a node did not.

Measured: a_caller_that_sends_all_first_gets_the_refusal failed before (broken pipe) and passes.

--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -32,6 +32,7 @@
     ConnectionLimits, HttpService, IDLE_CLOSE_DELAY, ShutdownSignals, serve_connections,
 };
 pub use handler::{CallOptions, ChatCall, Handler, PlainCall, Readiness, RequestDigest};
+pub use linger::LingeringRefusal;
 pub use options::TENANT_HEADER;
 pub use refusal::{CallRefusal, ErrorBody, ErrorDetail, Outcome, RefusalCode};
 pub use response::{CallResponse, ResponseMeta, ResponseStream, StreamError};
--- a/crates/front/src/linger.rs
+++ b/crates/front/src/linger.rs
@@ -18,7 +18,8 @@
 /// of the request body has been discarded or a limit is reached. Closing a
 /// connection with unread bytes resets it, and a reset may discard the refusal
 /// before the caller, who is still sending, has read it.
-pub(crate) struct LingeringRefusal {
+#[derive(Debug)]
+pub struct LingeringRefusal {
     refusal: Option<Bytes>,
     rest: Incoming,
     bytes_left: usize,
@@ -26,7 +27,9 @@
 }
 
 impl LingeringRefusal {
-    pub(crate) fn new(refusal: Bytes, rest: Incoming) -> Self {
+    /// Creates the body of a refusal; `rest` is what was not read of the request.
+    #[must_use]
+    pub fn new(refusal: Bytes, rest: Incoming) -> Self {
         Self {
             refusal: Some(refusal),
             rest,
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -102,7 +102,7 @@
     D: Dialect,
 {
     async fn serve(self: &Arc<Self>, req: Request<Incoming>) -> Reply {
-        let (parts, body) = req.into_parts();
+        let (parts, mut body) = req.into_parts();
         let mut attempts = Attempts::default();
         let arrived = self.shared.now();
         let head = self.dialect.parse_call(&parts);
@@ -145,12 +145,12 @@
         let buf = self.bodies.body(BodyKind::Request);
         let read = tokio::select! {
             biased;
-            read = read_body(body, buf, limits.body_bytes) => read,
+            read = read_body(&mut body, buf, limits.body_bytes) => read,
             () = stopped => return self.reply_stopping(&call, &attempts),
         };
         match read {
             Ok(body) => call.body = body,
-            Err(error) => return self.reply_unreadable(&call, &attempts, error),
+            Err(error) => return self.reply_unreadable(&call, &attempts, error, body),
         }
         let now = self.shared.now();
         // Such a call could not end before the connections of callers are closed.
@@ -339,7 +339,11 @@
     TooSlow,
 }
 
-async fn read_body(mut body: Incoming, mut buf: BodyBuf, limit: usize) -> Result<Bytes, BodyError> {
+async fn read_body(
+    body: &mut Incoming,
+    mut buf: BodyBuf,
+    limit: usize,
+) -> Result<Bytes, BodyError> {
     let reading = async {
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_cut| BodyError::Cut)?;
--- a/crates/gateway/src/handler/replies.rs
+++ b/crates/gateway/src/handler/replies.rs
@@ -10,7 +10,8 @@
 use crate::sender::NO_MEMORY;
 use crate::stop;
 use hyper::StatusCode;
-use hyper::header::{CONNECTION, HeaderName, HeaderValue};
+use hyper::body::Incoming;
+use hyper::header::{HeaderName, HeaderValue};
 use reedford_fleet::Now;
 use reedford_fleet::scheduler::{Refusal, RefusalReason, Rejection};
 use std::time::Duration;
@@ -107,29 +108,32 @@
         )
     }
 
+    /// Responds to a call of whose body `rest` was not read.
     pub(super) fn reply_unreadable(
         &self,
         call: &Call,
         attempts: &Attempts,
         error: BodyError,
+        rest: Incoming,
     ) -> Reply {
         const TEXT: &str = "the body can't be read";
         match error {
-            BodyError::NoMemory => self.reply_no_memory(call, attempts),
             BodyError::Cut => reply::failure(Failure::BadRequest, TEXT),
-            BodyError::TooLarge => reply::failure(Failure::PayloadTooLarge, TEXT),
+            BodyError::NoMemory => self.reply_no_memory(call, attempts, rest),
+            BodyError::TooLarge => {
+                let reply = reply::failure(Failure::PayloadTooLarge, TEXT);
+                reply::before_rest(reply, TEXT, rest)
+            }
             BodyError::TooSlow => promise_or_fail(attempts, Promise::RequestTimeout, TEXT, None),
         }
     }
 
-    /// Refuses a call whose body finds no memory. The caller may not have sent all of it.
-    fn reply_no_memory(&self, call: &Call, attempts: &Attempts) -> Reply {
+    /// Refuses a call whose body finds no memory.
+    fn reply_no_memory(&self, call: &Call, attempts: &Attempts, rest: Incoming) -> Reply {
+        const TEXT: &str = "no memory is left for the body";
         self.log_no_memory(call, "request");
-        let text = "no memory is left for the body";
-        let mut reply = self.reply_unsent(attempts, text, NO_MEMORY_RETRY_AFTER);
-        reply
-            .headers_mut()
-            .insert(CONNECTION, HeaderValue::from_static("close"));
+        let reply = self.reply_unsent(attempts, TEXT, NO_MEMORY_RETRY_AFTER);
+        let reply = reply::before_rest(reply, TEXT, rest);
         self.record_reply(call, attempts, "", NO_MEMORY, reply)
     }
 
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -3,9 +3,11 @@
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt as _, Full};
+use hyper::body::Incoming;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{HeaderMap, Response, StatusCode};
 use reedford_fleet::not_run::{AnswerStatus, NeverRan};
+use reedford_front::LingeringRefusal;
 use std::convert::Infallible;
 
 /// Aborts a response body, so that the caller sees that it is incomplete.
@@ -99,6 +101,16 @@
     reply
 }
 
+/// Returns a response to a request of which `rest` was not read, which closes the connection
+/// once the caller has had time to read it.
+pub(crate) fn before_rest(reply: Reply, text: &'static str, rest: Incoming) -> Reply {
+    let body = LingeringRefusal::new(Bytes::from_static(text.as_bytes()), rest);
+    let mut reply = reply.map(|_text| body.map_err(|never| match never {}).boxed_unsync());
+    let close = HeaderValue::from_static("close");
+    reply.headers_mut().insert(hyper::header::CONNECTION, close);
+    reply
+}
+
 /// Returns an instance's response as it is sent to the caller.
 pub(crate) fn from_instance(
     status: AnswerStatus,
