Nodes receive no body that is too large to be decoded

Cause: a body in place of a large value was received to the size that its description states, and only then compared with the limit.

Change: the first part of such a body is refused.

Measured: no_part_of_a_body_that_is_too_large_is_kept failed before (the part was kept) and passes.

--- a/crates/fleet/src/transfer.rs
+++ b/crates/fleet/src/transfer.rs
@@ -220,8 +220,11 @@
     /// Appends the part at the next offset.
     ///
     /// # Errors
-    /// When the body has no such part.
+    /// When the body has no such part, or is too large.
     pub fn push(&mut self, part: &[u8]) -> Result<(), DecodeError> {
+        if self.info.size > MAX_DECODED_BYTES {
+            return Err(DecodeError::TooLarge(self.info.size));
+        }
         if part.is_empty() || self.received.len() + part.len() > self.info.size {
             return Err(DecodeError::Corrupt);
         }
--- a/crates/fleet/tests/transfer.rs
+++ b/crates/fleet/tests/transfer.rs
@@ -80,6 +80,22 @@
     assert!(reception.decode(&values) == Ok(case.value));
 }
 
+/// Guards against a description by which a node receives bytes without end.
+#[test]
+fn no_part_of_a_body_that_is_too_large_is_kept() {
+    let info = BodyInfo {
+        id: 1,
+        size: 1 << 30,
+        decoded_digest: 2,
+        decoded_size: MAX_VALUE_BYTES,
+        base: None,
+    };
+    let mut reception = Reception::new(info, Now::ZERO);
+    let pushed = reception.push(&noise(PART_BYTES));
+    assert_eq!(pushed, Err(DecodeError::TooLarge(info.size)));
+    assert_eq!(reception.next_offset(), Some(0));
+}
+
 #[test]
 fn a_transfer_that_broke_off_goes_on_at_the_next_part() {
     let value = noise(3 * PART_BYTES);
