Streams: bytes without an event are bounded, and each is looked at once

Cause: comments, blank lines and events without data were skipped without a bound, so that a stream of them at full speed took the node's thread until the call was moved or its deadline. And the end of an event was sought from the beginning of its line at each piece, so that a long line in pieces of one byte took time with the square of its length.

Change: after 1 MiB without an event the stream is given up, with the reason no_progress. The bound counts bytes, not time, and begins anew at each event: comments that keep a stream alive reach it after hours at ten a second. The reader remembers how far it has looked.

--- a/crates/gateway/src/relay/source.rs
+++ b/crates/gateway/src/relay/source.rs
@@ -8,7 +8,7 @@
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use reedford_bodies::{BodyKind, BodyMemory};
 use reedford_fleet::WeightVersion;
-use reedford_targets::{Connection, Event, EventReader, IncomingResponse};
+use reedford_targets::{Connection, Event, EventReader, IncomingResponse, InvalidEvent};
 use std::time::Duration;
 
 /// What the heads of all responses that go on with a stream have in common.
@@ -70,7 +70,8 @@
             match self.reader.next_event() {
                 Ok(Some(event)) => return Ok(event),
                 Ok(None) => {}
-                Err(_unreadable) => return Err(NoEvent::Broken("unreadable")),
+                Err(InvalidEvent::Unreadable) => return Err(NoEvent::Broken("unreadable")),
+                Err(InvalidEvent::Missing) => return Err(NoEvent::Broken("no_progress")),
             }
             match self.body.frame().await {
                 Some(Ok(frame)) => {
--- a/crates/targets/src/sse.rs
+++ b/crates/targets/src/sse.rs
@@ -5,6 +5,10 @@
 
 /// Longest event in bytes.
 const EVENT_MAX_BYTES: usize = 256 << 10;
+/// Bytes of blank lines, of comments and of other lines without data after which an event
+/// must have come. Comments that show that a stream is alive are far from it: at ten a
+/// second, for hours.
+const SKIPPED_MAX_BYTES: usize = 1 << 20;
 
 /// One event.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -18,9 +22,14 @@
     pub raw: Bytes,
 }
 
-/// An event is too long or not UTF-8.
+/// Why there is no next event.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct InvalidEvent;
+pub enum InvalidEvent {
+    /// No event came within as many bytes as should have had one.
+    Missing,
+    /// An event is too long or not UTF-8.
+    Unreadable,
+}
 
 /// Buffers received bytes and splits them into events.
 #[derive(Debug)]
@@ -28,8 +37,12 @@
     buf: BytesMut,
     /// Holds the bytes of `buf`.
     share: Share,
-    /// Length of the prefix of `buf` that contains no end of an event.
+    /// Length of the prefix of `buf` that has been searched for the end of an event.
     scanned: usize,
+    /// Where the line begins that `scanned` is in.
+    line: usize,
+    /// Bytes since the last event that belong to none.
+    skipped: usize,
 }
 
 impl EventReader {
@@ -40,6 +53,8 @@
             buf: BytesMut::new(),
             share,
             scanned: 0,
+            line: 0,
+            skipped: 0,
         }
     }
 
@@ -62,7 +77,7 @@
     /// Removes and returns the next complete event, skipping comments.
     ///
     /// # Errors
-    /// If an event is too long or not UTF-8.
+    /// If an event is too long or not UTF-8, or too much came that is no event.
     pub fn next_event(&mut self) -> Result<Option<Event>, InvalidEvent> {
         loop {
             let Some(len) = self.event_len()? else {
@@ -72,26 +87,32 @@
             let raw = self.buf[..len].to_vec();
             self.buf.advance(len);
             self.scanned = 0;
+            self.line = 0;
             let raw = self.share.split_off(len).hold(raw);
             if let Some(event) = parse(raw)? {
+                self.skipped = 0;
                 return Ok(Some(event));
             }
+            self.skip(len)?;
         }
     }
 
     /// Returns the length of the first event, including the blank line that ends
     /// it, or `None` if the event is incomplete.
     fn event_len(&mut self) -> Result<Option<usize>, InvalidEvent> {
-        self.skip_blank_lines();
+        self.skip_blank_lines()?;
         self.release();
         while let Some(offset) = self.buf[self.scanned..].iter().position(|b| *b == b'\n') {
             let line_end = self.scanned + offset;
-            let line = &self.buf[self.scanned..line_end];
+            let line = &self.buf[self.line..line_end];
+            let is_blank = line.is_empty() || line == b"\r";
             self.scanned = line_end + 1;
-            if line.is_empty() || line == b"\r" {
+            self.line = self.scanned;
+            if is_blank {
                 return within_limit(self.scanned).map(Some);
             }
         }
+        self.scanned = self.buf.len();
         within_limit(self.buf.len())?;
         Ok(None)
     }
@@ -104,22 +125,35 @@
         self.share.shrink_to(self.buf.len());
     }
 
-    fn skip_blank_lines(&mut self) {
-        while self.scanned == 0 && self.buf.first().is_some_and(|b| matches!(b, b'\n' | b'\r')) {
-            self.buf.advance(1);
+    fn skip_blank_lines(&mut self) -> Result<(), InvalidEvent> {
+        if self.scanned > 0 {
+            return Ok(());
         }
+        let is_line_end = |b: &u8| matches!(b, b'\n' | b'\r');
+        let blank = self.buf.iter().take_while(|b| is_line_end(b)).count();
+        self.buf.advance(blank);
+        self.skip(blank)
+    }
+
+    /// Counts bytes that belong to no event.
+    fn skip(&mut self, bytes: usize) -> Result<(), InvalidEvent> {
+        self.skipped += bytes;
+        if self.skipped > SKIPPED_MAX_BYTES {
+            return Err(InvalidEvent::Missing);
+        }
+        Ok(())
     }
 }
 
 fn within_limit(len: usize) -> Result<usize, InvalidEvent> {
     if len > EVENT_MAX_BYTES {
-        return Err(InvalidEvent);
+        return Err(InvalidEvent::Unreadable);
     }
     Ok(len)
 }
 
 fn parse(raw: Bytes) -> Result<Option<Event>, InvalidEvent> {
-    let text = std::str::from_utf8(&raw).map_err(|_invalid| InvalidEvent)?;
+    let text = std::str::from_utf8(&raw).map_err(|_invalid| InvalidEvent::Unreadable)?;
     let mut data: Option<String> = None;
     let mut id = None;
     for line in text.lines() {
