Workers: what comes before a head is bounded, and a connection takes turns

Cause: hyper's client takes any number of informational responses before the head, and goes on for as long as bytes are there; it parses the framing of a body in the same way (spaces and zeros around the size of a chunk have no bound). The node has one thread, so that one worker that sends such bytes at full speed kept all calls from being served, with the timers that would have ended it.

Change: reedford-transport has a stream between hyper and the socket. It reads 16 KiB at once, and lets the others run after 64 KiB. It counts the bytes since a response last made progress: the request was sent, or a head, a frame of the body or an event came. After 128 KiB, or 64 Ki frames of a few bytes without an event, it reads no more, and the connection is closed. hyper takes heads of up to 64 KiB; a sound one passes together with what is read of its body. The call counts as lost, it may have run; the log says head_too_long or no_progress. All users of the pool have the bounds: calls, orders, requests for reports and the client of `reedford serve`.

--- a/crates/gateway/src/relay/source.rs
+++ b/crates/gateway/src/relay/source.rs
@@ -1,7 +1,7 @@
 //! Responses of instances, read as events of a stream.
 
 use crate::connection_headers::idle_timeout;
-use crate::sender::{NO_MEMORY, PendingResponse};
+use crate::sender::{NO_MEMORY, PendingResponse, lost_reason};
 use http_body_util::BodyExt as _;
 use hyper::StatusCode;
 use hyper::body::Incoming;
@@ -68,7 +68,10 @@
     pub(super) async fn next_event(&mut self) -> Result<Event, NoEvent> {
         loop {
             match self.reader.next_event() {
-                Ok(Some(event)) => return Ok(event),
+                Ok(Some(event)) => {
+                    self.conn.progress.restart();
+                    return Ok(event);
+                }
                 Ok(None) => {}
                 Err(InvalidEvent::Unreadable) => return Err(NoEvent::Broken("unreadable")),
                 Err(InvalidEvent::Missing) => return Err(NoEvent::Broken("no_progress")),
@@ -76,11 +79,14 @@
             match self.body.frame().await {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
+                        self.conn.progress.on_frame(data.len());
                         let pushed = self.reader.push(&data);
                         pushed.map_err(|_full| NoEvent::Broken(NO_MEMORY))?;
                     }
                 }
-                Some(Err(_cut)) => return Err(NoEvent::Broken("closed")),
+                Some(Err(_cut)) => {
+                    return Err(NoEvent::Broken(lost_reason(self.conn.body_error())));
+                }
                 None => return Err(NoEvent::End),
             }
         }
--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -365,6 +365,8 @@
         LostReason::Closed => "closed",
         LostReason::FirstByteTimeout | LostReason::ProgressTimeout => "silent",
         LostReason::Deadline => "deadline",
+        LostReason::HeadTooLong => "head_too_long",
+        LostReason::NoProgress => "no_progress",
         LostReason::Status(_)
         | LostReason::Unreadable
         | LostReason::NoAttemptId
--- a/crates/targets/src/error.rs
+++ b/crates/targets/src/error.rs
@@ -53,6 +53,12 @@
     /// The response belongs to another request.
     #[error("response to another request")]
     OtherRequest,
+    /// The head of the response, or what came before it, is longer than the client accepts.
+    #[error("head of the response too long")]
+    HeadTooLong,
+    /// Too much came without a part of the response body, or in parts that are too small.
+    #[error("no progress in what came")]
+    NoProgress,
     /// The response body is longer than the client accepts.
     #[error("response too long")]
     TooLong,
--- a/crates/targets/src/exchange.rs
+++ b/crates/targets/src/exchange.rs
@@ -204,9 +204,11 @@
         req.headers_mut().insert(header::HOST, host);
     }
     conn.exchanges = conn.exchanges.saturating_add(1);
+    conn.progress.restart();
     let sent = timeout_at(limit.at, conn.sender.try_send_request(req)).await;
     match sent {
         Ok(Ok(res)) => {
+            conn.progress.restart();
             let (head, body) = res.into_parts();
             Ok(IncomingResponse {
                 body,
@@ -215,10 +217,13 @@
                 status: head.status,
             })
         }
-        Ok(Err(mut e)) => Err(e.take_message().map_or_else(
-            || SendError::Lost(LostReason::Closed),
-            |req| SendError::NotSent(Box::new(req)),
-        )),
+        Ok(Err(mut e)) => Err(match e.take_message() {
+            Some(req) => SendError::NotSent(Box::new(req)),
+            None if e.error().is_parse_too_large() || conn.progress.is_exceeded() => {
+                SendError::Lost(LostReason::HeadTooLong)
+            }
+            None => SendError::Lost(LostReason::Closed),
+        }),
         Err(_elapsed) => {
             pool.drop_idle(conn.addr);
             Err(SendError::Lost(limit.reason))
@@ -240,8 +245,9 @@
             .await
             .map_err(|_elapsed| LostReason::ProgressTimeout)?;
         let Some(frame) = frame else { break };
-        let frame = frame.map_err(|_cut| LostReason::Closed)?;
+        let frame = frame.map_err(|_cut| res.conn.body_error())?;
         if let Ok(data) = frame.into_data() {
+            res.conn.progress.on_frame(data.len());
             if buf.len() + data.len() > BODY_MAX_BYTES {
                 return Err(LostReason::TooLong);
             }
--- a/crates/targets/src/pool.rs
+++ b/crates/targets/src/pool.rs
@@ -6,7 +6,7 @@
 //! response could be taken for the response to the next request. A connection that
 //! is dropped is closed.
 
-use crate::error::NotSentReason;
+use crate::error::{LostReason, NotSentReason};
 use crate::failed_calls::{CallKey, FailedCalls};
 use bytes::Bytes;
 use futures::future::BoxFuture;
@@ -14,6 +14,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use reedford_bodies::BodyMemory;
+use reedford_transport::{BoundedStream, MAX_HEAD_BYTES, Progress};
 use std::collections::BTreeMap;
 use std::fmt::Debug;
 use std::net::SocketAddr;
@@ -123,6 +124,8 @@
     pub addr: SocketAddr,
     /// Sends requests on the connection.
     pub sender: SendRequest<Full<Bytes>>,
+    /// What came since a response last made progress.
+    pub progress: Progress,
     /// What passes its bytes on, if it doesn't end at the target.
     relay: Option<Arc<Relay>>,
     failed: FailedCalls,
@@ -148,6 +151,16 @@
         self.failed.record(call);
     }
 
+    /// Returns why the body of a response was not received to its end.
+    #[must_use]
+    pub fn body_error(&self) -> LostReason {
+        if self.progress.is_exceeded() {
+            LostReason::NoProgress
+        } else {
+            LostReason::Closed
+        }
+    }
+
     /// Whether it serves no further requests.
     fn is_retired(&self) -> bool {
         self.failed.is_full() || self.relay.as_ref().is_some_and(|relay| relay.is_retired())
@@ -262,7 +275,8 @@
 
     /// Like [`Self::put`], but the connection is kept idle for at most `timeout`.
     pub fn put_with_idle_timeout(&self, conn: Connection, timeout: Duration) {
-        if self.closing.is_cancelled() || conn.sender.is_closed() || conn.is_retired() {
+        let is_over = conn.sender.is_closed() || conn.progress.is_exceeded();
+        if self.closing.is_cancelled() || is_over || conn.is_retired() {
             return;
         }
         let now = Instant::now();
@@ -361,7 +375,11 @@
         stream
             .set_nodelay(true)
             .map_err(|e| NotSentReason::Connect(e.kind()))?;
-        let (sender, driver) = http1::handshake(TokioIo::new(stream))
+        let progress = Progress::default();
+        let io = BoundedStream::new(TokioIo::new(stream), progress.clone());
+        let (sender, driver) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(io)
             .await
             .map_err(|_closed| NotSentReason::Closed)?;
         let stop = self.closing.child_token();
@@ -375,6 +393,7 @@
             exchanges: 0,
             addr,
             sender,
+            progress,
             relay,
             failed: FailedCalls::default(),
             _driver: stop.drop_guard(),
--- a/crates/targets/src/stream.rs
+++ b/crates/targets/src/stream.rs
@@ -114,7 +114,12 @@
                 .map_err(|_invalid| StreamError::Unreadable { received })?;
             match event {
                 Some(event) if event.data == STREAM_END => return self.finish(),
-                Some(event) => return self.decode(event).map(Some),
+                Some(event) => {
+                    if let Some(source) = &self.source {
+                        source.conn.progress.restart();
+                    }
+                    return self.decode(event).map(Some);
+                }
                 None => self.read_body().await?,
             }
         }
@@ -197,6 +202,7 @@
             return Err(StreamError::Cut { received });
         };
         if let Ok(data) = frame.into_data() {
+            source.conn.progress.on_frame(data.len());
             let pushed = self.reader.push(&data);
             pushed.map_err(|_full| StreamError::Cut { received })?;
         }
