Store: the client's connections have the bounds of those to workers

Cause: the client of the store reads like that of the workers. Bytes without end and without a pause before a head, in the framing of a body, in tiny parts or in the body of an error kept everything beside the call from its turn; a body in chunks of one byte was read for as long as it came.

Change: its connections go through reedford-transport; each frame of a body and each line of a watch is progress.

--- a/crates/store/src/body.rs
+++ b/crates/store/src/body.rs
@@ -4,7 +4,9 @@
 use crate::kv::KvError;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use hyper::Response;
+use hyper::body::{Frame, Incoming};
+use reedford_transport::Progress;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::time::{Instant, sleep_until};
@@ -60,8 +62,42 @@
     }
 }
 
+/// The body of a response, whose frames are its connection's progress.
+#[derive(Debug)]
+pub(crate) struct Body {
+    incoming: Incoming,
+    progress: Progress,
+}
+
+impl Body {
+    pub(crate) fn new(res: Response<Incoming>) -> Self {
+        let progress = res.extensions().get::<Progress>().cloned();
+        let progress = progress.unwrap_or_default();
+        progress.restart();
+        Self {
+            incoming: res.into_body(),
+            progress,
+        }
+    }
+
+    /// Records that what the last frames make up is complete.
+    pub(crate) fn restart(&self) {
+        self.progress.restart();
+    }
+
+    /// Returns the next frame.
+    pub(crate) async fn frame(&mut self) -> Option<hyper::Result<Frame<Bytes>>> {
+        let frame = self.incoming.frame().await;
+        if let Some(Ok(frame)) = &frame {
+            self.progress
+                .on_frame(frame.data_ref().map_or(0, Bytes::len));
+        }
+        frame
+    }
+}
+
 /// Reads a body to its end, as long as it arrives in time and is not too long.
-pub(crate) async fn read_body(mut body: Incoming, deadline: &Deadline) -> Result<Bytes, KvError> {
+pub(crate) async fn read_body(mut body: Body, deadline: &Deadline) -> Result<Bytes, KvError> {
     let mut buf = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(unknown_outcome)?;
@@ -77,8 +113,11 @@
 }
 
 /// Reads the message of an error.
-pub(crate) async fn read_error(body: Incoming) -> Box<str> {
-    match Limited::new(body, MAX_ERROR_BYTES).collect().await {
+pub(crate) async fn read_error(body: Body) -> Box<str> {
+    let Body { incoming, progress } = body;
+    let read = Limited::new(incoming, MAX_ERROR_BYTES).collect().await;
+    progress.restart();
+    match read {
         Ok(body) => String::from_utf8_lossy(&body.to_bytes()).into(),
         Err(error) => error.to_string().into(),
     }
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -1,6 +1,7 @@
 //! HTTP requests to the platform, with failover between its addresses.
 
-use crate::body::{Deadline, read_body, read_error};
+use crate::body::{Body, Deadline, read_body, read_error};
+use crate::connector::Connector;
 use crate::eras::EraHeader;
 use crate::kv::KvError;
 use bytes::Bytes;
@@ -12,6 +13,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use reedford_core::Era;
+use reedford_transport::MAX_HEAD_BYTES;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
@@ -22,7 +24,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-type HttpClient = Client<HttpConnector, Full<Bytes>>;
+type HttpClient = Client<Connector, Full<Bytes>>;
 
 /// Addresses of the platform and timeouts of requests to it.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -246,15 +248,15 @@
     async fn call(&self, call: &Call<'_>) -> Result<Reply<Bytes>, KvError> {
         self.try_addresses(call, |res, deadline| async move {
             let era = self.era(&res);
-            let body = read_body(res.into_body(), &deadline).await?;
+            let body = read_body(Body::new(res), &deadline).await?;
             Ok(Reply { era, body })
         })
         .await
     }
 
     /// Sends a call and returns the response body once the headers have arrived.
-    pub(crate) async fn open_stream(&self, call: &Call<'_>) -> Result<Incoming, KvError> {
-        self.try_addresses(call, |res, _deadline| async { Ok(res.into_body()) })
+    pub(crate) async fn open_stream(&self, call: &Call<'_>) -> Result<Body, KvError> {
+        self.try_addresses(call, |res, _deadline| async { Ok(Body::new(res)) })
             .await
     }
 
@@ -375,7 +377,9 @@
     connector.set_nodelay(true);
     // hyper retries a request only if the connection returned it unsent, so its
     // retry never sends a write twice.
-    Client::builder(connections.clone()).build(connector)
+    Client::builder(connections.clone())
+        .http1_max_buf_size(MAX_HEAD_BYTES)
+        .build(Connector(connector))
 }
 
 fn request(address: SocketAddr, call: &Call<'_>) -> Result<Request<Full<Bytes>>, KvError> {
@@ -406,7 +410,7 @@
     idempotency: Idempotency,
 ) -> KvError {
     let status = res.status();
-    let message = read_error(res.into_body()).await;
+    let message = read_error(Body::new(res)).await;
     if status.is_server_error() && idempotency == Idempotency::NonIdempotent {
         return unknown_outcome(format!("status {status}: {message}"));
     }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -9,6 +9,7 @@
 //! had one; see [`KvError`].
 
 mod body;
+mod connector;
 mod document;
 mod eras;
 mod http;
--- a/crates/store/src/watch.rs
+++ b/crates/store/src/watch.rs
@@ -1,5 +1,6 @@
 //! Parses the response body of a watch, which has one JSON message per line.
 
+use crate::body::Body;
 use crate::http::unknown_outcome;
 use crate::http_kv;
 use crate::kv::{Change, ChangeKind, Changes, KvError, Watch};
@@ -7,8 +8,6 @@
 use base64::engine::general_purpose::STANDARD;
 use bytes::{Bytes, BytesMut};
 use futures::StreamExt;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use reedford_core::Era;
 use reedford_wire::kv as wire;
 use std::time::Duration;
@@ -20,7 +19,7 @@
 
 /// Reads `body` line by line.
 struct LineReader {
-    body: Incoming,
+    body: Body,
     buf: BytesMut,
     /// Number of bytes at the start of `buf` that contain no line feed.
     scanned: usize,
@@ -32,7 +31,7 @@
 
 /// Returns the stream of changes in `body`. The stream ends with an error after
 /// `idle_timeout` without a line, or when the connection ends.
-pub(crate) fn change_stream(body: Incoming, idle_timeout: Duration) -> Watch {
+pub(crate) fn change_stream(body: Body, idle_timeout: Duration) -> Watch {
     let reader = LineReader {
         body,
         buf: BytesMut::new(),
@@ -59,6 +58,7 @@
     async fn next_line(&mut self) -> Result<Bytes, KvError> {
         loop {
             if let Some(line) = self.take_line() {
+                self.body.restart();
                 return Ok(line);
             }
             if self.buf.len() > MAX_LINE_BYTES {
