Callers: their connections take turns, too

Cause: hyper's server parses the framing of a request's body for as long as bytes are there, as its client does.

Change: the connections of callers go through reedford-transport, and let the others run after 64 KiB. The bytes without progress are not bounded here: a body has its time limit.

The test in endless.rs passed before, too: it guards the target of 1.5 s.

--- a/crates/front/src/accept.rs
+++ b/crates/front/src/accept.rs
@@ -6,6 +6,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use reedford_transport::{BoundedStream, MAX_HEAD_BYTES};
 use std::convert::Infallible;
 use std::error::Error;
 use std::io;
@@ -20,8 +21,6 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
-/// Largest head of a request in bytes.
-const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Time for which a connection that is idle at the graceful shutdown stays open,
 /// so that a request which was already sent can still be read.
 pub const IDLE_CLOSE_DELAY: Duration = Duration::from_millis(200);
@@ -186,7 +185,7 @@
             .timer(TokioTimer::new())
             .header_read_timeout(self.limits.head_timeout)
             .max_buf_size(MAX_HEAD_BYTES)
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(BoundedStream::sharing(TokioIo::new(stream)), service);
         let mut serving = pin!(serving);
         tokio::select! {
             biased;
