--- a/crates/bodies/src/lib.rs
+++ b/crates/bodies/src/lib.rs
@@ -87,7 +87,7 @@
 }
 
 impl BodyMemory {
-    /// Creates a memory of so many bytes.
+    /// Creates a memory of `limit` bytes.
     #[must_use]
     pub fn new(limit: usize) -> Self {
         Self(Arc::new(State {
@@ -151,7 +151,7 @@
 }
 
 impl Share {
-    /// Grows to so many bytes, unless the share has as many already.
+    /// Grows to `bytes` bytes, unless it has as many already.
     ///
     /// # Errors
     /// If there is no room; the share stays as it was.
@@ -164,12 +164,12 @@
         Ok(())
     }
 
-    /// Gives back all but so many bytes.
+    /// Gives back all but `bytes` bytes.
     pub fn shrink_to(&mut self, bytes: usize) {
         drop(self.split_off(self.bytes.saturating_sub(bytes)));
     }
 
-    /// Returns a share with so many bytes of this one.
+    /// Returns a share with `bytes` bytes of this one.
     #[must_use]
     pub fn split_off(&mut self, bytes: usize) -> Self {
         let bytes = bytes.min(self.bytes);
