--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -7,6 +7,7 @@
 mod proxy;
 mod record;
 mod silence;
+mod split;
 mod store;
 mod worker;
 
@@ -51,6 +52,7 @@
     };
     let outcome = match case.as_str() {
         "silence" => silence::play(&setting),
+        "split" => split::play(&setting),
         other => Outcome::NotRun(format!("no case {other}")),
     };
     if std::env::var("KEEP").is_err() {
--- a/review/standins-2/node.rs
+++ b/review/standins-2/node.rs
@@ -1,7 +1,7 @@
 //! The project's own program as a separate process, with the command of the deploy file.
 
 use crate::http;
-use std::fs::{self, File};
+use std::fs::{self, OpenOptions};
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -13,7 +13,9 @@
     pub name: String,
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
-    pub log: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    program: PathBuf,
     child: Child,
 }
 
@@ -47,25 +49,30 @@
             .replace("STORE", &place.store.to_string());
         fs::write(&settings, text).expect("the settings can be written");
         let log = place.folder.join(format!("{}.log", place.name));
-        let out = File::create(&log).expect("the log can be written");
-        let child = Command::new(place.program)
-            .arg("gateway")
-            .env("REEDFORD_CONFIG", &settings)
-            .stdin(Stdio::null())
-            .stdout(out.try_clone().expect("the log can be shared"))
-            .stderr(out)
-            .spawn()
-            .expect("the gateway can be started");
+        let child = spawn(place.program, &settings, &log);
         let local = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
         Self {
             name: place.name.to_owned(),
             callers: local(callers),
             readiness: local(readiness),
+            settings,
             log,
+            program: place.program.to_owned(),
             child,
         }
     }
 
+    /// Kills the process with SIGKILL.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Starts the process again with the same settings.
+    pub fn restart(&mut self) {
+        self.child = spawn(&self.program, &self.settings, &self.log);
+    }
+
     /// Waits until the node reports that it is ready; returns whether it does in time.
     pub fn wait_until_ready(&self, limit: Duration) -> bool {
         let end = Instant::now() + limit;
@@ -79,26 +86,27 @@
         }
         false
     }
-
-    /// Sends a signal to the process.
-    pub fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
-        let _ = Command::new("kill").args([&format!("-{name}"), &pid]).status();
-    }
-
-    /// Whether the process still runs.
-    pub fn runs(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(None))
-    }
 }
 
 impl Drop for Node {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.kill();
     }
 }
 
+fn spawn(program: &Path, settings: &Path, log: &Path) -> Child {
+    let out = OpenOptions::new().create(true).append(true).open(log);
+    let out = out.expect("the log can be written");
+    Command::new(program)
+        .arg("gateway")
+        .env("REEDFORD_CONFIG", settings)
+        .stdin(Stdio::null())
+        .stdout(out.try_clone().expect("the log can be shared"))
+        .stderr(out)
+        .spawn()
+        .expect("the gateway can be started")
+}
+
 /// Returns ports that were free a moment ago.
 fn free_ports(count: usize) -> Vec<u16> {
     let listeners: Vec<TcpListener> = (0..count)
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -76,15 +76,6 @@
         self.shared.1.notify_all();
     }
 
-    /// Deletes a key.
-    pub fn remove(&self, key: &str) {
-        let mut state = self.shared.0.lock().expect("no panic");
-        state.revision += 1;
-        let revision = state.revision;
-        state.delete(key, revision);
-        self.shared.1.notify_all();
-    }
-
     fn expire_leases(&self) {
         let now = Instant::now();
         let mut state = self.shared.0.lock().expect("no panic");
