--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,6 +1,8 @@
 //! Plays one case of the review: `review CASE FOLDER PROGRAM`. Exits with 1 if the rule was
 //! broken, 0 if it held, and 2 if the case couldn't run. `TROUBLE=0` leaves the disruption out.
 
+mod copies;
+mod engine;
 mod http;
 mod json;
 mod node;
@@ -51,6 +53,7 @@
         trouble: std::env::var("TROUBLE").as_deref() != Ok("0"),
     };
     let outcome = match case.as_str() {
+        "copies" => copies::play(&setting),
         "silence" => silence::play(&setting),
         "split" => split::play(&setting),
         other => Outcome::NotRun(format!("no case {other}")),
