--- a/review/standins-2/copies.rs
+++ b/review/standins-2/copies.rs
@@ -20,8 +20,20 @@
     let record = Record::create(&setting.folder.join("record.txt"));
     let store = Store::default();
     let store_addr = store.start();
-    let engine = Engine::start(&store, &record, "i-e-1", ZONE, &["a1", "a2", "a3", "a4", "a5"]);
-    Engine::start(&store, &record, "i-e-2", "olten-b", &["a1", "a2", "a3", "a4", "a5"]);
+    let engine = Engine::start(
+        &store,
+        &record,
+        "i-e-1",
+        ZONE,
+        &["a1", "a2", "a3", "a4", "a5"],
+    );
+    Engine::start(
+        &store,
+        &record,
+        "i-e-2",
+        "olten-b",
+        &["a1", "a2", "a3", "a4", "a5"],
+    );
     store.put("op/config", &configuration());
     if setting.trouble {
         engine.copy_next_report();
@@ -116,7 +128,9 @@
         Ok(())
     };
     let outcome = begun();
-    record.line(&format!("the caller of id=00000000000000a1, adapter a1, has left: {outcome:?}"));
+    record.line(&format!(
+        "the caller of id=00000000000000a1, adapter a1, has left: {outcome:?}"
+    ));
 }
 
 fn configuration() -> String {
--- a/review/standins-2/engine.rs
+++ b/review/standins-2/engine.rs
@@ -61,7 +61,12 @@
             state: Arc::default(),
         };
         let resident = adapters.iter().map(|a| (*a).to_owned());
-        engine.state.lock().expect("no panic").resident.extend(resident);
+        engine
+            .state
+            .lock()
+            .expect("no panic")
+            .resident
+            .extend(resident);
         let (serving, record) = (engine.clone(), record.clone());
         http::serve(listener, move |request, stream| {
             serving.respond(request, stream, &record)
@@ -111,7 +116,12 @@
         store.put(&format!("servers/{id}"), &entry);
     }
 
-    fn respond(&self, request: &Message, stream: &mut TcpStream, record: &Record) -> io::Result<()> {
+    fn respond(
+        &self,
+        request: &Message,
+        stream: &mut TcpStream,
+        record: &Record,
+    ) -> io::Result<()> {
         let peer = stream.peer_addr()?;
         {
             let mut state = self.state.lock().expect("no panic");
@@ -160,7 +170,11 @@
     fn report(&self, peer: SocketAddr) -> String {
         let mut state = self.state.lock().expect("no panic");
         state.reports += 1;
-        let pending: Vec<String> = state.pending.iter().map(|a| format!("\"m0/{a}@1\"")).collect();
+        let pending: Vec<String> = state
+            .pending
+            .iter()
+            .map(|a| format!("\"m0/{a}@1\""))
+            .collect();
         let running: u32 = state.runs.values().sum();
         let text = format!(
             "{{\"stage\":\"both\",\"models\":{},\"busy\":false,\"seq\":{},\"queued\":0,\"running\":{running},\"kvUsed\":0,\"kvTotal\":121675,\"handles\":0,\"born\":{},\"pending\":[{}]}}",
@@ -178,7 +192,13 @@
 
     fn order(&self, request: &Message, record: &Record) -> (u16, &'static str) {
         let order = Json::parse(&request.text()).unwrap_or(Json::Null);
-        let text = |name: &str| order.get(name).and_then(Json::text).unwrap_or_default().to_owned();
+        let text = |name: &str| {
+            order
+                .get(name)
+                .and_then(Json::text)
+                .unwrap_or_default()
+                .to_owned()
+        };
         let number = |name: &str| order.get(name).and_then(Json::number);
         let mut state = self.state.lock().expect("no panic");
         let (operation, adapter, holder) = (text("operation"), text("adapter"), text("holder"));
@@ -238,7 +258,10 @@
         record: &Record,
     ) -> io::Result<()> {
         let model = request.header("model").unwrap_or_default();
-        let adapter = model.split_once('/').map_or("", |(_, adapter)| adapter).to_owned();
+        let adapter = model
+            .split_once('/')
+            .map_or("", |(_, adapter)| adapter)
+            .to_owned();
         {
             let mut state = self.state.lock().expect("no panic");
             if !state.resident.contains(&adapter) || state.leaving.contains(&adapter) {
@@ -248,8 +271,14 @@
             }
             *state.runs.entry(adapter.clone()).or_default() += 1;
         }
-        let events: u32 = request.header("x-events").and_then(|e| e.parse().ok()).unwrap_or(3);
-        record.line(&format!("engine {}: runs id={attempt} adapter={adapter}", self.id));
+        let events: u32 = request
+            .header("x-events")
+            .and_then(|e| e.parse().ok())
+            .unwrap_or(3);
+        record.line(&format!(
+            "engine {}: runs id={attempt} adapter={adapter}",
+            self.id
+        ));
         let mut written = stream.write_all(
             format!("HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Stamp: {}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", self.id).as_bytes(),
         );
--- a/review/standins-2/http.rs
+++ b/review/standins-2/http.rs
@@ -17,7 +17,10 @@
 impl Message {
     /// Returns a header field.
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(n, _)| n.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 
@@ -61,10 +64,15 @@
             break;
         }
         if let Some((name, value)) = line.split_once(':') {
-            message.headers.push((name.to_owned(), value.trim().to_owned()));
+            message
+                .headers
+                .push((name.to_owned(), value.trim().to_owned()));
         }
     }
-    if let Some(length) = message.header("content-length").and_then(|l| l.parse().ok()) {
+    if let Some(length) = message
+        .header("content-length")
+        .and_then(|l| l.parse().ok())
+    {
         let mut body = vec![0; length];
         stream.read_exact(&mut body)?;
         message.body = body;
@@ -113,7 +121,9 @@
             let handle = Arc::clone(&handle);
             std::thread::spawn(move || {
                 let _ = stream.set_nodelay(true);
-                let Ok(mut writer) = stream.try_clone() else { return };
+                let Ok(mut writer) = stream.try_clone() else {
+                    return;
+                };
                 let mut reader = BufReader::new(stream);
                 while let Ok(Some(request)) = read_message(&mut reader) {
                     if handle(&request, &mut writer).is_err() {
@@ -141,7 +151,10 @@
     for (name, value) in headers {
         out.push_str(&format!("{name}: {value}\r\n"));
     }
-    out.push_str(&format!("Connection: close\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
+    out.push_str(&format!(
+        "Connection: close\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    ));
     stream.write_all(out.as_bytes())?;
     let message = read_message(&mut BufReader::new(stream))?;
     message.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
--- a/review/standins-2/proxy.rs
+++ b/review/standins-2/proxy.rs
@@ -56,7 +56,11 @@
     /// Returns when a request whose first line contains `text` was last passed on.
     pub fn last_request(&self, text: &str) -> Option<Instant> {
         let state = self.state.lock().expect("no panic");
-        let found = state.seen.iter().rev().find(|(_, line)| line.contains(text));
+        let found = state
+            .seen
+            .iter()
+            .rev()
+            .find(|(_, line)| line.contains(text));
         found.map(|(at, _)| *at)
     }
 }
--- a/review/standins-2/silence.rs
+++ b/review/standins-2/silence.rs
@@ -53,7 +53,10 @@
             })
         })
         .collect();
-    if !nodes.iter().all(|n| n.wait_until_ready(Duration::from_secs(20))) {
+    if !nodes
+        .iter()
+        .all(|n| n.wait_until_ready(Duration::from_secs(20)))
+    {
         return Outcome::NotRun("a node did not become ready".to_owned());
     }
     record.line("all nodes are ready");
@@ -131,7 +134,11 @@
         while !stop.load(Ordering::Relaxed) {
             let id = format!("{:016x}", CALLS.fetch_add(1, Ordering::Relaxed));
             let (sent, sent_s) = (Instant::now(), record.now());
-            let headers = [("Host", HOST), ("Attempt-Id", id.as_str()), ("Deadline-Ms", "4000")];
+            let headers = [
+                ("Host", HOST),
+                ("Attempt-Id", id.as_str()),
+                ("Deadline-Ms", "4000"),
+            ];
             let limit = Duration::from_secs(4);
             let answer = http::call(addr, "GET", "/shop/price", &headers, "", limit);
             let (status, service) = match &answer {
@@ -142,7 +149,11 @@
                 "answered id={id} node={node} sent={sent_s:.3} status={status} body={}",
                 service.replace('\n', " ")
             ));
-            let service = if status == 200 { service } else { String::new() };
+            let service = if status == 200 {
+                service
+            } else {
+                String::new()
+            };
             answers.lock().expect("no panic").push(Answer {
                 node: node.clone(),
                 sent,
--- a/review/standins-2/split.rs
+++ b/review/standins-2/split.rs
@@ -50,7 +50,10 @@
             })
         })
         .collect();
-    if !nodes.iter().all(|n| n.wait_until_ready(Duration::from_secs(20))) {
+    if !nodes
+        .iter()
+        .all(|n| n.wait_until_ready(Duration::from_secs(20)))
+    {
         return Outcome::NotRun("a node did not become ready".to_owned());
     }
     std::thread::sleep(Duration::from_secs(5));
@@ -60,7 +63,11 @@
         .map(|(n, stream)| {
             let addr = nodes[n % nodes.len()].callers;
             let id = format!("{:016x}", 0x1000 + n);
-            stream.lock().expect("no panic").first_attempt.clone_from(&id);
+            stream
+                .lock()
+                .expect("no panic")
+                .first_attempt
+                .clone_from(&id);
             let (stream, record) = (Arc::clone(stream), record.clone());
             let leave = Arc::clone(&leave);
             std::thread::spawn(move || follow(addr, &id, None, &stream, &record, &leave))
@@ -79,12 +86,18 @@
     for caller in callers {
         let _ = caller.join();
     }
-    if !nodes.iter().all(|n| n.wait_until_ready(Duration::from_secs(20))) {
+    if !nodes
+        .iter()
+        .all(|n| n.wait_until_ready(Duration::from_secs(20)))
+    {
         return Outcome::NotRun("a node did not become ready again".to_owned());
     }
     record.line("all nodes are ready");
     let stay = Arc::new(AtomicBool::new(false));
-    let begun: Vec<bool> = streams.iter().map(|s| begun(&s.lock().expect("no panic"))).collect();
+    let begun: Vec<bool> = streams
+        .iter()
+        .map(|s| begun(&s.lock().expect("no panic")))
+        .collect();
     let callers: Vec<_> = (streams.iter().enumerate())
         .filter(|(n, _)| begun[*n])
         .map(|(n, stream)| {
@@ -139,7 +152,9 @@
     let first = received.lock().expect("no panic").first_attempt.clone();
     let outcome = receive(addr, id, last.map(|last| (last, first)), received, leave);
     let last = received.lock().expect("no panic").last_event;
-    record.line(&format!("answered id={id} at {addr}: {outcome:?}, last event {last}"));
+    record.line(&format!(
+        "answered id={id} at {addr}: {outcome:?}, last event {last}"
+    ));
 }
 
 fn receive(
@@ -175,7 +190,10 @@
         if let Some(id) = line.strip_prefix("id: ") {
             event = id.parse().unwrap_or(0);
         }
-        if let Some((_, origin)) = line.strip_prefix("data: ").and_then(|d| d.split_once(" of ")) {
+        if let Some((_, origin)) = line
+            .strip_prefix("data: ")
+            .and_then(|d| d.split_once(" of "))
+        {
             let mut received = received.lock().expect("no panic");
             received.last_event = event;
             received.origins.insert(origin.to_owned());
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -81,7 +81,10 @@
         let mut state = self.shared.0.lock().expect("no panic");
         let ended: Vec<i64> = {
             let leases = state.leases.iter();
-            leases.filter(|(_, l)| l.expires <= now).map(|(id, _)| *id).collect()
+            leases
+                .filter(|(_, l)| l.expires <= now)
+                .map(|(id, _)| *id)
+                .collect()
         };
         for id in ended {
             self.end_lease(&mut state, id);
@@ -104,7 +107,10 @@
     }
 
     fn respond(&self, request: &Message) -> String {
-        let (path, query) = request.target().split_once('?').unwrap_or((request.target(), ""));
+        let (path, query) = request
+            .target()
+            .split_once('?')
+            .unwrap_or((request.target(), ""));
         let query = parse_query(query);
         let arg = |name: &str| query.get(name).map(String::as_str).unwrap_or_default();
         let body = Json::parse(&request.text()).unwrap_or(Json::Null);
@@ -118,12 +124,17 @@
             }
             ("POST", "/-/kv-txn") => self.txn(&body),
             ("POST", "/-/kv-lease") => self.lease(&body),
-            ("POST", path) => match path.strip_prefix("/-/kv-keep/").and_then(|i| i.parse().ok()) {
+            ("POST", path) => match path
+                .strip_prefix("/-/kv-keep/")
+                .and_then(|i| i.parse().ok())
+            {
                 Some(id) => self.keep(id),
                 None => (400, "{}".to_owned()),
             },
             ("DELETE", path) => {
-                let id = path.strip_prefix("/-/kv-lease-end/").and_then(|i| i.parse().ok());
+                let id = path
+                    .strip_prefix("/-/kv-lease-end/")
+                    .and_then(|i| i.parse().ok());
                 let mut state = self.shared.0.lock().expect("no panic");
                 match id.is_some_and(|id| self.end_lease(&mut state, id)) {
                     true => (200, "{}".to_owned()),
@@ -170,7 +181,10 @@
             if !events.is_empty() || left.is_zero() {
                 let revision = state.revision.max(after);
                 let events = events.join(",");
-                return (200, format!("{{\"events\":[{events}],\"storeRevision\":{revision}}}"));
+                return (
+                    200,
+                    format!("{{\"events\":[{events}],\"storeRevision\":{revision}}}"),
+                );
             }
             state = self.shared.1.wait_timeout(state, left).expect("no panic").0;
         }
@@ -180,7 +194,12 @@
         let list = |name: &str| body.get(name).map(Json::list).unwrap_or_default().to_vec();
         let mut state = self.shared.0.lock().expect("no panic");
         let conditions = list("precondition");
-        let key_of = |j: &Json| j.get("key").and_then(Json::text).unwrap_or_default().to_owned();
+        let key_of = |j: &Json| {
+            j.get("key")
+                .and_then(Json::text)
+                .unwrap_or_default()
+                .to_owned()
+        };
         let holds = |c: &Json| {
             let wanted = c.get("revision").and_then(Json::number).unwrap_or(0);
             state.items.get(&key_of(c)).map_or(0, |i| i.revision) == wanted
@@ -193,13 +212,21 @@
         }
         let puts = list("setKeys");
         let lease_of = |p: &Json| p.get("lease").and_then(Json::number).unwrap_or(0);
-        if puts.iter().map(lease_of).any(|l| l != 0 && !state.leases.contains_key(&l)) {
+        if puts
+            .iter()
+            .map(lease_of)
+            .any(|l| l != 0 && !state.leases.contains_key(&l))
+        {
             return (404, "{}".to_owned());
         }
         state.revision += 1;
         let revision = state.revision;
         for put in &puts {
-            let value = put.get("value").and_then(Json::text).unwrap_or_default().to_owned();
+            let value = put
+                .get("value")
+                .and_then(Json::text)
+                .unwrap_or_default()
+                .to_owned();
             state.set(&key_of(put), value, lease_of(put), revision);
         }
         for key in list("deleteKeys") {
@@ -210,7 +237,11 @@
     }
 
     fn lease(&self, body: &Json) -> (u16, String) {
-        let ttl_ms = body.get("ttlMs").and_then(Json::number).unwrap_or(1_000).max(1_000);
+        let ttl_ms = body
+            .get("ttlMs")
+            .and_then(Json::number)
+            .unwrap_or(1_000)
+            .max(1_000);
         let ttl = Duration::from_millis(ttl_ms as u64);
         let mut state = self.shared.0.lock().expect("no panic");
         state.last_lease += 1;
@@ -296,7 +327,9 @@
 
 fn parse_query(query: &str) -> BTreeMap<String, String> {
     let pairs = query.split('&').filter_map(|p| p.split_once('='));
-    pairs.map(|(name, value)| (name.to_owned(), percent_decode(value))).collect()
+    pairs
+        .map(|(name, value)| (name.to_owned(), percent_decode(value)))
+        .collect()
 }
 
 fn percent_decode(text: &str) -> String {
@@ -333,4 +366,3 @@
     }
     out
 }
-
--- a/review/standins-2/worker.rs
+++ b/review/standins-2/worker.rs
@@ -93,21 +93,36 @@
         store.put(&format!("servers/{id}"), &entry);
     }
 
-    fn respond(&self, request: &Message, stream: &mut TcpStream, record: &Record) -> io::Result<()> {
+    fn respond(
+        &self,
+        request: &Message,
+        stream: &mut TcpStream,
+        record: &Record,
+    ) -> io::Result<()> {
         let id = self.id.as_str();
         let mut send = |text: String| stream.write_all(text.as_bytes());
         if request.target() == "/healthz" {
             return send(http::response(200, &[("Instance-Id", id)], "ok"));
         }
         let attempt = request.header("attempt-id").unwrap_or_default();
-        if request.header("expect-instance").is_some_and(|expected| expected != id) {
-            return send(http::response(421, &[("Attempt-Id", attempt), ("Not-Executed", "1")], ""));
+        if request
+            .header("expect-instance")
+            .is_some_and(|expected| expected != id)
+        {
+            return send(http::response(
+                421,
+                &[("Attempt-Id", attempt), ("Not-Executed", "1")],
+                "",
+            ));
         }
         if attempt.is_empty() {
             return send(http::response(400, &[("Not-Executed", "1")], ""));
         }
         let (service, version) = (&self.service, &self.version);
-        let last = request.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+        let last = request
+            .header("last-event-id")
+            .and_then(|id| id.parse().ok())
+            .unwrap_or(0);
         record.line(&format!(
             "ran id={attempt} service={service} version={version} worker={id} after_event={last}"
         ));
