--- a/review/standins-2/node.rs
+++ b/review/standins-2/node.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 /// A gateway process. It is killed when the value is dropped.
@@ -107,11 +108,23 @@
         .expect("the gateway can be started")
 }
 
-/// Returns ports that were free a moment ago.
+/// Returns ports that were free a moment ago, below those that outgoing connections get.
 fn free_ports(count: usize) -> Vec<u16> {
-    let listeners: Vec<TcpListener> = (0..count)
-        .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
-        .collect();
+    const FIRST: u16 = 12_000;
+    const RANGE: u64 = 18_000;
+    /// Between two calls, since a node binds its ports a moment later.
+    const STEP: u64 = 97;
+    static STEPS: AtomicU64 = AtomicU64::new(0);
+    let begin = u64::from(std::process::id()) * 1_009;
+    let begin = begin + STEPS.fetch_add(STEP, Ordering::Relaxed);
+    let mut listeners: Vec<TcpListener> = Vec::new();
+    for n in 0..RANGE {
+        let offset = u16::try_from((begin + n) % RANGE).expect("the range is short");
+        listeners.extend(TcpListener::bind(("127.0.0.1", FIRST + offset)));
+        if listeners.len() == count {
+            break;
+        }
+    }
     let port = |l: &TcpListener| l.local_addr().expect("a bound listener").port();
     listeners.iter().map(port).collect()
 }
